--- a/src/base/check.c
+++ b/src/base/check.c
@@ -125,18 +125,22 @@
 		return settings_check(ROLE_ENTRY, argc - 1, argv + 1);
 	if (strcmp(what, "sidecar") == 0)
 		return settings_check(ROLE_SIDECAR, argc - 1, argv + 1);
+	if (strcmp(what, "gateway") == 0)
+		return settings_check(ROLE_GATEWAY, argc - 1, argv + 1);
 	if (strcmp(what, "--man") == 0) {
 		settings_write_man(page);
 		fputs(page->str, stdout);
 		return EXIT_CODE_OK;
 	}
 	if (strcmp(what, "--help") == 0) {
-		puts("Usage: heatherturn check entry|sidecar [FLAG...]\n"
-		     "       heatherturn check --man\n\n"
-		     "Prints the effective settings and every fault at once.");
+		puts(
+		    "Usage: heatherturn check entry|gateway|sidecar [FLAG...]\n"
+		    "       heatherturn check --man\n\n"
+		    "Prints the effective settings and every fault at once.");
 		return EXIT_CODE_OK;
 	}
-	fputs("heatherturn check: say entry or sidecar, then its flags\n",
+	fputs("heatherturn check: say entry, gateway or sidecar, then its "
+	      "flags\n",
 	    stderr);
 	return EXIT_CODE_USAGE;
 }
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -1,16 +1,29 @@
 #include "base/http_client.h"
 
+#include <sys/socket.h>
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <curl/curl.h>
 
+#include "base/clock.h"
 #include "base/list.h"
 
+#define LOG_MODULE "http_client"
+#include "base/log.h"
+
 #define CONNECT_TIMEOUT_DEFAULT_MS 1000
 #define ANSWER_MAX_DEFAULT_BYTES   ((size_t)16 * 1024 * 1024)
 #define CONNECTIONS_KEPT	   64L
 #define STATUS_OK		   200
+/* Below this a status line is followed by another. */
+#define STATUS_FINAL_MIN 200
+/* Time between keep-alive probes of a call that bounds its peer's silence. */
+#define KEEP_ALIVE_S 1
 
 G_DEFINE_QUARK(http_client_error, http_client_error)
 
@@ -37,13 +50,14 @@
 	struct http_client *client;
 	CURL *easy;
 	struct curl_slist *headers_out;
-	GHashTable *headers_in; /* name in lower case -> value */
+	GArray *headers_in; /* of struct http_header, as they came */
 	GByteArray *body;
 	const struct http_call_ops *ops;
 	void *data;
 	enum call_state state;
 	size_t answer_max_bytes;
 	int64_t stall_ms;
+	int64_t unreachable_ms;
 	ev_timer stall;
 	ev_timer timeout;
 	bool pause_wanted;
@@ -65,7 +79,7 @@
 	TAILQ_REMOVE(&client->calls, call, entry);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers_out);
-	g_hash_table_unref(call->headers_in);
+	g_array_unref(call->headers_in);
 	g_byte_array_unref(call->body);
 	g_free(call);
 }
@@ -338,23 +352,51 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/* Curl has one line of the answer's head. */
+/* Frees what a header holds. */
+static void
+header_clear(void *item)
+{
+	struct http_header *header = item;
+
+	g_free((char *)header->name);
+	g_free((char *)header->value);
+}
+
+/* Tells the owner of the answer's head; false where it ends the call. */
+static bool
+tell_head(struct http_call *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (call->ops->head == NULL || status < STATUS_FINAL_MIN ||
+	    call->state != CALL_RUNNING)
+		return true;
+	if (call->ops->head(call->data, call, (int)status))
+		return true;
+	call_fail(call, HTTP_CLIENT_ERROR_REFUSED);
+	return false;
+}
+
+/* Curl has one line of the answer's head; the empty one ends it. */
 static size_t
 take_header(char *bytes, size_t size, size_t count, void *data)
 {
 	struct http_call *call = data;
 	size_t length = size * count;
 	char *colon = memchr(bytes, ':', length);
-	char *value;
+	struct http_header header;
 
 	stall_restart(call);
-	if (length > 5 && memcmp(bytes, "HTTP/", 5) == 0)
-		g_hash_table_remove_all(call->headers_in);
-	else if (colon != NULL) {
-		value = g_strndup(
-		    colon + 1, length - (size_t)(colon + 1 - bytes));
-		g_hash_table_replace(call->headers_in,
-		    g_ascii_strdown(bytes, colon - bytes), g_strstrip(value));
+	if (length > 5 && memcmp(bytes, "HTTP/", 5) == 0) {
+		g_array_set_size(call->headers_in, 0);
+	} else if (length <= 2 && (bytes[0] == '\r' || bytes[0] == '\n')) {
+		return tell_head(call) ? length : 0;
+	} else if (colon != NULL) {
+		header.name = g_strndup(bytes, (size_t)(colon - bytes));
+		header.value = g_strstrip(
+		    g_strndup(colon + 1, length - (size_t)(colon + 1 - bytes)));
+		g_array_append_val(call->headers_in, header);
 	}
 	return length;
 }
@@ -371,7 +413,8 @@
 		return 0;
 	stall_restart(call);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (call->ops->chunk != NULL && status == STATUS_OK) {
+	if (call->ops->chunk != NULL &&
+	    (call->ops->head != NULL || status == STATUS_OK)) {
 		if (call->ops->chunk(call->data, (uint8_t *)bytes, length))
 			return length;
 		call_fail(call, HTTP_CLIENT_ERROR_REFUSED);
@@ -448,6 +491,7 @@
 set_headers(struct http_call *call, const struct http_call_request *request)
 {
 	bool typed = false;
+	bool accepts = false;
 	char *line;
 
 	for (size_t i = 0; i < request->header_count; i++) {
@@ -458,11 +502,16 @@
 		g_free(line);
 		typed |= g_ascii_strcasecmp(
 			     request->headers[i].name, "Content-Type") == 0;
+		accepts |= g_ascii_strcasecmp(
+			       request->headers[i].name, "Accept") == 0;
 	}
 	/* Lines without a value keep curl's own headers away. */
 	if (!typed)
 		call->headers_out = curl_slist_append(
 		    call->headers_out, "Content-Type:");
+	if (!accepts)
+		call->headers_out = curl_slist_append(
+		    call->headers_out, "Accept:");
 	call->headers_out = curl_slist_append(call->headers_out, "Expect:");
 	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers_out);
 }
@@ -485,8 +534,34 @@
 	if (strcmp(request->method, "HEAD") == 0)
 		curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
 	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, request->method);
-	if (!get && !request->repeatable)
+	if (request->own_connection || (!get && !request->repeatable))
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	if (request->own_connection)
+		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
+/* Bounds for how long the peer of a new socket may be silent. */
+static int
+bound_silence(void *data, curl_socket_t fd, curlsocktype purpose)
+{
+	const struct http_call *call = data;
+	unsigned int silence_ms = (unsigned int)call->unreachable_ms;
+	int on = 1;
+	int probe_s = KEEP_ALIVE_S;
+	int probes = (int)MAX(call->unreachable_ms / MS_PER_S, 1);
+
+	if (setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) != 0 ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s,
+		sizeof(probe_s)) != 0 ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s,
+		sizeof(probe_s)) != 0 ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes)) !=
+		0 ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+		sizeof(silence_ms)) != 0)
+		LOG_WARN("silent connections not bounded", "{s:s}", "why",
+		    g_strerror(errno));
+	return CURL_SOCKOPT_OK;
 }
 
 /* Sets how curl speaks to us and what it may do. */
@@ -507,6 +582,10 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, about_to_send);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	if (call->unreachable_ms > 0) {
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, bound_silence);
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call);
+	}
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
@@ -530,13 +609,15 @@
 	call->ops = ops;
 	call->data = data;
 	call->easy = curl_easy_init();
-	call->headers_in = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, g_free);
+	call->headers_in = g_array_new(
+	    FALSE, FALSE, sizeof(struct http_header));
+	g_array_set_clear_func(call->headers_in, header_clear);
 	call->body = g_byte_array_new();
 	call->answer_max_bytes = request->answer_max_bytes > 0
 	    ? request->answer_max_bytes
 	    : ANSWER_MAX_DEFAULT_BYTES;
 	call->stall_ms = request->stall_ms;
+	call->unreachable_ms = request->unreachable_ms;
 	ev_init(&call->stall, call_stalled);
 	call->stall.data = call;
 	ev_timer_init(&call->timeout, call_timed_out,
@@ -595,9 +676,21 @@
 const char *
 http_call_header(const struct http_call *call, const char *name)
 {
-	char *key = g_ascii_strdown(name, -1);
-	const char *value = g_hash_table_lookup(call->headers_in, key);
+	const struct http_header *header;
+
+	for (guint i = call->headers_in->len; i > 0; i--) {
+		header = &g_array_index(
+		    call->headers_in, struct http_header, i - 1);
+		if (g_ascii_strcasecmp(header->name, name) == 0)
+			return header->value;
+	}
+	return NULL;
+}
 
-	g_free(key);
-	return value;
+/* All headers of the answer as they came; borrowed until the call's end. */
+const struct http_header *
+http_call_headers(const struct http_call *call, size_t *count)
+{
+	*count = call->headers_in->len;
+	return (const struct http_header *)(void *)call->headers_in->data;
 }
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -44,6 +44,13 @@
 	int64_t timeout_ms; /* of the whole call; 0 for none */
 	int64_t stall_ms; /* without any byte; 0 for none */
 	size_t answer_max_bytes; /* 0 for the default; not for streams */
+	/*
+	 * Ends the connection where the peer has acknowledged nothing for so
+	 * long, also while nothing is sent; 0 for the system's own patience.
+	 */
+	int64_t unreachable_ms;
+	/* Takes a connection of its own, which is closed after the answer. */
+	bool own_connection;
 	/*
 	 * Whether a call may go out a second time: where a kept connection
 	 * turns out broken, it is sent again on a new one. Without it, each
@@ -60,9 +67,14 @@
 	const GError *error; /* HTTP_CLIENT_ERROR, or NULL */
 };
 
-/* What the caller of http_client_start() gives; chunk may be NULL. */
+/* What the caller of http_client_start() gives; head, chunk may be NULL. */
 struct http_call_ops {
-	/* Part of a streamed answer with status 200; false ends the call. */
+	/* The answer's status and headers are in; false ends the call. */
+	bool (*head)(void *data, struct http_call *, int status);
+	/*
+	 * Part of an answer's body; false ends the call. Without a head
+	 * callback it comes for status 200 alone, and other bodies are kept.
+	 */
 	bool (*chunk)(void *data, const uint8_t *bytes, size_t length);
 	/* The end; http_call_header() still works inside, the call is freed
 	 * after. */
@@ -81,5 +93,7 @@
 void http_call_pause(struct http_call *);
 void http_call_unpause(struct http_call *);
 const char *http_call_header(const struct http_call *, const char *name);
+const struct http_header *http_call_headers(
+    const struct http_call *, size_t *count);
 
 #endif
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -301,9 +301,9 @@
 	    MHD_OPTION_EXTERNAL_LOGGER, log_library, NULL,
 	    MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
 	    (unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-	    CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
-	    CONNECTION_IDLE_S, MHD_OPTION_URI_LOG_CALLBACK, first_line_read,
-	    httpd, MHD_OPTION_NOTIFY_COMPLETED, request_completed, httpd,
+	    httpd->connection_bytes, MHD_OPTION_CONNECTION_TIMEOUT,
+	    httpd->idle_s, MHD_OPTION_URI_LOG_CALLBACK, first_line_read, httpd,
+	    MHD_OPTION_NOTIFY_COMPLETED, request_completed, httpd,
 	    MHD_OPTION_NOTIFY_CONNECTION, connection_changed, httpd,
 	    MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
 }
@@ -342,6 +342,10 @@
 	httpd->data = data;
 	httpd->body_max_bytes = settings->body_max_bytes;
 	httpd->bodies_max_bytes = settings->bodies_max_bytes;
+	httpd->connection_bytes = MAX(
+	    CONNECTION_MEMORY_BYTES, 2 * settings->header_max_bytes);
+	httpd->idle_s = settings->idle_s > 0 ? settings->idle_s
+					     : CONNECTION_IDLE_S;
 	httpd->hangup_epoll = epoll_create1(EPOLL_CLOEXEC);
 	TAILQ_INIT(&httpd->requests);
 	if (settings->certificate_file != NULL) {
@@ -410,6 +414,20 @@
 	return httpd->port;
 }
 
+/* Lets each answer from here on end its connection. */
+void
+httpd_close_after_answers(struct httpd *httpd)
+{
+	httpd->closing = true;
+}
+
+/* Sets how long a body may be, for requests that begin after it. */
+void
+httpd_set_body_max(struct httpd *httpd, size_t bytes)
+{
+	httpd->body_max_bytes = bytes;
+}
+
 /*
  * Takes no more connections. Requests that run are answered, and each answer
  * from here on ends its connection.
@@ -422,6 +440,7 @@
 	if (httpd->stopping)
 		return;
 	httpd->stopping = true;
+	httpd->closing = true;
 	fd = MHD_quiesce_daemon(httpd->daemon);
 	if (fd >= 0)
 		close(fd);
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -44,6 +44,8 @@
 	size_t bodies_max_bytes; /* of all requests together; then 503 */
 	const char *certificate_file; /* NULL for plain HTTP */
 	const char *key_file;
+	size_t header_max_bytes; /* of a request's head; 0 for the default */
+	unsigned int idle_s; /* of a kept connection; 0 for the default */
 };
 
 struct httpd_stats {
@@ -52,12 +54,17 @@
 	size_t stream_bytes;
 };
 
+/* One header of a request; the texts are borrowed for the call. */
+typedef void httpd_header_fn(void *data, const struct http_header *);
+
 GQuark httpd_error_quark(void);
 struct httpd *httpd_new(struct ev_loop *, const struct httpd_settings *,
     const struct httpd_ops *, void *data, GError **);
 void httpd_free(struct httpd *);
 int httpd_port(const struct httpd *);
+void httpd_close_after_answers(struct httpd *);
 void httpd_stop_accepting(struct httpd *);
+void httpd_set_body_max(struct httpd *, size_t bytes);
 bool httpd_reload_certificate(struct httpd *, GError **);
 void httpd_stats(const struct httpd *, struct httpd_stats *);
 
@@ -67,6 +74,8 @@
 const char *httpd_request_query(const struct httpd_request *, const char *name);
 const char *httpd_request_header(
     const struct httpd_request *, const char *name);
+void httpd_request_each_header(
+    const struct httpd_request *, httpd_header_fn *, void *data);
 const uint8_t *httpd_request_body(const struct httpd_request *, size_t *length);
 void httpd_request_drop_body(struct httpd_request *);
 void *httpd_request_data(const struct httpd_request *);
@@ -78,6 +87,8 @@
 void httpd_abort(struct httpd_request *);
 void httpd_stream_begin(struct httpd_request *, int status,
     const struct http_header *, size_t header_count);
+void httpd_stream_begin_sized(struct httpd_request *, int status,
+    const struct http_header *, size_t header_count, uint64_t length);
 void httpd_stream_write(struct httpd_request *, const void *, size_t length);
 size_t httpd_stream_pending(const struct httpd_request *);
 void httpd_stream_end(struct httpd_request *);
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -58,6 +58,9 @@
 	size_t body_max_bytes;
 	size_t bodies_max_bytes;
 	struct httpd_tls *tls; /* NULL for plain HTTP */
+	size_t connection_bytes; /* each connection's memory */
+	unsigned int idle_s;
+	bool closing; /* each answer ends its connection */
 	bool stopping;
 	struct httpd_stats stats;
 	struct httpd_requests requests;
--- a/src/base/httpd_request.c
+++ b/src/base/httpd_request.c
@@ -120,6 +120,35 @@
 	    request->connection, MHD_HEADER_KIND, name);
 }
 
+/* What httpd_request_each_header() hands on. */
+struct header_walk {
+	httpd_header_fn *callback;
+	void *data;
+};
+
+/* Hands one header on. */
+static enum MHD_Result
+visit_header(
+    void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	const struct header_walk *walk = data;
+	const struct http_header header = {name, value == NULL ? "" : value};
+
+	walk->callback(walk->data, &header);
+	return MHD_YES;
+}
+
+/* Calls back for each header, in the order in which they came. */
+void
+httpd_request_each_header(
+    const struct httpd_request *request, httpd_header_fn *callback, void *data)
+{
+	struct header_walk walk = {.callback = callback, .data = data};
+
+	MHD_get_connection_values(
+	    request->connection, MHD_HEADER_KIND, visit_header, &walk);
+}
+
 /* The body; NULL and 0 where there is none or it was dropped. */
 const uint8_t *
 httpd_request_body(const struct httpd_request *request, size_t *length)
@@ -161,7 +190,7 @@
 	for (size_t i = 0; i < header_count; i++)
 		MHD_add_response_header(
 		    response, headers[i].name, headers[i].value);
-	if (request->httpd->stopping)
+	if (request->httpd->closing)
 		MHD_add_response_header(
 		    response, MHD_HTTP_HEADER_CONNECTION, "close");
 	request->response = response;
@@ -245,13 +274,25 @@
 void
 httpd_stream_begin(struct httpd_request *request, int status,
     const struct http_header *headers, size_t header_count)
+{
+	httpd_stream_begin_sized(
+	    request, status, headers, header_count, MHD_SIZE_UNKNOWN);
+}
+
+/*
+ * The same for a body whose whole length is known and told to the caller, who
+ * can so see whether it is cut.
+ */
+void
+httpd_stream_begin_sized(struct httpd_request *request, int status,
+    const struct http_header *headers, size_t header_count, uint64_t length)
 {
 	struct MHD_Response *response;
 
 	g_return_if_fail(request->response == NULL);
 	request->stream = g_byte_array_new();
 	response = MHD_create_response_from_callback(
-	    MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, request, NULL);
+	    length, STREAM_BLOCK_BYTES, read_stream, request, NULL);
 	set_response(request, response, status, headers, header_count);
 }
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -10,6 +10,7 @@
 static const char *const role_names[] = {
     [ROLE_ENTRY] = "entry",
     [ROLE_SIDECAR] = "sidecar",
+    [ROLE_GATEWAY] = "gateway",
 };
 
 G_DEFINE_QUARK(settings_error, settings_error)
@@ -162,7 +163,7 @@
 		add_fault(faults, SETTINGS_ERROR_TOGETHER,
 		    "--tls-certificate-file and --tls-key-file: one is given "
 		    "without the other");
-	if (settings->role == ROLE_ENTRY &&
+	if (settings->role != ROLE_SIDECAR &&
 	    settings->bodies_max_bytes < settings->body_max_bytes)
 		add_fault(faults, SETTINGS_ERROR_TOGETHER,
 		    "--bodies-max-bytes: is below --body-max-bytes");
@@ -292,6 +293,7 @@
 
 		switch (spec->kind) {
 		case SETTING_NUMBER:
+		case SETTING_FRACTION:
 		case SETTING_FLAG:
 		case SETTING_LOG_LEVEL:
 			break;
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -55,6 +55,15 @@
 	int64_t bodies_max_bytes; /* of all open requests together */
 	char *policy;
 
+	/* Gateways alone. */
+	char *objects; /* the platform's object store */
+	double grace_s; /* from SIGTERM to SIGKILL */
+	double retry_ratio;
+	double retry_window_s;
+	double retry_slack; /* of all gateways together */
+	double cold_ratio;
+	double cold_slack; /* requests a second */
+
 	/* Sidecars alone. */
 	char *upstream;
 	char *upstream_url;
--- a/src/base/settings_parse.c
+++ b/src/base/settings_parse.c
@@ -133,6 +133,27 @@
 	return true;
 }
 
+/* Reads a number that may have a fraction, within the setting's bounds. */
+static bool
+parse_fraction(const struct setting_spec *spec, const char *text,
+    struct settings *settings, GError **error)
+{
+	g_autofree char *why = NULL;
+	char *end = NULL;
+	double value = g_ascii_strtod(text, &end);
+
+	if (end == text || *end != '\0' || !(value >= (double)spec->min) ||
+	    !(value <= (double)spec->max)) {
+		why = g_strdup_printf("is not a number from "
+				      "%" G_GINT64_FORMAT
+				      " to %" G_GINT64_FORMAT,
+		    spec->min, spec->max);
+		return refuse(spec, text, why, error);
+	}
+	G_STRUCT_MEMBER(double, settings, spec->offset) = value;
+	return true;
+}
+
 /* Reads yes or no. */
 static bool
 parse_flag(const struct setting_spec *spec, const char *text,
@@ -232,6 +253,8 @@
 		return parse_choice(spec, text, settings, error);
 	case SETTING_NUMBER:
 		return parse_number(spec, text, settings, error);
+	case SETTING_FRACTION:
+		return parse_fraction(spec, text, settings, error);
 	case SETTING_FLAG:
 		return parse_flag(spec, text, settings, error);
 	}
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -5,6 +5,11 @@
 #define BODY_MIN_BYTES		1024
 #define BODIES_MAX_BYTES	(1024LL * 1024 * 1024)
 #define DRAIN_NOTICE_MAX_MS	600000
+#define GRACE_MAX_S		3600
+#define RETRY_WINDOW_MAX_S	60
+#define RETRY_SLACK_MAX		100000
+#define COLD_RATIO_MAX		100
+#define COLD_SLACK_MAX		100000
 #define DRAIN_NOTICE_DEFAULT_MS "2000"
 #define LOG_LEVELS		"error|warn|info|debug"
 #define POLICIES		"heatherturn|round-robin|least-outstanding|two-choices"
@@ -25,8 +30,8 @@
     {"http", SETTING_LISTEN, FOR_ALL, AT(http), .argument = "HOST:PORT",
 	.help =
 	    "where /metrics, /livez and /readyz are served; default: nowhere"},
-    {"platform", SETTING_URL, FOR_ALL, AT(platform), .argument = "URL",
-	.help = "the platform's service; empty for none"},
+    {"platform", SETTING_URL, FOR_ENTRY | FOR_SIDECAR, AT(platform),
+	.argument = "URL", .help = "the platform's service; empty for none"},
     {"peers", SETTING_ADDRESSES, FOR_ALL, AT(peers),
 	.argument = "HOST:PORT,...",
 	.help = "own links of a few other processes, to learn from at start"},
@@ -47,7 +52,7 @@
 	.fallback = DRAIN_NOTICE_DEFAULT_MS, .max = DRAIN_NOTICE_MAX_MS,
 	.argument = "MS",
 	.help = "time from not ready to taking no new work at a planned stop"},
-    {"callers", SETTING_LISTEN, FOR_ENTRY, AT(callers), true,
+    {"callers", SETTING_LISTEN, FOR_CALLERS, AT(callers), true,
 	.argument = "HOST:PORT", .help = "where callers' HTTP comes in"},
     {"operators", SETTING_LISTEN, FOR_ENTRY, AT(operators),
 	.argument = "HOST:PORT",
@@ -55,17 +60,37 @@
     {"operator-token-file", SETTING_SECRET, FOR_ENTRY, AT(operator_token_file),
 	.argument = "FILE",
 	.help = "secrets that operators' calls carry, [NAME] TOKEN a line"},
-    {"body-max-bytes", SETTING_NUMBER, FOR_ENTRY, AT(body_max_bytes),
+    {"body-max-bytes", SETTING_NUMBER, FOR_CALLERS, AT(body_max_bytes),
 	.fallback = BODY_DEFAULT_BYTES, .min = BODY_MIN_BYTES,
 	.max = BODIES_MAX_BYTES, .argument = "BYTES",
 	.help = "longest body of one call; longer ones get 413"},
-    {"bodies-max-bytes", SETTING_NUMBER, FOR_ENTRY, AT(bodies_max_bytes),
+    {"bodies-max-bytes", SETTING_NUMBER, FOR_CALLERS, AT(bodies_max_bytes),
 	.fallback = BODIES_DEFAULT_BYTES, .min = BODY_MIN_BYTES,
 	.max = BODIES_MAX_BYTES, .argument = "BYTES",
 	.help = "bodies of all open calls together; past it calls get 503"},
     {"policy", SETTING_CHOICE, FOR_ENTRY, AT(policy), .fallback = "heatherturn",
 	.choices = POLICIES, .argument = "NAME",
 	.help = "how an upstream is chosen"},
+    {"objects", SETTING_ADDRESS, FOR_GATEWAY, AT(objects), true,
+	.argument = "HOST:PORT", .help = "the platform's object store"},
+    {"grace-s", SETTING_FRACTION, FOR_GATEWAY, AT(grace_s), .fallback = "10",
+	.max = GRACE_MAX_S, .argument = "S",
+	.help = "time from SIGTERM until the process is killed"},
+    {"retry-ratio", SETTING_FRACTION, FOR_GATEWAY, AT(retry_ratio),
+	.fallback = "0.1", .max = 1, .argument = "SHARE",
+	.help = "sends beyond each request's first, as a share of requests"},
+    {"retry-window-s", SETTING_FRACTION, FOR_GATEWAY, AT(retry_window_s),
+	.fallback = "10", .min = 1, .max = RETRY_WINDOW_MAX_S, .argument = "S",
+	.help = "window in which that share is counted"},
+    {"retry-slack", SETTING_FRACTION, FOR_GATEWAY, AT(retry_slack),
+	.fallback = "10", .max = RETRY_SLACK_MAX, .argument = "N",
+	.help = "such sends of all gateways that are allowed besides"},
+    {"cold-ratio", SETTING_FRACTION, FOR_GATEWAY, AT(cold_ratio),
+	.fallback = "1", .max = COLD_RATIO_MAX, .argument = "X",
+	.help = "part of a cold upstream's stated rate that is used"},
+    {"cold-slack", SETTING_FRACTION, FOR_GATEWAY, AT(cold_slack),
+	.fallback = "0", .max = COLD_SLACK_MAX, .argument = "N",
+	.help = "requests a second to a cold upstream besides"},
     {"upstream", SETTING_NAME, FOR_SIDECAR, AT(upstream), true,
 	.argument = "ID",
 	.help = "id of the upstream that this process serves"},
--- a/src/base/settings_table.h
+++ b/src/base/settings_table.h
@@ -7,12 +7,14 @@
 
 #include "base/settings.h"
 
-#define SETTINGS_MAX 32
+#define SETTINGS_MAX 40
 
 /* For which roles a setting is. */
 #define FOR_ENTRY   (1U << ROLE_ENTRY)
 #define FOR_SIDECAR (1U << ROLE_SIDECAR)
-#define FOR_ALL	    (FOR_ENTRY | FOR_SIDECAR)
+#define FOR_GATEWAY (1U << ROLE_GATEWAY)
+#define FOR_ALL	    (FOR_ENTRY | FOR_SIDECAR | FOR_GATEWAY)
+#define FOR_CALLERS (FOR_ENTRY | FOR_GATEWAY)
 
 enum setting_kind {
 	SETTING_NAME, /* an id: letters, digits, '.', '_' and '-' */
@@ -25,6 +27,7 @@
 	SETTING_CHOICE,
 	SETTING_LOG_LEVEL,
 	SETTING_NUMBER,
+	SETTING_FRACTION,
 	SETTING_FLAG,
 };
 
--- a/src/commands.h
+++ b/src/commands.h
@@ -9,6 +9,7 @@
 int command_ctl(int argc, char **argv);
 int command_entry(int argc, char **argv);
 int command_explain(int argc, char **argv);
+int command_gateway(int argc, char **argv);
 int command_sidecar(int argc, char **argv);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -15,8 +15,8 @@
 #include "entry/planner.h"
 #include "node/node.h"
 #include "operator/operator.h"
-#include "platform/claims.h"
-#include "platform/config_writer.h"
+#include "store/claims.h"
+#include "store/config_writer.h"
 
 #define LOG_MODULE "entry"
 #include "base/log.h"
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -14,7 +14,7 @@
 #include "base/httpd.h"
 #include "caller/failure.h"
 #include "entry/dispatch.h"
-#include "platform/claims.h"
+#include "store/claims.h"
 
 /* A deadline that neither the caller nor the service sets. */
 #define DEADLINE_SHORT_MS 30000
--- a/src/entry/planner.h
+++ b/src/entry/planner.h
@@ -22,9 +22,9 @@
 #include "peer/documents.h"
 #include "peer/link.h"
 #include "peer/mesh.h"
-#include "platform/hosts.h"
-#include "platform/store.h"
-#include "platform/weights.h"
+#include "store/hosts.h"
+#include "store/store.h"
+#include "store/weights.h"
 
 #define PLAN_MS	       2000
 #define PLAN_CENSUS_MS 10000
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,44 @@
+/*
+ * One caller's request, from its arrival to the end of its answer: routed,
+ * sent to an upstream, sent to another one where that is allowed, and answered
+ * once.
+ */
+#ifndef GATEWAY_EXCHANGE_H
+#define GATEWAY_EXCHANGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/http_client.h"
+#include "base/httpd.h"
+#include "gateway/knowledge.h"
+#include "gateway/registry.h"
+#include "policy/retry_window.h"
+
+/* What all exchanges share. */
+struct exchanges {
+	struct ev_loop *loop;
+	struct clock *clock;
+	struct http_client *http;
+	struct knowledge *knowledge;
+	struct registry *registry;
+	GRand *random;
+	struct retry_window_limits retry; /* slack of all gateways together */
+	double cold_ratio;
+	double cold_slack;
+	GHashTable *retry_windows; /* service -> struct retry_window */
+	size_t open;
+};
+
+void exchanges_init(struct exchanges *);
+void exchanges_clear(struct exchanges *);
+
+void exchange_start(struct exchanges *, struct httpd_request *);
+void exchange_closed(struct httpd_request *, bool whole);
+void exchange_drained(struct httpd_request *);
+
+#endif
--- /dev/null
+++ b/src/gateway/exchange_internal.h
@@ -0,0 +1,90 @@
+/*
+ * What the files of an exchange share: exchange.c, its life; exchange_send.c,
+ * what is sent where; exchange_answer.c, what comes back.
+ */
+#ifndef GATEWAY_EXCHANGE_INTERNAL_H
+#define GATEWAY_EXCHANGE_INTERNAL_H
+
+#include "gateway/event_cut.h"
+#include "gateway/exchange.h"
+#include "platform/headers.h"
+#include "policy/balance.h"
+
+/* Upstreams that one request can be sent to, whatever its route says. */
+#define EXCHANGE_SENDS_MAX 4
+/* Tries to connect, which count as no send, beyond those. */
+#define EXCHANGE_TRIES_MAX 8
+
+/* Why a request is answered by ourselves. */
+enum refusal {
+	REFUSAL_NOT_READY, /* no routing table yet */
+	REFUSAL_BAD_REQUEST,
+	REFUSAL_NO_ROUTE,
+	REFUSAL_NO_KEY,
+	REFUSAL_NO_UPSTREAM, /* none takes new work now; not run */
+	REFUSAL_OVERLOADED, /* can't be served in time; not run */
+	REFUSAL_NOT_RUN, /* upstreams turned it away; not run */
+	REFUSAL_LOST, /* sent, and what came of it is unknown */
+	REFUSAL_TIMEOUT, /* sent, and no answer in time */
+	REFUSALS,
+};
+
+/* How a send ended, as far as the request's fate goes. */
+enum send_end {
+	SEND_OPEN,
+	SEND_ANSWERED, /* the answer is being passed on, or was */
+	SEND_NEVER, /* nothing left this host */
+	SEND_NOT_RUN, /* the upstream says that it did not run */
+	SEND_FAILED, /* the upstream answered with a failure of its own */
+	SEND_LOST, /* broke off: may have run */
+};
+
+struct exchange {
+	struct exchanges *all;
+	struct httpd_request *http;
+	struct timespec arrived;
+	struct timespec deadline; /* nobody waits any longer */
+	ev_timer timer; /* at the deadline */
+	struct caller_head head;
+	struct routing_table *table; /* that it was routed by */
+	const struct route *route;
+	const struct organisation *organisation; /* NULL on public routes */
+	const struct service_profile *profile;
+
+	/* Sends. */
+	char *tried[EXCHANGE_TRIES_MAX]; /* ids of upstreams */
+	size_t tries;
+	size_t sends; /* tries on which something left this host */
+	bool may_have_run;
+	struct http_call *call; /* NULL between two sends */
+	struct upstream *upstream; /* of the send that is open */
+	uint64_t context_tokens; /* counted at that upstream */
+	struct timespec sent_at;
+	enum send_end send_end;
+
+	/* The answer. */
+	int status; /* that the caller got; 0 before */
+	struct answer_head answer;
+	GByteArray *body; /* a whole answer that is being read */
+	GArray *headers; /* that go with it */
+	bool begun; /* a streamed answer has begun */
+	bool ended;
+	struct event_cut cut;
+	bool has_last_event;
+	uint64_t last_event; /* that the caller has */
+	struct timespec first_event_at;
+};
+
+void exchange_answer_refusal(
+    struct exchange *, enum refusal, int64_t retry_after_ms, const char *why);
+void exchange_send(struct exchange *);
+bool exchange_may_repeat(struct exchange *, size_t sends, bool repeat);
+void exchange_send_ended(struct exchange *, enum send_end);
+void exchange_stop_send(struct exchange *);
+void exchange_next(struct exchange *, enum send_end, const char *why);
+void exchange_finish(struct exchange *, const char *how);
+int64_t exchange_left_ms(const struct exchange *);
+
+extern const struct http_call_ops exchange_call_ops;
+
+#endif
--- /dev/null
+++ b/src/gateway/exchange_send.c
@@ -0,0 +1,439 @@
+#include <string.h>
+
+#include "base/metrics.h"
+#include "gateway/exchange_internal.h"
+
+#define LOG_MODULE "send"
+#include "base/log.h"
+
+/* To an upstream on the same network; one that is cut off does not answer. */
+#define CONNECT_MS 300
+/* An upstream that acknowledges nothing for this long is not there. */
+#define UNREACHABLE_MS 2000
+/* Time off after a failure, doubled by each further one. */
+#define AVOID_MIN_MS 250
+#define AVOID_MAX_MS 4000
+/* One that turned a request away has no place for the moment. */
+#define AVOID_FULL_MS 30
+/* Weight of one answer in the share of failures. */
+#define ERROR_WEIGHT 0.1
+/* A request that can't be sent anywhere is told to come back after this. */
+#define COME_BACK_MS 500
+/* A send with less time than this left is not worth a worker's while. */
+#define SEND_LEFT_MIN_MS 20
+
+METRIC_DEFINE(sends_count, METRIC_COUNTER, "heatherturn_gateway_sends", NULL,
+    "Requests sent to upstreams.");
+METRIC_DEFINE(repeats_count, METRIC_COUNTER, "heatherturn_gateway_repeats",
+    NULL, "Sends beyond a request's first.");
+METRIC_DEFINE(repeats_denied, METRIC_COUNTER,
+    "heatherturn_gateway_repeats_denied", NULL,
+    "Requests that were not sent once more, by their route or the budget.");
+
+/* The candidates of a choice, beside the upstreams that they stand for. */
+struct choice {
+	struct balance_candidate *candidates;
+	struct upstream **upstreams;
+	size_t count;
+	size_t listed; /* upstreams of the service, those left out included */
+};
+
+/* Frees a choice. */
+static void
+choice_clear(struct choice *choice)
+{
+	g_free(choice->candidates);
+	g_free(choice->upstreams);
+}
+
+/* Says whether this request has been to an upstream already. */
+static bool
+was_tried(const struct exchange *exchange, const char *id)
+{
+	for (size_t i = 0; i < exchange->tries; i++) {
+		if (strcmp(exchange->tried[i], id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Says whether an upstream bears one more request now. */
+static bool
+bears_more(const struct exchange *exchange, const struct upstream *upstream,
+    struct timespec now)
+{
+	const struct exchanges *all = exchange->all;
+	double bearable;
+
+	if (exchange->profile->cold_per_s <= 0.0 ||
+	    !time_before(now, upstream->cold_until))
+		return true;
+	bearable = exchange->profile->cold_per_s * all->cold_ratio +
+	    all->cold_slack;
+	return cold_rate_allows(&upstream->cold_rate,
+	    cold_rate_part(bearable, registry_count(all->registry)), now);
+}
+
+/* Describes an upstream as a candidate. */
+static struct balance_candidate
+describe(struct exchange *exchange, const struct upstream *upstream,
+    struct timespec now)
+{
+	int64_t backlog_us = time_diff_us(upstream->read_until, now);
+
+	return (struct balance_candidate){
+	    .slots = upstream->slots,
+	    .running = upstream->running + upstream->peers_running,
+	    .backlog_ms = backlog_us > 0 ? (double)backlog_us / 1e3 : 0.0,
+	    .context_tokens = upstream->context_tokens,
+	    .writers = upstream->writers,
+	    .error_share = upstream->error_share,
+	    .tie = g_rand_int(exchange->all->random),
+	};
+}
+
+/* Collects who may get this request; with avoided, also after failures. */
+static void
+collect(struct exchange *exchange, bool avoided, struct choice *choice)
+{
+	struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
+	struct timespec now = clock_monotonic(exchange->all->clock);
+	size_t max = fleet_count(fleet);
+	struct upstream *upstream;
+
+	*choice = (struct choice){
+	    .candidates = g_new(struct balance_candidate, max),
+	    .upstreams = g_new(struct upstream *, max),
+	};
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
+		if (strcmp(upstream->service, exchange->profile->name) != 0 ||
+		    !fleet_takes_new_work(fleet, upstream))
+			continue;
+		choice->listed++;
+		if (was_tried(exchange, upstream->id) ||
+		    !bears_more(exchange, upstream, now) ||
+		    (!avoided && time_before(now, upstream->avoid_until)))
+			continue;
+		choice->candidates[choice->count] = describe(
+		    exchange, upstream, now);
+		choice->upstreams[choice->count++] = upstream;
+	}
+}
+
+/* Adds reading to what lies ahead of an upstream. */
+static void
+add_reading(struct upstream *upstream, double ms, struct timespec now)
+{
+	struct timespec from = time_before(upstream->read_until, now)
+	    ? now
+	    : upstream->read_until;
+
+	upstream->read_until = time_add_ms(from, (int64_t)ms);
+}
+
+/* Picks who gets the request; false where there is nobody. */
+static bool
+plan(struct exchange *exchange, struct choice *choice, struct balance_plan *out)
+{
+	const struct balance_prompt prompt = {
+	    .tokens = exchange->head.prompt_tokens,
+	    .output_tokens = exchange->head.output_tokens,
+	};
+	ssize_t at;
+
+	if (exchange->profile->has_engine && exchange->head.has_prompt)
+		return balance_prompt(&exchange->profile->engine,
+		    choice->candidates, choice->count, &prompt, out);
+	at = balance_call(choice->candidates, choice->count);
+	*out = (struct balance_plan){.first = at < 0 ? 0 : (size_t)at};
+	return at >= 0;
+}
+
+/* Counts a send at the upstreams that take part in it. */
+static void
+count_send(struct exchange *exchange, const struct choice *choice,
+    const struct balance_plan *plan)
+{
+	struct timespec now = clock_monotonic(exchange->all->clock);
+	struct upstream *upstream = choice->upstreams[plan->first];
+
+	exchange->upstream = upstream;
+	exchange->sent_at = now;
+	exchange->send_end = SEND_OPEN;
+	exchange->tried[exchange->tries++] = g_strdup(upstream->id);
+	fleet_began(knowledge_fleet(exchange->all->knowledge), upstream, now);
+	exchange->context_tokens = exchange->head.prompt_tokens +
+	    exchange->head.output_tokens / 2;
+	upstream->context_tokens += exchange->context_tokens;
+	add_reading(upstream, plan->part_ms, now);
+	for (size_t i = 0; i < plan->helper_count; i++)
+		add_reading(
+		    choice->upstreams[plan->helpers[i]], plan->part_ms, now);
+	metric_add(&sends_count, 1);
+}
+
+/* Writes the line of a decision. */
+static void
+log_send(const struct exchange *exchange, const struct choice *choice,
+    const struct balance_plan *plan)
+{
+	const struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
+	const struct balance_candidate *chosen = &choice
+						      ->candidates[plan->first];
+
+	LOG_INFO("request sent",
+	    "{s:s, s:s, s:s, s:i, s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:I, "
+	    "s:I}",
+	    "request", exchange->head.request_id, "upstream",
+	    choice->upstreams[plan->first]->id, "route", exchange->route->name,
+	    "try", (int)exchange->tries, "prompt_tokens",
+	    (json_int_t)exchange->head.prompt_tokens, "helpers",
+	    (int)plan->helper_count, "candidates", (int)choice->count,
+	    "running", (int)chosen->running, "backlog_ms",
+	    (int)chosen->backlog_ms, "expected_ms", (int)plan->first_token_ms,
+	    "left_ms", (json_int_t)exchange_left_ms(exchange), "routes_version",
+	    (json_int_t)exchange->table->version, "list_version",
+	    (json_int_t)fleet->version);
+}
+
+/* Hands the request to the HTTP client. */
+static void
+start_call(struct exchange *exchange, const struct choice *choice,
+    const struct balance_plan *plan)
+{
+	struct helper helpers[BALANCE_HELPERS_MAX];
+	struct upstream_head head = {
+	    .remaining_ms = exchange_left_ms(exchange),
+	    .upstream = exchange->upstream->id,
+	    .organisation = exchange->organisation != NULL
+		? exchange->organisation->name
+		: NULL,
+	    .has_last_event = exchange->has_last_event,
+	    .last_event = exchange->last_event,
+	    .helpers = helpers,
+	    .helper_count = plan->helper_count,
+	};
+	g_autofree char *url = g_strconcat("http://",
+	    exchange->upstream->address, httpd_request_target(exchange->http),
+	    NULL);
+	struct http_call_request request = {
+	    .method = httpd_request_method(exchange->http),
+	    .url = url,
+	    .connect_timeout_ms = CONNECT_MS,
+	    .unreachable_ms = UNREACHABLE_MS,
+	    .own_connection = true,
+	};
+	g_autoptr(GArray) headers = NULL;
+
+	for (size_t i = 0; i < plan->helper_count; i++)
+		helpers[i] = (struct helper){
+		    .address = choice->upstreams[plan->helpers[i]]->address};
+	headers = headers_for_upstream(exchange->http, &head);
+	request.headers = (const struct http_header *)(void *)headers->data;
+	request.header_count = headers->len;
+	request.body = httpd_request_body(exchange->http, &request.body_length);
+	exchange->call = http_client_start(
+	    exchange->all->http, &request, &exchange_call_ops, exchange);
+}
+
+/* Answers a request for which there is nobody to send it to. */
+static void
+nobody(struct exchange *exchange, const struct choice *choice)
+{
+	if (exchange->begun) {
+		httpd_abort(exchange->http);
+		exchange_finish(exchange, "broken_off");
+	} else if (exchange->may_have_run) {
+		exchange_answer_refusal(exchange, REFUSAL_LOST, 0,
+		    "the upstream was lost and no other can take over");
+	} else {
+		exchange_answer_refusal(exchange, REFUSAL_NO_UPSTREAM,
+		    COME_BACK_MS,
+		    choice->listed > 0 ? "no upstream has room now"
+				       : "no upstream takes new work now");
+	}
+}
+
+/* Sends the request to the upstream that serves it best. */
+void
+exchange_send(struct exchange *exchange)
+{
+	struct choice choice;
+	struct balance_plan chosen;
+
+	collect(exchange, false, &choice);
+	if (choice.count == 0) {
+		choice_clear(&choice);
+		collect(exchange, true, &choice);
+	}
+	if (!plan(exchange, &choice, &chosen)) {
+		nobody(exchange, &choice);
+		goto out;
+	}
+	count_send(exchange, &choice, &chosen);
+	log_send(exchange, &choice, &chosen);
+	start_call(exchange, &choice, &chosen);
+out:
+	choice_clear(&choice);
+}
+
+/* Returns the retry window of a request's service. */
+static struct retry_window *
+find_window(struct exchange *exchange)
+{
+	GHashTable *windows = exchange->all->retry_windows;
+	const char *service = exchange->profile->name;
+	struct retry_window *window = g_hash_table_lookup(windows, service);
+
+	if (window == NULL) {
+		window = g_new0(struct retry_window, 1);
+		g_hash_table_insert(windows, g_strdup(service), window);
+	}
+	return window;
+}
+
+/* Returns this gateway's part of the limit of repeated sends. */
+static struct retry_window_limits
+own_limits(const struct exchanges *all)
+{
+	struct retry_window_limits limits = all->retry;
+
+	limits.slack /= registry_count(all->registry);
+	return limits;
+}
+
+/*
+ * Says whether the request may be sent to one more upstream after so many
+ * sends. Repeat says that it may have run before, so that only one that may run
+ * twice is sent.
+ */
+bool
+exchange_may_repeat(struct exchange *exchange, size_t sends, bool repeat)
+{
+	struct retry_window_limits limits = own_limits(exchange->all);
+
+	if (repeat && !route_may_repeat(exchange->route))
+		return false;
+	if (sends >= MIN(exchange->route->attempts, EXCHANGE_SENDS_MAX) ||
+	    exchange->tries >= EXCHANGE_TRIES_MAX ||
+	    exchange_left_ms(exchange) < SEND_LEFT_MIN_MS)
+		return false;
+	return sends == 0 ||
+	    retry_window_allows(find_window(exchange), &limits,
+		clock_monotonic(exchange->all->clock));
+}
+
+/* Takes leave to send once more from the budget of repeats. */
+static bool
+take_repeat(struct exchange *exchange)
+{
+	struct retry_window_limits limits = own_limits(exchange->all);
+
+	if (!exchange_may_repeat(
+		exchange, exchange->sends, exchange->may_have_run)) {
+		metric_add(&repeats_denied, 1);
+		return false;
+	}
+	if (exchange->sends == 0)
+		return true;
+	metric_add(&repeats_count, 1);
+	return retry_window_take(find_window(exchange), &limits,
+	    clock_monotonic(exchange->all->clock));
+}
+
+/* Keeps away from an upstream for a time that grows with its failures. */
+static void
+avoid(struct exchange *exchange, struct upstream *upstream)
+{
+	struct timespec now = clock_monotonic(exchange->all->clock);
+	int64_t wait_ms = MIN(
+	    (int64_t)AVOID_MIN_MS << MIN(upstream->failures, 8U), AVOID_MAX_MS);
+
+	upstream->failures++;
+	upstream->avoid_until = time_add_ms(now, wait_ms);
+	/* It may come back restarted. */
+	upstream->cold_until = time_add_ms(
+	    upstream->avoid_until, exchange->profile->cold_ms);
+	LOG_INFO("upstream avoided", "{s:s, s:i, s:I}", "upstream",
+	    upstream->id, "failures", (int)upstream->failures, "for_ms",
+	    (json_int_t)wait_ms);
+}
+
+/* Learns from how a send ended. */
+static void
+judge_upstream(
+    struct exchange *exchange, struct upstream *upstream, enum send_end end)
+{
+	double failed = end == SEND_FAILED || end == SEND_LOST ? 1.0 : 0.0;
+
+	if (end == SEND_NEVER || end == SEND_LOST)
+		avoid(exchange, upstream);
+	else if (end == SEND_NOT_RUN)
+		upstream->avoid_until = time_add_ms(
+		    clock_monotonic(exchange->all->clock), AVOID_FULL_MS);
+	else
+		upstream->failures = 0;
+	if (end == SEND_ANSWERED || failed > 0.0)
+		upstream->error_share += ERROR_WEIGHT *
+		    (failed - upstream->error_share);
+}
+
+/* Takes a send that is over off the upstream's account. */
+void
+exchange_send_ended(struct exchange *exchange, enum send_end end)
+{
+	struct upstream *upstream = exchange->upstream;
+	struct timespec now = clock_monotonic(exchange->all->clock);
+
+	if (upstream == NULL)
+		return;
+	exchange->upstream = NULL;
+	exchange->call = NULL;
+	exchange->send_end = end;
+	if (end != SEND_NEVER) {
+		if (exchange->sends == 0)
+			retry_window_count(
+			    find_window(exchange), &exchange->all->retry, now);
+		exchange->sends++;
+	}
+	if (end != SEND_OPEN)
+		judge_upstream(exchange, upstream, end);
+	upstream->context_tokens -= exchange->context_tokens;
+	fleet_ended(knowledge_fleet(exchange->all->knowledge), upstream);
+}
+
+/* Stops a send whose answer nobody waits for. */
+void
+exchange_stop_send(struct exchange *exchange)
+{
+	if (exchange->call == NULL)
+		return;
+	http_call_cancel(exchange->call);
+	exchange_send_ended(exchange, SEND_OPEN);
+}
+
+/*
+ * Goes on after a send that brought no answer: with another upstream where
+ * that is allowed, otherwise with the answer that is true.
+ */
+void
+exchange_next(struct exchange *exchange, enum send_end end, const char *why)
+{
+	bool repeat = end == SEND_LOST || end == SEND_FAILED;
+
+	LOG_INFO("send ended without answer", "{s:s, s:s, s:b, s:i}", "request",
+	    exchange->head.request_id, "why", why, "may_have_run", repeat,
+	    "sends", (int)exchange->sends);
+	exchange->may_have_run |= repeat;
+	if (take_repeat(exchange)) {
+		exchange_send(exchange);
+	} else if (exchange->begun) {
+		httpd_abort(exchange->http);
+		exchange_finish(exchange, "broken_off");
+	} else if (exchange->may_have_run) {
+		exchange_answer_refusal(exchange, REFUSAL_LOST, 0, why);
+	} else {
+		exchange_answer_refusal(
+		    exchange, REFUSAL_NOT_RUN, COME_BACK_MS, why);
+	}
+}
--- /dev/null
+++ b/src/gateway/knowledge.c
@@ -0,0 +1,195 @@
+#include "gateway/knowledge.h"
+
+#include "base/metrics.h"
+#include "platform/decode.h"
+#include "platform/object_watch.h"
+
+#define LOG_MODULE "knowledge"
+#include "base/log.h"
+
+/* How long the upstreams of a domain that is taken back count as cold. */
+#define TAKEN_BACK_COLD_MS 4000
+
+struct knowledge {
+	struct clock *clock;
+	struct documents *documents;
+	struct object_watch *routes;
+	struct object_watch *upstreams;
+	struct object_watch *takeouts;
+	struct routing_table *table; /* NULL before the first */
+	struct timespec table_at; /* when it came into force here */
+	struct fleet *fleet;
+	bool takeouts_known;
+};
+
+METRIC_DEFINE(routes_version, METRIC_GAUGE, "heatherturn_routes_version", NULL,
+    "Version of the routing table in force.");
+METRIC_DEFINE(upstreams_known, METRIC_GAUGE, "heatherturn_upstreams_known",
+    NULL, "Upstreams that the platform's list names.");
+
+/* Offers what the store says of the routes to all gateways, us included. */
+static void
+read_routes(void *data, uint64_t version, const uint8_t *text, size_t length)
+{
+	struct knowledge *knowledge = data;
+
+	documents_offer(
+	    knowledge->documents, DOCUMENT_ROUTES, version, text, length);
+}
+
+/* The same for the upstreams. */
+static void
+read_upstreams(void *data, uint64_t version, const uint8_t *text, size_t length)
+{
+	struct knowledge *knowledge = data;
+
+	documents_offer(
+	    knowledge->documents, DOCUMENT_UPSTREAMS, version, text, length);
+}
+
+/* The same for the domains that are taken out. */
+static void
+read_takeouts(void *data, uint64_t version, const uint8_t *text, size_t length)
+{
+	struct knowledge *knowledge = data;
+
+	documents_offer(
+	    knowledge->documents, DOCUMENT_TAKEOUTS, version, text, length);
+}
+
+/* A newer routing table is here, from the store or from a peer. */
+static void
+take_routes(void *data, uint64_t version, const uint8_t *text, size_t length)
+{
+	struct knowledge *knowledge = data;
+	g_autoptr(GError) error = NULL;
+	struct routing_table *table = decode_routes(text, length, &error);
+
+	object_watch_take(knowledge->routes, version, text, length);
+	if (table == NULL) {
+		LOG_WARN("routes not taken", "{s:s, s:I}", "why",
+		    error->message, "revision", (json_int_t)version);
+		return;
+	}
+	if (knowledge->table != NULL &&
+	    table->version < knowledge->table->version) {
+		LOG_WARN("older routes not taken", "{s:I, s:I}", "version",
+		    (json_int_t)table->version, "in_force",
+		    (json_int_t)knowledge->table->version);
+		routing_table_unref(table);
+		return;
+	}
+	routing_table_unref(knowledge->table);
+	knowledge->table = table;
+	knowledge->table_at = clock_monotonic(knowledge->clock);
+	metric_set(&routes_version, (int64_t)table->version);
+	LOG_INFO("routes in force", "{s:I, s:I}", "version",
+	    (json_int_t)table->version, "revision", (json_int_t)version);
+}
+
+/* A newer list of upstreams is here. */
+static void
+take_upstreams(void *data, uint64_t version, const uint8_t *text, size_t length)
+{
+	struct knowledge *knowledge = data;
+	g_autoptr(GError) error = NULL;
+	struct upstream_reports reports;
+
+	object_watch_take(knowledge->upstreams, version, text, length);
+	if (!decode_upstreams(text, length, &reports, &error)) {
+		LOG_WARN("upstreams not taken", "{s:s}", "why", error->message);
+		return;
+	}
+	fleet_apply(knowledge->fleet, version,
+	    (const struct upstream_report *)(void *)reports.items->data,
+	    reports.items->len, clock_monotonic(knowledge->clock));
+	metric_set(&upstreams_known, reports.items->len);
+	decode_upstreams_clear(&reports);
+}
+
+/* A newer list of domains that are taken out is here. */
+static void
+take_takeouts(void *data, uint64_t version, const uint8_t *text, size_t length)
+{
+	struct knowledge *knowledge = data;
+	g_autoptr(GError) error = NULL;
+	g_auto(GStrv) domains = decode_takeouts(text, length, &error);
+
+	object_watch_take(knowledge->takeouts, version, text, length);
+	if (domains == NULL) {
+		LOG_WARN("takeouts not taken", "{s:s}", "why", error->message);
+		return;
+	}
+	knowledge->takeouts_known = true;
+	fleet_set_takeouts(knowledge->fleet, (const char *const *)domains,
+	    g_strv_length(domains), clock_monotonic(knowledge->clock),
+	    TAKEN_BACK_COLD_MS);
+}
+
+/* Begins to learn from the store and from peers. */
+struct knowledge *
+knowledge_new(struct ev_loop *loop, struct clock *clock,
+    struct object_store *store, struct documents *documents)
+{
+	struct knowledge *knowledge = g_new0(struct knowledge, 1);
+
+	knowledge->clock = clock;
+	knowledge->documents = documents;
+	knowledge->fleet = fleet_new();
+	documents_subscribe(documents, DOCUMENT_ROUTES, take_routes, knowledge);
+	documents_subscribe(
+	    documents, DOCUMENT_UPSTREAMS, take_upstreams, knowledge);
+	documents_subscribe(
+	    documents, DOCUMENT_TAKEOUTS, take_takeouts, knowledge);
+	knowledge->routes = object_watch_new(loop, clock, store,
+	    DECODE_KIND_ROUTES, false, read_routes, knowledge);
+	knowledge->upstreams = object_watch_new(loop, clock, store,
+	    DECODE_KIND_UPSTREAMS, true, read_upstreams, knowledge);
+	knowledge->takeouts = object_watch_new(loop, clock, store,
+	    DECODE_KIND_TAKEOUTS, false, read_takeouts, knowledge);
+	return knowledge;
+}
+
+/* Stops learning; NULL is allowed. The documents must not change after it. */
+void
+knowledge_free(struct knowledge *knowledge)
+{
+	if (knowledge == NULL)
+		return;
+	object_watch_free(knowledge->routes);
+	object_watch_free(knowledge->upstreams);
+	object_watch_free(knowledge->takeouts);
+	routing_table_unref(knowledge->table);
+	fleet_free(knowledge->fleet);
+	g_free(knowledge);
+}
+
+/* Says whether all that routing needs has come at least once. */
+bool
+knowledge_is_whole(const struct knowledge *knowledge)
+{
+	return knowledge->table != NULL && knowledge->takeouts_known &&
+	    knowledge->fleet->version > 0;
+}
+
+/* Returns the routing table in force; NULL before the first. */
+struct routing_table *
+knowledge_table(const struct knowledge *knowledge)
+{
+	return knowledge->table;
+}
+
+/* Returns the upstreams. */
+struct fleet *
+knowledge_fleet(const struct knowledge *knowledge)
+{
+	return knowledge->fleet;
+}
+
+/* Returns how long the routing table has been in force here. */
+int64_t
+knowledge_table_age_ms(const struct knowledge *knowledge)
+{
+	return time_diff_ms(
+	    clock_monotonic(knowledge->clock), knowledge->table_at);
+}
--- a/src/main.c
+++ b/src/main.c
@@ -13,6 +13,8 @@
 	const char *summary;
 } commands[] = {
     {"entry", command_entry, "serve callers and operators"},
+    {"gateway", command_gateway,
+	"serve callers straight from upstreams, by the platform's objects"},
     {"sidecar", command_sidecar, "serve one upstream from beside it"},
     {"ctl", command_ctl, "call the operators' interface"},
     {"check", command_check, "print the effective settings and faults"},
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -10,8 +10,8 @@
 #include "base/httpd.h"
 #include "base/invariant.h"
 #include "node/monitor.h"
-#include "platform/hosts.h"
-#include "platform/watchers.h"
+#include "store/hosts.h"
+#include "store/watchers.h"
 
 #define LOG_MODULE "node"
 #include "base/log.h"
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -18,8 +18,8 @@
 #include "peer/documents.h"
 #include "peer/link.h"
 #include "peer/mesh.h"
-#include "platform/hosts.h"
-#include "platform/store.h"
+#include "store/hosts.h"
+#include "store/store.h"
 
 struct node;
 
--- a/src/operator/call.c
+++ b/src/operator/call.c
@@ -11,6 +11,7 @@
     [ROLE_ENTRY] = "entry",
     [ROLE_SIDECAR] = "sidecar",
     [ROLE_CTL] = "ctl",
+    [ROLE_GATEWAY] = "gateway",
 };
 
 /* Makes an answer with one object and the version it was read at. */
--- a/src/operator/operator.c
+++ b/src/operator/operator.c
@@ -9,7 +9,7 @@
 #include "operator/tokens.h"
 #include "peer/documents.h"
 #include "peer/mesh.h"
-#include "platform/config_writer.h"
+#include "store/config_writer.h"
 
 #define LOG_MODULE "operator"
 #include "base/log.h"
--- a/src/operator/rpc_error.c
+++ b/src/operator/rpc_error.c
@@ -3,7 +3,7 @@
 #include "config/config.h"
 #include "config/validate.h"
 #include "operator/json.h"
-#include "platform/config_writer.h"
+#include "store/config_writer.h"
 
 #define ANY_CODE (-1)
 
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -15,6 +15,9 @@
     DOCUMENT_CONFIG,
     DOCUMENT_PLACEMENT,
     DOCUMENT_HOSTS,
+    DOCUMENT_ROUTES,
+    DOCUMENT_UPSTREAMS,
+    DOCUMENT_TAKEOUTS,
 };
 #define DOCUMENTS    G_N_ELEMENTS(names)
 #define CONFIG_INDEX 0
--- a/src/peer/documents.h
+++ b/src/peer/documents.h
@@ -21,6 +21,13 @@
 #define DOCUMENT_PLACEMENT "placement"
 /* The platform's host list as last polled; its version is wall time in ms. */
 #define DOCUMENT_HOSTS "hosts"
+/*
+ * What gateways have of the platform's objects, as one of them read it; the
+ * version is the object store's revision.
+ */
+#define DOCUMENT_ROUTES	   "routes"
+#define DOCUMENT_UPSTREAMS "upstreams"
+#define DOCUMENT_TAKEOUTS  "takeouts"
 
 struct documents;
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -55,6 +55,7 @@
 	ROLE_ENTRY = 1,
 	ROLE_SIDECAR,
 	ROLE_CTL,
+	ROLE_GATEWAY,
 };
 
 enum work_kind {
--- a/src/policy/spread.h
+++ b/src/policy/spread.h
@@ -18,7 +18,7 @@
 
 #include <glib.h>
 
-#define SPREAD_DOCUMENTS_MAX 4
+#define SPREAD_DOCUMENTS_MAX 8
 /* Peers that are told of a newer version at once, and in each later wave. */
 #define SPREAD_FANOUT 6
 /* A newer version is told in so many waves, the wait doubling from this. */
--- /dev/null
+++ b/src/routing/fleet.h
@@ -0,0 +1,80 @@
+/*
+ * The upstreams as this process knows them: what the platform's list says of
+ * each, what its own requests have met there, and what work lies on it as far
+ * as this process and its peers have told each other.
+ */
+#ifndef ROUTING_FLEET_H
+#define ROUTING_FLEET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "base/list.h"
+#include "policy/cold_rate.h"
+
+/* What the platform's list says of one upstream. */
+struct upstream_report {
+	const char *id;
+	const char *service;
+	const char *address; /* HOST:PORT */
+	const char *failure_domain;
+	uint32_t slots;
+	bool draining; /* takes no new work and ends soon */
+	int64_t cold_ms; /* how much longer it is cold, when it was written */
+	int64_t born_wall_ms; /* start of its process; 0 where not said */
+};
+
+struct upstream {
+	char *id;
+	char *service;
+	char *address;
+	char *failure_domain;
+	uint32_t slots;
+	bool draining;
+	bool listed; /* in the platform's list; kept on while work runs there */
+	int64_t born_wall_ms;
+	struct timespec cold_until;
+	struct cold_rate cold_rate;
+
+	/* What requests of this process met. */
+	uint32_t failures; /* in a row */
+	struct timespec avoid_until; /* after failures */
+	double error_share; /* of its answers lately */
+
+	/* Work that lies on it. */
+	uint32_t running; /* requests of this process */
+	uint32_t peers_running; /* of others, as told */
+	struct timespec read_until; /* when the prompts given to it are read */
+	uint64_t context_tokens; /* memory of the requests that run */
+	uint32_t writers; /* streams with a short pause that it writes */
+
+	TAILQ_ENTRY(upstream) entry;
+};
+
+TAILQ_HEAD(upstream_list, upstream);
+
+struct fleet {
+	struct upstream_list upstreams;
+	GHashTable *by_id;
+	GHashTable *takeouts; /* failure domains that are taken out */
+	uint64_t version; /* of the list in force */
+	struct timespec learned_at; /* when it came into force here */
+};
+
+struct fleet *fleet_new(void);
+void fleet_free(struct fleet *);
+void fleet_apply(struct fleet *, uint64_t version,
+    const struct upstream_report *, size_t count, struct timespec now);
+void fleet_set_takeouts(struct fleet *, const char *const *domains,
+    size_t count, struct timespec now, int64_t cold_ms);
+struct upstream *fleet_find(const struct fleet *, const char *id);
+size_t fleet_count(const struct fleet *);
+bool fleet_takes_new_work(const struct fleet *, const struct upstream *);
+void fleet_began(struct fleet *, struct upstream *, struct timespec now);
+void fleet_ended(struct fleet *, struct upstream *);
+
+#endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -11,11 +11,11 @@
 #include "base/settings.h"
 #include "commands.h"
 #include "node/node.h"
-#include "platform/weights.h"
 #include "sidecar/drain.h"
 #include "sidecar/health.h"
 #include "sidecar/orders.h"
 #include "sidecar/runs.h"
+#include "store/weights.h"
 
 #define LOG_MODULE "sidecar"
 #include "base/log.h"
--- a/src/platform/claim_machine.c
+++ b/src/store/claim_machine.c
@@ -1,4 +1,4 @@
-#include "platform/claim_machine.h"
+#include "store/claim_machine.h"
 
 #include <string.h>
 
--- a/src/platform/claim_machine.h
+++ b/src/store/claim_machine.h
@@ -2,16 +2,16 @@
  * The decisions of at-most-once claims, without I/O: what a store's answer
  * means, what to ask next, and when a claim is truly had. Times are monotonic.
  */
-#ifndef PLATFORM_CLAIM_MACHINE_H
-#define PLATFORM_CLAIM_MACHINE_H
+#ifndef STORE_CLAIM_MACHINE_H
+#define STORE_CLAIM_MACHINE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <time.h>
 
-#include "platform/claim_record.h"
-#include "platform/claims.h"
-#include "platform/store.h"
+#include "store/claim_record.h"
+#include "store/claims.h"
+#include "store/store.h"
 
 /* Success, beside the codes of enum store_error. */
 #define STORE_OK (-1)
--- a/src/platform/claim_record.c
+++ b/src/store/claim_record.c
@@ -1,4 +1,4 @@
-#include "platform/claim_record.h"
+#include "store/claim_record.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/platform/claim_record.h
+++ b/src/store/claim_record.h
@@ -2,8 +2,8 @@
  * What stands in the platform for a call that must not be repeated: one JSON
  * object under claims/ORGANISATION/HASH.
  */
-#ifndef PLATFORM_CLAIM_RECORD_H
-#define PLATFORM_CLAIM_RECORD_H
+#ifndef STORE_CLAIM_RECORD_H
+#define STORE_CLAIM_RECORD_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/platform/claims.c
+++ b/src/store/claims.c
@@ -1,4 +1,4 @@
-#include "platform/claims.h"
+#include "store/claims.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,7 +8,7 @@
 #include "base/invariant.h"
 #include "base/list.h"
 #include "base/metrics.h"
-#include "platform/claim_machine.h"
+#include "store/claim_machine.h"
 
 #define LOG_MODULE "claims"
 #include "base/log.h"
--- a/src/platform/claims.h
+++ b/src/store/claims.h
@@ -3,8 +3,8 @@
  * of the platform, created if absent and keyed by organisation and idempotency
  * key; whoever created it runs the call once, and its result is replayed.
  */
-#ifndef PLATFORM_CLAIMS_H
-#define PLATFORM_CLAIMS_H
+#ifndef STORE_CLAIMS_H
+#define STORE_CLAIMS_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -14,7 +14,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 /* A claim that can't be decided within this time is not run. */
 #define CLAIMS_CLAIM_MS 3000
--- a/src/platform/claims_collector.c
+++ b/src/store/claims_collector.c
@@ -1,12 +1,12 @@
-#include "platform/claims_collector.h"
+#include "store/claims_collector.h"
 
 #include <string.h>
 
 #include <glib.h>
 
 #include "base/metrics.h"
-#include "platform/claim_record.h"
-#include "platform/claims.h"
+#include "store/claim_record.h"
+#include "store/claims.h"
 
 #define LOG_MODULE "claims"
 #include "base/log.h"
--- a/src/platform/claims_collector.h
+++ b/src/store/claims_collector.h
@@ -4,15 +4,15 @@
  * One entry collects; two at once do no harm, since a delete names the version
  * that was read.
  */
-#ifndef PLATFORM_CLAIMS_COLLECTOR_H
-#define PLATFORM_CLAIMS_COLLECTOR_H
+#ifndef STORE_CLAIMS_COLLECTOR_H
+#define STORE_CLAIMS_COLLECTOR_H
 
 #include <stdbool.h>
 
 #include <ev.h>
 
 #include "base/clock.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 /* At most one call in this time, and one walk's start in the longer one. */
 #define COLLECT_CALL_MS 100
--- a/src/platform/config_writer.c
+++ b/src/store/config_writer.c
@@ -1,4 +1,4 @@
-#include "platform/config_writer.h"
+#include "store/config_writer.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/config_writer.h
+++ b/src/store/config_writer.h
@@ -3,8 +3,8 @@
  * answer is read back and told by the operation's id, so that the outcome is
  * named truly: stored, conflict, unavailable, or unknown.
  */
-#ifndef PLATFORM_CONFIG_WRITER_H
-#define PLATFORM_CONFIG_WRITER_H
+#ifndef STORE_CONFIG_WRITER_H
+#define STORE_CONFIG_WRITER_H
 
 #include <ev.h>
 #include <glib.h>
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "heatherturn/v1/operator.pb-c.h"
 #include "peer/documents.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #define CONFIG_WRITE_ERROR (config_write_error_quark())
 
--- a/src/platform/hosts.c
+++ b/src/store/hosts.c
@@ -1,4 +1,4 @@
-#include "platform/hosts.h"
+#include "store/hosts.h"
 
 #include <string.h>
 
--- a/src/platform/hosts.h
+++ b/src/store/hosts.h
@@ -3,8 +3,8 @@
  * everybody else takes the list from the mesh as a document. It is a hint of
  * whom to ask, never a proof that a process lives or is gone.
  */
-#ifndef PLATFORM_HOSTS_H
-#define PLATFORM_HOSTS_H
+#ifndef STORE_HOSTS_H
+#define STORE_HOSTS_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/platform/store.c
+++ b/src/store/store.c
@@ -1,4 +1,4 @@
-#include "platform/store.h"
+#include "store/store.h"
 
 G_DEFINE_QUARK(store_error, store_error)
 
--- a/src/platform/store.h
+++ b/src/store/store.h
@@ -3,8 +3,8 @@
  * watches. Another store is another store_ops. Every call ends with one done
  * callback unless it is cancelled, which leaves the outcome of a write unknown.
  */
-#ifndef PLATFORM_STORE_H
-#define PLATFORM_STORE_H
+#ifndef STORE_STORE_H
+#define STORE_STORE_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/platform/store_http.c
+++ b/src/store/store_http.c
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #define VERSION_TEXT_BYTES 32
 /* What a watch may take beyond its own time. */
--- a/src/platform/watchers.c
+++ b/src/store/watchers.c
@@ -1,11 +1,11 @@
-#include "platform/watchers.h"
+#include "store/watchers.h"
 
 #include <string.h>
 
 #include <xxhash.h>
 
 #include "base/metrics.h"
-#include "platform/claims_collector.h"
+#include "store/claims_collector.h"
 
 #define LOG_MODULE "watchers"
 #include "base/log.h"
--- a/src/platform/watchers.h
+++ b/src/store/watchers.h
@@ -4,8 +4,8 @@
  * poll the host list; the others rely on the mesh. One entry of all collects
  * old claims besides.
  */
-#ifndef PLATFORM_WATCHERS_H
-#define PLATFORM_WATCHERS_H
+#ifndef STORE_WATCHERS_H
+#define STORE_WATCHERS_H
 
 #include <stdbool.h>
 
@@ -15,8 +15,8 @@
 #include "peer/documents.h"
 #include "peer/link.h"
 #include "peer/mesh.h"
-#include "platform/hosts.h"
-#include "platform/store.h"
+#include "store/hosts.h"
+#include "store/store.h"
 
 /* Watchers in each failure domain. */
 #define WATCHERS_PER_DOMAIN 2
--- a/src/platform/weights.c
+++ b/src/store/weights.c
@@ -1,4 +1,4 @@
-#include "platform/weights.h"
+#include "store/weights.h"
 
 #include <string.h>
 
--- a/src/platform/weights.h
+++ b/src/store/weights.h
@@ -2,8 +2,8 @@
  * Permits of the rate-limited weight store: one is taken before an upstream is
  * told to load a model.
  */
-#ifndef PLATFORM_WEIGHTS_H
-#define PLATFORM_WEIGHTS_H
+#ifndef STORE_WEIGHTS_H
+#define STORE_WEIGHTS_H
 
 #include <stdint.h>
 
--- a/src/upstream/engine_run.c
+++ b/src/upstream/engine_run.c
@@ -233,7 +233,8 @@
 run_call(struct engine_run *run, const char *method, const char *path,
     const char *body, size_t length)
 {
-	static const struct http_call_ops ops = {take_chunk, take_done};
+	static const struct http_call_ops ops = {
+	    .chunk = take_chunk, .done = take_done};
 	static const struct http_header header = {
 	    "Content-Type", "application/json"};
 	struct engine *engine = (struct engine *)run->call.upstream;
--- a/src/upstream/plain.c
+++ b/src/upstream/plain.c
@@ -87,7 +87,8 @@
 plain_start(struct upstream *upstream, const struct upstream_request *request,
     const struct upstream_call_ops *ops, void *data)
 {
-	static const struct http_call_ops http_ops = {take_chunk, take_done};
+	static const struct http_call_ops http_ops = {
+	    .chunk = take_chunk, .done = take_done};
 	struct plain *plain = (struct plain *)upstream;
 	struct plain_call *call = g_new0(struct plain_call, 1);
 	struct http_header headers[HEADERS_MAX];
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -7,7 +7,7 @@
 #define TESTS_FAKE_STORE_H
 
 #include "base/clock.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 struct fake_faults {
 	int lost_percent; /* answer lost, effect now */
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -11,9 +11,9 @@
 #include "base/clock.h"
 #include "base/invariant.h"
 #include "fake_store.h"
-#include "platform/claim_machine.h"
-#include "platform/claims.h"
-#include "platform/claims_collector.h"
+#include "store/claim_machine.h"
+#include "store/claims.h"
+#include "store/claims_collector.h"
 
 #define ENTRIES 3
 #define KEYS	120
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -258,8 +258,9 @@
 static void
 start_call(struct fixture *f)
 {
-	static const struct http_call_ops streamed = {take_chunk, take_done};
-	static const struct http_call_ops whole = {NULL, take_done};
+	static const struct http_call_ops streamed = {
+	    .chunk = take_chunk, .done = take_done};
+	static const struct http_call_ops whole = {.done = take_done};
 	struct http_call_request request = {.method = f->c->method,
 	    .url = f->url,
 	    .body = "x",
@@ -345,7 +346,8 @@
 static void
 test_cancel_in_chunk(void)
 {
-	static const struct http_call_ops ops = {cancel_chunk, unwanted_done};
+	static const struct http_call_ops ops = {
+	    .chunk = cancel_chunk, .done = unwanted_done};
 	struct fixture f = {0};
 	struct http_call_request request = {.method = "GET", .url = f.url};
 
--- a/tests/test_operator_call.c
+++ b/tests/test_operator_call.c
@@ -10,7 +10,7 @@
 #include "operator/json.h"
 #include "operator/rpc_error.h"
 #include "operator/tokens.h"
-#include "platform/config_writer.h"
+#include "store/config_writer.h"
 
 #define FUZZ_ROUNDS    20000
 #define FUZZ_MAX_BYTES 48
--- a/tests/test_operator_rpc.c
+++ b/tests/test_operator_rpc.c
@@ -14,8 +14,8 @@
 #include "operator/operator.h"
 #include "peer/documents.h"
 #include "peer/mesh.h"
-#include "platform/config_writer.h"
-#include "platform/store.h"
+#include "store/config_writer.h"
+#include "store/store.h"
 
 #define WORDS_MAX 12
 #define TOKEN	  "serra a-token\n"
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -12,8 +12,8 @@
 #include "base/httpd.h"
 #include "base/invariant.h"
 #include "fake_store.h"
-#include "platform/config_writer.h"
-#include "platform/store.h"
+#include "store/config_writer.h"
+#include "store/store.h"
 
 #define TURNS_MAX 100000
 #define SEEDS	  40
--- a/tests/test_watchers.c
+++ b/tests/test_watchers.c
@@ -10,8 +10,8 @@
 #include "base/clock.h"
 #include "base/invariant.h"
 #include "fake_store.h"
-#include "platform/hosts.h"
-#include "platform/watchers.h"
+#include "store/hosts.h"
+#include "store/watchers.h"
 
 #define ENTRIES	  4
 #define TURNS_MAX 100000
