--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -85,14 +85,17 @@
 	metric_observe(&answer_ms, took);
 	if (first >= 0)
 		metric_observe(&first_event_ms, first);
-	LOG_INFO("request ended", "{s:s?, s:s, s:s?, s:s?, s:i, s:i, s:I, s:I}",
-	    "request", exchange->head.request_id, "how", how, "route",
+	LOG_INFO("request ended",
+	    "{s:s?, s:s, s:s?, s:s?, s:i, s:i, s:I, s:I, s:I}", "request",
+	    exchange->head.request_id, "how", how, "route",
 	    exchange->route != NULL ? exchange->route->name : NULL,
 	    "organisation",
 	    exchange->organisation != NULL ? exchange->organisation->name
 					   : NULL,
 	    "status", exchange->status, "sends", (int)exchange->sends,
-	    "first_event_ms", (json_int_t)first, "took_ms", (json_int_t)took);
+	    "first_event_ms", (json_int_t)first, "last_event",
+	    exchange->has_last_event ? (json_int_t)exchange->last_event : -1,
+	    "took_ms", (json_int_t)took);
 }
 
 /* Formats seconds with their milliseconds, as Retry-After takes them here. */
