--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -107,7 +107,7 @@
 	};
 	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
 		if (strcmp(upstream->service, exchange->profile->name) != 0 ||
-		    !fleet_takes_new_work(fleet, upstream))
+		    !fleet_takes_new_work(fleet, upstream, now))
 			continue;
 		choice->listed++;
 		if (was_tried(exchange, upstream->id) ||
@@ -399,7 +399,7 @@
 	if (end != SEND_OPEN)
 		judge_upstream(exchange, upstream, end);
 	upstream->context_tokens -= exchange->context_tokens;
-	fleet_ended(knowledge_fleet(exchange->all->knowledge), upstream);
+	fleet_ended(knowledge_fleet(exchange->all->knowledge), upstream, now);
 }
 
 /* Stops a send whose answer nobody waits for. */
--- a/src/gateway/knowledge.c
+++ b/src/gateway/knowledge.c
@@ -141,12 +141,12 @@
 	    documents, DOCUMENT_UPSTREAMS, take_upstreams, knowledge);
 	documents_subscribe(
 	    documents, DOCUMENT_TAKEOUTS, take_takeouts, knowledge);
-	knowledge->routes = object_watch_new(loop, clock, store,
-	    DECODE_KIND_ROUTES, false, read_routes, knowledge);
-	knowledge->upstreams = object_watch_new(loop, clock, store,
-	    DECODE_KIND_UPSTREAMS, true, read_upstreams, knowledge);
-	knowledge->takeouts = object_watch_new(loop, clock, store,
-	    DECODE_KIND_TAKEOUTS, false, read_takeouts, knowledge);
+	knowledge->routes = object_watch_new(
+	    loop, store, DECODE_KIND_ROUTES, read_routes, knowledge);
+	knowledge->upstreams = object_watch_new(
+	    loop, store, DECODE_KIND_UPSTREAMS, read_upstreams, knowledge);
+	knowledge->takeouts = object_watch_new(
+	    loop, store, DECODE_KIND_TAKEOUTS, read_takeouts, knowledge);
 	return knowledge;
 }
 
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -328,6 +328,9 @@
 	documents->identity = identity;
 	documents->random = g_rand_new_with_seed(randombytes_random());
 	documents->spread = spread_new(documents->random, DOCUMENTS);
+	if (identity->role == ROLE_GATEWAY)
+		spread_set_required(
+		    documents->spread, index_of(DOCUMENT_ROUTES));
 	documents->config = config_new_empty();
 	TAILQ_INIT(&documents->subscribers);
 	documents->handler = (struct mesh_handler){
--- a/src/policy/spread.c
+++ b/src/policy/spread.c
@@ -24,6 +24,7 @@
 	GRand *random;
 	struct document documents[SPREAD_DOCUMENTS_MAX];
 	size_t document_count;
+	size_t required; /* index of the one that all need at once */
 	size_t peer_count;
 	struct timespec round_at;
 	unsigned int waves; /* of the last newer version, still to come */
@@ -55,6 +56,13 @@
 	g_free(spread);
 }
 
+/* Sets which document is asked for at once while it was never had. */
+void
+spread_set_required(struct spread *spread, size_t index)
+{
+	spread->required = index;
+}
+
 /* Sets how many peers there are to choose from. */
 void
 spread_set_peers(struct spread *spread, size_t count)
@@ -237,13 +245,13 @@
 }
 
 /*
- * Says whether something is lacking that peers may have: the first document was
- * never had, or a pull was not answered.
+ * Says whether something is lacking that peers may have: the required document
+ * was never had, or a pull was not answered.
  */
 static bool
 is_lacking(const struct spread *spread, struct timespec now)
 {
-	if (spread->documents[0].version == 0)
+	if (spread->documents[spread->required].version == 0)
 		return true;
 	for (size_t i = 0; i < spread->document_count; i++) {
 		const struct document *document = &spread->documents[i];
--- a/src/policy/spread.h
+++ b/src/policy/spread.h
@@ -64,6 +64,7 @@
 struct spread *spread_new(GRand *, size_t documents);
 void spread_free(struct spread *);
 void spread_set_peers(struct spread *, size_t count);
+void spread_set_required(struct spread *, size_t index);
 uint64_t spread_version(const struct spread *, size_t index);
 
 bool spread_take(struct spread *, size_t index, uint64_t version,
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -111,6 +111,22 @@
 		upstream->cold_until = cold;
 }
 
+/* Says whether an upstream has only just vanished from the list. */
+static bool
+may_have_lapsed(const struct upstream *upstream, struct timespec now)
+{
+	return !upstream->listed &&
+	    time_diff_ms(now, upstream->unlisted_at) < FLEET_LAPSE_MS;
+}
+
+/* Says whether nothing of an upstream is needed any more. */
+static bool
+may_forget(const struct upstream *upstream, struct timespec now)
+{
+	return !upstream->listed && upstream->running == 0 &&
+	    (upstream->draining || !may_have_lapsed(upstream, now));
+}
+
 /*
  * Brings a newer list into force. An upstream that it no longer names gets no
  * new work and is forgotten once its last request has ended.
@@ -134,13 +150,15 @@
 	TAILQ_FOREACH_SAFE (upstream, &fleet->upstreams, entry, next) {
 		if (g_hash_table_contains(named, upstream->id))
 			continue;
-		if (upstream->listed)
+		if (upstream->listed) {
+			upstream->unlisted_at = now;
 			LOG_INFO("upstream gone from list", "{s:s, s:i, s:I}",
 			    "upstream", upstream->id, "running",
 			    (int)upstream->running, "list_version",
 			    (json_int_t)version);
+		}
 		upstream->listed = false;
-		if (upstream->running == 0)
+		if (may_forget(upstream, now))
 			drop(fleet, upstream);
 	}
 }
@@ -203,9 +221,11 @@
 
 /* Says whether the platform and the operators let an upstream have new work. */
 bool
-fleet_takes_new_work(const struct fleet *fleet, const struct upstream *upstream)
+fleet_takes_new_work(const struct fleet *fleet, const struct upstream *upstream,
+    struct timespec now)
 {
-	return upstream->listed && !upstream->draining &&
+	return (upstream->listed || may_have_lapsed(upstream, now)) &&
+	    !upstream->draining &&
 	    !g_hash_table_contains(fleet->takeouts, upstream->failure_domain);
 }
 
@@ -219,9 +239,9 @@
 
 /* Notes its end; an upstream that the list no longer names may be freed. */
 void
-fleet_ended(struct fleet *fleet, struct upstream *upstream)
+fleet_ended(struct fleet *fleet, struct upstream *upstream, struct timespec now)
 {
 	upstream->running--;
-	if (!upstream->listed && upstream->running == 0)
+	if (may_forget(upstream, now))
 		drop(fleet, upstream);
 }
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -36,6 +36,7 @@
 	uint32_t slots;
 	bool draining;
 	bool listed; /* in the platform's list; kept on while work runs there */
+	struct timespec unlisted_at; /* when the list ceased to name it */
 	int64_t born_wall_ms;
 	struct timespec cold_until;
 	struct cold_rate cold_rate;
@@ -65,6 +66,13 @@
 	struct timespec learned_at; /* when it came into force here */
 };
 
+/*
+ * An upstream that vanishes from the list without a word may only have lapsed
+ * there while the store was away. It is used on for this time, which ends well
+ * before the two seconds after which a leaving one must get nothing more.
+ */
+#define FLEET_LAPSE_MS 1400
+
 struct fleet *fleet_new(void);
 void fleet_free(struct fleet *);
 void fleet_apply(struct fleet *, uint64_t version,
@@ -73,8 +81,9 @@
     size_t count, struct timespec now, int64_t cold_ms);
 struct upstream *fleet_find(const struct fleet *, const char *id);
 size_t fleet_count(const struct fleet *);
-bool fleet_takes_new_work(const struct fleet *, const struct upstream *);
+bool fleet_takes_new_work(
+    const struct fleet *, const struct upstream *, struct timespec now);
 void fleet_began(struct fleet *, struct upstream *, struct timespec now);
-void fleet_ended(struct fleet *, struct upstream *);
+void fleet_ended(struct fleet *, struct upstream *, struct timespec now);
 
 #endif
