--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -1,7 +1,9 @@
 #include "base/httpd.h"
 
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
+#include <errno.h>
 #include <unistd.h>
 
 #include "base/clock.h"
@@ -44,6 +46,7 @@
 
 	if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
 		epoll_ctl(httpd->hangup_epoll, EPOLL_CTL_DEL, peer->fd, NULL);
+		TAILQ_REMOVE(&httpd->peers, peer, entry);
 		g_free(peer);
 		*context = NULL;
 		return;
@@ -56,6 +59,20 @@
 	event.data.ptr = peer;
 	epoll_ctl(httpd->hangup_epoll, EPOLL_CTL_ADD, peer->fd, &event);
 	*context = peer;
+	TAILQ_INSERT_TAIL(&httpd->peers, peer, entry);
+}
+
+/*
+ * Ends a connection between two requests: its peer sees the end behind the last
+ * answer, and a request that crosses it is not taken.
+ */
+static void
+shut(struct peer_socket *peer)
+{
+	peer->shut = true;
+	if (shutdown(peer->fd, SHUT_WR) != 0)
+		LOG_DEBUG(
+		    "connection not shut", "{s:s}", "why", g_strerror(errno));
 }
 
 /* Sets when the library runs next, if nothing comes before. */
@@ -123,6 +140,8 @@
 		return;
 	*context = NULL;
 	request->socket->request = NULL;
+	if (httpd->closing && code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		shut(request->socket);
 	if (request->handed_over)
 		httpd->ops->closed(httpd->data, request,
 		    code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
@@ -208,7 +227,7 @@
 {
 	struct httpd *httpd = request->httpd;
 
-	if (request->hung_up)
+	if (request->hung_up || request->socket->shut)
 		return MHD_NO;
 	if (request->response == NULL && !request->handed_over) {
 		request->handed_over = true;
@@ -348,6 +367,7 @@
 					     : CONNECTION_IDLE_S;
 	httpd->hangup_epoll = epoll_create1(EPOLL_CLOEXEC);
 	TAILQ_INIT(&httpd->requests);
+	TAILQ_INIT(&httpd->peers);
 	if (settings->certificate_file != NULL) {
 		httpd->tls = httpd_tls_new(
 		    settings->certificate_file, settings->key_file, error);
@@ -414,11 +434,22 @@
 	return httpd->port;
 }
 
-/* Lets each answer from here on end its connection. */
+/*
+ * Ends each connection after the answer that is under way on it, and those
+ * without any at once. New ones are still taken, for one answer each.
+ */
 void
 httpd_close_after_answers(struct httpd *httpd)
 {
+	struct peer_socket *peer;
+
+	if (httpd->closing)
+		return;
 	httpd->closing = true;
+	TAILQ_FOREACH (peer, &httpd->peers, entry) {
+		if (peer->request == NULL)
+			shut(peer);
+	}
 }
 
 /* Sets how long a body may be, for requests that begin after it. */
@@ -440,7 +471,7 @@
 	if (httpd->stopping)
 		return;
 	httpd->stopping = true;
-	httpd->closing = true;
+	httpd_close_after_answers(httpd);
 	fd = MHD_quiesce_daemon(httpd->daemon);
 	if (fd >= 0)
 		close(fd);
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -15,9 +15,13 @@
 	struct MHD_Connection *connection;
 	int fd;
 	bool ended; /* its peer sends no more */
+	bool shut; /* we send no more: what still comes is not taken */
 	struct httpd_request *request; /* NULL between two */
+	TAILQ_ENTRY(peer_socket) entry;
 };
 
+TAILQ_HEAD(peer_sockets, peer_socket);
+
 struct httpd_request {
 	struct httpd *httpd;
 	struct MHD_Connection *connection;
@@ -64,6 +68,7 @@
 	bool stopping;
 	struct httpd_stats stats;
 	struct httpd_requests requests;
+	struct peer_sockets peers;
 };
 
 struct httpd_request *httpd_request_new(
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -51,7 +51,8 @@
 		    .cost = cost(&candidates[i]),
 		    .tie = candidates[i].tie,
 		};
-	qsort(ranks, count, sizeof(*ranks), compare);
+	if (count > 1)
+		qsort(ranks, count, sizeof(*ranks), compare);
 	return ranks;
 }
 
