Short streams are packed on few engines, longs read by the others; gateways tell each other their load

Cause: every long prompt was read by all engines, so that each short stream had pauses over 250 ms. Now reading counts until the first token.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "base/http_client.h"
 #include "base/httpd.h"
 #include "gateway/knowledge.h"
+#include "gateway/load_share.h"
 #include "gateway/registry.h"
 #include "policy/retry_window.h"
 
@@ -26,6 +27,7 @@
 	struct http_client *http;
 	struct knowledge *knowledge;
 	struct registry *registry;
+	struct load_share *load_share;
 	GRand *random;
 	struct retry_window_limits retry; /* slack of all gateways together */
 	double cold_ratio;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -124,6 +124,7 @@
 	if (!time_is_set(exchange->first_event_at))
 		exchange->first_event_at = clock_monotonic(
 		    exchange->all->clock);
+	exchange_prompt_read(exchange);
 	httpd_stream_write(exchange->http, bytes, length);
 }
 
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -59,6 +59,10 @@
 	struct http_call *call; /* NULL between two sends */
 	struct upstream *upstream; /* of the send that is open */
 	uint64_t context_tokens; /* counted at that upstream */
+	char *readers[BALANCE_HELPERS_MAX + 1]; /* ids, until the first token */
+	size_t reader_count;
+	uint64_t part_us; /* that each of them reads */
+	bool is_writer; /* counted there as a stream with a short pause */
 	struct timespec sent_at;
 	enum send_end send_end;
 
@@ -81,6 +85,7 @@
 bool exchange_may_repeat(struct exchange *, size_t sends, bool repeat);
 void exchange_send_ended(struct exchange *, enum send_end);
 void exchange_stop_send(struct exchange *);
+void exchange_prompt_read(struct exchange *);
 void exchange_next(struct exchange *, enum send_end, const char *why);
 void exchange_finish(struct exchange *, const char *how);
 int64_t exchange_left_ms(const struct exchange *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -19,6 +19,9 @@
 #define ERROR_WEIGHT 0.1
 /* A request that can't be sent anywhere is told to come back after this. */
 #define COME_BACK_MS 500
+/* Shorter reading is not told to the peers: it is over before they need it. */
+#define TOLD_READING_MS 20.0
+#define US_PER_MS	1000.0
 /* A send with less time than this left is not worth a worker's while. */
 #define SEND_LEFT_MIN_MS 20
 
@@ -76,17 +79,15 @@
 
 /* Describes an upstream as a candidate. */
 static struct balance_candidate
-describe(struct exchange *exchange, const struct upstream *upstream,
-    struct timespec now)
+describe(struct exchange *exchange, const struct upstream *upstream)
 {
-	int64_t backlog_us = time_diff_us(upstream->read_until, now);
-
 	return (struct balance_candidate){
 	    .slots = upstream->slots,
-	    .running = upstream->running + upstream->peers_running,
-	    .backlog_ms = backlog_us > 0 ? (double)backlog_us / 1e3 : 0.0,
-	    .context_tokens = upstream->context_tokens,
-	    .writers = upstream->writers,
+	    .running = upstream->own.running + upstream->peers.running,
+	    .backlog_ms = (double)upstream_reading_us(upstream) / US_PER_MS,
+	    .context_tokens = upstream->own.context_tokens +
+		upstream->peers.context_tokens,
+	    .writers = upstream->own.writers + upstream->peers.writers,
 	    .error_share = upstream->error_share,
 	    .tie = g_rand_int(exchange->all->random),
 	};
@@ -115,20 +116,19 @@
 		    (!avoided && time_before(now, upstream->avoid_until)))
 			continue;
 		choice->candidates[choice->count] = describe(
-		    exchange, upstream, now);
+		    exchange, upstream);
 		choice->upstreams[choice->count++] = upstream;
 	}
 }
 
-/* Adds reading to what lies ahead of an upstream. */
-static void
-add_reading(struct upstream *upstream, double ms, struct timespec now)
+/* Says whether a request is a stream that a short pause makes late. */
+static bool
+is_short(const struct exchange *exchange)
 {
-	struct timespec from = time_before(upstream->read_until, now)
-	    ? now
-	    : upstream->read_until;
-
-	upstream->read_until = time_add_ms(from, (int64_t)ms);
+	return exchange->head.has_prompt &&
+	    exchange->route->kind == CALL_STREAM &&
+	    exchange->route->gap_target_ms > 0 &&
+	    exchange->route->gap_target_ms <= BALANCE_SHORT_GAP_MS;
 }
 
 /* Picks who gets the request; false where there is nobody. */
@@ -138,6 +138,8 @@
 	const struct balance_prompt prompt = {
 	    .tokens = exchange->head.prompt_tokens,
 	    .output_tokens = exchange->head.output_tokens,
+	    .is_short = is_short(exchange),
+	    .target_ms = (double)exchange->route->target_ms,
 	};
 	ssize_t at;
 
@@ -149,6 +151,48 @@
 	return at >= 0;
 }
 
+/* Counts a part of the prompt at an upstream that reads it. */
+static void
+add_reader(struct exchange *exchange, struct upstream *upstream)
+{
+	upstream->own.reading_us += exchange->part_us;
+	exchange->readers[exchange->reader_count++] = g_strdup(upstream->id);
+}
+
+/* Counts the prompt at all that read it; the peers can't foresee a long one. */
+static void
+count_reading(struct exchange *exchange, const struct choice *choice,
+    const struct balance_plan *plan)
+{
+	exchange->part_us = (uint64_t)(plan->part_ms * US_PER_MS);
+	add_reader(exchange, choice->upstreams[plan->first]);
+	for (size_t i = 0; i < plan->helper_count; i++)
+		add_reader(exchange, choice->upstreams[plan->helpers[i]]);
+	if (plan->part_ms >= TOLD_READING_MS)
+		load_share_tell_reading(exchange->all->load_share,
+		    (const char *const *)exchange->readers,
+		    exchange->reader_count, plan->part_ms);
+}
+
+/* Takes the prompt off those that read it, once it is read or given up. */
+void
+exchange_prompt_read(struct exchange *exchange)
+{
+	const struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
+
+	for (size_t i = 0; i < exchange->reader_count; i++) {
+		struct upstream *upstream = fleet_find(
+		    fleet, exchange->readers[i]);
+
+		/* It may have gone and come back under its id. */
+		if (upstream != NULL)
+			upstream->own.reading_us -= MIN(
+			    exchange->part_us, upstream->own.reading_us);
+		g_free(exchange->readers[i]);
+	}
+	exchange->reader_count = 0;
+}
+
 /* Counts a send at the upstreams that take part in it. */
 static void
 count_send(struct exchange *exchange, const struct choice *choice,
@@ -164,11 +208,10 @@
 	fleet_began(knowledge_fleet(exchange->all->knowledge), upstream, now);
 	exchange->context_tokens = exchange->head.prompt_tokens +
 	    exchange->head.output_tokens / 2;
-	upstream->context_tokens += exchange->context_tokens;
-	add_reading(upstream, plan->part_ms, now);
-	for (size_t i = 0; i < plan->helper_count; i++)
-		add_reading(
-		    choice->upstreams[plan->helpers[i]], plan->part_ms, now);
+	upstream->own.context_tokens += exchange->context_tokens;
+	exchange->is_writer = is_short(exchange);
+	upstream->own.writers += exchange->is_writer ? 1 : 0;
+	count_reading(exchange, choice, plan);
 	metric_add(&sends_count, 1);
 }
 
@@ -387,6 +430,7 @@
 
 	if (upstream == NULL)
 		return;
+	exchange_prompt_read(exchange);
 	exchange->upstream = NULL;
 	exchange->call = NULL;
 	exchange->send_end = end;
@@ -398,7 +442,8 @@
 	}
 	if (end != SEND_OPEN)
 		judge_upstream(exchange, upstream, end);
-	upstream->context_tokens -= exchange->context_tokens;
+	upstream->own.context_tokens -= exchange->context_tokens;
+	upstream->own.writers -= exchange->is_writer ? 1 : 0;
 	fleet_ended(knowledge_fleet(exchange->all->knowledge), upstream, now);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -35,6 +35,7 @@
 	struct object_store *store;
 	struct knowledge *knowledge;
 	struct registry *registry;
+	struct load_share *load_share;
 	struct exchanges exchanges;
 	struct httpd *callers;
 	struct ev_timer leave_timer;
@@ -160,6 +161,7 @@
 	    .http = node_http_client(gateway->node),
 	    .knowledge = gateway->knowledge,
 	    .registry = gateway->registry,
+	    .load_share = gateway->load_share,
 	    .random = g_rand_new_with_seed(randombytes_random()),
 	    .retry =
 		{
@@ -210,6 +212,8 @@
 	gateway->registry = registry_new(gateway->loop, gateway->store,
 	    node_mesh(gateway->node), settings->id,
 	    node_identity(gateway->node)->address);
+	gateway->load_share = load_share_new(gateway->loop, gateway->clock,
+	    node_mesh(gateway->node), knowledge_fleet(gateway->knowledge));
 	open_exchanges(gateway);
 	return open_callers(gateway, error);
 }
@@ -223,6 +227,7 @@
 	exchanges_clear(&gateway->exchanges);
 	if (gateway->exchanges.random != NULL)
 		g_rand_free(gateway->exchanges.random);
+	load_share_free(gateway->load_share);
 	registry_free(gateway->registry);
 	knowledge_free(gateway->knowledge);
 	object_store_free(gateway->store);
--- /dev/null
+++ b/src/gateway/load_share.h
@@ -0,0 +1,32 @@
+/*
+ * What gateways tell each other of the work that they have given to upstreams.
+ * Each knows its own requests alone and would send to the same upstreams as the
+ * others. Long readings are told at once, the rest in short rounds; a peer that
+ * falls silent counts for nothing soon.
+ */
+#ifndef GATEWAY_LOAD_SHARE_H
+#define GATEWAY_LOAD_SHARE_H
+
+#include <stddef.h>
+
+#include <ev.h>
+
+#include "base/clock.h"
+#include "peer/mesh.h"
+#include "routing/fleet.h"
+
+/* A round among few gateways, and what each peer adds to it. */
+#define LOAD_SHARE_ROUND_MS	 100
+#define LOAD_SHARE_ROUND_PEER_MS 10
+/* Rounds without word after which a peer's work is forgotten. */
+#define LOAD_SHARE_SILENT_ROUNDS 10
+
+struct load_share;
+
+struct load_share *load_share_new(
+    struct ev_loop *, struct clock *, struct mesh *, struct fleet *);
+void load_share_free(struct load_share *);
+void load_share_tell_reading(struct load_share *, const char *const *upstreams,
+    size_t count, double part_ms);
+
+#endif
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -119,6 +119,14 @@
 	[MESSAGE_SUSPECT] = { "suspect", {
 		M(U64, suspect.fingerprint), M(U64, suspect.reporter),
 		M(U32, suspect.deaths), M(U32, suspect.age_ms) } },
+	[MESSAGE_LOAD] = { "load", {
+		M(STRING_ARRAY, load.upstreams), M(U64_ARRAY, load.running),
+		M(U64_ARRAY, load.writers),
+		M(U64_ARRAY, load.context_tokens),
+		M(U64_ARRAY, load.reading_us) } },
+	[MESSAGE_READING] = { "reading", {
+		M(STRING_ARRAY, reading.upstreams),
+		M(U64, reading.part_us) } },
 };
 
 #undef M
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -48,6 +48,8 @@
 	MESSAGE_CENSUS, /* what configuration is in force with you? */
 	MESSAGE_CENSUS_ANSWER,
 	MESSAGE_SUSPECT, /* a request that was running when an upstream died */
+	MESSAGE_LOAD, /* what the sender's requests are at each upstream */
+	MESSAGE_READING, /* prompts that the sender has just handed out */
 	MESSAGE_KINDS,
 };
 
@@ -256,6 +258,19 @@
 	uint32_t age_ms; /* since the last of them */
 };
 
+struct message_load {
+	struct string_array upstreams; /* as long as each of the next */
+	struct u64_array running; /* requests */
+	struct u64_array writers; /* of them, streams with a short pause */
+	struct u64_array context_tokens; /* of all of them */
+	struct u64_array reading_us; /* of prompts without a first token */
+};
+
+struct message_reading {
+	struct string_array upstreams; /* that read a part each */
+	uint64_t part_us; /* how long each reads */
+};
+
 struct message {
 	uint32_t kind; /* enum message_kind */
 	char request[REQUEST_ID_SIZE]; /* empty where there is none */
@@ -283,6 +298,8 @@
 		struct message_document document;
 		struct message_census_answer census_answer;
 		struct message_suspect suspect;
+		struct message_load load;
+		struct message_reading reading;
 	};
 };
 
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -1,27 +1,28 @@
 #include "policy/balance.h"
 
-#include <math.h>
 #include <stdlib.h>
 
 #include <glib.h>
 
-/* A candidate's place in the order of preference. */
+/* A candidate's place in an order of preference. */
 struct rank {
 	size_t index;
 	double cost;
 	uint32_t tie;
 };
 
-/* Returns what a request pays at a candidate, in milliseconds. */
+/* Returns what a request pays at a candidate, in milliseconds of waiting. */
 static double
-cost(const struct balance_candidate *candidate)
+waiting(const struct balance_candidate *candidate)
 {
 	double total = candidate->backlog_ms +
 	    candidate->running * BALANCE_RUNNING_COST_MS +
 	    candidate->error_share * BALANCE_ERROR_COST_MS;
 
 	if (candidate->running >= candidate->slots)
-		total += BALANCE_FULL_COST_MS;
+		total += BALANCE_FULL_COST_MS +
+		    BALANCE_WAITING_COST_MS *
+			(candidate->running - candidate->slots);
 	return total;
 }
 
@@ -39,9 +40,10 @@
 	return (left->tie > right->tie) - (left->tie < right->tie);
 }
 
-/* Orders the candidates, the cheapest first; to be freed. */
+/* Orders the candidates by a cost, the cheapest first; to be freed. */
 static struct rank *
-rank_all(const struct balance_candidate *candidates, size_t count)
+rank_all(const struct balance_candidate *candidates, size_t count,
+    double (*cost)(const struct balance_candidate *))
 {
 	struct rank *ranks = g_new(struct rank, count);
 
@@ -60,21 +62,101 @@
 ssize_t
 balance_call(const struct balance_candidate *candidates, size_t count)
 {
-	g_autofree struct rank *ranks = rank_all(candidates, count);
+	g_autofree struct rank *ranks = rank_all(candidates, count, waiting);
 
 	return count == 0 ? -1 : (ssize_t)ranks[0].index;
 }
 
-/* Returns in how many parts a prompt is read. */
-static size_t
-part_count(double whole_ms, size_t count)
+/*
+ * Returns what a short stream pays: an engine with many short streams costs
+ * less than one with few, until it is packed or reads.
+ */
+static double
+packing(const struct balance_candidate *candidate)
 {
-	size_t parts;
+	double pack = candidate->slots * BALANCE_PACK_SHARE;
 
-	if (whole_ms <= BALANCE_WHOLE_MS)
-		return 1;
-	parts = (size_t)ceil(whole_ms / BALANCE_PART_MS);
-	return MIN(parts, MIN(count, BALANCE_HELPERS_MAX + 1));
+	if (candidate->running >= pack ||
+	    candidate->backlog_ms > BALANCE_PACK_BACKLOG_MS)
+		return waiting(candidate);
+	return candidate->error_share * BALANCE_ERROR_COST_MS -
+	    BALANCE_FULL_COST_MS * candidate->writers;
+}
+
+/* Plans a short stream's prompt, which one engine reads. */
+static void
+plan_short(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count, double whole_ms,
+    struct balance_plan *plan)
+{
+	g_autofree struct rank *ranks = rank_all(candidates, count, packing);
+	const struct balance_candidate *first = &candidates[ranks[0].index];
+
+	*plan = (struct balance_plan){
+	    .first = ranks[0].index,
+	    .part_ms = whole_ms,
+	    .first_token_ms = first->backlog_ms + whole_ms +
+		reading_pass_ms(
+		    profile, first->running + 1, first->context_tokens),
+	};
+}
+
+/* Returns what a reader costs by itself: short streams that it may delay. */
+static double
+reader(const struct balance_candidate *candidate)
+{
+	return candidate->writers * BALANCE_PAUSE_MS + candidate->backlog_ms +
+	    candidate->error_share * BALANCE_ERROR_COST_MS;
+}
+
+/* Returns how late a prompt is, from 0 to 1 at its target and beyond. */
+static double
+lateness(double first_token_ms, double target_ms)
+{
+	double from = target_ms * BALANCE_LATE_FROM;
+
+	if (target_ms <= 0.0 || first_token_ms <= from)
+		return 0.0;
+	return (first_token_ms - from) / (target_ms - from);
+}
+
+/* Returns how many short streams a part makes wait too long. */
+static double
+delayed(const struct engine_profile *profile,
+    const struct balance_candidate *candidate, double part_ms)
+{
+	double pass = reading_pass_ms(
+	    profile, candidate->running, candidate->context_tokens);
+
+	if (candidate->backlog_ms + part_ms + pass <= BALANCE_PAUSE_MS)
+		return 0.0;
+	return candidate->writers;
+}
+
+/* Returns the cost of reading with the first so many of an order. */
+static double
+cost_of(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, const struct rank *ranks,
+    size_t parts, double whole_ms, const struct balance_prompt *prompt,
+    double *first_token_ms)
+{
+	double part_ms = whole_ms / (double)parts;
+	double backlog_ms = 0.0;
+	double total = (double)parts * BALANCE_READER_COST;
+
+	for (size_t i = 0; i < parts; i++) {
+		const struct balance_candidate
+		    *one = &candidates[ranks[i].index];
+
+		backlog_ms = MAX(backlog_ms, one->backlog_ms);
+		total += delayed(profile, one, part_ms);
+	}
+	*first_token_ms = backlog_ms + part_ms +
+	    reading_pass_ms(profile, candidates[ranks[0].index].running + 1,
+		candidates[ranks[0].index].context_tokens);
+	return total +
+	    lateness(*first_token_ms, prompt->target_ms) *
+	    (double)prompt->tokens / BALANCE_TOKENS_PER_SHORT;
 }
 
 /* Says whether a prompt and its answer fit beside what runs there. */
@@ -110,6 +192,45 @@
 	return most;
 }
 
+/*
+ * Plans a long prompt: of the engines that delay the fewest short streams, as
+ * many as make the prompt's own lateness worth their delay.
+ */
+static void
+plan_long(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count, double whole_ms,
+    const struct balance_prompt *prompt, struct balance_plan *plan)
+{
+	g_autofree struct rank *ranks = rank_all(candidates, count, reader);
+	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
+	size_t best = 1;
+	size_t writer;
+	double least = 0.0;
+	double first_token_ms = 0.0;
+
+	for (size_t parts = 1; parts <= max; parts++) {
+		double expected_ms;
+		double cost = cost_of(profile, candidates, ranks, parts,
+		    whole_ms, prompt, &expected_ms);
+
+		if (parts > 1 && cost >= least)
+			continue;
+		least = cost;
+		best = parts;
+		first_token_ms = expected_ms;
+	}
+	writer = choose_writer(profile, candidates, ranks, best, prompt);
+	*plan = (struct balance_plan){
+	    .first = ranks[writer].index,
+	    .part_ms = whole_ms / (double)best,
+	    .first_token_ms = first_token_ms,
+	};
+	for (size_t i = 0; i < best; i++) {
+		if (i != writer)
+			plan->helpers[plan->helper_count++] = ranks[i].index;
+	}
+}
+
 /*
  * Plans which engines read a prompt and which of them writes the answer. False
  * where there is no engine at all.
@@ -119,27 +240,13 @@
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	g_autofree struct rank *ranks = rank_all(candidates, count);
 	double whole_ms = reading_ms(profile, prompt->tokens);
-	size_t parts = part_count(whole_ms, count);
-	size_t writer;
-	double backlog_ms = 0.0;
 
 	if (count == 0)
 		return false;
-	writer = choose_writer(profile, candidates, ranks, parts, prompt);
-	*plan = (struct balance_plan){
-	    .first = ranks[writer].index,
-	    .part_ms = whole_ms / (double)parts,
-	};
-	for (size_t i = 0; i < parts; i++) {
-		backlog_ms = MAX(
-		    backlog_ms, candidates[ranks[i].index].backlog_ms);
-		if (i != writer)
-			plan->helpers[plan->helper_count++] = ranks[i].index;
-	}
-	plan->first_token_ms = backlog_ms + plan->part_ms +
-	    reading_pass_ms(profile, candidates[plan->first].running + 1,
-		candidates[plan->first].context_tokens);
+	if (prompt->is_short && whole_ms <= BALANCE_WHOLE_MS)
+		plan_short(profile, candidates, count, whole_ms, plan);
+	else
+		plan_long(profile, candidates, count, whole_ms, prompt, plan);
 	return true;
 }
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -1,11 +1,12 @@
 /*
  * Choice of upstreams for a request that an entry host sends straight to them.
  *
- * Load pattern: a million-token prompt beside clerks' short ones. An engine
- * reads prompts between the steps of those that write, so that one long prompt
- * read by one engine stops all that write there for seconds. Long prompts are
- * therefore read in thin even parts by many engines, and every request goes
- * where the least reading lies ahead of it.
+ * Load pattern: prompts of a million tokens beside clerks' short ones, in a mix
+ * that swings within seconds. An engine reads prompts between the steps of
+ * those that write, so that a long reading stops all that write there. Short
+ * streams are therefore packed on as few engines as bear them, each new one
+ * where the most are already, and long prompts are read in even parts by many
+ * of the others. The border between the two moves with every request.
  */
 #ifndef POLICY_BALANCE_H
 #define POLICY_BALANCE_H
@@ -18,18 +19,34 @@
 
 #include "policy/reading.h"
 
-/* A prompt that one engine reads within this is not divided. */
+/* A stream whose pauses may last no longer counts as short. */
+#define BALANCE_SHORT_GAP_MS 400
+/* A short stream's prompt that one engine reads within this is not divided. */
 #define BALANCE_WHOLE_MS 130.0
-/* Reading time of one part, where there are engines enough. */
-#define BALANCE_PART_MS 120.0
+/* Part of an engine's places that short streams are packed on. */
+#define BALANCE_PACK_SHARE 0.75
+/* Reading ahead beyond which an engine gets no short stream, if others can. */
+#define BALANCE_PACK_BACKLOG_MS 60.0
+/* Pause of a short stream that its callers don't mind. */
+#define BALANCE_PAUSE_MS 240.0
 /* Engines besides the first that may read one prompt. */
 #define BALANCE_HELPERS_MAX 16
+/*
+ * What a late prompt costs, in late short streams: its worth grows with its
+ * length, and a short one has some thousand tokens.
+ */
+#define BALANCE_TOKENS_PER_SHORT 10000.0
+/* Part of its time after which a prompt begins to count as late. */
+#define BALANCE_LATE_FROM 0.4
+/* Cost of one more reader, in late short streams: it may fail. */
+#define BALANCE_READER_COST 0.03
 /* Cost of an upstream whose answers all fail, in milliseconds of waiting. */
 #define BALANCE_ERROR_COST_MS 2000.0
 /* Cost of each request that runs already, in milliseconds of waiting. */
 #define BALANCE_RUNNING_COST_MS 6.0
-/* Cost of a full upstream, where the request would wait for a place. */
-#define BALANCE_FULL_COST_MS 1000.0
+/* Cost of a full upstream, and of each request that waits there already. */
+#define BALANCE_FULL_COST_MS	1000.0
+#define BALANCE_WAITING_COST_MS 150.0
 /* Part of an engine's memory that prompts are planned for. */
 #define BALANCE_MEMORY_SHARE 0.9
 
@@ -39,7 +56,7 @@
 	uint32_t running; /* requests, of all processes as far as known */
 	double backlog_ms; /* reading that lies ahead */
 	uint64_t context_tokens; /* memory of the requests that run */
-	uint32_t writers; /* that a pause makes late */
+	uint32_t writers; /* short streams that it writes */
 	double error_share; /* of its answers lately */
 	uint32_t tie; /* random: equals are not chosen by their order */
 };
@@ -47,6 +64,8 @@
 struct balance_prompt {
 	uint64_t tokens;
 	uint64_t output_tokens;
+	bool is_short; /* a short pause makes it late */
+	double target_ms; /* to its first token */
 };
 
 /* Who reads a prompt; indexes into the candidates. */
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -72,7 +72,6 @@
 	upstream->failures = 0;
 	upstream->avoid_until = (struct timespec){0};
 	upstream->error_share = 0.0;
-	upstream->read_until = (struct timespec){0};
 }
 
 /* Replaces a text where it differs. */
@@ -123,7 +122,7 @@
 static bool
 may_forget(const struct upstream *upstream, struct timespec now)
 {
-	return !upstream->listed && upstream->running == 0 &&
+	return !upstream->listed && upstream->own.running == 0 &&
 	    (upstream->draining || !may_have_lapsed(upstream, now));
 }
 
@@ -154,7 +153,7 @@
 			upstream->unlisted_at = now;
 			LOG_INFO("upstream gone from list", "{s:s, s:i, s:I}",
 			    "upstream", upstream->id, "running",
-			    (int)upstream->running, "list_version",
+			    (int)upstream->own.running, "list_version",
 			    (json_int_t)version);
 		}
 		upstream->listed = false;
@@ -233,7 +232,7 @@
 void
 fleet_began(struct fleet *fleet, struct upstream *upstream, struct timespec now)
 {
-	upstream->running++;
+	upstream->own.running++;
 	cold_rate_count(&upstream->cold_rate, now);
 }
 
@@ -241,7 +240,14 @@
 void
 fleet_ended(struct fleet *fleet, struct upstream *upstream, struct timespec now)
 {
-	upstream->running--;
+	upstream->own.running--;
 	if (may_forget(upstream, now))
 		drop(fleet, upstream);
 }
+
+/* Returns how much reading lies ahead of an upstream, of all processes. */
+uint64_t
+upstream_reading_us(const struct upstream *upstream)
+{
+	return upstream->own.reading_us + upstream->peers.reading_us;
+}
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -28,6 +28,14 @@
 	int64_t born_wall_ms; /* start of its process; 0 where not said */
 };
 
+/* What requests are at one upstream. */
+struct upstream_load {
+	uint32_t running;
+	uint32_t writers; /* of them, streams with a short pause */
+	uint64_t context_tokens; /* of all of them */
+	uint64_t reading_us; /* of prompts without a first token */
+};
+
 struct upstream {
 	char *id;
 	char *service;
@@ -47,11 +55,8 @@
 	double error_share; /* of its answers lately */
 
 	/* Work that lies on it. */
-	uint32_t running; /* requests of this process */
-	uint32_t peers_running; /* of others, as told */
-	struct timespec read_until; /* when the prompts given to it are read */
-	uint64_t context_tokens; /* memory of the requests that run */
-	uint32_t writers; /* streams with a short pause that it writes */
+	struct upstream_load own; /* of this process's requests */
+	struct upstream_load peers; /* of other processes', as told */
 
 	TAILQ_ENTRY(upstream) entry;
 };
@@ -84,6 +89,7 @@
 bool fleet_takes_new_work(
     const struct fleet *, const struct upstream *, struct timespec now);
 void fleet_began(struct fleet *, struct upstream *, struct timespec now);
+uint64_t upstream_reading_us(const struct upstream *);
 void fleet_ended(struct fleet *, struct upstream *, struct timespec now);
 
 #endif
