--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -86,7 +86,7 @@
 	if (first >= 0)
 		metric_observe(&first_event_ms, first);
 	LOG_INFO("request ended",
-	    "{s:s?, s:s, s:s?, s:s?, s:i, s:i, s:I, s:I, s:I}", "request",
+	    "{s:s?, s:s, s:s?, s:s?, s:i, s:i, s:I, s:I, s:I, s:I}", "request",
 	    exchange->head.request_id, "how", how, "route",
 	    exchange->route != NULL ? exchange->route->name : NULL,
 	    "organisation",
@@ -95,6 +95,7 @@
 	    "status", exchange->status, "sends", (int)exchange->sends,
 	    "first_event_ms", (json_int_t)first, "last_event",
 	    exchange->has_last_event ? (json_int_t)exchange->last_event : -1,
+	    "longest_pause_ms", (json_int_t)exchange->longest_pause_ms,
 	    "took_ms", (json_int_t)took);
 }
 
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -108,6 +108,20 @@
 	return true;
 }
 
+/* Notes when an event came, and how long after the one before. */
+static void
+note_event_time(struct exchange *exchange)
+{
+	struct timespec now = clock_monotonic(exchange->all->clock);
+
+	if (!time_is_set(exchange->first_event_at))
+		exchange->first_event_at = now;
+	else
+		exchange->longest_pause_ms = MAX(exchange->longest_pause_ms,
+		    time_diff_ms(now, exchange->last_event_at));
+	exchange->last_event_at = now;
+}
+
 /* Passes one whole event on, unless the caller has it already. */
 static void
 pass_event(
@@ -121,9 +135,7 @@
 		exchange->has_last_event = true;
 		exchange->last_event = id;
 	}
-	if (!time_is_set(exchange->first_event_at))
-		exchange->first_event_at = clock_monotonic(
-		    exchange->all->clock);
+	note_event_time(exchange);
 	exchange_prompt_read(exchange);
 	httpd_stream_write(exchange->http, bytes, length);
 }
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -62,7 +62,7 @@
 	char *readers[BALANCE_HELPERS_MAX + 1]; /* ids, until the first token */
 	size_t reader_count;
 	uint64_t part_us; /* that each of them reads */
-	bool is_writer; /* counted there as a stream with a short pause */
+	uint32_t *stream_count; /* of its sort at that upstream; or NULL */
 	struct timespec sent_at;
 	enum send_end send_end;
 
@@ -77,6 +77,8 @@
 	bool has_last_event;
 	uint64_t last_event; /* that the caller has */
 	struct timespec first_event_at;
+	struct timespec last_event_at;
+	int64_t longest_pause_ms; /* between two events */
 };
 
 void exchange_answer_refusal(
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -87,7 +87,10 @@
 	    .backlog_ms = (double)upstream_reading_us(upstream) / US_PER_MS,
 	    .context_tokens = upstream->own.context_tokens +
 		upstream->peers.context_tokens,
-	    .writers = upstream->own.writers + upstream->peers.writers,
+	    .short_streams = upstream->own.short_streams +
+		upstream->peers.short_streams,
+	    .long_streams = upstream->own.long_streams +
+		upstream->peers.long_streams,
 	    .error_share = upstream->error_share,
 	    .tie = g_rand_int(exchange->all->random),
 	};
@@ -209,8 +212,13 @@
 	exchange->context_tokens = exchange->head.prompt_tokens +
 	    exchange->head.output_tokens / 2;
 	upstream->own.context_tokens += exchange->context_tokens;
-	exchange->is_writer = is_short(exchange);
-	upstream->own.writers += exchange->is_writer ? 1 : 0;
+	exchange->stream_count = NULL;
+	if (exchange->head.has_prompt)
+		exchange->stream_count = is_short(exchange)
+		    ? &upstream->own.short_streams
+		    : &upstream->own.long_streams;
+	if (exchange->stream_count != NULL)
+		(*exchange->stream_count)++;
 	count_reading(exchange, choice, plan);
 	metric_add(&sends_count, 1);
 }
@@ -443,7 +451,8 @@
 	if (end != SEND_OPEN)
 		judge_upstream(exchange, upstream, end);
 	upstream->own.context_tokens -= exchange->context_tokens;
-	upstream->own.writers -= exchange->is_writer ? 1 : 0;
+	if (exchange->stream_count != NULL)
+		(*exchange->stream_count)--;
 	fleet_ended(knowledge_fleet(exchange->all->knowledge), upstream, now);
 }
 
--- a/src/gateway/load_share.c
+++ b/src/gateway/load_share.c
@@ -38,7 +38,8 @@
 			continue;
 		if (add) {
 			upstream->peers.running += load->running;
-			upstream->peers.writers += load->writers;
+			upstream->peers.short_streams += load->short_streams;
+			upstream->peers.long_streams += load->long_streams;
 			upstream->peers.context_tokens += load->context_tokens;
 			upstream->peers.reading_us += load->reading_us;
 			continue;
@@ -46,8 +47,10 @@
 		/* An upstream that came anew has not been told of all. */
 		upstream->peers.running -= MIN(
 		    load->running, upstream->peers.running);
-		upstream->peers.writers -= MIN(
-		    load->writers, upstream->peers.writers);
+		upstream->peers.short_streams -= MIN(
+		    load->short_streams, upstream->peers.short_streams);
+		upstream->peers.long_streams -= MIN(
+		    load->long_streams, upstream->peers.long_streams);
 		upstream->peers.context_tokens -= MIN(
 		    load->context_tokens, upstream->peers.context_tokens);
 		upstream->peers.reading_us -= MIN(
@@ -86,18 +89,21 @@
     const struct message_load *told)
 {
 	struct peer_work *work = find_work(share, process);
-	size_t rows = MIN(MIN(told->upstreams.count, told->running.count),
-	    MIN(told->writers.count, told->context_tokens.count));
+	size_t rows = told->upstreams.count;
 
+	rows = MIN(rows, told->running.count);
+	rows = MIN(rows, told->short_streams.count);
+	rows = MIN(rows, told->long_streams.count);
+	rows = MIN(rows, told->context_tokens.count);
 	rows = MIN(rows, told->reading_us.count);
-
 	count(share, work, false);
 	g_hash_table_remove_all(work->loads);
 	for (size_t i = 0; i < rows; i++) {
 		struct upstream_load *load = g_new0(struct upstream_load, 1);
 
 		load->running = (uint32_t)told->running.items[i];
-		load->writers = (uint32_t)told->writers.items[i];
+		load->short_streams = (uint32_t)told->short_streams.items[i];
+		load->long_streams = (uint32_t)told->long_streams.items[i];
 		load->context_tokens = told->context_tokens.items[i];
 		load->reading_us = told->reading_us.items[i];
 		g_hash_table_replace(
@@ -173,7 +179,8 @@
 	size_t max = fleet_count(share->fleet);
 	g_autofree char **ids = g_new(char *, max + 1);
 	g_autofree uint64_t *running = g_new(uint64_t, max + 1);
-	g_autofree uint64_t *writers = g_new(uint64_t, max + 1);
+	g_autofree uint64_t *shorts = g_new(uint64_t, max + 1);
+	g_autofree uint64_t *longs = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *tokens = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *reading = g_new(uint64_t, max + 1);
 	struct message message = {.kind = MESSAGE_LOAD};
@@ -185,7 +192,8 @@
 			continue;
 		ids[rows] = upstream->id;
 		running[rows] = upstream->own.running;
-		writers[rows] = upstream->own.writers;
+		shorts[rows] = upstream->own.short_streams;
+		longs[rows] = upstream->own.long_streams;
 		tokens[rows] = upstream->own.context_tokens;
 		reading[rows++] = upstream->own.reading_us;
 	}
@@ -195,7 +203,8 @@
 	message.load = (struct message_load){
 	    .upstreams = {ids, rows},
 	    .running = {running, rows},
-	    .writers = {writers, rows},
+	    .short_streams = {shorts, rows},
+	    .long_streams = {longs, rows},
 	    .context_tokens = {tokens, rows},
 	    .reading_us = {reading, rows},
 	};
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -121,7 +121,8 @@
 		M(U32, suspect.deaths), M(U32, suspect.age_ms) } },
 	[MESSAGE_LOAD] = { "load", {
 		M(STRING_ARRAY, load.upstreams), M(U64_ARRAY, load.running),
-		M(U64_ARRAY, load.writers),
+		M(U64_ARRAY, load.short_streams),
+		M(U64_ARRAY, load.long_streams),
 		M(U64_ARRAY, load.context_tokens),
 		M(U64_ARRAY, load.reading_us) } },
 	[MESSAGE_READING] = { "reading", {
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -80,7 +80,7 @@
 	    candidate->backlog_ms > BALANCE_PACK_BACKLOG_MS)
 		return waiting(candidate);
 	return candidate->error_share * BALANCE_ERROR_COST_MS -
-	    BALANCE_FULL_COST_MS * candidate->writers;
+	    BALANCE_FULL_COST_MS * candidate->short_streams;
 }
 
 /* Plans a short stream's prompt, which one engine reads. */
@@ -101,11 +101,12 @@
 	};
 }
 
-/* Returns what a reader costs by itself: short streams that it may delay. */
+/* Returns what a reader costs by itself: the streams that it may delay. */
 static double
 reader(const struct balance_candidate *candidate)
 {
-	return candidate->writers * BALANCE_PAUSE_MS + candidate->backlog_ms +
+	return candidate->short_streams * BALANCE_PAUSE_MS +
+	    candidate->backlog_ms +
 	    candidate->error_share * BALANCE_ERROR_COST_MS;
 }
 
@@ -120,17 +121,21 @@
 	return (first_token_ms - from) / (target_ms - from);
 }
 
-/* Returns how many short streams a part makes wait too long. */
+/* Returns how many streams, in short ones, a part makes wait too long. */
 static double
 delayed(const struct engine_profile *profile,
     const struct balance_candidate *candidate, double part_ms)
 {
-	double pass = reading_pass_ms(
-	    profile, candidate->running, candidate->context_tokens);
-
-	if (candidate->backlog_ms + part_ms + pass <= BALANCE_PAUSE_MS)
-		return 0.0;
-	return candidate->writers;
+	double pause = candidate->backlog_ms + part_ms +
+	    reading_pass_ms(
+		profile, candidate->running, candidate->context_tokens);
+	double streams = 0.0;
+
+	if (pause > BALANCE_PAUSE_MS)
+		streams += candidate->short_streams;
+	if (pause > BALANCE_LONG_PAUSE_MS)
+		streams += candidate->long_streams * BALANCE_LONG_WORTH;
+	return streams;
 }
 
 /* Returns the cost of reading with the first so many of an order. */
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -29,6 +29,9 @@
 #define BALANCE_PACK_BACKLOG_MS 60.0
 /* Pause of a short stream that its callers don't mind. */
 #define BALANCE_PAUSE_MS 240.0
+/* The same of other streams, and what each counts for in short ones. */
+#define BALANCE_LONG_PAUSE_MS 520.0
+#define BALANCE_LONG_WORTH    6.0
 /* Engines besides the first that may read one prompt. */
 #define BALANCE_HELPERS_MAX 16
 /*
@@ -56,7 +59,8 @@
 	uint32_t running; /* requests, of all processes as far as known */
 	double backlog_ms; /* reading that lies ahead */
 	uint64_t context_tokens; /* memory of the requests that run */
-	uint32_t writers; /* short streams that it writes */
+	uint32_t short_streams; /* that it writes */
+	uint32_t long_streams;
 	double error_share; /* of its answers lately */
 	uint32_t tie; /* random: equals are not chosen by their order */
 };
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -31,7 +31,8 @@
 /* What requests are at one upstream. */
 struct upstream_load {
 	uint32_t running;
-	uint32_t writers; /* of them, streams with a short pause */
+	uint32_t short_streams; /* of them, which a short pause makes late */
+	uint32_t long_streams; /* of them, which bear a longer one */
 	uint64_t context_tokens; /* of all of them */
 	uint64_t reading_us; /* of prompts without a first token */
 };
