--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -81,19 +81,20 @@
 static struct balance_candidate
 describe(struct exchange *exchange, const struct upstream *upstream)
 {
-	return (struct balance_candidate){
+	struct balance_candidate candidate = {
 	    .slots = upstream->slots,
 	    .running = upstream->own.running + upstream->peers.running,
 	    .backlog_ms = (double)upstream_reading_us(upstream) / US_PER_MS,
 	    .context_tokens = upstream->own.context_tokens +
 		upstream->peers.context_tokens,
-	    .short_streams = upstream->own.short_streams +
-		upstream->peers.short_streams,
-	    .long_streams = upstream->own.long_streams +
-		upstream->peers.long_streams,
 	    .error_share = upstream->error_share,
 	    .tie = g_rand_int(exchange->all->random),
 	};
+
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		candidate.streams[i] = upstream->own.streams[i] +
+		    upstream->peers.streams[i];
+	return candidate;
 }
 
 /* Collects who may get this request; with avoided, also after failures. */
@@ -124,14 +125,11 @@
 	}
 }
 
-/* Says whether a request is a stream that a short pause makes late. */
-static bool
-is_short(const struct exchange *exchange)
+/* Returns how long a pause a request's stream bears. */
+static enum stream_class
+stream_class(const struct exchange *exchange)
 {
-	return exchange->head.has_prompt &&
-	    exchange->route->kind == CALL_STREAM &&
-	    exchange->route->gap_target_ms > 0 &&
-	    exchange->route->gap_target_ms <= BALANCE_SHORT_GAP_MS;
+	return balance_stream_class((double)exchange->route->gap_target_ms);
 }
 
 /* Picks who gets the request; false where there is nobody. */
@@ -141,7 +139,7 @@
 	const struct balance_prompt prompt = {
 	    .tokens = exchange->head.prompt_tokens,
 	    .output_tokens = exchange->head.output_tokens,
-	    .is_short = is_short(exchange),
+	    .class = stream_class(exchange),
 	    .target_ms = (double)exchange->route->target_ms,
 	};
 	ssize_t at;
@@ -214,9 +212,8 @@
 	upstream->own.context_tokens += exchange->context_tokens;
 	exchange->stream_count = NULL;
 	if (exchange->head.has_prompt)
-		exchange->stream_count = is_short(exchange)
-		    ? &upstream->own.short_streams
-		    : &upstream->own.long_streams;
+		exchange->stream_count = &upstream->own
+					      .streams[stream_class(exchange)];
 	if (exchange->stream_count != NULL)
 		(*exchange->stream_count)++;
 	count_reading(exchange, choice, plan);
--- a/src/gateway/load_share.c
+++ b/src/gateway/load_share.c
@@ -38,8 +38,8 @@
 			continue;
 		if (add) {
 			upstream->peers.running += load->running;
-			upstream->peers.short_streams += load->short_streams;
-			upstream->peers.long_streams += load->long_streams;
+			for (size_t i = 0; i < STREAM_CLASSES; i++)
+				upstream->peers.streams[i] += load->streams[i];
 			upstream->peers.context_tokens += load->context_tokens;
 			upstream->peers.reading_us += load->reading_us;
 			continue;
@@ -47,10 +47,9 @@
 		/* An upstream that came anew has not been told of all. */
 		upstream->peers.running -= MIN(
 		    load->running, upstream->peers.running);
-		upstream->peers.short_streams -= MIN(
-		    load->short_streams, upstream->peers.short_streams);
-		upstream->peers.long_streams -= MIN(
-		    load->long_streams, upstream->peers.long_streams);
+		for (size_t i = 0; i < STREAM_CLASSES; i++)
+			upstream->peers.streams[i] -= MIN(
+			    load->streams[i], upstream->peers.streams[i]);
 		upstream->peers.context_tokens -= MIN(
 		    load->context_tokens, upstream->peers.context_tokens);
 		upstream->peers.reading_us -= MIN(
@@ -93,6 +92,7 @@
 
 	rows = MIN(rows, told->running.count);
 	rows = MIN(rows, told->short_streams.count);
+	rows = MIN(rows, told->medium_streams.count);
 	rows = MIN(rows, told->long_streams.count);
 	rows = MIN(rows, told->context_tokens.count);
 	rows = MIN(rows, told->reading_us.count);
@@ -102,8 +102,12 @@
 		struct upstream_load *load = g_new0(struct upstream_load, 1);
 
 		load->running = (uint32_t)told->running.items[i];
-		load->short_streams = (uint32_t)told->short_streams.items[i];
-		load->long_streams = (uint32_t)told->long_streams.items[i];
+		load->streams[STREAM_SHORT] = (uint32_t)
+						  told->short_streams.items[i];
+		load->streams[STREAM_MEDIUM] = (uint32_t)told->medium_streams
+						   .items[i];
+		load->streams[STREAM_LONG] = (uint32_t)
+						 told->long_streams.items[i];
 		load->context_tokens = told->context_tokens.items[i];
 		load->reading_us = told->reading_us.items[i];
 		g_hash_table_replace(
@@ -180,6 +184,7 @@
 	g_autofree char **ids = g_new(char *, max + 1);
 	g_autofree uint64_t *running = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *shorts = g_new(uint64_t, max + 1);
+	g_autofree uint64_t *mediums = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *longs = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *tokens = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *reading = g_new(uint64_t, max + 1);
@@ -192,8 +197,9 @@
 			continue;
 		ids[rows] = upstream->id;
 		running[rows] = upstream->own.running;
-		shorts[rows] = upstream->own.short_streams;
-		longs[rows] = upstream->own.long_streams;
+		shorts[rows] = upstream->own.streams[STREAM_SHORT];
+		mediums[rows] = upstream->own.streams[STREAM_MEDIUM];
+		longs[rows] = upstream->own.streams[STREAM_LONG];
 		tokens[rows] = upstream->own.context_tokens;
 		reading[rows++] = upstream->own.reading_us;
 	}
@@ -204,6 +210,7 @@
 	    .upstreams = {ids, rows},
 	    .running = {running, rows},
 	    .short_streams = {shorts, rows},
+	    .medium_streams = {mediums, rows},
 	    .long_streams = {longs, rows},
 	    .context_tokens = {tokens, rows},
 	    .reading_us = {reading, rows},
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -122,6 +122,7 @@
 	[MESSAGE_LOAD] = { "load", {
 		M(STRING_ARRAY, load.upstreams), M(U64_ARRAY, load.running),
 		M(U64_ARRAY, load.short_streams),
+		M(U64_ARRAY, load.medium_streams),
 		M(U64_ARRAY, load.long_streams),
 		M(U64_ARRAY, load.context_tokens),
 		M(U64_ARRAY, load.reading_us) } },
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -261,8 +261,9 @@
 struct message_load {
 	struct string_array upstreams; /* as long as each of the next */
 	struct u64_array running; /* requests */
-	struct u64_array short_streams; /* of them */
-	struct u64_array long_streams; /* of them */
+	struct u64_array short_streams; /* of them, as the next two */
+	struct u64_array medium_streams;
+	struct u64_array long_streams;
 	struct u64_array context_tokens; /* of all of them */
 	struct u64_array reading_us; /* of prompts without a first token */
 };
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -4,6 +4,17 @@
 
 #include <glib.h>
 
+/* Returns the class of a stream by the longest pause that its route states. */
+enum stream_class
+balance_stream_class(double gap_target_ms)
+{
+	if (gap_target_ms > 0.0 && gap_target_ms <= BALANCE_SHORT_GAP_MS)
+		return STREAM_SHORT;
+	if (gap_target_ms > 0.0 && gap_target_ms <= BALANCE_MEDIUM_GAP_MS)
+		return STREAM_MEDIUM;
+	return STREAM_LONG;
+}
+
 /* A candidate's place in an order of preference. */
 struct rank {
 	size_t index;
@@ -80,7 +91,7 @@
 	    candidate->backlog_ms > BALANCE_PACK_BACKLOG_MS)
 		return waiting(candidate);
 	return candidate->error_share * BALANCE_ERROR_COST_MS -
-	    BALANCE_FULL_COST_MS * candidate->short_streams;
+	    BALANCE_FULL_COST_MS * candidate->streams[STREAM_SHORT];
 }
 
 /* Plans a short stream's prompt, which one engine reads. */
@@ -105,7 +116,7 @@
 static double
 reader(const struct balance_candidate *candidate)
 {
-	return candidate->short_streams * BALANCE_PAUSE_MS +
+	return candidate->streams[STREAM_SHORT] * BALANCE_SHORT_PAUSE_MS +
 	    candidate->backlog_ms +
 	    candidate->error_share * BALANCE_ERROR_COST_MS;
 }
@@ -126,15 +137,23 @@
 delayed(const struct engine_profile *profile,
     const struct balance_candidate *candidate, double part_ms)
 {
-	double pause = candidate->backlog_ms + part_ms +
+	static const struct {
+		double pause_ms;
+		double worth;
+	} classes[STREAM_CLASSES] = {
+	    [STREAM_SHORT] = {BALANCE_SHORT_PAUSE_MS, 1.0},
+	    [STREAM_MEDIUM] = {BALANCE_MEDIUM_PAUSE_MS, BALANCE_MEDIUM_WORTH},
+	    [STREAM_LONG] = {BALANCE_LONG_PAUSE_MS, BALANCE_LONG_WORTH},
+	};
+	double pause_ms = candidate->backlog_ms + part_ms +
 	    reading_pass_ms(
 		profile, candidate->running, candidate->context_tokens);
 	double streams = 0.0;
 
-	if (pause > BALANCE_PAUSE_MS)
-		streams += candidate->short_streams;
-	if (pause > BALANCE_LONG_PAUSE_MS)
-		streams += candidate->long_streams * BALANCE_LONG_WORTH;
+	for (size_t i = 0; i < STREAM_CLASSES; i++) {
+		if (pause_ms > classes[i].pause_ms)
+			streams += candidate->streams[i] * classes[i].worth;
+	}
 	return streams;
 }
 
@@ -147,7 +166,9 @@
 {
 	double part_ms = whole_ms / (double)parts;
 	double backlog_ms = 0.0;
-	double total = (double)parts * BALANCE_READER_COST;
+	double weight = part_ms / BALANCE_MEDIUM_PAUSE_MS;
+	double total = (double)parts *
+	    (BALANCE_READER_COST + BALANCE_PART_COST * weight * weight);
 
 	for (size_t i = 0; i < parts; i++) {
 		const struct balance_candidate
@@ -197,6 +218,39 @@
 	return most;
 }
 
+/* Says whether an engine with short streams bears one more part and stream. */
+static bool
+shelters(const struct engine_profile *profile,
+    const struct balance_candidate *candidate, double part_ms,
+    const struct balance_prompt *prompt)
+{
+	return candidate->streams[STREAM_SHORT] > 0 &&
+	    candidate->running < candidate->slots * BALANCE_PACK_SHARE &&
+	    candidate->backlog_ms <= BALANCE_PACK_BACKLOG_MS &&
+	    delayed(profile, candidate, part_ms) == 0.0 &&
+	    fits(profile, candidate, prompt);
+}
+
+/*
+ * Finds an engine among those with short streams that can write a medium
+ * stream: nobody gives long parts to these, so that its pauses stay short.
+ * Returns a place in the order, or the first reader's where there is none.
+ */
+static size_t
+find_shelter(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, const struct rank *ranks,
+    size_t count, double part_ms, const struct balance_prompt *prompt)
+{
+	if (prompt->class == STREAM_LONG)
+		return 0;
+	for (size_t i = 0; i < count; i++) {
+		if (shelters(
+			profile, &candidates[ranks[i].index], part_ms, prompt))
+			return i;
+	}
+	return 0;
+}
+
 /*
  * Plans a long prompt: of the engines that delay the fewest short streams, as
  * many as make the prompt's own lateness worth their delay.
@@ -224,13 +278,17 @@
 		best = parts;
 		first_token_ms = expected_ms;
 	}
-	writer = choose_writer(profile, candidates, ranks, best, prompt);
+	writer = find_shelter(
+	    profile, candidates, ranks, count, whole_ms / (double)best, prompt);
+	if (writer == 0)
+		writer = choose_writer(
+		    profile, candidates, ranks, best, prompt);
 	*plan = (struct balance_plan){
 	    .first = ranks[writer].index,
 	    .part_ms = whole_ms / (double)best,
 	    .first_token_ms = first_token_ms,
 	};
-	for (size_t i = 0; i < best; i++) {
+	for (size_t i = 0; plan->helper_count + 1 < best; i++) {
 		if (i != writer)
 			plan->helpers[plan->helper_count++] = ranks[i].index;
 	}
@@ -249,7 +307,7 @@
 
 	if (count == 0)
 		return false;
-	if (prompt->is_short && whole_ms <= BALANCE_WHOLE_MS)
+	if (prompt->class == STREAM_SHORT && whole_ms <= BALANCE_WHOLE_MS)
 		plan_short(profile, candidates, count, whole_ms, plan);
 	else
 		plan_long(profile, candidates, count, whole_ms, prompt, plan);
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -19,19 +19,30 @@
 
 #include "policy/reading.h"
 
-/* A stream whose pauses may last no longer counts as short. */
-#define BALANCE_SHORT_GAP_MS 400
+/* How long a pause between two events a stream bears. */
+enum stream_class {
+	STREAM_SHORT,
+	STREAM_MEDIUM,
+	STREAM_LONG,
+	STREAM_CLASSES,
+};
+
+/* Longest pauses, as routes state them, of the first two classes. */
+#define BALANCE_SHORT_GAP_MS  400.0
+#define BALANCE_MEDIUM_GAP_MS 800.0
 /* A short stream's prompt that one engine reads within this is not divided. */
 #define BALANCE_WHOLE_MS 130.0
 /* Part of an engine's places that short streams are packed on. */
 #define BALANCE_PACK_SHARE 0.75
 /* Reading ahead beyond which an engine gets no short stream, if others can. */
 #define BALANCE_PACK_BACKLOG_MS 60.0
-/* Pause of a short stream that its callers don't mind. */
-#define BALANCE_PAUSE_MS 240.0
-/* The same of other streams, and what each counts for in short ones. */
-#define BALANCE_LONG_PAUSE_MS 520.0
-#define BALANCE_LONG_WORTH    6.0
+/* Pauses that are planned for, below what the classes' callers bear. */
+#define BALANCE_SHORT_PAUSE_MS	240.0
+#define BALANCE_MEDIUM_PAUSE_MS 520.0
+#define BALANCE_LONG_PAUSE_MS	900.0
+/* What a late stream of the other classes counts for, in short ones. */
+#define BALANCE_MEDIUM_WORTH 4.0
+#define BALANCE_LONG_WORTH   12.0
 /* Engines besides the first that may read one prompt. */
 #define BALANCE_HELPERS_MAX 16
 /*
@@ -40,7 +51,12 @@
  */
 #define BALANCE_TOKENS_PER_SHORT 10000.0
 /* Part of its time after which a prompt begins to count as late. */
-#define BALANCE_LATE_FROM 0.4
+#define BALANCE_LATE_FROM 0.2
+/*
+ * Cost of a part as long as a medium stream's pause, in late short streams; it
+ * grows with the square: what comes to that engine next would wait.
+ */
+#define BALANCE_PART_COST 1.0
 /* Cost of one more reader, in late short streams: it may fail. */
 #define BALANCE_READER_COST 0.03
 /* Cost of an upstream whose answers all fail, in milliseconds of waiting. */
@@ -59,8 +75,7 @@
 	uint32_t running; /* requests, of all processes as far as known */
 	double backlog_ms; /* reading that lies ahead */
 	uint64_t context_tokens; /* memory of the requests that run */
-	uint32_t short_streams; /* that it writes */
-	uint32_t long_streams;
+	uint32_t streams[STREAM_CLASSES]; /* that it writes */
 	double error_share; /* of its answers lately */
 	uint32_t tie; /* random: equals are not chosen by their order */
 };
@@ -68,7 +83,7 @@
 struct balance_prompt {
 	uint64_t tokens;
 	uint64_t output_tokens;
-	bool is_short; /* a short pause makes it late */
+	enum stream_class class;
 	double target_ms; /* to its first token */
 };
 
@@ -81,6 +96,7 @@
 	double first_token_ms; /* expected */
 };
 
+enum stream_class balance_stream_class(double gap_target_ms);
 ssize_t balance_call(const struct balance_candidate *, size_t count);
 bool balance_prompt(const struct engine_profile *,
     const struct balance_candidate *, size_t count,
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "base/list.h"
+#include "policy/balance.h"
 #include "policy/cold_rate.h"
 
 /* What the platform's list says of one upstream. */
@@ -31,8 +32,7 @@
 /* What requests are at one upstream. */
 struct upstream_load {
 	uint32_t running;
-	uint32_t short_streams; /* of them, which a short pause makes late */
-	uint32_t long_streams; /* of them, which bear a longer one */
+	uint32_t streams[STREAM_CLASSES]; /* of them */
 	uint64_t context_tokens; /* of all of them */
 	uint64_t reading_us; /* of prompts without a first token */
 };
