--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -63,6 +63,7 @@
 	double retry_slack; /* of all gateways together */
 	double cold_ratio;
 	double cold_slack; /* requests a second */
+	int64_t hold_ms; /* memory that is set aside is held for at a time */
 
 	/* Sidecars alone. */
 	char *upstream;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -9,6 +9,8 @@
 #define RETRY_WINDOW_MAX_S	60
 #define RETRY_SLACK_MAX		100000
 #define COLD_RATIO_MAX		100
+#define HOLD_MIN_MS		1500
+#define HOLD_MAX_MS		600000
 #define COLD_SLACK_MAX		100000
 #define DRAIN_NOTICE_DEFAULT_MS "2000"
 #define LOG_LEVELS		"error|warn|info|debug"
@@ -91,6 +93,10 @@
     {"cold-slack", SETTING_FRACTION, FOR_GATEWAY, AT(cold_slack),
 	.fallback = "0", .max = COLD_SLACK_MAX, .argument = "N",
 	.help = "requests a second to a cold upstream besides"},
+    {"hold-ms", SETTING_NUMBER, FOR_GATEWAY, AT(hold_ms), .fallback = "4000",
+	.min = HOLD_MIN_MS, .max = HOLD_MAX_MS, .argument = "MS",
+	.help =
+	    "longest that engines may keep memory for a request that ended"},
     {"upstream", SETTING_NAME, FOR_SIDECAR, AT(upstream), true,
 	.argument = "ID",
 	.help = "id of the upstream that this process serves"},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -32,6 +32,7 @@
 	struct retry_window_limits retry; /* slack of all gateways together */
 	double cold_ratio;
 	double cold_slack;
+	int64_t hold_ms; /* memory set aside is held for at a time */
 	GHashTable *retry_windows; /* service -> struct retry_window */
 	size_t open;
 };
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -7,6 +7,7 @@
 
 #include "gateway/event_cut.h"
 #include "gateway/exchange.h"
+#include "gateway/tickets.h"
 #include "platform/headers.h"
 #include "policy/balance.h"
 
@@ -39,6 +40,14 @@
 	SEND_LOST, /* broke off: may have run */
 };
 
+/* An upstream that reads a part of the prompt of a send. */
+struct send_helper {
+	char *address;
+	char *upstream;
+	uint64_t held_tokens; /* set aside there; 0 for none */
+	size_t ticket; /* index of its ticket */
+};
+
 struct exchange {
 	struct exchanges *all;
 	struct httpd_request *http;
@@ -62,6 +71,10 @@
 	char *readers[BALANCE_HELPERS_MAX + 1]; /* ids, until the first token */
 	size_t reader_count;
 	uint64_t part_us; /* that each of them reads */
+	struct send_helper helpers[BALANCE_HELPERS_MAX];
+	size_t helper_count;
+	struct tickets *tickets; /* memory that is set aside; or NULL */
+	unsigned int ticket_refusals;
 	uint32_t *stream_count; /* of its sort at that upstream; or NULL */
 	struct timespec sent_at;
 	enum send_end send_end;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -22,6 +22,8 @@
 /* Shorter reading is not told to the peers: it is over before they need it. */
 #define TOLD_READING_MS 20.0
 #define US_PER_MS	1000.0
+/* Times that engines are asked for one prompt's memory before it is refused. */
+#define TICKET_REFUSALS_MAX 2
 /* A send with less time than this left is not worth a worker's while. */
 #define SEND_LEFT_MIN_MS 20
 
@@ -132,24 +134,39 @@
 	return balance_stream_class((double)exchange->route->gap_target_ms);
 }
 
-/* Picks who gets the request; false where there is nobody. */
-static bool
-plan(struct exchange *exchange, struct choice *choice, struct balance_plan *out)
+/* Describes the prompt of a request. */
+static struct balance_prompt
+describe_prompt(const struct exchange *exchange)
 {
-	const struct balance_prompt prompt = {
+	return (struct balance_prompt){
 	    .tokens = exchange->head.prompt_tokens,
 	    .output_tokens = exchange->head.output_tokens,
 	    .class = stream_class(exchange),
 	    .target_ms = (double)exchange->route->target_ms,
 	};
+}
+
+/* Says whether a request carries a prompt for an engine that we can predict. */
+static bool
+has_predicted_prompt(const struct exchange *exchange)
+{
+	return exchange->profile->has_engine && exchange->head.has_prompt;
+}
+
+/* Picks who gets the request, or says why nobody does. */
+static enum balance_verdict
+plan(const struct exchange *exchange, const struct choice *choice,
+    struct balance_plan *out)
+{
+	const struct balance_prompt prompt = describe_prompt(exchange);
 	ssize_t at;
 
-	if (exchange->profile->has_engine && exchange->head.has_prompt)
+	if (has_predicted_prompt(exchange))
 		return balance_prompt(&exchange->profile->engine,
 		    choice->candidates, choice->count, &prompt, out);
 	at = balance_call(choice->candidates, choice->count);
 	*out = (struct balance_plan){.first = at < 0 ? 0 : (size_t)at};
-	return at >= 0;
+	return at < 0 ? BALANCE_NOBODY : BALANCE_SERVE;
 }
 
 /* Counts a part of the prompt at an upstream that reads it. */
@@ -194,6 +211,17 @@
 	exchange->reader_count = 0;
 }
 
+/* Returns how much of a prompt its helpers keep. */
+static uint64_t
+held_tokens(const struct balance_plan *plan)
+{
+	uint64_t total = 0;
+
+	for (size_t i = 0; i < plan->helper_count; i++)
+		total += plan->held_tokens[i];
+	return total;
+}
+
 /* Counts a send at the upstreams that take part in it. */
 static void
 count_send(struct exchange *exchange, const struct choice *choice,
@@ -208,7 +236,7 @@
 	exchange->tried[exchange->tries++] = g_strdup(upstream->id);
 	fleet_began(knowledge_fleet(exchange->all->knowledge), upstream, now);
 	exchange->context_tokens = exchange->head.prompt_tokens +
-	    exchange->head.output_tokens / 2;
+	    exchange->head.output_tokens - held_tokens(plan);
 	upstream->own.context_tokens += exchange->context_tokens;
 	exchange->stream_count = NULL;
 	if (exchange->head.has_prompt)
@@ -246,11 +274,10 @@
 
 /* Hands the request to the HTTP client. */
 static void
-start_call(struct exchange *exchange, const struct choice *choice,
-    const struct balance_plan *plan)
+start_call(struct exchange *exchange)
 {
 	struct helper helpers[BALANCE_HELPERS_MAX];
-	struct upstream_head head = {
+	const struct upstream_head head = {
 	    .remaining_ms = exchange_left_ms(exchange),
 	    .upstream = exchange->upstream->id,
 	    .organisation = exchange->organisation != NULL
@@ -259,7 +286,7 @@
 	    .has_last_event = exchange->has_last_event,
 	    .last_event = exchange->last_event,
 	    .helpers = helpers,
-	    .helper_count = plan->helper_count,
+	    .helper_count = exchange->helper_count,
 	};
 	g_autofree char *url = g_strconcat("http://",
 	    exchange->upstream->address, httpd_request_target(exchange->http),
@@ -273,9 +300,16 @@
 	};
 	g_autoptr(GArray) headers = NULL;
 
-	for (size_t i = 0; i < plan->helper_count; i++)
+	for (size_t i = 0; i < exchange->helper_count; i++) {
+		const struct send_helper *helper = &exchange->helpers[i];
+
 		helpers[i] = (struct helper){
-		    .address = choice->upstreams[plan->helpers[i]]->address};
+		    .address = helper->address,
+		    .ticket = helper->held_tokens > 0
+			? tickets_id(exchange->tickets, helper->ticket)
+			: NULL,
+		};
+	}
 	headers = headers_for_upstream(exchange->http, &head);
 	request.headers = (const struct http_header *)(void *)headers->data;
 	request.header_count = headers->len;
@@ -284,21 +318,122 @@
 	    exchange->all->http, &request, &exchange_call_ops, exchange);
 }
 
-/* Answers a request for which there is nobody to send it to. */
+/* Goes on once the engines have answered whether they set memory aside. */
+static void
+take_tickets(void *data, bool granted)
+{
+	struct exchange *exchange = data;
+
+	if (granted) {
+		start_call(exchange);
+		return;
+	}
+	exchange_send_ended(exchange, SEND_NEVER);
+	if (++exchange->ticket_refusals < TICKET_REFUSALS_MAX)
+		exchange_next(
+		    exchange, SEND_NEVER, "engines have no memory for it");
+	else
+		exchange_answer_refusal(exchange, REFUSAL_OVERLOADED,
+		    COME_BACK_MS, "engines have no memory for the prompt now");
+}
+
+/* Keeps who helps, and counts the memory that is to be set aside there. */
+static void
+keep_helpers(struct exchange *exchange, const struct choice *choice,
+    const struct balance_plan *plan)
+{
+	size_t tickets = 0;
+
+	for (size_t i = 0; i < plan->helper_count; i++) {
+		struct upstream *upstream = choice->upstreams[plan->helpers[i]];
+
+		exchange->helpers[i] = (struct send_helper){
+		    .address = g_strdup(upstream->address),
+		    .upstream = g_strdup(upstream->id),
+		    .held_tokens = plan->held_tokens[i],
+		    .ticket = plan->held_tokens[i] > 0 ? tickets++ : 0,
+		};
+		upstream->own.context_tokens += plan->held_tokens[i];
+	}
+	exchange->helper_count = plan->helper_count;
+}
+
+/* Takes the helpers off the account of a send that is over. */
+static void
+drop_helpers(struct exchange *exchange)
+{
+	const struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
+
+	for (size_t i = 0; i < exchange->helper_count; i++) {
+		struct send_helper *helper = &exchange->helpers[i];
+		struct upstream *upstream = fleet_find(fleet, helper->upstream);
+
+		if (upstream != NULL)
+			upstream->own.context_tokens -= MIN(
+			    helper->held_tokens, upstream->own.context_tokens);
+		g_free(helper->address);
+		g_free(helper->upstream);
+	}
+	exchange->helper_count = 0;
+	tickets_free(exchange->tickets);
+	exchange->tickets = NULL;
+}
+
+/* Asks helpers to set memory aside; false where none has to. */
+static bool
+ask_tickets(struct exchange *exchange)
+{
+	struct ticket_wish wishes[BALANCE_HELPERS_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < exchange->helper_count; i++) {
+		if (exchange->helpers[i].held_tokens == 0)
+			continue;
+		wishes[count++] = (struct ticket_wish){
+		    .address = exchange->helpers[i].address,
+		    .tokens = exchange->helpers[i].held_tokens,
+		};
+	}
+	if (count == 0)
+		return false;
+	exchange->tickets = tickets_ask(exchange->all->loop,
+	    exchange->all->http, exchange->head.request_id,
+	    exchange->all->hold_ms, wishes, count, take_tickets, exchange);
+	return true;
+}
+
+/* Answers a request that is not sent, or not sent once more. */
 static void
-nobody(struct exchange *exchange, const struct choice *choice)
+refuse(struct exchange *exchange, const struct choice *choice,
+    enum balance_verdict verdict, const struct balance_plan *plan)
 {
+	int64_t wait_ms = (int64_t)plan->wait_ms + COME_BACK_MS;
+
 	if (exchange->begun) {
 		httpd_abort(exchange->http);
 		exchange_finish(exchange, "broken_off");
-	} else if (exchange->may_have_run) {
+		return;
+	}
+	if (exchange->may_have_run) {
 		exchange_answer_refusal(exchange, REFUSAL_LOST, 0,
 		    "the upstream was lost and no other can take over");
-	} else {
+		return;
+	}
+	switch (verdict) {
+	case BALANCE_TOO_COSTLY:
+		exchange_answer_refusal(exchange, REFUSAL_OVERLOADED, wait_ms,
+		    "the engines' time is worth more to other prompts now");
+		break;
+	case BALANCE_NO_MEMORY:
+		exchange_answer_refusal(exchange, REFUSAL_OVERLOADED, wait_ms,
+		    "the engines have no memory for the prompt now");
+		break;
+	default:
 		exchange_answer_refusal(exchange, REFUSAL_NO_UPSTREAM,
 		    COME_BACK_MS,
 		    choice->listed > 0 ? "no upstream has room now"
 				       : "no upstream takes new work now");
+		break;
 	}
 }
 
@@ -308,19 +443,26 @@
 {
 	struct choice choice;
 	struct balance_plan chosen;
+	enum balance_verdict verdict;
 
 	collect(exchange, false, &choice);
 	if (choice.count == 0) {
 		choice_clear(&choice);
 		collect(exchange, true, &choice);
 	}
-	if (!plan(exchange, &choice, &chosen)) {
-		nobody(exchange, &choice);
+	verdict = plan(exchange, &choice, &chosen);
+	/* One that has begun goes on, whatever it costs. */
+	if (verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
+		verdict = BALANCE_SERVE;
+	if (verdict != BALANCE_SERVE) {
+		refuse(exchange, &choice, verdict, &chosen);
 		goto out;
 	}
 	count_send(exchange, &choice, &chosen);
 	log_send(exchange, &choice, &chosen);
-	start_call(exchange, &choice, &chosen);
+	keep_helpers(exchange, &choice, &chosen);
+	if (!ask_tickets(exchange))
+		start_call(exchange);
 out:
 	choice_clear(&choice);
 }
@@ -436,6 +578,7 @@
 	if (upstream == NULL)
 		return;
 	exchange_prompt_read(exchange);
+	drop_helpers(exchange);
 	exchange->upstream = NULL;
 	exchange->call = NULL;
 	exchange->send_end = end;
@@ -457,9 +600,8 @@
 void
 exchange_stop_send(struct exchange *exchange)
 {
-	if (exchange->call == NULL)
-		return;
-	http_call_cancel(exchange->call);
+	if (exchange->call != NULL)
+		http_call_cancel(exchange->call);
 	exchange_send_ended(exchange, SEND_OPEN);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,6 +19,8 @@
 #define LEAVE_CHECK_MS 50
 /* Before the platform kills the process, what still runs is answered. */
 #define STOP_RESERVE_MS 700
+/* Memory is held for less than it may be kept: orders take time to arrive. */
+#define HOLD_RESERVE_MS 500
 /* Longest head of a request, before the routing table says its own. */
 #define HEADER_MAX_BYTES ((size_t)16 * 1024)
 /*
@@ -171,6 +173,7 @@
 		},
 	    .cold_ratio = settings->cold_ratio,
 	    .cold_slack = settings->cold_slack,
+	    .hold_ms = settings->hold_ms - HOLD_RESERVE_MS,
 	};
 	exchanges_init(&gateway->exchanges);
 }
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -4,6 +4,8 @@
 
 #include <glib.h>
 
+#include "base/clock.h"
+
 /* Returns the class of a stream by the longest pause that its route states. */
 enum stream_class
 balance_stream_class(double gap_target_ms)
@@ -168,7 +170,8 @@
 	double backlog_ms = 0.0;
 	double weight = part_ms / BALANCE_MEDIUM_PAUSE_MS;
 	double total = (double)parts *
-	    (BALANCE_READER_COST + BALANCE_PART_COST * weight * weight);
+	    (BALANCE_READER_COST +
+		BALANCE_PART_COST * MIN(weight * weight, weight));
 
 	for (size_t i = 0; i < parts; i++) {
 		const struct balance_candidate
@@ -185,16 +188,26 @@
 	    (double)prompt->tokens / BALANCE_TOKENS_PER_SHORT;
 }
 
+/* Returns how many tokens an engine has memory for beside what runs there. */
+static uint64_t
+room(const struct engine_profile *profile,
+    const struct balance_candidate *candidate)
+{
+	double planned = (double)profile->memory_tokens * BALANCE_MEMORY_SHARE;
+
+	if (planned <= (double)candidate->context_tokens)
+		return 0;
+	return (uint64_t)planned - candidate->context_tokens;
+}
+
 /* Says whether a prompt and its answer fit beside what runs there. */
 static bool
 fits(const struct engine_profile *profile,
     const struct balance_candidate *candidate,
     const struct balance_prompt *prompt)
 {
-	double room = (double)profile->memory_tokens * BALANCE_MEMORY_SHARE -
-	    (double)candidate->context_tokens;
-
-	return (double)(prompt->tokens + prompt->output_tokens) <= room;
+	return prompt->tokens + prompt->output_tokens <=
+	    room(profile, candidate);
 }
 
 /*
@@ -253,9 +266,10 @@
 
 /*
  * Plans a long prompt: of the engines that delay the fewest short streams, as
- * many as make the prompt's own lateness worth their delay.
+ * many as make the prompt's own lateness worth their delay. Returns what that
+ * costs, in late short streams.
  */
-static void
+static double
 plan_long(const struct engine_profile *profile,
     const struct balance_candidate *candidates, size_t count, double whole_ms,
     const struct balance_prompt *prompt, struct balance_plan *plan)
@@ -292,24 +306,104 @@
 		if (i != writer)
 			plan->helpers[plan->helper_count++] = ranks[i].index;
 	}
+	return least;
+}
+
+/*
+ * Divides a prompt that its writer has no memory for: the writer keeps what it
+ * has room for, helpers the rest. False where all together have not enough.
+ */
+static bool
+spread_memory(const struct engine_profile *profile,
+    const struct balance_candidate *candidates,
+    const struct balance_prompt *prompt, struct balance_plan *plan)
+{
+	uint64_t left = prompt->tokens + prompt->output_tokens;
+	uint64_t own = room(profile, &candidates[plan->first]);
+
+	if (profile->memory_tokens == 0 || left <= own)
+		return true;
+	left -= own;
+	for (size_t i = 0; i < plan->helper_count && left > 0; i++) {
+		uint64_t part = MIN(
+		    room(profile, &candidates[plan->helpers[i]]), left);
+
+		plan->held_tokens[i] = part;
+		left -= part;
+	}
+	return left == 0;
+}
+
+/* Plans a prompt too large for its readers' memory: more of them read it. */
+static bool
+plan_larger(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count, double whole_ms,
+    const struct balance_prompt *prompt, struct balance_plan *plan)
+{
+	g_autofree struct rank *ranks = rank_all(candidates, count, reader);
+	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
+
+	for (size_t parts = plan->helper_count + 2; parts <= max; parts++) {
+		size_t writer = choose_writer(
+		    profile, candidates, ranks, parts, prompt);
+
+		*plan = (struct balance_plan){
+		    .first = ranks[writer].index,
+		    .part_ms = whole_ms / (double)parts,
+		    .first_token_ms = plan->first_token_ms,
+		};
+		for (size_t i = 0; i < parts; i++) {
+			if (i != writer)
+				plan->helpers[plan->helper_count++] =
+				    ranks[i].index;
+		}
+		if (spread_memory(profile, candidates, prompt, plan))
+			return true;
+	}
+	return false;
+}
+
+/* Returns how long all engines need for what they have to read, in the mean. */
+static double
+mean_backlog_ms(const struct balance_candidate *candidates, size_t count)
+{
+	double total = 0.0;
+
+	for (size_t i = 0; i < count; i++)
+		total += candidates[i].backlog_ms;
+	return total / (double)count;
 }
 
 /*
- * Plans which engines read a prompt and which of them writes the answer. False
- * where there is no engine at all.
+ * Plans which engines read a prompt and which of them writes the answer, or
+ * says why it is not served now and when it may be.
  */
-bool
+enum balance_verdict
 balance_prompt(const struct engine_profile *profile,
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
 	double whole_ms = reading_ms(profile, prompt->tokens);
+	double worth = (double)prompt->tokens / BALANCE_TOKENS_PER_SHORT;
+	double cost = 0.0;
+	double wait_ms;
 
+	*plan = (struct balance_plan){0};
 	if (count == 0)
-		return false;
+		return BALANCE_NOBODY;
+	wait_ms = mean_backlog_ms(candidates, count);
 	if (prompt->class == STREAM_SHORT && whole_ms <= BALANCE_WHOLE_MS)
 		plan_short(profile, candidates, count, whole_ms, plan);
 	else
-		plan_long(profile, candidates, count, whole_ms, prompt, plan);
-	return true;
+		cost = plan_long(
+		    profile, candidates, count, whole_ms, prompt, plan);
+	plan->wait_ms = wait_ms;
+	if (cost > worth * BALANCE_ADMIT_SHARE)
+		return BALANCE_TOO_COSTLY;
+	if (spread_memory(profile, candidates, prompt, plan))
+		return BALANCE_SERVE;
+	if (plan_larger(profile, candidates, count, whole_ms, prompt, plan))
+		return BALANCE_SERVE;
+	plan->wait_ms = wait_ms;
+	return BALANCE_NO_MEMORY;
 }
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -50,13 +50,20 @@
  * length, and a short one has some thousand tokens.
  */
 #define BALANCE_TOKENS_PER_SHORT 10000.0
+/*
+ * A prompt that costs more than this part of its own worth is turned away: its
+ * reading grows with the square of its length, and at a high load it would make
+ * several others late.
+ */
+#define BALANCE_ADMIT_SHARE 1.0
 /* Part of its time after which a prompt begins to count as late. */
 #define BALANCE_LATE_FROM 0.2
 /*
- * Cost of a part as long as a medium stream's pause, in late short streams; it
- * grows with the square: what comes to that engine next would wait.
+ * Cost of a part as long as a medium stream's pause, in late short streams. It
+ * grows with the square up to that, since what comes to that engine next would
+ * wait; beyond it, others keep away.
  */
-#define BALANCE_PART_COST 1.0
+#define BALANCE_PART_COST 0.5
 /* Cost of one more reader, in late short streams: it may fail. */
 #define BALANCE_READER_COST 0.03
 /* Cost of an upstream whose answers all fail, in milliseconds of waiting. */
@@ -66,7 +73,10 @@
 /* Cost of a full upstream, and of each request that waits there already. */
 #define BALANCE_FULL_COST_MS	1000.0
 #define BALANCE_WAITING_COST_MS 150.0
-/* Part of an engine's memory that prompts are planned for. */
+/*
+ * Part of an engine's memory that prompts are planned for: answers grow, and
+ * the peers' newest requests are not known.
+ */
 #define BALANCE_MEMORY_SHARE 0.9
 
 /* An upstream that may be chosen, as it is now. */
@@ -87,18 +97,28 @@
 	double target_ms; /* to its first token */
 };
 
+/* Whether a prompt is served now. */
+enum balance_verdict {
+	BALANCE_SERVE,
+	BALANCE_NOBODY, /* there is no engine */
+	BALANCE_NO_MEMORY, /* the engines together have none for it now */
+	BALANCE_TOO_COSTLY, /* it would cost the others more than it is worth */
+};
+
 /* Who reads a prompt; indexes into the candidates. */
 struct balance_plan {
 	size_t first; /* writes the answer and keeps the prompt */
 	size_t helpers[BALANCE_HELPERS_MAX];
+	uint64_t held_tokens[BALANCE_HELPERS_MAX]; /* to be set aside there */
 	size_t helper_count;
 	double part_ms; /* reading time of each */
 	double first_token_ms; /* expected */
+	double wait_ms; /* until it can be served, where it is turned away */
 };
 
 enum stream_class balance_stream_class(double gap_target_ms);
 ssize_t balance_call(const struct balance_candidate *, size_t count);
-bool balance_prompt(const struct engine_profile *,
+enum balance_verdict balance_prompt(const struct engine_profile *,
     const struct balance_candidate *, size_t count,
     const struct balance_prompt *, struct balance_plan *);
 
