Three gateways watch the store, the others learn from them

Ruled out: longer waits, since a watch that the store forgot is noticed only at its end. The rank among the peers that tell their load decides, and one that does not reach the store says so and is passed over at the next round.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -216,7 +216,7 @@
 	    node_mesh(gateway->node), settings->id,
 	    node_identity(gateway->node)->address);
 	gateway->load_share = load_share_new(gateway->loop, gateway->clock,
-	    node_mesh(gateway->node), knowledge_fleet(gateway->knowledge));
+	    node_mesh(gateway->node), settings->id, gateway->knowledge);
 	open_exchanges(gateway);
 	return open_callers(gateway, error);
 }
--- a/src/gateway/knowledge.c
+++ b/src/gateway/knowledge.c
@@ -20,6 +20,7 @@
 	struct timespec table_at; /* when it came into force here */
 	struct fleet *fleet;
 	bool takeouts_known;
+	bool watching;
 };
 
 METRIC_DEFINE(routes_version, METRIC_GAUGE, "heatherturn_routes_version", NULL,
@@ -136,6 +137,7 @@
 	knowledge->clock = clock;
 	knowledge->documents = documents;
 	knowledge->fleet = fleet_new();
+	knowledge->watching = true;
 	documents_subscribe(documents, DOCUMENT_ROUTES, take_routes, knowledge);
 	documents_subscribe(
 	    documents, DOCUMENT_UPSTREAMS, take_upstreams, knowledge);
@@ -164,6 +166,40 @@
 	g_free(knowledge);
 }
 
+/*
+ * Says whether this process watches the store. One that does not learns from
+ * its peers; before it has all of them it asks the store in any case.
+ */
+void
+knowledge_set_watching(struct knowledge *knowledge, bool watching)
+{
+	watching |= !knowledge_is_whole(knowledge);
+	if (knowledge->watching == watching)
+		return;
+	knowledge->watching = watching;
+	LOG_INFO(watching ? "watches the store" : "leaves watching to peers",
+	    "{s:I}", "list_version", (json_int_t)knowledge->fleet->version);
+	object_watch_set_active(knowledge->routes, watching);
+	object_watch_set_active(knowledge->upstreams, watching);
+	object_watch_set_active(knowledge->takeouts, watching);
+}
+
+/* Returns whether it does. */
+bool
+knowledge_is_watching(const struct knowledge *knowledge)
+{
+	return knowledge->watching;
+}
+
+/* Says whether the store did not answer this process's last calls. */
+bool
+knowledge_is_store_away(const struct knowledge *knowledge)
+{
+	return object_watch_is_away(knowledge->routes) ||
+	    object_watch_is_away(knowledge->upstreams) ||
+	    object_watch_is_away(knowledge->takeouts);
+}
+
 /* Says whether all that routing needs has come at least once. */
 bool
 knowledge_is_whole(const struct knowledge *knowledge)
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -22,6 +22,9 @@
 struct knowledge *knowledge_new(struct ev_loop *, struct clock *,
     struct object_store *, struct documents *);
 void knowledge_free(struct knowledge *);
+void knowledge_set_watching(struct knowledge *, bool);
+bool knowledge_is_watching(const struct knowledge *);
+bool knowledge_is_store_away(const struct knowledge *);
 bool knowledge_is_whole(const struct knowledge *);
 struct routing_table *knowledge_table(const struct knowledge *);
 struct fleet *knowledge_fleet(const struct knowledge *);
--- a/src/gateway/load_share.c
+++ b/src/gateway/load_share.c
@@ -2,23 +2,29 @@
 
 #include <string.h>
 
+#include "store/watchers.h"
+
 #define US_PER_MS 1000.0
 
 /* One peer's requests, as it told them last. */
 struct peer_work {
 	GHashTable *loads; /* upstream id -> struct upstream_load */
 	struct timespec told_at;
+	bool store_away;
 };
 
 struct load_share {
 	struct ev_loop *loop;
 	struct clock *clock;
 	struct mesh *mesh;
+	char *self; /* name of this process */
+	struct knowledge *knowledge;
 	struct fleet *fleet;
 	struct mesh_handler handler;
 	GHashTable *peers; /* process -> struct peer_work */
 	ev_timer timer;
-	bool told_idle; /* the last round said that nothing runs */
+	unsigned int
+	    idle_rounds; /* since nothing ran and the peers were told */
 };
 
 /* Adds one peer's work to what lies on the upstreams, or takes it off. */
@@ -114,6 +120,7 @@
 		    work->loads, g_strdup(told->upstreams.items[i]), load);
 	}
 	work->told_at = clock_monotonic(share->clock);
+	work->store_away = told->store_away;
 	count(share, work, true);
 }
 
@@ -203,10 +210,12 @@
 		tokens[rows] = upstream->own.context_tokens;
 		reading[rows++] = upstream->own.reading_us;
 	}
-	if (rows == 0 && share->told_idle)
+	if (rows == 0 && share->idle_rounds > 0 &&
+	    share->idle_rounds++ < LOAD_SHARE_IDLE_ROUNDS)
 		return;
-	share->told_idle = rows == 0;
+	share->idle_rounds = rows == 0 ? 1 : 0;
 	message.load = (struct message_load){
+	    .store_away = knowledge_is_store_away(share->knowledge),
 	    .upstreams = {ids, rows},
 	    .running = {running, rows},
 	    .short_streams = {shorts, rows},
@@ -249,6 +258,31 @@
 	}
 }
 
+/*
+ * Says whether enough peers that rank before this process are there and reach
+ * the store, so that it need not watch.
+ */
+static bool
+may_leave_watching(const struct load_share *share)
+{
+	guint count = g_hash_table_size(share->peers);
+	g_autofree struct watcher_candidate *candidates = g_new(
+	    struct watcher_candidate, count + 1);
+	GHashTableIter iter;
+	void *process;
+	void *value;
+	size_t used = 0;
+
+	g_hash_table_iter_init(&iter, share->peers);
+	while (g_hash_table_iter_next(&iter, &process, &value))
+		candidates[used++] = (struct watcher_candidate){
+		    .id = process,
+		    .answers = !((const struct peer_work *)value)->store_away,
+		};
+	return !watchers_rank(
+	    candidates, used, share->self, LOAD_SHARE_WATCHERS);
+}
+
 /* Time for a round. */
 static void
 round_due(struct ev_loop *loop, ev_timer *timer, int events)
@@ -256,6 +290,7 @@
 	struct load_share *share = timer->data;
 
 	forget_silent(share);
+	knowledge_set_watching(share->knowledge, !may_leave_watching(share));
 	tell_load(share);
 	ev_timer_set(timer, (double)round_ms(share) / MS_PER_S, 0.0);
 	ev_timer_start(loop, timer);
@@ -264,15 +299,16 @@
 /* Begins to tell the peers of our work and to take theirs. */
 struct load_share *
 load_share_new(struct ev_loop *loop, struct clock *clock, struct mesh *mesh,
-    struct fleet *fleet)
+    const char *self, struct knowledge *knowledge)
 {
 	struct load_share *share = g_new0(struct load_share, 1);
 
 	share->loop = loop;
 	share->clock = clock;
 	share->mesh = mesh;
-	share->fleet = fleet;
-	share->told_idle = true;
+	share->self = g_strdup(self);
+	share->knowledge = knowledge;
+	share->fleet = knowledge_fleet(knowledge);
 	share->peers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, work_free);
 	share->handler = (struct mesh_handler){
@@ -297,6 +333,7 @@
 	ev_timer_stop(share->loop, &share->timer);
 	mesh_remove_handler(share->mesh, &share->handler);
 	g_hash_table_unref(share->peers);
+	g_free(share->self);
 	g_free(share);
 }
 
--- a/src/gateway/load_share.h
+++ b/src/gateway/load_share.h
@@ -7,24 +7,33 @@
 #ifndef GATEWAY_LOAD_SHARE_H
 #define GATEWAY_LOAD_SHARE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include <ev.h>
 
 #include "base/clock.h"
+#include "gateway/knowledge.h"
 #include "peer/mesh.h"
-#include "routing/fleet.h"
 
 /* A round among few gateways, and what each peer adds to it. */
 #define LOAD_SHARE_ROUND_MS	 100
 #define LOAD_SHARE_ROUND_PEER_MS 10
 /* Rounds without word after which a peer's work is forgotten. */
-#define LOAD_SHARE_SILENT_ROUNDS 10
+#define LOAD_SHARE_SILENT_ROUNDS 6
+
+/* A gateway with nothing to tell still says so often that it is there. */
+#define LOAD_SHARE_IDLE_ROUNDS 2
+/*
+ * Gateways that watch the store, each call of which is paid: enough that one
+ * sees a change at once while others are restarted or cut off.
+ */
+#define LOAD_SHARE_WATCHERS 3
 
 struct load_share;
 
-struct load_share *load_share_new(
-    struct ev_loop *, struct clock *, struct mesh *, struct fleet *);
+struct load_share *load_share_new(struct ev_loop *, struct clock *,
+    struct mesh *, const char *self, struct knowledge *);
 void load_share_free(struct load_share *);
 void load_share_tell_reading(struct load_share *, const char *const *upstreams,
     size_t count, double part_ms);
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -120,7 +120,8 @@
 		M(U64, suspect.fingerprint), M(U64, suspect.reporter),
 		M(U32, suspect.deaths), M(U32, suspect.age_ms) } },
 	[MESSAGE_LOAD] = { "load", {
-		M(STRING_ARRAY, load.upstreams), M(U64_ARRAY, load.running),
+		M(BOOL, load.store_away), M(STRING_ARRAY, load.upstreams),
+		M(U64_ARRAY, load.running),
 		M(U64_ARRAY, load.short_streams),
 		M(U64_ARRAY, load.medium_streams),
 		M(U64_ARRAY, load.long_streams),
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -259,6 +259,7 @@
 };
 
 struct message_load {
+	bool store_away; /* the sender's last call to the store failed */
 	struct string_array upstreams; /* as long as each of the next */
 	struct u64_array running; /* requests */
 	struct u64_array short_streams; /* of them, as the next two */
