--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,29 +1,54 @@
 #include "base/log.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <glib.h>
 
+#include "base/metrics.h"
+
 #define TIMESTAMP_MAX_BYTES 40
+/*
+ * Lines of information in one second; warnings and errors have as many besides.
+ * A request takes two or three, and a process serves some hundred a second.
+ */
+#define LINES_PER_S_MAX 2000
 
 static const char *const level_names[] = {"error", "warn", "info", "debug"};
 
 static enum log_level threshold = LOG_LEVEL_INFO;
 static struct log_identity identity;
+static int output = STDERR_FILENO; /* until log_init() */
+
+/* The second that is under way, and what was written in it. */
+static struct {
+	time_t second;
+	unsigned int lines;
+	unsigned int urgent; /* of warnings and errors */
+} budget;
+
+static uint64_t dropped; /* since the last line that was written */
+
+METRIC_DEFINE(dropped_lines, METRIC_COUNTER, "heatherturn_log_lines_dropped",
+    NULL, "Log lines that were over the rate or that nobody took.");
 
 /*
- * Sets the least severe level that is written and what each line carries. The
- * identity's strings must outlive the process's last log line.
+ * Sets the least severe level that is written and what each line carries, and
+ * lets the log go to standard output. The identity's strings must outlive the
+ * process's last log line.
  */
 void
 log_init(enum log_level level, const struct log_identity *who)
 {
 	threshold = level;
 	identity = *who;
-	setvbuf(stderr, NULL, _IOLBF, 0);
+	output = STDOUT_FILENO;
 }
 
 /* Says whether a line of this level would be written. */
@@ -73,31 +98,94 @@
 	    "module", module, "text", text);
 }
 
+/* Says whether this second has room for one more line. */
+static bool
+within_rate(enum log_level level)
+{
+	struct timespec now;
+	unsigned int *lines = level <= LOG_LEVEL_WARN ? &budget.urgent
+						      : &budget.lines;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	if (now.tv_sec != budget.second) {
+		budget.second = now.tv_sec;
+		budget.lines = 0;
+		budget.urgent = 0;
+	}
+	return ++*lines <= LINES_PER_S_MAX;
+}
+
 /*
- * Writes one line to standard error. The fields are packed by jansson's format;
- * a format that cannot be packed is reported in the line itself.
+ * Writes a line if its reader takes it now. A pipe that polls as writable takes
+ * PIPE_BUF bytes without blocking.
  */
-void
-log_write(enum log_level level, const char *module, const char *text,
-    const char *format, ...)
+static bool
+write_out(const char *line)
+{
+	struct pollfd ready = {.fd = output, .events = POLLOUT};
+	size_t length = strlen(line);
+
+	if (length > PIPE_BUF || poll(&ready, 1, 0) != 1 ||
+	    (ready.revents & POLLOUT) == 0)
+		return false;
+	return write(output, line, length) == (ssize_t)length;
+}
+
+/* Counts a line that is not written. */
+static void
+drop_line(void)
+{
+	dropped++;
+	metric_add(&dropped_lines, 1);
+}
+
+/* Renders a line with its fields; to be freed. */
+static char *
+render(json_t *line, const char *format, va_list args)
 {
-	json_t *line = make_line(level, module, text);
-	json_t *fields;
 	json_error_t error;
-	va_list args;
+	json_t *fields = json_vpack_ex(&error, 0, format, args);
+	char *json;
 	char *out;
 
-	va_start(args, format);
-	fields = json_vpack_ex(&error, 0, format, args);
-	va_end(args);
 	if (fields != NULL)
 		json_object_update(line, fields);
 	else
 		json_object_set_new(line, "log_fault", json_string(error.text));
-	out = json_dumps(line, JSON_COMPACT);
-	if (out != NULL)
-		fprintf(stderr, "%s\n", out);
-	free(out);
+	if (dropped > 0)
+		json_object_set_new(
+		    line, "lines_dropped", json_integer((json_int_t)dropped));
+	json = json_dumps(line, JSON_COMPACT);
+	out = json == NULL ? NULL : g_strconcat(json, "\n", NULL);
+	free(json);
 	json_decref(fields);
+	return out;
+}
+
+/*
+ * Writes one line. The fields are packed by jansson's format; a format that
+ * cannot be packed is reported in the line itself. It never blocks: lines over
+ * the rate, and those that nobody takes, are counted and left out.
+ */
+void
+log_write(enum log_level level, const char *module, const char *text,
+    const char *format, ...)
+{
+	json_t *line;
+	va_list args;
+	g_autofree char *out = NULL;
+
+	if (!within_rate(level)) {
+		drop_line();
+		return;
+	}
+	line = make_line(level, module, text);
+	va_start(args, format);
+	out = render(line, format, args);
+	va_end(args);
 	json_decref(line);
+	if (out != NULL && write_out(out))
+		dropped = 0;
+	else
+		drop_line();
 }
