--- a/script/lib/operators.py
+++ b/script/lib/operators.py
@@ -155,7 +155,7 @@
         process = self.fleet.processes[f"engine-{name}"]
         if not any(0 <= at - woke < WAKING_S for woke in process.woken):
             return at
-        request, attempt = run.rsplit("-", 1)
+        request, attempt = run.split("-")[:2]  # sidecar's incarnation follows
         log = self.fleet.processes[f"sidecar-{name}"].log
         for line in log.read_text(errors="replace").splitlines():
             if '"verdict":"start"' not in line or request[1:] not in line:
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -341,8 +341,17 @@
 	httpd->readable.data = httpd;
 	httpd->hangup_readable.data = httpd;
 	httpd->timer.data = httpd;
+}
+
+/* Begins to serve where the settings had connections wait; else nothing. */
+void
+httpd_open(struct httpd *httpd)
+{
+	if (ev_is_active(&httpd->readable))
+		return;
 	ev_io_start(httpd->loop, &httpd->readable);
 	ev_io_start(httpd->loop, &httpd->hangup_readable);
+	run_in(httpd, 0);
 }
 
 /*
@@ -389,6 +398,8 @@
 		goto err;
 	}
 	watch(httpd);
+	if (!settings->held)
+		httpd_open(httpd);
 	return httpd;
 err:
 	httpd_free(httpd);
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -46,6 +46,7 @@
 	const char *key_file;
 	size_t header_max_bytes; /* of a request's head; 0 for the default */
 	unsigned int idle_s; /* of a kept connection; 0 for the default */
+	bool held; /* connections wait unread until httpd_open() */
 };
 
 struct httpd_stats {
@@ -61,6 +62,7 @@
 struct httpd *httpd_new(struct ev_loop *, const struct httpd_settings *,
     const struct httpd_ops *, void *data, GError **);
 void httpd_free(struct httpd *);
+void httpd_open(struct httpd *);
 int httpd_port(const struct httpd *);
 void httpd_close_after_answers(struct httpd *);
 void httpd_stop_accepting(struct httpd *);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -15,6 +15,9 @@
 /* Where neither the caller nor the route says how long to wait. */
 #define DEADLINE_DEFAULT_MS 60000
 
+/* A gateway that has just started learns its routes within this time. */
+#define NOT_READY_MS 300
+
 /* What a refusal is answered with. */
 static const struct refusal_kind {
 	int status;
@@ -240,8 +243,8 @@
 	exchange->has_last_event = exchange->head.has_last_event;
 	exchange->last_event = exchange->head.last_event;
 	if (knowledge_table(all->knowledge) == NULL) {
-		exchange_answer_refusal(exchange, REFUSAL_NOT_READY, MS_PER_S,
-		    "the routes are not known yet");
+		exchange_answer_refusal(exchange, REFUSAL_NOT_READY,
+		    NOT_READY_MS, "the routes are not known yet");
 		return;
 	}
 	exchange->table = routing_table_ref(knowledge_table(all->knowledge));
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -87,12 +87,17 @@
 	switch (judge(exchange, status)) {
 	case VERDICT_NOT_RUN:
 		exchange->send_end = SEND_NOT_RUN;
+		exchange->send_why = exchange->answer.other_instance
+		    ? "another upstream has the address"
+		    : "the upstream turned it away";
 		return false;
 	case VERDICT_FAILED:
 		exchange->send_end = SEND_FAILED;
+		exchange->send_why = "the upstream failed";
 		return false;
 	case VERDICT_FOREIGN:
 		exchange->send_end = SEND_LOST;
+		exchange->send_why = "the answer is not to this request";
 		return false;
 	case VERDICT_PASS:
 		break;
@@ -213,6 +218,7 @@
 	struct exchange *exchange = data;
 	bool half_event = exchange->begun && exchange->answer.event_stream &&
 	    exchange->cut.held->len > 0;
+	const char *why = "the answer ended inside an event";
 	enum send_end end;
 
 	if (result->error == NULL && exchange->send_end == SEND_ANSWERED &&
@@ -229,9 +235,11 @@
 		exchange_finish(exchange, "broken_off");
 		return;
 	}
-	exchange_next(exchange, end,
-	    result->error != NULL ? result->error->message
-				  : "the answer ended inside an event");
+	if (exchange->send_why != NULL)
+		why = exchange->send_why;
+	else if (result->error != NULL)
+		why = result->error->message;
+	exchange_next(exchange, end, why);
 }
 
 const struct http_call_ops exchange_call_ops = {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -78,6 +78,7 @@
 	uint32_t *stream_count; /* of its sort at that upstream; or NULL */
 	struct timespec sent_at;
 	enum send_end send_end;
+	const char *send_why; /* why an answer was not passed on; or NULL */
 
 	/* The answer. */
 	int status; /* that the caller got; 0 before */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,6 +15,11 @@
 #define LOG_MODULE "gateway"
 #include "base/log.h"
 
+/*
+ * Callers' connections wait unread for so long at the most until routes and
+ * upstreams are known; then they are told that the gateway is not ready.
+ */
+#define START_WAIT_MS 500
 /* How often a leaving gateway looks whether its requests have ended. */
 #define LEAVE_CHECK_MS 50
 /* Before the platform kills the process, what still runs is answered. */
@@ -40,6 +45,7 @@
 	struct load_share *load_share;
 	struct exchanges exchanges;
 	struct httpd *callers;
+	struct ev_timer start_timer;
 	struct ev_timer leave_timer;
 	struct timespec closing; /* when new connections are no longer taken */
 	struct timespec ending; /* when the process ends in any case */
@@ -178,6 +184,25 @@
 	exchanges_init(&gateway->exchanges);
 }
 
+/* Takes callers' requests from now on. */
+static void
+serve(void *data)
+{
+	struct gateway *gateway = data;
+
+	ev_timer_stop(gateway->loop, &gateway->start_timer);
+	httpd_open(gateway->callers);
+	LOG_INFO("requests are taken", "{s:b}", "ready",
+	    knowledge_is_whole(gateway->knowledge));
+}
+
+/* Callers have waited long enough. */
+static void
+start_waited(struct ev_loop *loop, struct ev_timer *timer, int events)
+{
+	serve(timer->data);
+}
+
 /* Opens the callers' side. */
 static bool
 open_callers(struct gateway *gateway, GError **error)
@@ -191,11 +216,19 @@
 	    .key_file = settings->tls_key_file,
 	    .header_max_bytes = HEADER_MAX_BYTES,
 	    .idle_s = CALLER_IDLE_S,
+	    .held = true,
 	};
 
 	gateway->callers = httpd_new(
 	    gateway->loop, &with, &caller_ops, gateway, error);
-	return gateway->callers != NULL;
+	if (gateway->callers == NULL)
+		return false;
+	ev_timer_init(&gateway->start_timer, start_waited,
+	    (double)START_WAIT_MS / MS_PER_S, 0.0);
+	gateway->start_timer.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->start_timer);
+	knowledge_on_whole(gateway->knowledge, serve, gateway);
+	return true;
 }
 
 /* Brings all parts up; false with the error of the one that failed. */
@@ -225,6 +258,7 @@
 static void
 close_gateway(struct gateway *gateway)
 {
+	ev_timer_stop(gateway->loop, &gateway->start_timer);
 	ev_timer_stop(gateway->loop, &gateway->leave_timer);
 	httpd_free(gateway->callers);
 	exchanges_clear(&gateway->exchanges);
--- a/src/gateway/knowledge.c
+++ b/src/gateway/knowledge.c
@@ -21,6 +21,8 @@
 	struct fleet *fleet;
 	bool takeouts_known;
 	bool watching;
+	knowledge_fn *on_whole; /* NULL once it was called */
+	void *on_whole_data;
 };
 
 METRIC_DEFINE(routes_version, METRIC_GAUGE, "heatherturn_routes_version", NULL,
@@ -28,6 +30,28 @@
 METRIC_DEFINE(upstreams_known, METRIC_GAUGE, "heatherturn_upstreams_known",
     NULL, "Upstreams that the platform's list names.");
 
+/* Tells once that all is here. */
+static void
+tell_whole(struct knowledge *knowledge)
+{
+	knowledge_fn *callback = knowledge->on_whole;
+
+	if (callback == NULL || !knowledge_is_whole(knowledge))
+		return;
+	knowledge->on_whole = NULL;
+	callback(knowledge->on_whole_data);
+}
+
+/* Has it told when all that routing needs has come for the first time. */
+void
+knowledge_on_whole(
+    struct knowledge *knowledge, knowledge_fn *callback, void *data)
+{
+	knowledge->on_whole = callback;
+	knowledge->on_whole_data = data;
+	tell_whole(knowledge);
+}
+
 /* Offers what the store says of the routes to all gateways, us included. */
 static void
 read_routes(void *data, uint64_t version, const uint8_t *text, size_t length)
@@ -86,6 +110,7 @@
 	metric_set(&routes_version, (int64_t)table->version);
 	LOG_INFO("routes in force", "{s:I, s:I}", "version",
 	    (json_int_t)table->version, "revision", (json_int_t)version);
+	tell_whole(knowledge);
 }
 
 /* A newer list of upstreams is here. */
@@ -106,6 +131,7 @@
 	    reports.items->len, clock_monotonic(knowledge->clock));
 	metric_set(&upstreams_known, reports.items->len);
 	decode_upstreams_clear(&reports);
+	tell_whole(knowledge);
 }
 
 /* A newer list of domains that are taken out is here. */
@@ -125,6 +151,7 @@
 	fleet_set_takeouts(knowledge->fleet, (const char *const *)domains,
 	    g_strv_length(domains), clock_monotonic(knowledge->clock),
 	    TAKEN_BACK_COLD_MS);
+	tell_whole(knowledge);
 }
 
 /* Begins to learn from the store and from peers. */
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -19,9 +19,13 @@
 
 struct knowledge;
 
+/* All that routing needs has come for the first time. */
+typedef void knowledge_fn(void *data);
+
 struct knowledge *knowledge_new(struct ev_loop *, struct clock *,
     struct object_store *, struct documents *);
 void knowledge_free(struct knowledge *);
+void knowledge_on_whole(struct knowledge *, knowledge_fn *, void *data);
 void knowledge_set_watching(struct knowledge *, bool);
 bool knowledge_is_watching(const struct knowledge *);
 bool knowledge_is_store_away(const struct knowledge *);
