--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -17,6 +17,7 @@
 #define STREAM_PIECE_BYTES 5000
 #define FUZZ_ROUNDS	   500
 #define FUZZ_FLIPS	   3
+#define HELD_ROUNDS	   50
 
 struct fixture {
 	struct ev_loop *loop;
@@ -450,6 +451,63 @@
 	g_test_add(path, struct fixture, data, set_up, test, tear_down);
 }
 
+/* Connections to a held server wait, and are served once it opens. */
+static void
+test_held(struct fixture *fixture, gconstpointer unused)
+{
+	const struct httpd_settings settings = {
+	    .address = "127.0.0.1:0",
+	    .body_max_bytes = BODY_MAX_BYTES,
+	    .bodies_max_bytes = BODIES_MAX_BYTES,
+	    .held = true,
+	};
+	g_autoptr(GString) got = g_string_new(NULL);
+	int fd;
+
+	httpd_free(fixture->httpd);
+	fixture->any_request = true;
+	fixture->httpd = httpd_new(
+	    fixture->loop, &settings, &ops, fixture, NULL);
+	fd = send_text(fixture, "GET /any HTTP/1.1\r\nHost: h\r\n\r\n");
+	for (int i = 0; i < HELD_ROUNDS; i++)
+		ev_run(fixture->loop, EVRUN_NOWAIT);
+	g_assert_cmpint(fixture->requests, ==, 0);
+	httpd_open(fixture->httpd);
+	read_until(fixture, fd, got, "HTTP/1.1 200 ");
+	close(fd);
+	RUN_UNTIL(fixture, fixture->closed_whole == 1);
+}
+
+/*
+ * A server that closes after answers ends kept connections behind the answer
+ * that is under way, and idle ones at once.
+ */
+static void
+test_close_after_answers(struct fixture *fixture, gconstpointer unused)
+{
+	static const char ask[] = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n";
+	g_autoptr(GString) busy_got = g_string_new(NULL);
+	g_autoptr(GString) idle_got = g_string_new(NULL);
+	int idle = send_text(fixture, ask);
+	int busy;
+
+	RUN_UNTIL(fixture, fixture->held != NULL);
+	httpd_answer(fixture->held, 200, NULL, 0, "1", 1);
+	fixture->held = NULL;
+	read_until(fixture, idle, idle_got, "\r\n\r\n1");
+	busy = send_text(fixture, ask);
+	RUN_UNTIL(fixture, fixture->held != NULL);
+	httpd_close_after_answers(fixture->httpd);
+	read_until(fixture, idle, idle_got, NULL);
+	httpd_answer(fixture->held, 200, NULL, 0, "2", 1);
+	fixture->held = NULL;
+	read_until(fixture, busy, busy_got, NULL);
+	g_assert_nonnull(strstr(busy_got->str, "\r\n\r\n2"));
+	close(idle);
+	close(busy);
+	RUN_UNTIL(fixture, fixture->closed_whole == 2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -462,6 +520,8 @@
 	add("a caller that left a silent stream is noticed", "", test_hang_up);
 	add("bodies have a limit together", NULL, test_bodies_limit);
 	add("running requests outlive accepting", NULL, test_stop_accepting);
+	add("connections wait for a held server", NULL, test_held);
+	add("connections end after answers", NULL, test_close_after_answers);
 	add("waiting requests end with the server", NULL, test_free);
 	add("requests at random do no harm", NULL, test_fuzz);
 	add("a bad address has a typed error", NULL, test_bad_address);
--- /dev/null
+++ b/tests/test_object_watch.c
@@ -0,0 +1,282 @@
+/*
+ * A kind of the platform's objects kept in step with its store, through lists
+ * of several pages, events, lost history, outages, and news from a peer.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/httpd.h"
+#include "platform/object_watch.h"
+
+#define GUARD_S	       20.0
+#define BODY_MAX_BYTES 1024
+#define CALLS_MAX      8
+
+/* One answer of the store, in the order of the calls. */
+struct answer {
+	const char *query; /* what the call must contain */
+	int status; /* 0 to leave it without an answer */
+	const char *body;
+};
+
+static const struct watch_case {
+	const char *name;
+	struct answer answers[CALLS_MAX];
+	const char *names; /* held at the end, in order */
+	uint64_t version;
+} cases[] = {
+    {"a list in two pages, then a watch from its beginning",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":true,"
+	     "\"StoreRevision\":7}"},
+	    {"After=a", 200,
+		"{\"Items\":[{\"Metadata\":{\"Name\":\"b\"}}],"
+		"\"HasMore\":false,\"StoreRevision\":9}"},
+	    {"Watch=7", 0, NULL}},
+	"a b", 7},
+    {"events add, replace and remove",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\",\"Revision\":1}}],"
+	     "\"HasMore\":false,\"StoreRevision\":7}"},
+	    {"Watch=7", 200,
+		"{\"events\":[{\"Tombstone\":true,\"Object\":"
+		"{\"Metadata\":{\"Name\":\"a\",\"Revision\":8}}},"
+		"{\"Tombstone\":false,\"Object\":"
+		"{\"Metadata\":{\"Name\":\"c\",\"Revision\":9}}}],"
+		"\"StoreRevision\":9}"},
+	    {"Watch=9", 0, NULL}},
+	"c", 9},
+    {"without events the version stays",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":false,"
+	     "\"StoreRevision\":7}"},
+	    {"Watch=7", 200, "{\"events\":[],\"StoreRevision\":12}"},
+	    {"Watch=12", 0, NULL}},
+	"a", 7},
+    {"history that is gone is listed anew",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":false,"
+	     "\"StoreRevision\":7}"},
+	    {"Watch=7", 410, "{}"},
+	    {"servers", 200,
+		"{\"Items\":[{\"Metadata\":{\"Name\":\"b\"}}],"
+		"\"HasMore\":false,\"StoreRevision\":30}"},
+	    {"Watch=30", 0, NULL}},
+	"b", 30},
+    {"a store that is down is asked again, and nothing is lost",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":false,"
+	     "\"StoreRevision\":7}"},
+	    {"Watch=7", 503, "{}"}, {"Watch=7", 429, "{}"},
+	    {"Watch=7", 200, "no JSON"},
+	    {"Watch=7", 200,
+		"{\"events\":[{\"Object\":{\"Metadata\":{\"Name\":\"b\"}}}],"
+		"\"StoreRevision\":8}"},
+	    {"Watch=8", 0, NULL}},
+	"a b", 8},
+    {"an object without a name is left out",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Spec\":1},{\"Metadata\":{\"Name\":\"a\"}}],"
+	     "\"HasMore\":false,\"StoreRevision\":7}"},
+	    {"Watch=7", 0, NULL}},
+	"a", 7},
+};
+
+struct fixture {
+	const struct watch_case *c;
+	struct ev_loop *loop;
+	ev_timer guard;
+	struct httpd *httpd;
+	struct http_client *http;
+	struct object_store *store;
+	struct object_watch *watch;
+	size_t calls;
+	char *names; /* that were handed on last */
+	uint64_t version;
+};
+
+/* Answers the next call. */
+static void
+take_request(void *data, struct httpd_request *request)
+{
+	struct fixture *f = data;
+	const struct answer *answer = &f->c->answers[f->calls++];
+
+	g_assert_cmpuint(f->calls, <=, CALLS_MAX);
+	g_assert_nonnull(answer->query);
+	g_assert_nonnull(strstr(httpd_request_target(request), answer->query));
+	if (answer->status != 0)
+		httpd_answer(request, answer->status, NULL, 0, answer->body,
+		    strlen(answer->body));
+}
+
+/* Nothing is kept of a call. */
+static void
+take_closed(void *data, struct httpd_request *request, bool whole)
+{
+}
+
+static const struct httpd_ops ops = {
+    .request = take_request,
+    .closed = take_closed,
+};
+
+/* Orders names. */
+static int
+compare(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Keeps what the watch hands on. */
+static void
+take_state(void *data, uint64_t version, const uint8_t *text, size_t length)
+{
+	struct fixture *f = data;
+	json_t *list = json_loadb((const char *)text, length, 0, NULL);
+	const char *names[CALLS_MAX + 1] = {0};
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (list, i, item)
+		names[i] = json_string_value(
+		    json_object_get(json_object_get(item, "Metadata"), "Name"));
+	qsort(names, json_array_size(list), sizeof(*names), compare);
+	g_free(f->names);
+	f->names = g_strjoinv(" ", (char **)names);
+	f->version = version;
+	json_decref(list);
+}
+
+/* The test has hung. */
+static void
+guard_fired(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	g_error("the case did not end");
+}
+
+/* Starts the store and the watch. */
+static void
+set_up(struct fixture *f)
+{
+	const struct httpd_settings settings = {
+	    .address = "127.0.0.1:0",
+	    .body_max_bytes = BODY_MAX_BYTES,
+	    .bodies_max_bytes = BODY_MAX_BYTES,
+	};
+	g_autofree char *address = NULL;
+
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	ev_timer_init(&f->guard, guard_fired, GUARD_S, 0.0);
+	ev_timer_start(f->loop, &f->guard);
+	f->httpd = httpd_new(f->loop, &settings, &ops, f, NULL);
+	address = g_strdup_printf("127.0.0.1:%d", httpd_port(f->httpd));
+	f->http = http_client_new(f->loop, NULL);
+	f->store = object_store_new(f->http, address);
+	f->watch = object_watch_new(
+	    f->loop, f->store, "servers", take_state, f);
+}
+
+/* Takes it down. */
+static void
+tear_down(struct fixture *f)
+{
+	object_watch_free(f->watch);
+	object_store_free(f->store);
+	http_client_free(f->http);
+	httpd_free(f->httpd);
+	ev_timer_stop(f->loop, &f->guard);
+	ev_loop_destroy(f->loop);
+	g_free(f->names);
+}
+
+/* Runs the loop until the store holds the last call of the case. */
+static void
+run_to_last(struct fixture *f)
+{
+	while (f->calls == 0 || f->c->answers[f->calls - 1].status != 0)
+		ev_run(f->loop, EVRUN_ONCE);
+}
+
+/* Runs one case. */
+static void
+test_watch(gconstpointer data)
+{
+	struct fixture f = {.c = &cases[GPOINTER_TO_SIZE(data)]};
+
+	set_up(&f);
+	run_to_last(&f);
+	g_assert_cmpstr(f.names, ==, f.c->names);
+	g_assert_cmpuint(f.version, ==, f.c->version);
+	tear_down(&f);
+}
+
+/*
+ * A peer's newer state takes the place of ours, also while the store is away;
+ * an older one and one that can't be read change nothing.
+ */
+static void
+test_peer(void)
+{
+	static const struct watch_case c = {"",
+	    {{"servers", 200,
+		 "{\"Items\":[],\"HasMore\":false,\"StoreRevision\":7}"},
+		{"Watch=7", 503, "{}"}, {"Watch=9", 503, "{}"},
+		{"Watch=9", 200,
+		    "{\"events\":[{\"Object\":"
+		    "{\"Metadata\":{\"Name\":\"d\"}}}],"
+		    "\"StoreRevision\":10}"},
+		{"Watch=10", 0, NULL}},
+	    NULL, 0};
+	static const char newer[] = "[{\"Metadata\":{\"Name\":\"c\"}}]";
+	struct fixture f = {.c = &c};
+
+	set_up(&f);
+	while (!object_watch_is_away(f.watch))
+		ev_run(f.loop, EVRUN_ONCE);
+	g_assert_false(object_watch_take(
+	    f.watch, 7, (const uint8_t *)newer, strlen(newer)));
+	g_assert_false(object_watch_take(f.watch, 9, (const uint8_t *)"{}", 2));
+	g_assert_true(object_watch_take(
+	    f.watch, 9, (const uint8_t *)newer, strlen(newer)));
+	run_to_last(&f);
+	g_assert_cmpstr(f.names, ==, "c d");
+	g_assert_false(object_watch_is_away(f.watch));
+	tear_down(&f);
+}
+
+/* A watch that is not active asks nothing, and goes on from what it has. */
+static void
+test_inactive(void)
+{
+	static const struct watch_case c = {"",
+	    {{"servers", 200,
+		 "{\"Items\":[],\"HasMore\":false,\"StoreRevision\":7}"},
+		{"Watch=7", 0, NULL}, {"Watch=12", 0, NULL}},
+	    NULL, 0};
+	struct fixture f = {.c = &c};
+
+	set_up(&f);
+	run_to_last(&f);
+	object_watch_set_active(f.watch, false);
+	g_assert_true(object_watch_take(f.watch, 12, (const uint8_t *)"[]", 2));
+	object_watch_set_active(f.watch, true);
+	while (f.calls < 3)
+		ev_run(f.loop, EVRUN_ONCE);
+	tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/object_watch/%s", cases[i].name);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_watch);
+	}
+	g_test_add_func("/object_watch/peer", test_peer);
+	g_test_add_func("/object_watch/inactive", test_inactive);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_tickets.c
@@ -0,0 +1,219 @@
+/*
+ * Memory set aside at several engines: all or nothing, renewed while it is
+ * needed, given back even where answers are lost.
+ */
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/httpd.h"
+#include "gateway/tickets.h"
+
+#define GUARD_S	       20.0
+#define BODY_MAX_BYTES 1024
+#define ENGINES	       2
+
+static const struct ticket_case {
+	const char *name;
+	int statuses[ENGINES]; /* of each engine; 0 for no answer */
+	bool granted;
+	int releases[ENGINES]; /* that each engine gets at least */
+} cases[] = {
+    {"all grant", {200, 200}, true, {1, 1}},
+    {"one refuses: the other's is given back", {200, 409}, false, {1, 0}},
+    {"both refuse", {409, 409}, false, {0, 0}},
+    {"one does not answer: it may hold it", {200, 0}, false, {1, 1}},
+};
+
+struct engine {
+	struct fixture *fixture;
+	struct httpd *httpd;
+	int status;
+	int reserves;
+	int releases;
+	int64_t tokens;
+};
+
+struct fixture {
+	struct ev_loop *loop;
+	ev_timer guard;
+	struct http_client *http;
+	struct engine engines[ENGINES];
+	bool answered;
+	bool granted;
+};
+
+/* Takes an order. */
+static void
+take_request(void *data, struct httpd_request *request)
+{
+	struct engine *engine = data;
+	size_t length;
+	const uint8_t *body = httpd_request_body(request, &length);
+	json_t *order = json_loadb((const char *)body, length, 0, NULL);
+	const char *op = json_string_value(json_object_get(order, "Op"));
+
+	g_assert_cmpstr(httpd_request_path(request), ==, "/order");
+	if (strcmp(op, "release") == 0) {
+		engine->releases++;
+		httpd_answer(request, 200, NULL, 0, "{}", 2);
+	} else {
+		engine->reserves++;
+		engine->tokens = json_integer_value(
+		    json_object_get(order, "Tokens"));
+		if (engine->status != 0)
+			httpd_answer(request, engine->status, NULL, 0, "", 0);
+	}
+	json_decref(order);
+}
+
+/* Nothing is kept of an order. */
+static void
+take_closed(void *data, struct httpd_request *request, bool whole)
+{
+}
+
+/* The engines have answered. */
+static void
+take_granted(void *data, bool granted)
+{
+	struct fixture *f = data;
+
+	f->answered = true;
+	f->granted = granted;
+}
+
+/* The test has hung. */
+static void
+guard_fired(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	g_error("the case did not end");
+}
+
+/* Starts the engines. */
+static void
+set_up(struct fixture *f, const int statuses[ENGINES])
+{
+	static const struct httpd_ops ops = {
+	    .request = take_request, .closed = take_closed};
+	const struct httpd_settings settings = {
+	    .address = "127.0.0.1:0",
+	    .body_max_bytes = BODY_MAX_BYTES,
+	    .bodies_max_bytes = BODY_MAX_BYTES,
+	};
+
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	ev_timer_init(&f->guard, guard_fired, GUARD_S, 0.0);
+	ev_timer_start(f->loop, &f->guard);
+	f->http = http_client_new(f->loop, NULL);
+	for (size_t i = 0; i < ENGINES; i++) {
+		f->engines[i].fixture = f;
+		f->engines[i].status = statuses[i];
+		f->engines[i].httpd = httpd_new(
+		    f->loop, &settings, &ops, &f->engines[i], NULL);
+	}
+}
+
+/* Asks both engines for memory. */
+static struct tickets *
+ask(struct fixture *f)
+{
+	char addresses[ENGINES][32];
+	struct ticket_wish wishes[ENGINES];
+
+	for (size_t i = 0; i < ENGINES; i++) {
+		g_snprintf(addresses[i], sizeof(addresses[i]), "127.0.0.1:%d",
+		    httpd_port(f->engines[i].httpd));
+		wishes[i] = (struct ticket_wish){
+		    .address = addresses[i], .tokens = 1000 * (i + 1)};
+	}
+	return tickets_ask(
+	    f->loop, f->http, "r1", 3000, wishes, ENGINES, take_granted, f);
+}
+
+/* Takes it down. */
+static void
+tear_down(struct fixture *f)
+{
+	http_client_free(f->http);
+	for (size_t i = 0; i < ENGINES; i++)
+		httpd_free(f->engines[i].httpd);
+	ev_timer_stop(f->loop, &f->guard);
+	ev_loop_destroy(f->loop);
+}
+
+/* Runs one case. */
+static void
+test_ask(gconstpointer data)
+{
+	const struct ticket_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	struct fixture f = {0};
+	struct tickets *tickets;
+
+	set_up(&f, c->statuses);
+	tickets = ask(&f);
+	while (!f.answered)
+		ev_run(f.loop, EVRUN_ONCE);
+	g_assert_cmpint(f.granted, ==, c->granted);
+	g_assert_cmpstr(tickets_id(tickets, 1), ==, "r1-1");
+	tickets_free(tickets);
+	for (size_t i = 0; i < ENGINES; i++) {
+		while (f.engines[i].releases < c->releases[i])
+			ev_run(f.loop, EVRUN_ONCE);
+		g_assert_cmpint(
+		    f.engines[i].tokens, ==, 1000 * ((int64_t)i + 1));
+	}
+	tear_down(&f);
+}
+
+/* Held memory is renewed until it is given back. */
+static void
+test_renew(void)
+{
+	static const int statuses[ENGINES] = {200, 200};
+	struct fixture f = {0};
+	struct tickets *tickets;
+
+	set_up(&f, statuses);
+	tickets = ask(&f);
+	while (f.engines[0].reserves < 2 || f.engines[1].reserves < 2)
+		ev_run(f.loop, EVRUN_ONCE);
+	tickets_free(tickets);
+	while (f.engines[0].releases < 1 || f.engines[1].releases < 1)
+		ev_run(f.loop, EVRUN_ONCE);
+	tear_down(&f);
+}
+
+/* Tickets that are freed before an answer give back what may be held. */
+static void
+test_give_up(void)
+{
+	static const int statuses[ENGINES] = {0, 0};
+	struct fixture f = {0};
+	struct tickets *tickets;
+
+	set_up(&f, statuses);
+	tickets = ask(&f);
+	while (f.engines[0].reserves < 1 || f.engines[1].reserves < 1)
+		ev_run(f.loop, EVRUN_ONCE);
+	tickets_free(tickets);
+	while (f.engines[0].releases < 1 || f.engines[1].releases < 1)
+		ev_run(f.loop, EVRUN_ONCE);
+	g_assert_false(f.answered);
+	tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/tickets/ask/%s", cases[i].name);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_ask);
+	}
+	g_test_add_func("/tickets/renew", test_renew);
+	g_test_add_func("/tickets/give up", test_give_up);
+	return g_test_run();
+}
