--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -272,6 +272,7 @@
 	ev_timer_stop(all->loop, &exchange->timer);
 	for (size_t i = 0; i < exchange->tries; i++)
 		g_free(exchange->tried[i]);
+	g_free(exchange->at_fault);
 	if (exchange->body != NULL)
 		g_byte_array_unref(exchange->body);
 	if (exchange->headers != NULL)
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -68,7 +68,9 @@
 						exchange->headers->data;
 
 	exchange->begun = true;
-	if (exchange->answer.has_length && !exchange->answer.event_stream)
+	exchange->events = exchange->answer.event_stream &&
+	    exchange->status == STATUS_OK;
+	if (exchange->answer.has_length && !exchange->events)
 		httpd_stream_begin_sized(exchange->http, exchange->status,
 		    headers, exchange->headers->len, exchange->answer.length);
 	else
@@ -90,6 +92,7 @@
 		exchange->send_why = exchange->answer.other_instance
 		    ? "another upstream has the address"
 		    : "the upstream turned it away";
+		exchange_blame(exchange, exchange->answer.at_fault);
 		return false;
 	case VERDICT_FAILED:
 		exchange->send_end = SEND_FAILED;
@@ -168,7 +171,7 @@
 {
 	struct exchange *exchange = data;
 
-	if (exchange->begun && exchange->answer.event_stream)
+	if (exchange->events)
 		event_cut_feed(
 		    &exchange->cut, bytes, length, pass_event, exchange);
 	else
@@ -216,8 +219,7 @@
 take_done(void *data, struct http_call *call, const struct http_result *result)
 {
 	struct exchange *exchange = data;
-	bool half_event = exchange->begun && exchange->answer.event_stream &&
-	    exchange->cut.held->len > 0;
+	bool half_event = exchange->events && exchange->cut.held->len > 0;
 	const char *why = "the answer ended inside an event";
 	enum send_end end;
 
@@ -230,7 +232,7 @@
 	event_cut_restart(&exchange->cut);
 	g_clear_pointer(&exchange->body, g_byte_array_unref);
 	exchange_send_ended(exchange, end);
-	if (exchange->begun && !exchange->answer.event_stream) {
+	if (exchange->begun && !exchange->events) {
 		httpd_abort(exchange->http);
 		exchange_finish(exchange, "broken_off");
 		return;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -63,6 +63,7 @@
 	/* Sends. */
 	char *tried[EXCHANGE_TRIES_MAX]; /* ids of upstreams */
 	size_t tries;
+	char *at_fault; /* id of one that an upstream blamed; or NULL */
 	size_t sends; /* tries on which something left this host */
 	bool may_have_run;
 	struct http_call *call; /* NULL between two sends */
@@ -86,6 +87,8 @@
 	GByteArray *body; /* a whole answer that is being read */
 	GArray *headers; /* that go with it */
 	bool begun; /* a streamed answer has begun */
+	bool
+	    events; /* it is a stream of events, which another can go on with */
 	bool ended;
 	struct event_cut cut;
 	bool has_last_event;
@@ -102,6 +105,7 @@
 void exchange_send_ended(struct exchange *, enum send_end);
 void exchange_stop_send(struct exchange *);
 void exchange_prompt_read(struct exchange *);
+void exchange_blame(struct exchange *, const char *at_fault);
 void exchange_next(struct exchange *, enum send_end, const char *why);
 void exchange_finish(struct exchange *, const char *how);
 int64_t exchange_left_ms(const struct exchange *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -59,7 +59,7 @@
 		if (strcmp(exchange->tried[i], id) == 0)
 			return true;
 	}
-	return false;
+	return g_strcmp0(exchange->at_fault, id) == 0;
 }
 
 /* Says whether an upstream bears one more request now. */
@@ -550,6 +550,30 @@
 	    (json_int_t)wait_ms);
 }
 
+/*
+ * Keeps away from an upstream that another one could not read with, by its id
+ * or address; the one that says so is not to blame.
+ */
+void
+exchange_blame(struct exchange *exchange, const char *at_fault)
+{
+	const struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
+	struct upstream *upstream;
+
+	g_clear_pointer(&exchange->at_fault, g_free);
+	if (at_fault == NULL)
+		return;
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
+		if (upstream == exchange->upstream ||
+		    (strcmp(upstream->id, at_fault) != 0 &&
+			strcmp(upstream->address, at_fault) != 0))
+			continue;
+		exchange->at_fault = g_strdup(upstream->id);
+		avoid(exchange, upstream);
+		return;
+	}
+}
+
 /* Learns from how a send ended. */
 static void
 judge_upstream(
@@ -559,6 +583,8 @@
 
 	if (end == SEND_NEVER || end == SEND_LOST)
 		avoid(exchange, upstream);
+	else if (end == SEND_NOT_RUN && exchange->at_fault != NULL)
+		return;
 	else if (end == SEND_NOT_RUN)
 		upstream->avoid_until = time_add_ms(
 		    clock_monotonic(exchange->all->clock), AVOID_FULL_MS);
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -14,7 +14,7 @@
 
 #include "base/httpd.h"
 
-#define STANDIN_UPSTREAMS 2
+#define STANDIN_UPSTREAMS 3
 #define STANDIN_STEPS	  4
 #define STANDIN_HEADERS	  16
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -30,7 +30,7 @@
 	"\"Kind\":\"idempotent\",\"TimeoutMs\":100,\"Attempts\":2,"          \
 	"\"Service\":\"s\"},"                                                \
 	"{\"Name\":\"stream\",\"Host\":\"h\",\"PathPrefix\":\"/stream/\","   \
-	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":2,"             \
+	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":3,"             \
 	"\"CanResume\":true,\"Service\":\"s\"},"                             \
 	"{\"Name\":\"fragile\",\"Host\":\"h\",\"PathPrefix\":\"/fragile/\"," \
 	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":2,"             \
@@ -87,6 +87,9 @@
     {"a broken stream goes on elsewhere", "/stream/x", KEY,
 	{STANDIN_CUT, STANDIN_EVENTS}, 2, 200,
 	"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", false},
+    {"and on where the next turns it away", "/stream/x", KEY,
+	{STANDIN_CUT, STANDIN_FULL, STANDIN_EVENTS}, 3, 200,
+	"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", false},
     {"one that can't be resumed is cut", "/fragile/x", KEY, {STANDIN_CUT}, 1, 0,
 	NULL, false},
     {"no route", "/none/x", KEY, {0}, 0, 404, NULL, false},
@@ -323,6 +326,7 @@
 	static const enum standin_step steps[] = {STANDIN_ANSWER};
 	struct fixture f = {0};
 	const struct standin_arrival *seen;
+	g_autofree char *expected = NULL;
 
 	set_up(&f);
 	standin_set_steps(f.standin, steps, 1);
@@ -340,8 +344,9 @@
 	g_assert_cmpstr(standin_header(seen, "Heatherturn-Tenant"), ==, "o");
 	g_assert_cmpstr(
 	    standin_header(seen, "Heatherturn-Attempt-Id"), ==, "r1");
-	g_assert_cmpstr(standin_header(seen, "Heatherturn-Expect-Instance"), ==,
-	    seen->upstream == 0 ? "i-0" : "i-1");
+	expected = g_strdup_printf("i-%zu", seen->upstream);
+	g_assert_cmpstr(
+	    standin_header(seen, "Heatherturn-Expect-Instance"), ==, expected);
 	g_assert_nonnull(
 	    standin_header(seen, "Heatherturn-Deadline-Remaining-Ms"));
 	tear_down(&f);
