--- a/completions/heatherturn.bash
+++ b/completions/heatherturn.bash
@@ -4,7 +4,7 @@
 	local verbs="create get list update delete take-out bring-back status key completion"
 	local kinds="organisation service failure-domain rollout upstream"
 	if [ "$COMP_CWORD" -eq 1 ]; then
-		COMPREPLY=($(compgen -W "entry sidecar ctl check explain" -- "$word"))
+		COMPREPLY=($(compgen -W "entry gateway sidecar ctl check explain" -- "$word"))
 		return
 	fi
 	[ "${COMP_WORDS[1]}" = ctl ] || return
--- a/src/base/check.c
+++ b/src/base/check.c
@@ -86,6 +86,29 @@
 	return faults->len == 0 ? EXIT_CODE_OK : EXIT_CODE_SETTING;
 }
 
+/* Returns which roles a setting is for, as the man page says it. */
+static const char *
+roles_text(unsigned int roles)
+{
+	static const struct {
+		unsigned int roles;
+		const char *text;
+	} texts[] = {
+	    {FOR_ALL, ""},
+	    {FOR_ENTRY, " (entry)"},
+	    {FOR_SIDECAR, " (sidecar)"},
+	    {FOR_GATEWAY, " (gateway)"},
+	    {FOR_CALLERS, " (entry, gateway)"},
+	    {FOR_ENTRY | FOR_SIDECAR, " (entry, sidecar)"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		if (texts[i].roles == roles)
+			return texts[i].text;
+	}
+	g_assert_not_reached();
+}
+
 /* Writes the man page's list of settings, in scdoc's markup. */
 void
 settings_write_man(GString *out)
@@ -93,9 +116,7 @@
 	for (size_t i = 0; i < setting_spec_count; i++) {
 		const struct setting_spec *spec = &setting_specs[i];
 		g_autofree char *variable = setting_variable(spec);
-		const char *who = spec->roles == FOR_ALL ? ""
-		    : spec->roles == FOR_ENTRY		 ? " (entry)"
-							 : " (sidecar)";
+		const char *who = roles_text(spec->roles);
 
 		g_string_append_printf(out, "*--%s*", spec->name);
 		if (spec->argument != NULL)
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -626,6 +626,8 @@
 	set_request(call, request);
 	set_handling(call, request);
 	TAILQ_INSERT_TAIL(&client->calls, call, entry);
+	/* The loop's time is that of its last turn, which may be long ago. */
+	ev_now_update(client->loop);
 	if (request->timeout_ms > 0)
 		ev_timer_start(client->loop, &call->timeout);
 	stall_restart(call);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -8,6 +8,8 @@
 #include "base/http_client.h"
 
 #define GUARD_S 30.0
+/* A loop that has not turned for so long has an old idea of the time. */
+#define STALE_MS 400
 
 /* What the server does with each request it has read whole. */
 enum server_act {
@@ -323,6 +325,32 @@
 	tear_down(&f);
 }
 
+/*
+ * A call's time runs from its start: what passed since the loop's last turn,
+ * as while a process starts, is not taken off it.
+ */
+static void
+test_stale_loop(void)
+{
+	static const struct call_case c = {.name = "",
+	    .server = SERVER_ANSWERS,
+	    .method = "GET",
+	    .timeout_ms = STALE_MS / 2,
+	    .calls = 1,
+	    .status = 200,
+	    .sent = true,
+	    .error = -1,
+	    .body = "hello",
+	    .requests = 1};
+	struct fixture f = {0};
+
+	set_up(&f, &c);
+	g_usleep(STALE_MS * 1000);
+	start_call(&f);
+	ev_run(f.loop, 0);
+	tear_down(&f);
+}
+
 /* Cancels the call from its own chunk callback. */
 static bool
 cancel_chunk(void *data, const uint8_t *bytes, size_t length)
@@ -363,6 +391,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http-client/cancel in chunk", test_cancel_in_chunk);
+	g_test_add_func("/http-client/stale loop", test_stale_loop);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *path = g_strdup_printf(
 		    "/http-client/%s", cases[i].name);
