An upstream that says nothing is given up where another may be asked

Cause: a stream on an upstream that fell silent waited for its connection's end, 3 s, and callers leave after 2. Test: a silent upstream is given up.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -235,6 +235,8 @@
 	exchange->all = all;
 	exchange->http = http;
 	exchange->arrived = clock_monotonic(all->clock);
+	ev_init(&exchange->stall, exchange_stalled);
+	exchange->stall.data = exchange;
 	ev_init(&exchange->timer, deadline_passed);
 	exchange->timer.data = exchange;
 	event_cut_init(&exchange->cut);
@@ -270,6 +272,7 @@
 	exchange_stop_send(exchange);
 	exchange_finish(exchange, whole ? "answered" : "caller_left");
 	ev_timer_stop(all->loop, &exchange->timer);
+	ev_timer_stop(all->loop, &exchange->stall);
 	for (size_t i = 0; i < exchange->tries; i++)
 		g_free(exchange->tried[i]);
 	g_free(exchange->at_fault);
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -144,6 +144,7 @@
 		exchange->last_event = id;
 	}
 	note_event_time(exchange);
+	exchange_expect_progress(exchange);
 	exchange_prompt_read(exchange);
 	httpd_stream_write(exchange->http, bytes, length);
 }
@@ -201,6 +202,14 @@
 	    exchange->headers->len, exchange->body->data, exchange->body->len);
 }
 
+/* Drops what came of an answer that will not be whole. */
+void
+exchange_forget_partial(struct exchange *exchange)
+{
+	event_cut_restart(&exchange->cut);
+	g_clear_pointer(&exchange->body, g_byte_array_unref);
+}
+
 /* Says how a send ended that brought no whole answer. */
 static enum send_end
 broken_end(const struct exchange *exchange, const struct http_result *result)
@@ -229,8 +238,7 @@
 		return;
 	}
 	end = broken_end(exchange, result);
-	event_cut_restart(&exchange->cut);
-	g_clear_pointer(&exchange->body, g_byte_array_unref);
+	exchange_forget_partial(exchange);
 	exchange_send_ended(exchange, end);
 	if (exchange->begun && !exchange->events) {
 		httpd_abort(exchange->http);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -54,6 +54,7 @@
 	struct timespec arrived;
 	struct timespec deadline; /* nobody waits any longer */
 	ev_timer timer; /* at the deadline */
+	ev_timer stall; /* an upstream that says nothing is given up */
 	struct caller_head head;
 	struct routing_table *table; /* that it was routed by */
 	const struct route *route;
@@ -105,6 +106,9 @@
 void exchange_send_ended(struct exchange *, enum send_end);
 void exchange_stop_send(struct exchange *);
 void exchange_prompt_read(struct exchange *);
+void exchange_forget_partial(struct exchange *);
+void exchange_expect_progress(struct exchange *);
+void exchange_stalled(struct ev_loop *, ev_timer *, int events);
 void exchange_blame(struct exchange *, const char *at_fault);
 void exchange_next(struct exchange *, enum send_end, const char *why);
 void exchange_finish(struct exchange *, const char *how);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -21,7 +21,15 @@
 #define COME_BACK_MS 500
 /* Shorter reading is not told to the peers: it is over before they need it. */
 #define TOLD_READING_MS 20.0
-#define US_PER_MS	1000.0
+/*
+ * Callers leave a stream that pauses for the longest of two seconds, four times
+ * its target and eight times its pause; this much of it is waited for.
+ */
+#define PATIENCE_MIN_MS	 2000
+#define PATIENCE_TARGETS 4
+#define PATIENCE_GAPS	 8
+#define PATIENCE_PERCENT 65
+#define US_PER_MS	 1000.0
 /* Times that engines are asked for one prompt's memory before it is refused. */
 #define TICKET_REFUSALS_MAX 2
 /* A send with less time than this left is not worth a worker's while. */
@@ -317,6 +325,7 @@
 	request.body = httpd_request_body(exchange->http, &request.body_length);
 	exchange->call = http_client_start(
 	    exchange->all->http, &request, &exchange_call_ops, exchange);
+	exchange_expect_progress(exchange);
 }
 
 /* Goes on once the engines have answered whether they set memory aside. */
@@ -574,6 +583,55 @@
 	}
 }
 
+/*
+ * Returns how long an upstream may say nothing before another is asked: some of
+ * the time after which callers leave, so that the other one still can answer.
+ */
+static int64_t
+patience_ms(const struct exchange *exchange)
+{
+	const struct route *route = exchange->route;
+	int64_t leaves_ms = MAX(PATIENCE_MIN_MS,
+	    MAX(route->target_ms * PATIENCE_TARGETS,
+		route->gap_target_ms * PATIENCE_GAPS));
+
+	return leaves_ms * PATIENCE_PERCENT / 100;
+}
+
+/* Starts the time anew within which an upstream has to say something. */
+void
+exchange_expect_progress(struct exchange *exchange)
+{
+	struct ev_loop *loop = exchange->all->loop;
+
+	ev_timer_stop(loop, &exchange->stall);
+	if (!route_may_repeat(exchange->route))
+		return;
+	ev_timer_set(
+	    &exchange->stall, (double)patience_ms(exchange) / MS_PER_S, 0.0);
+	ev_timer_start(loop, &exchange->stall);
+}
+
+/*
+ * An upstream has said nothing for too long. It is given up only where another
+ * may be asked: its silence is no reason to end an answer.
+ */
+void
+exchange_stalled(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct exchange *exchange = timer->data;
+
+	if (exchange->call == NULL ||
+	    !exchange_may_repeat(exchange, exchange->sends + 1, true)) {
+		exchange_expect_progress(exchange);
+		return;
+	}
+	http_call_cancel(exchange->call);
+	exchange_forget_partial(exchange);
+	exchange_send_ended(exchange, SEND_LOST);
+	exchange_next(exchange, SEND_LOST, "the upstream said nothing");
+}
+
 /* Learns from how a send ended. */
 static void
 judge_upstream(
@@ -604,6 +662,7 @@
 
 	if (upstream == NULL)
 		return;
+	ev_timer_stop(exchange->all->loop, &exchange->stall);
 	exchange_prompt_read(exchange);
 	drop_helpers(exchange);
 	exchange->upstream = NULL;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -81,6 +81,8 @@
 	{STANDIN_FOREIGN, STANDIN_ANSWER}, 2, 200, "whole", false},
     {"a 503 that does not say so is no promise", "/once/x", KEY,
 	{STANDIN_UNMARKED}, 1, 502, "busy", false},
+    {"a silent upstream is given up for another", "/again/x", KEY,
+	{STANDIN_HANG, STANDIN_ANSWER}, 2, 200, "whole", false},
     {"no answer in time", "/quick/x", KEY, {STANDIN_HANG}, 1, 504, NULL, false},
     {"a stream is passed on", "/stream/x", KEY, {STANDIN_EVENTS}, 1, 200,
 	"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", false},
