An exchange's sending in five files by job: choice, parts, send, verdict, retry

Nothing else changes but what the linters found: an initial plan, and clears of GLib containers spelt out.

--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -163,7 +163,8 @@
 	begin_stream(exchange);
 	httpd_stream_write(
 	    exchange->http, exchange->body->data, exchange->body->len);
-	g_clear_pointer(&exchange->body, g_byte_array_unref);
+	g_byte_array_unref(exchange->body);
+	exchange->body = NULL;
 }
 
 /* A part of the answer's body has come. */
@@ -207,7 +208,9 @@
 exchange_forget_partial(struct exchange *exchange)
 {
 	event_cut_restart(&exchange->cut);
-	g_clear_pointer(&exchange->body, g_byte_array_unref);
+	if (exchange->body != NULL)
+		g_byte_array_unref(exchange->body);
+	exchange->body = NULL;
 }
 
 /* Says how a send ended that brought no whole answer. */
--- /dev/null
+++ b/src/gateway/exchange_choice.h
@@ -0,0 +1,29 @@
+/*
+ * Which upstreams may get a request now, and which of them should.
+ */
+#ifndef GATEWAY_EXCHANGE_CHOICE_H
+#define GATEWAY_EXCHANGE_CHOICE_H
+
+#include "gateway/exchange_internal.h"
+
+/* The candidates of a choice, beside the upstreams that they stand for. */
+struct choice {
+	struct balance_candidate *candidates;
+	struct upstream **upstreams;
+	size_t count;
+	size_t listed; /* upstreams of the service, those left out included */
+};
+
+void choice_collect(struct exchange *, bool avoided, struct choice *);
+void choice_clear(struct choice *);
+enum stream_class choice_stream_class(const struct exchange *);
+enum balance_verdict choice_plan(
+    const struct exchange *, const struct choice *, struct balance_plan *);
+
+void exchange_count_reading(
+    struct exchange *, const struct choice *, const struct balance_plan *);
+uint64_t exchange_held_tokens(const struct balance_plan *);
+void exchange_keep_helpers(
+    struct exchange *, const struct choice *, const struct balance_plan *);
+
+#endif
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -1,6 +1,8 @@
 /*
- * What the files of an exchange share: exchange.c, its life; exchange_send.c,
- * what is sent where; exchange_answer.c, what comes back.
+ * What the files of an exchange share: exchange.c, its life; _choice.c, who may
+ * serve it; _parts.c, who reads and keeps its prompt; _send.c, what is sent;
+ * _answer.c, what comes back; _verdict.c, what an upstream's ends say of it;
+ * _retry.c, whether it is sent once more.
  */
 #ifndef GATEWAY_EXCHANGE_INTERNAL_H
 #define GATEWAY_EXCHANGE_INTERNAL_H
@@ -16,6 +18,9 @@
 /* Tries to connect, which count as no send, beyond those. */
 #define EXCHANGE_TRIES_MAX 8
 
+/* A request that can't be sent anywhere is told to come back after this. */
+#define EXCHANGE_COME_BACK_MS 500
+
 /* Why a request is answered by ourselves. */
 enum refusal {
 	REFUSAL_NOT_READY, /* no routing table yet */
@@ -102,6 +107,8 @@
 void exchange_answer_refusal(
     struct exchange *, enum refusal, int64_t retry_after_ms, const char *why);
 void exchange_send(struct exchange *);
+struct retry_window *exchange_retry_window(struct exchange *);
+void exchange_drop_helpers(struct exchange *);
 bool exchange_may_repeat(struct exchange *, size_t sends, bool repeat);
 void exchange_send_ended(struct exchange *, enum send_end);
 void exchange_stop_send(struct exchange *);
