--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -156,6 +156,20 @@
 	return true;
 }
 
+/* Writes the line of a prompt that is turned away. */
+static void
+log_turned_away(const struct exchange *exchange, const struct choice *choice,
+    const struct balance_plan *plan)
+{
+	LOG_INFO("prompt turned away",
+	    "{s:s, s:I, s:f, s:f, s:i, s:i, s:i, s:i}", "request",
+	    exchange->head.request_id, "prompt_tokens",
+	    (json_int_t)exchange->head.prompt_tokens, "cost", plan->cost,
+	    "worth", plan->worth, "backlog_ms", (int)plan->wait_ms,
+	    "expected_ms", (int)plan->first_token_ms, "helpers",
+	    (int)plan->helper_count, "candidates", (int)choice->count);
+}
+
 /* Answers a request that is not sent, or not sent once more. */
 static void
 refuse(struct exchange *exchange, const struct choice *choice,
@@ -173,6 +187,8 @@
 		    "the upstream was lost and no other can take over");
 		return;
 	}
+	if (verdict == BALANCE_TOO_COSTLY || verdict == BALANCE_NO_MEMORY)
+		log_turned_away(exchange, choice, plan);
 	switch (verdict) {
 	case BALANCE_TOO_COSTLY:
 		exchange_answer_refusal(exchange, REFUSAL_OVERLOADED, wait_ms,
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -123,6 +123,18 @@
 	    candidate->error_share * BALANCE_ERROR_COST_MS;
 }
 
+/* Returns what a prompt in time is worth, in short streams of the usual length.
+ */
+static double
+worth_of(const struct balance_prompt *prompt)
+{
+	double tokens = (double)prompt->tokens;
+
+	return prompt->class == STREAM_SHORT
+	    ? tokens / BALANCE_SHORT_TOKENS
+	    : tokens / BALANCE_TOKENS_PER_SHORT;
+}
+
 /* Returns how late a prompt is, from 0 to 1 at its target and beyond. */
 static double
 lateness(double first_token_ms, double target_ms)
@@ -184,8 +196,7 @@
 	    reading_pass_ms(profile, candidates[ranks[0].index].running + 1,
 		candidates[ranks[0].index].context_tokens);
 	return total +
-	    lateness(*first_token_ms, prompt->target_ms) *
-	    (double)prompt->tokens / BALANCE_TOKENS_PER_SHORT;
+	    lateness(*first_token_ms, prompt->target_ms) * worth_of(prompt);
 }
 
 /* Returns how many tokens an engine has memory for beside what runs there. */
@@ -384,7 +395,7 @@
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
 	double whole_ms = reading_ms(profile, prompt->tokens);
-	double worth = (double)prompt->tokens / BALANCE_TOKENS_PER_SHORT;
+	double worth = worth_of(prompt);
 	double cost = 0.0;
 	double wait_ms;
 
@@ -398,6 +409,8 @@
 		cost = plan_long(
 		    profile, candidates, count, whole_ms, prompt, plan);
 	plan->wait_ms = wait_ms;
+	plan->cost = cost;
+	plan->worth = worth;
 	if (cost > worth * BALANCE_ADMIT_SHARE)
 		return BALANCE_TOO_COSTLY;
 	if (spread_memory(profile, candidates, prompt, plan))
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -46,9 +46,10 @@
 /* Engines besides the first that may read one prompt. */
 #define BALANCE_HELPERS_MAX 16
 /*
- * What a late prompt costs, in late short streams: its worth grows with its
- * length, and a short one has some thousand tokens.
+ * A prompt's worth grows with its length. It is counted in short streams of the
+ * usual length; longer prompts are worth less for each token.
  */
+#define BALANCE_SHORT_TOKENS	 5000.0
 #define BALANCE_TOKENS_PER_SHORT 10000.0
 /*
  * A prompt that costs more than this part of its own worth is turned away: its
@@ -116,6 +117,8 @@
 	double part_ms; /* reading time of each */
 	double first_token_ms; /* expected */
 	double wait_ms; /* until it can be served, where it is turned away */
+	double cost; /* to others and by its own lateness, in short streams */
+	double worth; /* of itself, the same way */
 };
 
 enum stream_class balance_stream_class(double gap_target_ms);
