A request under which two upstreams died goes to no third one

Its fingerprint is told among gateways once a connection that broke is refused when tried again. The test's first run showed that the server started its timer again while it was freed: whatever the loop did next wrote to freed memory. Test: quarantine.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -538,6 +538,8 @@
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
 	if (request->own_connection)
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+	if (request->connect_only)
+		curl_easy_setopt(call->easy, CURLOPT_CONNECT_ONLY, 1L);
 }
 
 /* Bounds for how long the peer of a new socket may be silent. */
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -49,6 +49,7 @@
 	 * long, also while nothing is sent; 0 for the system's own patience.
 	 */
 	int64_t unreachable_ms;
+	bool connect_only; /* ends well once connected; nothing is sent */
 	/* Takes a connection of its own, which is closed after the answer. */
 	bool own_connection;
 	/*
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -415,12 +415,13 @@
 	if (httpd == NULL)
 		return;
 	if (httpd->daemon != NULL) {
-		ev_io_stop(httpd->loop, &httpd->readable);
-		ev_io_stop(httpd->loop, &httpd->hangup_readable);
-		ev_timer_stop(httpd->loop, &httpd->timer);
 		TAILQ_FOREACH (request, &httpd->requests, entry)
 			httpd_abort(request);
 		MHD_stop_daemon(httpd->daemon);
+		/* Aborting has started the timer. */
+		ev_io_stop(httpd->loop, &httpd->readable);
+		ev_io_stop(httpd->loop, &httpd->hangup_readable);
+		ev_timer_stop(httpd->loop, &httpd->timer);
 	}
 	close(httpd->hangup_epoll);
 	httpd_tls_free(httpd->tls);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -5,9 +5,11 @@
 #include <string.h>
 
 #include <jansson.h>
+#include <xxhash.h>
 
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
+#include "policy/quarantine.h"
 
 #define LOG_MODULE "exchange"
 #include "base/log.h"
@@ -18,6 +20,9 @@
 /* A gateway that has just started learns its routes within this time. */
 #define NOT_READY_MS 300
 
+/* A request that kills upstreams may come again when somebody has looked. */
+#define QUARANTINED_MS 5000
+
 /* What a refusal is answered with. */
 static const struct refusal_kind {
 	int status;
@@ -30,6 +35,7 @@
     [REFUSAL_NO_KEY] = {401, "unknown_key", true},
     [REFUSAL_NO_UPSTREAM] = {503, "no_upstream", true},
     [REFUSAL_OVERLOADED] = {503, "overloaded", true},
+    [REFUSAL_QUARANTINED] = {503, "quarantined", true},
     [REFUSAL_NOT_RUN] = {503, "not_run", true},
     [REFUSAL_LOST] = {502, "upstream_lost", false},
     [REFUSAL_TIMEOUT] = {504, "timeout", false},
@@ -224,6 +230,34 @@
 	return false;
 }
 
+/* Returns what tells a request from others, however often it is sent. */
+static uint64_t
+fingerprint(const struct exchange *exchange)
+{
+	const char *target = httpd_request_target(exchange->http);
+	size_t length;
+	const uint8_t *body = httpd_request_body(exchange->http, &length);
+	uint64_t hash = XXH3_64bits(target, strlen(target));
+
+	if (exchange->organisation != NULL)
+		hash = XXH3_64bits_withSeed(exchange->organisation->name,
+		    strlen(exchange->organisation->name), hash);
+	return length == 0 ? hash : XXH3_64bits_withSeed(body, length, hash);
+}
+
+/* Refuses a request that has killed the upstreams which ran it. */
+static bool
+is_quarantined(struct exchange *exchange)
+{
+	exchange->fingerprint = fingerprint(exchange);
+	if (mesh_suspect_deaths(exchange->all->mesh, exchange->fingerprint) <
+	    QUARANTINE_DEATHS)
+		return false;
+	exchange_answer_refusal(exchange, REFUSAL_QUARANTINED, QUARANTINED_MS,
+	    "upstreams died while they ran this request");
+	return true;
+}
+
 /* Takes a request that has been read whole. */
 void
 exchange_start(struct exchanges *all, struct httpd_request *http)
@@ -250,7 +284,7 @@
 		return;
 	}
 	exchange->table = routing_table_ref(knowledge_table(all->knowledge));
-	if (!find_route(exchange))
+	if (!find_route(exchange) || is_quarantined(exchange))
 		return;
 	set_deadline(exchange);
 	exchange_send(exchange);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -28,6 +28,7 @@
 	struct knowledge *knowledge;
 	struct registry *registry;
 	struct load_share *load_share;
+	struct mesh *mesh; /* tells of requests that kill upstreams */
 	GRand *random;
 	struct retry_window_limits retry; /* slack of all gateways together */
 	double cold_ratio;
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -241,6 +241,8 @@
 		return;
 	}
 	end = broken_end(exchange, result);
+	exchange->broke = result->error != NULL &&
+	    result->error->code == HTTP_CLIENT_ERROR_BROKEN;
 	exchange_forget_partial(exchange);
 	exchange_send_ended(exchange, end);
 	if (exchange->begun && !exchange->events) {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -29,6 +29,7 @@
 	REFUSAL_NO_KEY,
 	REFUSAL_NO_UPSTREAM, /* none takes new work now; not run */
 	REFUSAL_OVERLOADED, /* can't be served in time; not run */
+	REFUSAL_QUARANTINED, /* killed the upstreams that ran it */
 	REFUSAL_NOT_RUN, /* upstreams turned it away; not run */
 	REFUSAL_LOST, /* sent, and what came of it is unknown */
 	REFUSAL_TIMEOUT, /* sent, and no answer in time */
@@ -42,7 +43,7 @@
 	SEND_NEVER, /* nothing left this host */
 	SEND_NOT_RUN, /* the upstream says that it did not run */
 	SEND_FAILED, /* the upstream answered with a failure of its own */
-	SEND_LOST, /* broke off: may have run */
+	SEND_LOST, /* broke off or was given up: may have run */
 };
 
 /* An upstream that reads a part of the prompt of a send. */
@@ -61,6 +62,7 @@
 	ev_timer timer; /* at the deadline */
 	ev_timer stall; /* an upstream that says nothing is given up */
 	struct caller_head head;
+	uint64_t fingerprint; /* of organisation, target and body */
 	struct routing_table *table; /* that it was routed by */
 	const struct route *route;
 	const struct organisation *organisation; /* NULL on public routes */
@@ -85,6 +87,7 @@
 	uint32_t *stream_count; /* of its sort at that upstream; or NULL */
 	struct timespec sent_at;
 	enum send_end send_end;
+	bool broke; /* its connection ended under it */
 	const char *send_why; /* why an answer was not passed on; or NULL */
 
 	/* The answer. */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -27,6 +27,7 @@
 	exchange->sent_at = now;
 	exchange->send_end = SEND_OPEN;
 	exchange->send_why = NULL;
+	exchange->broke = false;
 	exchange->tried[exchange->tries++] = g_strdup(upstream->id);
 	fleet_began(knowledge_fleet(exchange->all->knowledge), upstream, now);
 	exchange->context_tokens = exchange->head.prompt_tokens +
--- a/src/gateway/exchange_verdict.c
+++ b/src/gateway/exchange_verdict.c
@@ -10,6 +10,8 @@
 #define AVOID_MAX_MS 4000
 /* One that turned a request away has no place for the moment. */
 #define AVOID_FULL_MS 30
+/* Time for an upstream to refuse a connection; one that is there takes it. */
+#define DEATH_CHECK_MS 300
 /* Weight of one answer in the share of failures. */
 #define ERROR_WEIGHT 0.1
 
@@ -55,6 +57,57 @@
 	}
 }
 
+/* A look at an upstream whose connection broke under a request. */
+struct death_check {
+	struct mesh *mesh;
+	uint64_t fingerprint;
+	char *upstream;
+};
+
+/* Nobody listens there: the upstream died of what it ran, or with it. */
+static void
+take_checked(
+    void *data, struct http_call *call, const struct http_result *result)
+{
+	struct death_check *check = data;
+
+	if (result->refused) {
+		LOG_INFO("upstream died under a request", "{s:s, s:I}",
+		    "upstream", check->upstream, "fingerprint",
+		    (json_int_t)check->fingerprint);
+		mesh_report_death(check->mesh, check->fingerprint);
+	}
+	g_free(check->upstream);
+	g_free(check);
+}
+
+/*
+ * Looks whether an upstream is gone whose connection broke under a request, and
+ * tells all gateways where it is: a request that kills each upstream that runs
+ * it must not go round them all.
+ */
+static void
+check_death(struct exchange *exchange, const struct upstream *upstream)
+{
+	static const struct http_call_ops ops = {.done = take_checked};
+	struct death_check *check = g_new0(struct death_check, 1);
+	g_autofree char *url = g_strconcat(
+	    "http://", upstream->address, "/", NULL);
+	const struct http_call_request request = {
+	    .method = "GET",
+	    .url = url,
+	    .connect_timeout_ms = DEATH_CHECK_MS,
+	    .timeout_ms = DEATH_CHECK_MS,
+	    .connect_only = true,
+	    .own_connection = true,
+	};
+
+	check->mesh = exchange->all->mesh;
+	check->fingerprint = exchange->fingerprint;
+	check->upstream = g_strdup(upstream->id);
+	http_client_start(exchange->all->http, &request, &ops, check);
+}
+
 /* Learns from how a send ended. */
 static void
 judge_upstream(
@@ -99,6 +152,8 @@
 	}
 	if (end != SEND_OPEN)
 		judge_upstream(exchange, upstream, end);
+	if (end == SEND_LOST && exchange->broke)
+		check_death(exchange, upstream);
 	upstream->own.context_tokens -= exchange->context_tokens;
 	if (exchange->stream_count != NULL)
 		(*exchange->stream_count)--;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -170,6 +170,7 @@
 	    .knowledge = gateway->knowledge,
 	    .registry = gateway->registry,
 	    .load_share = gateway->load_share,
+	    .mesh = node_mesh(gateway->node),
 	    .random = g_rand_new_with_seed(randombytes_random()),
 	    .retry =
 		{
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -13,6 +13,7 @@
 	struct standin *standin;
 	size_t index;
 	struct httpd *httpd;
+	ev_timer death;
 };
 
 struct standin {
@@ -112,9 +113,20 @@
 	httpd_stream_end(request);
 }
 
+/* The upstream is gone. */
+static void
+die(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct standin_upstream *upstream = timer->data;
+
+	httpd_free(upstream->httpd);
+	upstream->httpd = NULL;
+}
+
 /* Answers as the step says. */
 static void
-take_step(struct httpd_request *request, enum standin_step step)
+take_step(struct standin_upstream *upstream, struct httpd_request *request,
+    enum standin_step step)
 {
 	const char *id = httpd_request_header(
 	    request, "Heatherturn-Attempt-Id");
@@ -145,6 +157,9 @@
 	case STANDIN_BREAK:
 		httpd_abort(request);
 		break;
+	case STANDIN_DIE:
+		ev_timer_start(upstream->standin->loop, &upstream->death);
+		break;
 	case STANDIN_UNSEALED:
 		headers[1] = headers[2];
 		httpd_answer(request, 200, headers, 2, "whole", 5);
@@ -174,7 +189,7 @@
 
 	keep_arrival(upstream, request);
 	g_assert_cmpuint(at, <, standin->step_count);
-	take_step(request, standin->steps[at]);
+	take_step(upstream, request, standin->steps[at]);
 }
 
 /* A request of an upstream is over. */
@@ -243,6 +258,8 @@
 
 		upstream->standin = standin;
 		upstream->index = i;
+		ev_timer_init(&upstream->death, die, 0.0, 0.0);
+		upstream->death.data = upstream;
 		upstream->httpd = httpd_new(
 		    loop, &settings, &upstream_ops, upstream, NULL);
 		json_array_append_new(standin->objects[1],
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -28,6 +28,7 @@
 	STANDIN_BREAK, /* runs, and the connection ends */
 	STANDIN_UNSEALED, /* 200 without its signature */
 	STANDIN_FOREIGN, /* the answer to another request */
+	STANDIN_DIE, /* ends, and nobody listens there any more */
 	STANDIN_HANG, /* nothing, until the caller leaves */
 	STANDIN_EVENTS, /* a stream of three events from the one asked for */
 	STANDIN_CUT, /* the same, broken off inside the second */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -13,6 +13,7 @@
 
 #define GUARD_S	       20.0
 #define BODY_MAX_BYTES 65536
+#define SETTLE_ROUNDS  20
 #define KEY	       "Bearer k1"
 
 #define CONFIG                                                               \
@@ -192,6 +193,7 @@
 	    .loop = f->loop,
 	    .clock = clock_system(),
 	    .http = f->http,
+	    .mesh = f->mesh,
 	    .random = g_rand_new_with_seed(7),
 	    .retry = {.ratio = 0.2, .slack = 100, .window_ms = 10000},
 	    .cold_ratio = 1.0,
@@ -236,6 +238,7 @@
 	struct fixture *f = data;
 
 	f->status = status;
+	g_free(f->come_back);
 	f->come_back = g_strdup(http_call_header(call, "Retry-After"));
 	return true;
 }
@@ -391,6 +394,35 @@
 	tear_down(&f);
 }
 
+/* A request under which two upstreams died goes to no third one. */
+static void
+test_quarantine(void)
+{
+	static const enum standin_step steps[] = {
+	    STANDIN_DIE, STANDIN_DIE, STANDIN_ANSWER};
+	struct fixture f = {0};
+
+	set_up(&f);
+	standin_set_steps(f.standin, steps, G_N_ELEMENTS(steps));
+	learn(&f);
+	call(&f, "/again/x", KEY);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpint(f.status, ==, 502);
+	/* Its deaths are known a moment after its answer. */
+	for (int i = 0; i < SETTLE_ROUNDS; i++)
+		ev_run(f.loop, EVRUN_ONCE);
+	f.done = false;
+	call(&f, "/again/x", KEY);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpint(f.status, ==, 503);
+	g_assert_cmpuint(standin_arrivals(f.standin), ==, 2);
+	f.done = false;
+	call(&f, "/again/y", KEY);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpint(f.status, ==, 200);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -405,5 +437,6 @@
 	g_test_add_func("/gateway/headers", test_headers);
 	g_test_add_func("/gateway/caller leaves", test_caller_leaves);
 	g_test_add_func("/gateway/long body", test_long_body);
+	g_test_add_func("/gateway/quarantine", test_quarantine);
 	return g_test_run();
 }
