Soak of gateways: real processes between stand-ins of the platform, faults by a seed

Kills, planned stops, pauses, a store that is busy, silent, slow or forgetful, proxies that cut one way, silence, slow down and reset, upstreams that fail, crash, drain, are taken out, keys that are taken away; promises checked from what callers and upstreams see.

--- /dev/null
+++ b/script/lib/gateways.py
@@ -0,0 +1,459 @@
+"""A soak of gateways: real processes, stand-ins around them, faults by a seed.
+
+What callers and upstreams see is checked while it runs: a call that may run
+once does, "not run" is true, answers are whole and their own, streams have each
+event once, what leaves or is taken out gets nothing new, keys that were taken
+away serve no more, and no process ends by itself.
+"""
+
+import asyncio
+import json
+import random
+import signal
+import time
+
+import platform_standin as standin
+
+UPSTREAMS = 5
+DOMAINS = ("a", "b")
+NOTICE_S = 2.5  # from an acknowledged change until it holds everywhere
+GRACE_S = 4.0
+DRAIN_MS = 1000
+START_S = 10.0  # for all gateways to be ready
+CALLERS = 12
+DEADLINE_MS = 4000
+REFUSALS = {408, 421, 429, 503}
+ROUTES = (("/stream/", "stream", True), ("/once/", "non_idempotent", False),
+          ("/again/", "idempotent", False))
+
+
+def make_config(version, keys):
+    """Returns the operators' configuration."""
+    return {
+        "Version": version,
+        "Routes": [{"Name": path, "Host": "h", "PathPrefix": path,
+                    "Kind": kind, "TimeoutMs": DEADLINE_MS, "Attempts": 2,
+                    "LatencyTargetMs": 300, "GapTargetMs": 250,
+                    "CanResume": resume, "Service": "s"}
+                   for path, kind, resume in ROUTES],
+        "Services": [{"Name": "s"}],
+        "Limits": {"BodyBytes": 100000},
+        "Tenants": [{"Name": f"o{key}", "Keys": [key]} for key in keys]}
+
+
+class Gateway:
+    """One process, behind a proxy to the store of its own."""
+
+    def __init__(self, binary, folder, number, store, ports):
+        self.binary, self.number = binary, number
+        self.log = folder / f"gateway-{number}.log"
+        self.proxy = standin.Proxy(store.port)
+        self.listen, self.http, self.callers = ports
+        self.process = None
+        self.disturbed = 0.0  # wall time of its last fault
+        self.stopping = False
+        self.bad_exits = []
+
+    async def start(self):
+        """Starts the process, and watches for its end."""
+        if not self.proxy.server:
+            await self.proxy.start()
+        local = "127.0.0.1"
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.binary, "gateway", f"--id=g{self.number}",
+                f"--failure-domain={DOMAINS[self.number % 2]}",
+                f"--listen={local}:{self.listen}",
+                f"--http={local}:{self.http}",
+                f"--callers={local}:{self.callers}",
+                f"--objects={local}:{self.proxy.port}",
+                f"--grace-s={GRACE_S}", f"--drain-notice-ms={DRAIN_MS}",
+                "--retry-slack=1000", stdout=log, stderr=log)
+        self.stopping = False
+        asyncio.ensure_future(self.watch(self.process))
+
+    async def watch(self, process):
+        """Notes an end that nobody asked for, or one with a bad code."""
+        code = await process.wait()
+        if not self.stopping or code not in (0, -signal.SIGKILL):
+            self.bad_exits.append(code)
+
+    def signal(self, number):
+        """Sends a signal to the process, if it still runs."""
+        self.disturbed = time.time()
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def restart(self, number):
+        """Stops it by a signal and starts it again."""
+        self.stopping = True
+        self.signal(number)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE_S + 1)
+        except asyncio.TimeoutError:
+            self.process.kill()
+            self.bad_exits.append("did not stop in time")
+            await self.process.wait()
+        await self.start()
+        self.disturbed = time.time()
+
+    async def is_ready(self):
+        """Asks the process's own page."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.http)
+            writer.write(b"GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+            line, _ = await asyncio.wait_for(standin.read_head(reader), 1)
+            writer.close()
+        except (OSError, standin.Broken, asyncio.TimeoutError):
+            return False
+        return " 200 " in line
+
+
+class Soak:
+    """All of one seed's run."""
+
+    def __init__(self, binary, folder, seed, seconds, count, port):
+        self.random = random.Random(seed)
+        self.seed, self.seconds = seed, seconds
+        self.end = 0.0
+        self.store = standin.Store()
+        self.upstreams = [standin.Upstream(f"i-{i}", seed * 100 + i)
+                          for i in range(UPSTREAMS)]
+        self.proxies = []
+        self.gateways = []
+        self.make = lambda number: Gateway(
+            binary, folder, number, self.store,
+            [port + number * 3 + i for i in range(3)])
+        self.count = count
+        self.keys = ["k1", "k2", "k3"]
+        self.revoked = {}  # key -> wall time of its end
+        self.barred = []  # (upstream, from wall s, to wall s)
+        self.out = {}  # what is barred now -> since
+        self.version = 1
+        self.violations = []
+        self.attempts = {}  # request id -> (path, status)
+        self.statuses = {}
+        self.faults = {}
+        self.requests = 0
+
+    def violate(self, what, **details):
+        """Notes a broken promise."""
+        self.violations.append({"what": what, **details})
+
+    # Setting up
+
+    async def start(self):
+        """Starts the stand-ins, then the gateways."""
+        await self.store.start()
+        await self.store.put("config", "main", make_config(1, self.keys))
+        for number, upstream in enumerate(self.upstreams):
+            await upstream.start()
+            proxy = standin.Proxy(upstream.port)
+            await proxy.start()
+            self.proxies.append(proxy)
+            await self.announce(number, "ready")
+        for number in range(self.count):
+            self.gateways.append(self.make(number))
+            await self.gateways[number].start()
+        end = time.monotonic() + START_S
+        while not all([await one.is_ready() for one in self.gateways]):
+            if time.monotonic() > end:
+                raise TimeoutError("gateways are not ready")
+            await asyncio.sleep(0.05)
+
+    async def announce(self, number, state):
+        """Writes an upstream's entry."""
+        await self.store.put("servers", f"i-{number}", {
+            "Service": "s", "Zone": DOMAINS[number % 2], "Slots": 16,
+            "Address": f"127.0.0.1:{self.proxies[number].port}",
+            "State": state, "ColdMs": 0})
+
+    # Callers
+
+    async def caller(self, number):
+        """Sends requests one after the other, on kept connections."""
+        own = random.Random(self.seed * 1000 + number)
+        link = None
+        while time.monotonic() < self.end:
+            gateway = own.choice(self.gateways)
+            if link is None or own.random() < 0.3:
+                if link is not None:
+                    link[1].close()
+                link = await self.connect(gateway)
+            if link is None:
+                await asyncio.sleep(0.05)
+                continue
+            path = own.choice(ROUTES)[0]
+            try:
+                kept = await asyncio.wait_for(
+                    self.request(path, own, *link), 12)
+            except (standin.Broken, OSError, asyncio.TimeoutError):
+                kept = False
+            if not kept:
+                link[1].transport.abort()
+                link = None
+        if link is not None:
+            link[1].close()
+
+    async def connect(self, gateway):
+        """Returns a connection to a gateway; None where it is not there."""
+        try:
+            return await asyncio.wait_for(asyncio.open_connection(
+                "127.0.0.1", gateway.callers), 1)
+        except (OSError, asyncio.TimeoutError):
+            return None
+
+    async def request(self, path, own, reader, writer):
+        """Makes one request; returns whether its connection may be kept."""
+        self.requests += 1
+        known = f"{self.seed}-{self.requests}"
+        key = own.choice(self.keys + list(self.revoked))
+        sent = time.time()
+        self.attempts[known] = (path, None)
+        writer.write((
+            f"POST {path}x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            f"Heatherturn-Attempt-Id: {known}\r\n"
+            f"Heatherturn-Deadline-Remaining-Ms: {DEADLINE_MS}\r\n"
+            f"Authorization: Bearer {key}\r\n\r\nasks").encode())
+        line, headers = await standin.read_head(reader)
+        status = int(line.split(" ")[1])
+        self.attempts[known] = (path, status)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        if headers.get("transfer-encoding") == "chunked":
+            body = await self.read_events(known, reader, own)
+        else:
+            body = await standin.read_body(reader, headers)
+        self.check(known, path, key, sent, status, headers, body)
+        return headers.get("connection") != "close"
+
+    async def read_events(self, known, reader, own):
+        """Reads a stream; now and then leaves in its middle."""
+        body = b""
+        async for chunk in standin.read_chunks(reader):
+            body += chunk
+            if own.random() < 0.01:
+                raise standin.Broken
+        return body
+
+    def check(self, known, path, key, sent, status, headers, body):
+        """Checks one whole answer."""
+        if status == 200 and headers.get("heatherturn-attempt-id") != known:
+            self.violate("another request's answer", request=known)
+        if status == 200 and path == "/stream/":
+            events = b"".join(b"id: %d\ndata: %d\n\n" % (i, i)
+                              for i in range(1, standin.EVENTS + 1))
+            if body != events:
+                self.violate("a stream is not whole", request=known,
+                             got=body.decode("latin-1"))
+        elif status == 200 and body != f"{known} o{key}asks".encode():
+            self.violate("an answer is not whole", request=known)
+        if status == 503 and "retry-after" not in headers:
+            self.violate("a refusal does not say when to come back",
+                         request=known)
+        since = self.revoked.get(key)
+        if since is not None and sent > since + NOTICE_S and status == 200:
+            self.violate("a key that was taken away serves", request=known)
+        if key in self.keys and status == 401 and self.is_calm():
+            self.violate("a key in force is refused", request=known)
+
+    def is_calm(self):
+        """Says whether no gateway was disturbed lately."""
+        return all(time.time() - one.disturbed > NOTICE_S
+                   for one in self.gateways)
+
+    # Faults
+
+    async def trouble(self):
+        """Starts faults, which last and overlap, until the end nears."""
+        kinds = (self.kill, self.stop, self.pause, self.hang_up,
+                 self.store_fault, self.cut_store, self.cut_upstream,
+                 self.upstream_fault, self.crash_upstream, self.drain,
+                 self.take_out, self.revoke, self.change)
+        under_way = set()
+        while time.monotonic() < self.end - 4:
+            kind = self.random.choice(kinds)
+            self.faults[kind.__name__] = self.faults.get(kind.__name__, 0) + 1
+            under_way.add(asyncio.ensure_future(kind()))
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+        await asyncio.gather(*under_way)
+
+    def pick(self):
+        """Returns a gateway that nobody is restarting."""
+        free = [one for one in self.gateways if not one.stopping]
+        return self.random.choice(free) if free else None
+
+    async def kill(self):
+        """A process dies."""
+        if gateway := self.pick():
+            await gateway.restart(signal.SIGKILL)
+
+    async def stop(self):
+        """A planned stop."""
+        if gateway := self.pick():
+            await gateway.restart(signal.SIGTERM)
+
+    async def pause(self):
+        """A host stands still."""
+        if gateway := self.pick():
+            gateway.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
+            gateway.signal(signal.SIGCONT)
+
+    async def hang_up(self):
+        """Settings may have changed."""
+        if gateway := self.pick():
+            gateway.signal(signal.SIGHUP)
+
+    async def store_fault(self):
+        """The store is busy, silent, slow or forgets its history."""
+        for one in self.gateways:
+            one.disturbed = time.time() + 4
+        self.store.forget()
+        self.store.state = self.random.choice(("busy", "silent", "slow"))
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        self.store.state = "up"
+
+    async def cut_store(self):
+        """One gateway loses the store."""
+        gateway = self.random.choice(self.gateways)
+        gateway.disturbed = time.time() + 4
+        await self.harm(gateway.proxy, 3.0)
+
+    async def cut_upstream(self):
+        """The path to one upstream is harmed."""
+        await self.harm(self.random.choice(self.proxies), 2.0)
+
+    async def harm(self, proxy, longest_s):
+        """Harms a proxy for some time."""
+        state = self.random.choice(
+            ("silent", "one_way", "slow", "refuse", "reset"))
+        if state == "reset":
+            proxy.reset()
+            return
+        proxy.state = state
+        await asyncio.sleep(self.random.uniform(0.3, longest_s))
+        proxy.state = "open"
+        proxy.reset()
+
+    async def upstream_fault(self):
+        """An upstream turns away, breaks off, fails or cuts some requests."""
+        upstream = self.random.choice(self.upstreams)
+        kind = self.random.choice(("full", "break", "fail", "cut"))
+        upstream.faults[kind] = self.random.uniform(0.05, 0.5)
+        await asyncio.sleep(self.random.uniform(1.0, 4.0))
+        upstream.faults.pop(kind, None)
+
+    async def crash_upstream(self):
+        """An upstream dies and comes back."""
+        number = self.random.randrange(UPSTREAMS)
+        self.proxies[number].state = "refuse"
+        self.proxies[number].reset()
+        await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        self.proxies[number].state = "open"
+
+    async def drain(self):
+        """An upstream leaves and is back later."""
+        number = self.random.randrange(UPSTREAMS)
+        if self.out:
+            return
+        self.out[f"i-{number}"] = True
+        await self.announce(number, "draining")
+        since = time.time()
+        await asyncio.sleep(self.random.uniform(3.0, 5.0))
+        self.barred.append((f"i-{number}", since, time.time()))
+        await self.announce(number, "ready")
+        self.out.pop(f"i-{number}")
+
+    async def take_out(self):
+        """A failure domain is taken out and back."""
+        domain = self.random.choice(DOMAINS)
+        if self.out:
+            return
+        self.out[domain] = True
+        await self.store.put("evacuations", domain, {})
+        since = time.time()
+        await asyncio.sleep(self.random.uniform(3.0, 5.0))
+        for number in range(UPSTREAMS):
+            if DOMAINS[number % 2] == domain:
+                self.barred.append((f"i-{number}", since, time.time()))
+        await self.store.delete("evacuations", domain)
+        self.out.pop(domain)
+
+    async def revoke(self):
+        """A key is taken away."""
+        if len(self.keys) > 1:
+            key = self.keys.pop()
+            await self.change()
+            self.revoked[key] = time.time()
+
+    async def change(self):
+        """A new configuration."""
+        self.version += self.random.randrange(1, 4)
+        await self.store.put(
+            "config", "main", make_config(self.version, self.keys))
+
+    # The end
+
+    def check_upstreams(self):
+        """Checks what the upstreams ran against what callers were told."""
+        runs = {}
+        for upstream in self.upstreams:
+            for known, times in upstream.runs.items():
+                runs[known] = runs.get(known, 0) + times
+        for known, times in runs.items():
+            path, status = self.attempts.get(known, (None, None))
+            if path is None:
+                self.violate("nobody asked", request=known)
+            if path == "/once/" and times > 1:
+                self.violate("ran twice", request=known, times=times)
+            if path == "/once/" and status in REFUSALS:
+                self.violate("ran, though refused as not run", request=known)
+        self.check_barred()
+
+    def check_barred(self):
+        """Checks that what left or was taken out got nothing new.
+
+        A gateway that was disturbed meanwhile need not have known.
+        """
+        quiet = min((one.disturbed for one in self.gateways), default=0)
+        for name, since, until in self.barred:
+            upstream = self.upstreams[int(name[2:])]
+            late = [known for at, known in upstream.arrivals
+                    if since + NOTICE_S < at < until]
+            if late and quiet < since - NOTICE_S:
+                self.violate("work for one that left", upstream=name,
+                             requests=late[:3])
+
+    async def run(self):
+        """Runs it; returns its one line."""
+        await self.start()
+        self.end = time.monotonic() + self.seconds
+        await asyncio.gather(
+            self.trouble(), *(self.caller(i) for i in range(CALLERS)))
+        await asyncio.sleep(0.5)
+        for gateway in self.gateways:
+            gateway.stopping = True
+            gateway.signal(signal.SIGTERM)
+        await asyncio.gather(*(asyncio.wait_for(
+            one.process.wait(), GRACE_S + 2) for one in self.gateways))
+        self.check_upstreams()
+        for gateway in self.gateways:
+            for code in gateway.bad_exits:
+                self.violate("a process ended by itself",
+                             gateway=gateway.number, code=code)
+        return {"seed": self.seed, "fleet": "gateways",
+                "seconds": self.seconds, "gateways": self.count,
+                "requests": self.requests, "statuses": self.statuses,
+                "faults": self.faults, "violations": self.violations}
+
+
+def run(binary, folder, seed, seconds, count, port):
+    """Runs one seed; returns whether every promise was kept."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for old in folder.glob("*.log"):
+        old.unlink()
+    line = asyncio.run(
+        Soak(binary, folder, seed, seconds, count, port).run())
+    print(json.dumps(line), flush=True)
+    return not line["violations"] and line["requests"] > 0
