--- a/src/gateway/knowledge.c
+++ b/src/gateway/knowledge.c
@@ -10,12 +10,19 @@
 /* How long the upstreams of a domain that is taken back count as cold. */
 #define TAKEN_BACK_COLD_MS 4000
 
+/* One kind of objects, and the document by which gateways share it. */
+struct source {
+	struct knowledge *knowledge;
+	const char *document;
+	struct object_watch *watch;
+};
+
 struct knowledge {
 	struct clock *clock;
 	struct documents *documents;
-	struct object_watch *routes;
-	struct object_watch *upstreams;
-	struct object_watch *takeouts;
+	struct source routes;
+	struct source upstreams;
+	struct source takeouts;
 	struct routing_table *table; /* NULL before the first */
 	struct timespec table_at; /* when it came into force here */
 	struct fleet *fleet;
@@ -52,34 +59,14 @@
 	tell_whole(knowledge);
 }
 
-/* Offers what the store says of the routes to all gateways, us included. */
-static void
-read_routes(void *data, uint64_t version, const uint8_t *text, size_t length)
-{
-	struct knowledge *knowledge = data;
-
-	documents_offer(
-	    knowledge->documents, DOCUMENT_ROUTES, version, text, length);
-}
-
-/* The same for the upstreams. */
+/* Offers what the store says of a kind to all gateways, us included. */
 static void
-read_upstreams(void *data, uint64_t version, const uint8_t *text, size_t length)
+read_objects(void *data, uint64_t version, const uint8_t *text, size_t length)
 {
-	struct knowledge *knowledge = data;
+	const struct source *source = data;
 
-	documents_offer(
-	    knowledge->documents, DOCUMENT_UPSTREAMS, version, text, length);
-}
-
-/* The same for the domains that are taken out. */
-static void
-read_takeouts(void *data, uint64_t version, const uint8_t *text, size_t length)
-{
-	struct knowledge *knowledge = data;
-
-	documents_offer(
-	    knowledge->documents, DOCUMENT_TAKEOUTS, version, text, length);
+	documents_offer(source->knowledge->documents, source->document, version,
+	    text, length);
 }
 
 /* A newer routing table is here, from the store or from a peer. */
@@ -90,7 +77,7 @@
 	g_autoptr(GError) error = NULL;
 	struct routing_table *table = decode_routes(text, length, &error);
 
-	object_watch_take(knowledge->routes, version, text, length);
+	object_watch_take(knowledge->routes.watch, version, text, length);
 	if (table == NULL) {
 		LOG_WARN("routes not taken", "{s:s, s:I}", "why",
 		    error->message, "revision", (json_int_t)version);
@@ -121,7 +108,7 @@
 	g_autoptr(GError) error = NULL;
 	struct upstream_reports reports;
 
-	object_watch_take(knowledge->upstreams, version, text, length);
+	object_watch_take(knowledge->upstreams.watch, version, text, length);
 	if (!decode_upstreams(text, length, &reports, &error)) {
 		LOG_WARN("upstreams not taken", "{s:s}", "why", error->message);
 		return;
@@ -142,7 +129,7 @@
 	g_autoptr(GError) error = NULL;
 	g_auto(GStrv) domains = decode_takeouts(text, length, &error);
 
-	object_watch_take(knowledge->takeouts, version, text, length);
+	object_watch_take(knowledge->takeouts.watch, version, text, length);
 	if (domains == NULL) {
 		LOG_WARN("takeouts not taken", "{s:s}", "why", error->message);
 		return;
@@ -154,6 +141,16 @@
 	tell_whole(knowledge);
 }
 
+/* Has a kind's newer states told, wherever they come from. */
+static void
+follow(struct source *source, struct knowledge *knowledge, const char *document,
+    documents_fn *take)
+{
+	source->knowledge = knowledge;
+	source->document = document;
+	documents_subscribe(knowledge->documents, document, take, knowledge);
+}
+
 /* Begins to learn from the store and from peers. */
 struct knowledge *
 knowledge_new(struct ev_loop *loop, struct clock *clock,
@@ -165,17 +162,17 @@
 	knowledge->documents = documents;
 	knowledge->fleet = fleet_new();
 	knowledge->watching = true;
-	documents_subscribe(documents, DOCUMENT_ROUTES, take_routes, knowledge);
-	documents_subscribe(
-	    documents, DOCUMENT_UPSTREAMS, take_upstreams, knowledge);
-	documents_subscribe(
-	    documents, DOCUMENT_TAKEOUTS, take_takeouts, knowledge);
-	knowledge->routes = object_watch_new(
-	    loop, store, DECODE_KIND_ROUTES, read_routes, knowledge);
-	knowledge->upstreams = object_watch_new(
-	    loop, store, DECODE_KIND_UPSTREAMS, read_upstreams, knowledge);
-	knowledge->takeouts = object_watch_new(
-	    loop, store, DECODE_KIND_TAKEOUTS, read_takeouts, knowledge);
+	follow(&knowledge->routes, knowledge, DOCUMENT_ROUTES, take_routes);
+	follow(&knowledge->upstreams, knowledge, DOCUMENT_UPSTREAMS,
+	    take_upstreams);
+	follow(
+	    &knowledge->takeouts, knowledge, DOCUMENT_TAKEOUTS, take_takeouts);
+	knowledge->routes.watch = object_watch_new(
+	    loop, store, DECODE_KIND_ROUTES, read_objects, &knowledge->routes);
+	knowledge->upstreams.watch = object_watch_new(loop, store,
+	    DECODE_KIND_UPSTREAMS, read_objects, &knowledge->upstreams);
+	knowledge->takeouts.watch = object_watch_new(loop, store,
+	    DECODE_KIND_TAKEOUTS, read_objects, &knowledge->takeouts);
 	return knowledge;
 }
 
@@ -185,9 +182,9 @@
 {
 	if (knowledge == NULL)
 		return;
-	object_watch_free(knowledge->routes);
-	object_watch_free(knowledge->upstreams);
-	object_watch_free(knowledge->takeouts);
+	object_watch_free(knowledge->routes.watch);
+	object_watch_free(knowledge->upstreams.watch);
+	object_watch_free(knowledge->takeouts.watch);
 	routing_table_unref(knowledge->table);
 	fleet_free(knowledge->fleet);
 	g_free(knowledge);
@@ -206,9 +203,9 @@
 	knowledge->watching = watching;
 	LOG_INFO(watching ? "watches the store" : "leaves watching to peers",
 	    "{s:I}", "list_version", (json_int_t)knowledge->fleet->version);
-	object_watch_set_active(knowledge->routes, watching);
-	object_watch_set_active(knowledge->upstreams, watching);
-	object_watch_set_active(knowledge->takeouts, watching);
+	object_watch_set_active(knowledge->routes.watch, watching);
+	object_watch_set_active(knowledge->upstreams.watch, watching);
+	object_watch_set_active(knowledge->takeouts.watch, watching);
 }
 
 /* Returns whether it does. */
@@ -222,9 +219,9 @@
 bool
 knowledge_is_store_away(const struct knowledge *knowledge)
 {
-	return object_watch_is_away(knowledge->routes) ||
-	    object_watch_is_away(knowledge->upstreams) ||
-	    object_watch_is_away(knowledge->takeouts);
+	return object_watch_is_away(knowledge->routes.watch) ||
+	    object_watch_is_away(knowledge->upstreams.watch) ||
+	    object_watch_is_away(knowledge->takeouts.watch);
 }
 
 /* Says whether all that routing needs has come at least once. */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -14,6 +14,9 @@
 #define ENTRY_FLAGS                                               \
 	"--id=e1", "--failure-domain=d1", "--listen=127.0.0.1:7", \
 	    "--callers=127.0.0.1:8"
+#define GATEWAY_FLAGS                                             \
+	"--id=g1", "--failure-domain=d1", "--listen=127.0.0.1:7", \
+	    "--callers=127.0.0.1:8"
 #define SIDECAR_FLAGS                                             \
 	"--id=s1", "--failure-domain=d1", "--listen=127.0.0.1:7", \
 	    "--upstream=u1"
@@ -50,6 +53,14 @@
 	SETTINGS_ERROR_VALUE, "engine|plain"},
     {"an unknown log level is refused", ROLE_ENTRY,
 	{ENTRY_FLAGS, "--log-level=loud"}, SETTINGS_ERROR_VALUE, "'loud'"},
+    {"a gateway needs its store", ROLE_GATEWAY, {GATEWAY_FLAGS},
+	SETTINGS_ERROR_MISSING, "--objects"},
+    {"a fraction out of bounds is refused", ROLE_GATEWAY,
+	{GATEWAY_FLAGS, "--objects=127.0.0.1:9", "--retry-ratio=1.5"},
+	SETTINGS_ERROR_VALUE, "--retry-ratio"},
+    {"a fraction with a unit is refused", ROLE_GATEWAY,
+	{GATEWAY_FLAGS, "--objects=127.0.0.1:9", "--grace-s=8s"},
+	SETTINGS_ERROR_VALUE, "--grace-s"},
     {"a number out of bounds is refused", ROLE_ENTRY,
 	{ENTRY_FLAGS, "--body-max-bytes=1"}, SETTINGS_ERROR_VALUE, "1024"},
     {"a number with a unit is refused", ROLE_ENTRY,
