One place says what is true of a request that is given up

Found in reading: a prompt whose memory was refused at its second send was answered 503, though its first may have run; a stream that had begun got a second answer.

--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -121,6 +121,8 @@
 void exchange_stalled(struct ev_loop *, ev_timer *, int events);
 void exchange_blame(struct exchange *, const char *at_fault);
 void exchange_next(struct exchange *, enum send_end, const char *why);
+void exchange_give_up(struct exchange *, enum refusal not_run,
+    int64_t retry_after_ms, const char *why);
 void exchange_finish(struct exchange *, const char *how);
 int64_t exchange_left_ms(const struct exchange *);
 
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -134,6 +134,25 @@
 	exchange_next(exchange, SEND_LOST, "the upstream said nothing");
 }
 
+/*
+ * Ends a request that is sent nowhere any more, with what is true of it: a
+ * stream that has begun is cut, one that may have run is lost, and only one
+ * that did not run is told so, and when to come back.
+ */
+void
+exchange_give_up(struct exchange *exchange, enum refusal not_run,
+    int64_t retry_after_ms, const char *why)
+{
+	if (exchange->begun) {
+		httpd_abort(exchange->http);
+		exchange_finish(exchange, "broken_off");
+	} else if (exchange->may_have_run) {
+		exchange_answer_refusal(exchange, REFUSAL_LOST, 0, why);
+	} else {
+		exchange_answer_refusal(exchange, not_run, retry_after_ms, why);
+	}
+}
+
 /*
  * Goes on after a send that brought no answer: with another upstream where
  * that is allowed, otherwise with the answer that is true.
@@ -147,15 +166,9 @@
 	    exchange->head.request_id, "why", why, "may_have_run", repeat,
 	    "sends", (int)exchange->sends);
 	exchange->may_have_run |= repeat;
-	if (take_repeat(exchange)) {
+	if (take_repeat(exchange))
 		exchange_send(exchange);
-	} else if (exchange->begun) {
-		httpd_abort(exchange->http);
-		exchange_finish(exchange, "broken_off");
-	} else if (exchange->may_have_run) {
-		exchange_answer_refusal(exchange, REFUSAL_LOST, 0, why);
-	} else {
-		exchange_answer_refusal(
+	else
+		exchange_give_up(
 		    exchange, REFUSAL_NOT_RUN, EXCHANGE_COME_BACK_MS, why);
-	}
 }
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -129,9 +129,8 @@
 		exchange_next(
 		    exchange, SEND_NEVER, "engines have no memory for it");
 	else
-		exchange_answer_refusal(exchange, REFUSAL_OVERLOADED,
-		    EXCHANGE_COME_BACK_MS,
-		    "engines have no memory for the prompt now");
+		exchange_give_up(exchange, REFUSAL_OVERLOADED,
+		    EXCHANGE_COME_BACK_MS, "engines have no memory for it now");
 }
 
 /* Asks helpers to set memory aside; false where none has to. */
@@ -178,29 +177,19 @@
 {
 	int64_t wait_ms = (int64_t)plan->wait_ms + EXCHANGE_COME_BACK_MS;
 
-	if (exchange->begun) {
-		httpd_abort(exchange->http);
-		exchange_finish(exchange, "broken_off");
-		return;
-	}
-	if (exchange->may_have_run) {
-		exchange_answer_refusal(exchange, REFUSAL_LOST, 0,
-		    "the upstream was lost and no other can take over");
-		return;
-	}
 	if (verdict == BALANCE_TOO_COSTLY || verdict == BALANCE_NO_MEMORY)
 		log_turned_away(exchange, choice, plan);
 	switch (verdict) {
 	case BALANCE_TOO_COSTLY:
-		exchange_answer_refusal(exchange, REFUSAL_OVERLOADED, wait_ms,
+		exchange_give_up(exchange, REFUSAL_OVERLOADED, wait_ms,
 		    "the engines' time is worth more to other prompts now");
 		break;
 	case BALANCE_NO_MEMORY:
-		exchange_answer_refusal(exchange, REFUSAL_OVERLOADED, wait_ms,
+		exchange_give_up(exchange, REFUSAL_OVERLOADED, wait_ms,
 		    "the engines have no memory for the prompt now");
 		break;
 	default:
-		exchange_answer_refusal(exchange, REFUSAL_NO_UPSTREAM,
+		exchange_give_up(exchange, REFUSAL_NO_UPSTREAM,
 		    EXCHANGE_COME_BACK_MS,
 		    choice->listed > 0 ? "no upstream has room now"
 				       : "no upstream takes new work now");
--- a/src/gateway/load_share.h
+++ b/src/gateway/load_share.h
@@ -18,7 +18,7 @@
 
 /* A round among few gateways, and what each peer adds to it. */
 #define LOAD_SHARE_ROUND_MS	 100
-#define LOAD_SHARE_ROUND_PEER_MS 10
+#define LOAD_SHARE_ROUND_PEER_MS 4
 /* Rounds without word after which a peer's work is forgotten. */
 #define LOAD_SHARE_SILENT_ROUNDS 6
 
