Reading once more: soak checks that could not fail, and what was left over

Left over: two comments at the wrong constant, a constant that said nothing, a time, a member and a function that nobody read.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #define MS_PER_S  1000
+#define US_PER_MS 1000
 #define NS_PER_MS 1000000
 #define NS_PER_US 1000
 #define NS_PER_S  1000000000
--- a/src/gateway/exchange_choice.c
+++ b/src/gateway/exchange_choice.c
@@ -4,12 +4,6 @@
 
 #include "gateway/exchange_internal.h"
 
-/*
- * Callers leave a stream that pauses for the longest of two seconds, four times
- * its target and eight times its pause; this much of it is waited for.
- */
-#define US_PER_MS 1000.0
-
 /* Frees a choice. */
 void
 choice_clear(struct choice *choice)
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -85,7 +85,6 @@
 	struct tickets *tickets; /* memory that is set aside; or NULL */
 	unsigned int ticket_refusals;
 	uint32_t *stream_count; /* of its sort at that upstream; or NULL */
-	struct timespec sent_at;
 	enum send_end send_end;
 	bool broke; /* its connection ended under it */
 	const char *send_why; /* why an answer was not passed on; or NULL */
--- a/src/gateway/exchange_parts.c
+++ b/src/gateway/exchange_parts.c
@@ -3,11 +3,6 @@
 
 /* Shorter reading is not told to the peers: it is over before they need it. */
 #define TOLD_READING_MS 20.0
-/*
- * Callers leave a stream that pauses for the longest of two seconds, four times
- * its target and eight times its pause; this much of it is waited for.
- */
-#define US_PER_MS 1000.0
 
 /* Counts a part of the prompt at an upstream that reads it. */
 static void
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -24,7 +24,6 @@
 	struct upstream *upstream = choice->upstreams[plan->first];
 
 	exchange->upstream = upstream;
-	exchange->sent_at = now;
 	exchange->send_end = SEND_OPEN;
 	exchange->send_why = NULL;
 	exchange->broke = false;
--- a/src/gateway/load_share.c
+++ b/src/gateway/load_share.c
@@ -4,8 +4,6 @@
 
 #include "store/watchers.h"
 
-#define US_PER_MS 1000.0
-
 /* One peer's requests, as it told them last. */
 struct peer_work {
 	GHashTable *loads; /* upstream id -> struct upstream_load */
--- a/src/routing/table.c
+++ b/src/routing/table.c
@@ -145,13 +145,6 @@
 	return g_hash_table_lookup(table->hosts, name);
 }
 
-/* Says whether any route is for this host. */
-bool
-routing_table_knows_host(const struct routing_table *table, const char *host)
-{
-	return find_routes(table, host) != NULL;
-}
-
 /* Finds the route with the longest prefix of the path; NULL for none. */
 const struct route *
 routing_table_route(
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -46,7 +46,6 @@
 
 struct service_profile {
 	char *name;
-	uint32_t connections_max; /* one upstream's, of all callers together */
 	int64_t cold_ms; /* how long a new upstream is cold */
 	double cold_per_s; /* requests a second that a cold one bears */
 	bool has_engine;
@@ -89,7 +88,6 @@
 void routing_table_add_key(
     struct routing_table *, const char *key, struct organisation *);
 
-bool routing_table_knows_host(const struct routing_table *, const char *host);
 const struct route *routing_table_route(
     const struct routing_table *, const char *host, const char *path);
 const struct service_profile *routing_table_service(
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -19,6 +19,7 @@
 NOTICE_S = 2.5  # from an acknowledged change until it holds everywhere
 GRACE_S = 4.0
 DRAIN_MS = 1000
+STORE_FAULT_S = 6.0  # a fault of the store, and until it is known to be over
 START_S = 10.0  # for all gateways to be ready
 CALLERS = 12
 DEADLINE_MS = 4000
@@ -50,7 +51,7 @@
         self.proxy = standin.Proxy(store.port)
         self.listen, self.http, self.callers = ports
         self.process = None
-        self.disturbed = 0.0  # wall time of its last fault
+        self.troubles = []  # (from, to) wall s
         self.stopping = False
         self.bad_exits = []
 
@@ -78,9 +79,18 @@
         if not self.stopping or code not in (0, -signal.SIGKILL):
             self.bad_exits.append(code)
 
+    def disturb(self, seconds=0.0):
+        """Notes that it is in trouble from now on for a time."""
+        self.troubles.append((time.time(), time.time() + seconds))
+
+    def was_calm(self, since, until):
+        """Says whether nothing harmed it, from a notice before since on."""
+        return not any(start < until and end > since - NOTICE_S
+                       for start, end in self.troubles)
+
     def signal(self, number):
         """Sends a signal to the process, if it still runs."""
-        self.disturbed = time.time()
+        self.disturb()
         if self.process.returncode is None:
             self.process.send_signal(number)
 
@@ -95,7 +105,7 @@
             self.bad_exits.append("did not stop in time")
             await self.process.wait()
         await self.start()
-        self.disturbed = time.time()
+        self.disturb()
 
     async def is_ready(self):
         """Asks the process's own page."""
@@ -132,7 +142,7 @@
         self.out = {}  # what is barred now -> since
         self.version = 1
         self.violations = []
-        self.attempts = {}  # request id -> (path, status)
+        self.attempts = {}  # request id -> (path, status, gateway)
         self.statuses = {}
         self.faults = {}
         self.requests = 0
@@ -174,20 +184,21 @@
     async def caller(self, number):
         """Sends requests one after the other, on kept connections."""
         own = random.Random(self.seed * 1000 + number)
-        link = None
+        link = taker = None
         while time.monotonic() < self.end:
             gateway = own.choice(self.gateways)
             if link is None or own.random() < 0.3:
                 if link is not None:
                     link[1].close()
                 link = await self.connect(gateway)
+                taker = gateway
             if link is None:
                 await asyncio.sleep(0.05)
                 continue
             path = own.choice(ROUTES)[0]
             try:
                 kept = await asyncio.wait_for(
-                    self.request(path, own, *link), 12)
+                    self.request(path, own, taker, *link), 12)
             except (standin.Broken, OSError, asyncio.TimeoutError):
                 kept = False
             if not kept:
@@ -204,13 +215,13 @@
         except (OSError, asyncio.TimeoutError):
             return None
 
-    async def request(self, path, own, reader, writer):
+    async def request(self, path, own, gateway, reader, writer):
         """Makes one request; returns whether its connection may be kept."""
         self.requests += 1
         known = f"{self.seed}-{self.requests}"
         key = own.choice(self.keys + list(self.revoked))
         sent = time.time()
-        self.attempts[known] = (path, None)
+        self.attempts[known] = (path, None, gateway)
         writer.write((
             f"POST {path}x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
             f"Heatherturn-Attempt-Id: {known}\r\n"
@@ -218,13 +229,13 @@
             f"Authorization: Bearer {key}\r\n\r\nasks").encode())
         line, headers = await standin.read_head(reader)
         status = int(line.split(" ")[1])
-        self.attempts[known] = (path, status)
+        self.attempts[known] = (path, status, gateway)
         self.statuses[status] = self.statuses.get(status, 0) + 1
         if headers.get("transfer-encoding") == "chunked":
             body = await self.read_events(known, reader, own)
         else:
             body = await standin.read_body(reader, headers)
-        self.check(known, path, key, sent, status, headers, body)
+        self.check(known, key, sent, headers, body)
         return headers.get("connection") != "close"
 
     async def read_events(self, known, reader, own):
@@ -236,8 +247,9 @@
                 raise standin.Broken
         return body
 
-    def check(self, known, path, key, sent, status, headers, body):
+    def check(self, known, key, sent, headers, body):
         """Checks one whole answer."""
+        path, status, gateway = self.attempts[known]
         if status == 200 and headers.get("heatherturn-attempt-id") != known:
             self.violate("another request's answer", request=known)
         if status == 200 and path == "/stream/":
@@ -252,16 +264,13 @@
             self.violate("a refusal does not say when to come back",
                          request=known)
         since = self.revoked.get(key)
-        if since is not None and sent > since + NOTICE_S and status == 200:
+        if (since is not None and sent > since + NOTICE_S and status == 200
+                and gateway.was_calm(since, sent)):
             self.violate("a key that was taken away serves", request=known)
-        if key in self.keys and status == 401 and self.is_calm():
+        if (key in self.keys and status == 401
+                and gateway.was_calm(sent, sent)):
             self.violate("a key in force is refused", request=known)
 
-    def is_calm(self):
-        """Says whether no gateway was disturbed lately."""
-        return all(time.time() - one.disturbed > NOTICE_S
-                   for one in self.gateways)
-
     # Faults
 
     async def trouble(self):
@@ -308,7 +317,7 @@
     async def store_fault(self):
         """The store is busy, silent, slow or forgets its history."""
         for one in self.gateways:
-            one.disturbed = time.time() + 4
+            one.disturb(STORE_FAULT_S)
         self.store.forget()
         self.store.state = self.random.choice(("busy", "silent", "slow"))
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
@@ -317,7 +326,7 @@
     async def cut_store(self):
         """One gateway loses the store."""
         gateway = self.random.choice(self.gateways)
-        gateway.disturbed = time.time() + 4
+        gateway.disturb(STORE_FAULT_S)
         await self.harm(gateway.proxy, 3.0)
 
     async def cut_upstream(self):
@@ -402,7 +411,7 @@
             for known, times in upstream.runs.items():
                 runs[known] = runs.get(known, 0) + times
         for known, times in runs.items():
-            path, status = self.attempts.get(known, (None, None))
+            path, status, _ = self.attempts.get(known, (None, None, None))
             if path is None:
                 self.violate("nobody asked", request=known)
             if path == "/once/" and times > 1:
@@ -414,14 +423,14 @@
     def check_barred(self):
         """Checks that what left or was taken out got nothing new.
 
-        A gateway that was disturbed meanwhile need not have known.
+        A gateway that was in trouble meanwhile need not have known.
         """
-        quiet = min((one.disturbed for one in self.gateways), default=0)
         for name, since, until in self.barred:
             upstream = self.upstreams[int(name[2:])]
             late = [known for at, known in upstream.arrivals
-                    if since + NOTICE_S < at < until]
-            if late and quiet < since - NOTICE_S:
+                    if since + NOTICE_S < at < until
+                    and self.attempts[known][2].was_calm(since, at)]
+            if late:
                 self.violate("work for one that left", upstream=name,
                              requests=late[:3])
 
