Tell peers what changed in the list of upstreams, not all of it

Cause: a change of one upstream sent the whole list, 1.2 MB of JSON at 3,000 entries, to every gateway, and each parsed all of it and walked all of its upstreams.

Ruled out: the readings and loads told to every peer as the first cause (they are untouched here); fixed shards of the list (a change would still carry a shard, and each shard needs a version in every digest).

Change: what is held of a kind is a set of objects (platform/object_set) that knows in which version each changed last. A pull says which version it has and gets the events since then, or the whole where those are not known. Gateways apply events alone; the list is parsed once, at the start. A frame's later members may be missing, so that builds before this one still get the whole.

Bytes between zones are still the largest price at 301 gateways: load and readings told to every peer.

--- a/src/gateway/knowledge.c
+++ b/src/gateway/knowledge.c
@@ -59,30 +59,39 @@
 	tell_whole(knowledge);
 }
 
-/* Offers what the store says of a kind to all gateways, us included. */
+/* Tells the peers that a kind has a newer version here. */
 static void
-read_objects(void *data, uint64_t version, const uint8_t *text, size_t length)
+announce(const struct source *source, uint64_t version)
+{
+	documents_announce(
+	    source->knowledge->documents, source->document, version);
+}
+
+/* Writes what a peer lacks that has a version of a kind. */
+static GString *
+write_objects(void *data, uint64_t have, uint64_t *base)
 {
 	const struct source *source = data;
 
-	documents_offer(source->knowledge->documents, source->document, version,
-	    text, length);
+	return object_set_write(
+	    object_watch_objects(source->watch), have, base);
 }
 
-/* A newer routing table is here, from the store or from a peer. */
-static void
-take_routes(void *data, uint64_t version, const uint8_t *text, size_t length)
+/* Takes what a peer wrote. */
+static bool
+take_objects(void *data, uint64_t base, uint64_t version, const uint8_t *text,
+    size_t length)
 {
-	struct knowledge *knowledge = data;
-	g_autoptr(GError) error = NULL;
-	struct routing_table *table = decode_routes(text, length, &error);
+	const struct source *source = data;
 
-	object_watch_take(knowledge->routes.watch, version, text, length);
-	if (table == NULL) {
-		LOG_WARN("routes not taken", "{s:s, s:I}", "why",
-		    error->message, "revision", (json_int_t)version);
-		return;
-	}
+	return object_watch_take(source->watch, base, version, text, length);
+}
+
+/* Brings a routing table into force unless it is older than the one that is. */
+static void
+set_table(
+    struct knowledge *knowledge, struct routing_table *table, uint64_t revision)
+{
 	if (knowledge->table != NULL &&
 	    table->version < knowledge->table->version) {
 		LOG_WARN("older routes not taken", "{s:I, s:I}", "version",
@@ -96,59 +105,76 @@
 	knowledge->table_at = clock_monotonic(knowledge->clock);
 	metric_set(&routes_version, (int64_t)table->version);
 	LOG_INFO("routes in force", "{s:I, s:I}", "version",
-	    (json_int_t)table->version, "revision", (json_int_t)version);
-	tell_whole(knowledge);
+	    (json_int_t)table->version, "revision", (json_int_t)revision);
 }
 
-/* A newer list of upstreams is here. */
+/* Newer routes are here, from the store or from a peer. */
 static void
-take_upstreams(void *data, uint64_t version, const uint8_t *text, size_t length)
+take_routes(void *data, uint64_t version, const struct object_changes *changes)
 {
-	struct knowledge *knowledge = data;
+	const struct source *source = data;
 	g_autoptr(GError) error = NULL;
-	struct upstream_reports reports;
+	struct routing_table *table = decode_routes(changes, &error);
 
-	object_watch_take(knowledge->upstreams.watch, version, text, length);
-	if (!decode_upstreams(text, length, &reports, &error)) {
-		LOG_WARN("upstreams not taken", "{s:s}", "why", error->message);
-		return;
-	}
+	if (table != NULL)
+		set_table(source->knowledge, table, version);
+	else
+		LOG_WARN("routes not taken", "{s:s, s:I}", "why",
+		    error->message, "revision", (json_int_t)version);
+	announce(source, version);
+	tell_whole(source->knowledge);
+}
+
+/* A newer list of upstreams is here. */
+static void
+take_upstreams(
+    void *data, uint64_t version, const struct object_changes *changes)
+{
+	const struct source *source = data;
+	struct knowledge *knowledge = source->knowledge;
+	struct upstream_reports reports = decode_upstreams(changes);
+
+	for (size_t i = 0; i < changes->removed_count; i++)
+		g_ptr_array_add(reports.unusable, (char *)changes->removed[i]);
 	fleet_apply(knowledge->fleet, version,
 	    (const struct upstream_report *)(void *)reports.items->data,
-	    reports.items->len, clock_monotonic(knowledge->clock));
-	metric_set(&upstreams_known, reports.items->len);
+	    reports.items->len, (const char *const *)reports.unusable->pdata,
+	    reports.unusable->len, clock_monotonic(knowledge->clock));
+	metric_set(&upstreams_known, (int64_t)fleet_count(knowledge->fleet));
 	decode_upstreams_clear(&reports);
+	announce(source, version);
 	tell_whole(knowledge);
 }
 
-/* A newer list of domains that are taken out is here. */
+/* Newer marks of domains that are taken out are here, one object each. */
 static void
-take_takeouts(void *data, uint64_t version, const uint8_t *text, size_t length)
+take_takeouts(
+    void *data, uint64_t version, const struct object_changes *changes)
 {
-	struct knowledge *knowledge = data;
-	g_autoptr(GError) error = NULL;
-	g_auto(GStrv) domains = decode_takeouts(text, length, &error);
+	const struct source *source = data;
+	struct knowledge *knowledge = source->knowledge;
+	g_auto(GStrv)
+	    domains = object_set_names(object_watch_objects(source->watch));
 
-	object_watch_take(knowledge->takeouts.watch, version, text, length);
-	if (domains == NULL) {
-		LOG_WARN("takeouts not taken", "{s:s}", "why", error->message);
-		return;
-	}
 	knowledge->takeouts_known = true;
 	fleet_set_takeouts(knowledge->fleet, (const char *const *)domains,
 	    g_strv_length(domains), clock_monotonic(knowledge->clock),
 	    TAKEN_BACK_COLD_MS);
+	announce(source, version);
 	tell_whole(knowledge);
 }
 
-/* Has a kind's newer states told, wherever they come from. */
+/* Follows a kind in the store, and shares it under a document's name. */
 static void
-follow(struct source *source, struct knowledge *knowledge, const char *document,
-    documents_fn *take)
+follow(struct knowledge *knowledge, struct source *source, struct ev_loop *loop,
+    struct object_store *store, const char *kind, const char *document,
+    object_watch_fn *take)
 {
 	source->knowledge = knowledge;
 	source->document = document;
-	documents_subscribe(knowledge->documents, document, take, knowledge);
+	source->watch = object_watch_new(loop, store, kind, take, source);
+	documents_set_source(knowledge->documents, document, write_objects,
+	    take_objects, source);
 }
 
 /* Begins to learn from the store and from peers. */
@@ -162,17 +188,12 @@
 	knowledge->documents = documents;
 	knowledge->fleet = fleet_new();
 	knowledge->watching = true;
-	follow(&knowledge->routes, knowledge, DOCUMENT_ROUTES, take_routes);
-	follow(&knowledge->upstreams, knowledge, DOCUMENT_UPSTREAMS,
-	    take_upstreams);
-	follow(
-	    &knowledge->takeouts, knowledge, DOCUMENT_TAKEOUTS, take_takeouts);
-	knowledge->routes.watch = object_watch_new(
-	    loop, store, DECODE_KIND_ROUTES, read_objects, &knowledge->routes);
-	knowledge->upstreams.watch = object_watch_new(loop, store,
-	    DECODE_KIND_UPSTREAMS, read_objects, &knowledge->upstreams);
-	knowledge->takeouts.watch = object_watch_new(loop, store,
-	    DECODE_KIND_TAKEOUTS, read_objects, &knowledge->takeouts);
+	follow(knowledge, &knowledge->routes, loop, store, DECODE_KIND_ROUTES,
+	    DOCUMENT_ROUTES, take_routes);
+	follow(knowledge, &knowledge->upstreams, loop, store,
+	    DECODE_KIND_UPSTREAMS, DOCUMENT_UPSTREAMS, take_upstreams);
+	follow(knowledge, &knowledge->takeouts, loop, store,
+	    DECODE_KIND_TAKEOUTS, DOCUMENT_TAKEOUTS, take_takeouts);
 	return knowledge;
 }
 
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -31,6 +31,13 @@
 	TAILQ_ENTRY(subscriber) entry;
 };
 
+/* Who keeps a document, in place of the bytes that are kept here. */
+struct source {
+	documents_write_fn *write; /* NULL for none */
+	documents_take_fn *take;
+	void *data;
+};
+
 struct documents {
 	struct ev_loop *loop;
 	struct clock *clock;
@@ -40,6 +47,7 @@
 	GRand *random;
 	struct spread *spread;
 	GBytes *bytes[DOCUMENTS]; /* NULL for none */
+	struct source sources[DOCUMENTS];
 	struct config *config;
 	ev_timer tick;
 	TAILQ_HEAD(subscriber_list, subscriber) subscribers;
@@ -112,16 +120,18 @@
 		{
 		    .name = (char *)names[action->document],
 		    .have = spread_version(documents->spread, action->document),
+		    .changes = true,
 		},
 	};
 
 	send_to(documents, action, &message);
 }
 
-/* Sends a document whole. */
+/* Sends a document, or what has changed in it since the version had there. */
 static void
 send_document(struct documents *documents, const struct spread_action *action)
 {
+	const struct source *source = &documents->sources[action->document];
 	struct message message = {
 	    .kind = MESSAGE_DOCUMENT,
 	    .document =
@@ -131,12 +141,22 @@
 			documents->spread, action->document),
 		},
 	};
-	GBytes *bytes = documents->bytes[action->document];
-
-	message.document.data.data = (uint8_t *)g_bytes_get_data(
-	    bytes, &message.document.data.length);
+	GString *text = NULL;
+
+	if (source->write != NULL) {
+		text = source->write(
+		    source->data, action->have, &message.document.base);
+		message.document.data.data = (uint8_t *)text->str;
+		message.document.data.length = text->len;
+	} else {
+		message.document.data.data = (uint8_t *)g_bytes_get_data(
+		    documents->bytes[action->document],
+		    &message.document.data.length);
+	}
 	metric_add(&sent_count, 1);
 	send_to(documents, action, &message);
+	if (text != NULL)
+		g_string_free(text, TRUE);
 }
 
 /* Does what the spreading decided. */
@@ -209,12 +229,27 @@
 	spread_set_peers(documents->spread, count);
 }
 
+/* A newer version is in force here: a few peers are told. */
+static void
+spread_version_on(struct documents *documents, size_t index, uint64_t version)
+{
+	struct spread_actions actions = {0};
+
+	know_peers(documents);
+	if (!spread_take(documents->spread, index, version,
+		clock_monotonic(documents->clock), &actions))
+		return;
+	metric_add(&taken_count, 1);
+	LOG_INFO("document in force", "{s:s, s:I}", "name", names[index],
+	    "version", (json_int_t)version);
+	act(documents, &actions);
+}
+
 /* Takes a document from anywhere; true where it is newer and in force now. */
 static bool
 take(struct documents *documents, size_t index, uint64_t version,
     const uint8_t *data, size_t length)
 {
-	struct spread_actions actions = {0};
 	struct config *config = NULL;
 
 	if (version <= spread_version(documents->spread, index))
@@ -233,17 +268,37 @@
 	if (documents->bytes[index] != NULL)
 		g_bytes_unref(documents->bytes[index]);
 	documents->bytes[index] = g_bytes_new(data, length);
-	know_peers(documents);
-	spread_take(documents->spread, index, version,
-	    clock_monotonic(documents->clock), &actions);
-	metric_add(&taken_count, 1);
-	LOG_INFO("document in force", "{s:s, s:I, s:I}", "name", names[index],
-	    "version", (json_int_t)version, "bytes", (json_int_t)length);
-	act(documents, &actions);
+	spread_version_on(documents, index, version);
 	notify(documents, index);
 	return true;
 }
 
+/* Takes a document that a peer has sent. */
+static void
+take_sent(struct documents *documents, const struct message_document *sent)
+{
+	size_t index = index_of(sent->name);
+	const struct source *source;
+
+	if (index == DOCUMENTS)
+		return;
+	source = &documents->sources[index];
+	if (source->take == NULL) {
+		take(documents, index, sent->version, sent->data.data,
+		    sent->data.length);
+		return;
+	}
+	if (sent->version <= spread_version(documents->spread, index) ||
+	    source->take(source->data, sent->base, sent->version,
+		sent->data.data, sent->data.length))
+		return;
+	LOG_WARN("document refused", "{s:s, s:I, s:I}", "name", names[index],
+	    "version", (json_int_t)sent->version, "base",
+	    (json_int_t)sent->base);
+	metric_add(&refused_count, 1);
+	spread_refuse(documents->spread, index, sent->version);
+}
+
 /* Takes the versions that a peer has. */
 static void
 take_digest(struct documents *documents, struct link *link,
@@ -277,14 +332,11 @@
 		index = index_of(message->pull.name);
 		if (index < DOCUMENTS)
 			spread_pull(documents->spread, link, index,
-			    message->pull.have, &actions);
+			    message->pull.have, message->pull.changes,
+			    &actions);
 		break;
 	case MESSAGE_DOCUMENT:
-		index = index_of(message->document.name);
-		if (index < DOCUMENTS)
-			take(documents, index, message->document.version,
-			    message->document.data.data,
-			    message->document.data.length);
+		take_sent(documents, &message->document);
 		break;
 	default:
 		spread_head(documents->spread, link, CONFIG_INDEX,
@@ -379,6 +431,32 @@
 	return take(documents, index, version, data, length);
 }
 
+/*
+ * Has a document kept by a source, which writes and takes it, in place of bytes
+ * kept here. To be set before the first version.
+ */
+void
+documents_set_source(struct documents *documents, const char *name,
+    documents_write_fn *write, documents_take_fn *take_fn, void *data)
+{
+	size_t index = index_of(name);
+
+	g_return_if_fail(index < DOCUMENTS);
+	documents->sources[index] = (struct source){
+	    .write = write, .take = take_fn, .data = data};
+}
+
+/* A document's source has a newer version. */
+void
+documents_announce(
+    struct documents *documents, const char *name, uint64_t version)
+{
+	size_t index = index_of(name);
+
+	g_return_if_fail(index < DOCUMENTS);
+	spread_version_on(documents, index, version);
+}
+
 /* Returns the version that is in force here, 0 for none. */
 uint64_t
 documents_version(const struct documents *documents, const char *name)
--- a/src/peer/documents.h
+++ b/src/peer/documents.h
@@ -22,8 +22,9 @@
 /* The platform's host list as last polled; its version is wall time in ms. */
 #define DOCUMENT_HOSTS "hosts"
 /*
- * What gateways have of the platform's objects, as one of them read it; the
- * version is the object store's revision.
+ * What gateways have of the platform's objects; the version is the object
+ * store's revision. Each of these has a source, and peers that have an earlier
+ * version are sent the changes since then.
  */
 #define DOCUMENT_ROUTES	   "routes"
 #define DOCUMENT_UPSTREAMS "upstreams"
@@ -34,6 +35,17 @@
 /* A newer document is in force here; bytes are borrowed for the call. */
 typedef void documents_fn(
     void *data, uint64_t version, const uint8_t *, size_t);
+/*
+ * Writes what a peer lacks that has a version, as what follows *base; 0 for the
+ * whole. The document's own process frees the text.
+ */
+typedef GString *documents_write_fn(void *data, uint64_t have, uint64_t *base);
+/*
+ * Takes what a peer's source wrote; false where it can't be used. A source that
+ * takes it announces its new version.
+ */
+typedef bool documents_take_fn(
+    void *data, uint64_t base, uint64_t version, const uint8_t *, size_t);
 /* A newer configuration is in force; the snapshot is borrowed. */
 typedef void documents_config_fn(void *data, struct config *);
 
@@ -43,6 +55,9 @@
 
 bool documents_offer(struct documents *, const char *name, uint64_t version,
     const uint8_t *, size_t);
+void documents_set_source(struct documents *, const char *name,
+    documents_write_fn *, documents_take_fn *, void *data);
+void documents_announce(struct documents *, const char *name, uint64_t version);
 uint64_t documents_version(const struct documents *, const char *name);
 const uint8_t *documents_get(
     const struct documents *, const char *name, size_t *length);
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -32,6 +32,7 @@
 struct kind {
 	const char *name;
 	struct member members[MEMBERS_MAX];
+	size_t later; /* the last of them, which earlier builds don't send */
 };
 
 /* clang-format off */
@@ -100,10 +101,12 @@
 		M(STRING_ARRAY, digest.names), M(U64_ARRAY, digest.versions),
 		M(BOOL, digest.reply) } },
 	[MESSAGE_PULL] = { "pull", {
-		M(STRING, pull.name), M(U64, pull.have) } },
+		M(STRING, pull.name), M(U64, pull.have),
+		M(BOOL, pull.changes) }, .later = 1 },
 	[MESSAGE_DOCUMENT] = { "document", {
 		M(STRING, document.name), M(U64, document.version),
-		M(BYTES, document.data) } },
+		M(BYTES, document.data), M(U64, document.base) },
+		.later = 1 },
 	[MESSAGE_CENSUS] = { "census", { { MEMBER_END, 0 } } },
 	[MESSAGE_CENSUS_ANSWER] = { "census_answer", {
 		M(STRING, census_answer.process), M(U32, census_answer.role),
@@ -464,13 +467,18 @@
 	return false;
 }
 
-/* Takes a row of members; false at the first that is missing or wrong. */
+/*
+ * Takes a row of members; false at the first that is missing or wrong. The last
+ * ones, as many as later says, may be missing and are zero then.
+ */
 static bool
 take_members(const msgpack_object_array *from, size_t first,
-    struct message *message, const struct member *members, size_t count)
+    struct message *message, const struct member *members, size_t count,
+    size_t later)
 {
-	if (from->size < first + count)
+	if (from->size < first + count - later)
 		return false;
+	count = MIN(count, from->size - first);
 	for (size_t i = 0; i < count; i++) {
 		if (!take_member(&from->ptr[first + i], message, &members[i]))
 			return false;
@@ -486,7 +494,8 @@
 	const struct member *members;
 
 	if (root->type != MSGPACK_OBJECT_ARRAY ||
-	    !take_members(&root->via.array, 0, message, head, HEAD_MEMBERS)) {
+	    !take_members(
+		&root->via.array, 0, message, head, HEAD_MEMBERS, 0)) {
 		g_set_error_literal(error, MESSAGE_ERROR,
 		    MESSAGE_ERROR_MALFORMED, "frame has no valid head");
 		g_free(message);
@@ -501,7 +510,8 @@
 	}
 	members = kinds[message->kind].members;
 	if (!take_members(&root->via.array, HEAD_MEMBERS, message, members,
-		count_members(members, MEMBERS_MAX))) {
+		count_members(members, MEMBERS_MAX),
+		kinds[message->kind].later)) {
 		g_set_error(error, MESSAGE_ERROR, MESSAGE_ERROR_MALFORMED,
 		    "%s frame has a missing or wrong member",
 		    kinds[message->kind].name);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -229,12 +229,14 @@
 struct message_pull {
 	char *name;
 	uint64_t have;
+	bool changes; /* those since then are enough */
 };
 
 struct message_document {
 	char *name;
 	uint64_t version;
 	struct bytes data;
+	uint64_t base; /* version that the data changes; 0 where it is whole */
 };
 
 struct message_census_answer {
--- a/src/policy/spread.c
+++ b/src/policy/spread.c
@@ -232,16 +232,20 @@
 			.reply = true});
 }
 
-/* Takes a peer's request for a document that is newer than what it has. */
+/*
+ * Takes a peer's request for a document that is newer than what it has. Where
+ * it takes changes, those since then are enough.
+ */
 void
 spread_pull(struct spread *spread, void *link, size_t index, uint64_t have,
-    struct spread_actions *actions)
+    bool changes, struct spread_actions *actions)
 {
 	if (spread->documents[index].version > have)
 		add(actions,
 		    &(struct spread_action){.kind = SPREAD_SEND_DOCUMENT,
 			.link = link,
-			.document = index});
+			.document = index,
+			.have = changes ? have : 0});
 }
 
 /*
--- a/src/policy/spread.h
+++ b/src/policy/spread.h
@@ -51,6 +51,7 @@
 	void *link; /* whom to answer; NULL where a peer is chosen */
 	size_t peer; /* index of the chosen peer */
 	size_t document;
+	uint64_t have; /* version from which changes are enough; 0 for whole */
 	bool reply; /* a digest that answers one is not answered again */
 };
 
@@ -76,7 +77,7 @@
 void spread_head(struct spread *, void *link, size_t index, uint64_t version,
     struct timespec now, struct spread_actions *);
 void spread_pull(struct spread *, void *link, size_t index, uint64_t have,
-    struct spread_actions *);
+    bool changes, struct spread_actions *);
 void spread_tick(struct spread *, struct timespec now, struct spread_actions *);
 
 #endif
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -126,37 +126,45 @@
 	    (upstream->draining || !may_have_lapsed(upstream, now));
 }
 
+/* Takes note that the list no longer names an upstream. */
+static void
+unlist(struct fleet *fleet, struct upstream *upstream, struct timespec now)
+{
+	if (!upstream->listed)
+		return;
+	upstream->unlisted_at = now;
+	upstream->listed = false;
+	LOG_INFO("upstream gone from list", "{s:s, s:i, s:I}", "upstream",
+	    upstream->id, "running", (int)upstream->own.running, "list_version",
+	    (json_int_t)fleet->version);
+}
+
 /*
- * Brings a newer list into force. An upstream that it no longer names gets no
- * new work and is forgotten once its last request has ended.
+ * Brings a newer list into force, by what it names anew or otherwise and what
+ * it no longer names. The latter gets no new work and is forgotten once its
+ * last request has ended.
  */
 void
 fleet_apply(struct fleet *fleet, uint64_t version,
-    const struct upstream_report *reports, size_t count, struct timespec now)
+    const struct upstream_report *reports, size_t count,
+    const char *const *removed, size_t removed_count, struct timespec now)
 {
-	g_autoptr(GHashTable) named = g_hash_table_new(g_str_hash, g_str_equal);
 	struct upstream *upstream, *next;
 
 	fleet->version = version;
 	fleet->learned_at = now;
 	for (size_t i = 0; i < count; i++) {
-		g_hash_table_add(named, (char *)reports[i].id);
 		upstream = fleet_find(fleet, reports[i].id);
 		if (upstream == NULL)
 			upstream = add(fleet, &reports[i]);
 		update(fleet, upstream, &reports[i], now);
 	}
+	for (size_t i = 0; i < removed_count; i++) {
+		upstream = fleet_find(fleet, removed[i]);
+		if (upstream != NULL)
+			unlist(fleet, upstream, now);
+	}
 	TAILQ_FOREACH_SAFE (upstream, &fleet->upstreams, entry, next) {
-		if (g_hash_table_contains(named, upstream->id))
-			continue;
-		if (upstream->listed) {
-			upstream->unlisted_at = now;
-			LOG_INFO("upstream gone from list", "{s:s, s:i, s:I}",
-			    "upstream", upstream->id, "running",
-			    (int)upstream->own.running, "list_version",
-			    (json_int_t)version);
-		}
-		upstream->listed = false;
 		if (may_forget(upstream, now))
 			drop(fleet, upstream);
 	}
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -82,7 +82,8 @@
 struct fleet *fleet_new(void);
 void fleet_free(struct fleet *);
 void fleet_apply(struct fleet *, uint64_t version,
-    const struct upstream_report *, size_t count, struct timespec now);
+    const struct upstream_report *, size_t count, const char *const *removed,
+    size_t removed_count, struct timespec now);
 void fleet_set_takeouts(struct fleet *, const char *const *domains,
     size_t count, struct timespec now, int64_t cold_ms);
 struct upstream *fleet_find(const struct fleet *, const char *id);
--- /dev/null
+++ b/tests/test_object_set.c
@@ -0,0 +1,285 @@
+/*
+ * Objects of a kind and what has changed in them: what another process is told,
+ * and that it always ends with the same objects.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "platform/object_set.h"
+
+#define MODEL_NAMES   12
+#define MODEL_ROUNDS  4000
+#define MODEL_FOLLOWS 3
+
+/* Makes an object. */
+static json_t *
+object(const char *name, uint64_t revision)
+{
+	return json_pack("{s:{s:s, s:I}}", "Metadata", "Name", name, "Revision",
+	    (json_int_t)revision);
+}
+
+/* Holds an object. */
+static void
+put(struct object_set *set, const char *name, uint64_t revision)
+{
+	json_t *json = object(name, revision);
+
+	object_set_put(set, json);
+	json_decref(json);
+}
+
+/* Makes what has changed a version. */
+static void
+commit(struct object_set *set, uint64_t version)
+{
+	object_set_commit(set, version);
+	object_set_release(set);
+}
+
+/* Takes what another set wrote, as a process does that has a version. */
+static void
+take(struct object_set *set, const struct object_set *from, uint64_t have,
+    uint64_t version)
+{
+	uint64_t base;
+	g_autoptr(GString) text = object_set_write(from, have, &base);
+	g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
+	json_t *list = json_loads(text->str, 0, NULL);
+	json_t *item;
+	size_t i;
+
+	g_assert_true(json_is_array(list));
+	g_assert_true(base == 0 || base == have);
+	json_array_foreach (list, i, item) {
+		json_t *json = base == 0 ? item
+					 : json_object_get(item, "Object");
+
+		if (base != 0 &&
+		    json_is_true(json_object_get(item, "Tombstone"))) {
+			object_set_remove(set, object_name(json));
+			continue;
+		}
+		g_hash_table_add(names, (char *)object_name(json));
+		object_set_put(set, json);
+	}
+	if (base == 0)
+		object_set_keep_only(set, names);
+	json_decref(list);
+	commit(set, version);
+}
+
+/* Writes all of a set in the order of the names. */
+static char *
+state(const struct object_set *set)
+{
+	uint64_t base;
+	g_autoptr(GString) text = object_set_write(set, 0, &base);
+	json_t *list = json_loads(text->str, 0, NULL);
+	json_t *by_name = json_object();
+	json_t *item;
+	char *out;
+	size_t i;
+
+	json_array_foreach (list, i, item)
+		json_object_set(by_name, object_name(item), item);
+	out = json_dumps(by_name, JSON_SORT_KEYS);
+	json_decref(by_name);
+	json_decref(list);
+	return out;
+}
+
+/* Says whether two sets hold the same. */
+static bool
+is_same(const struct object_set *a, const struct object_set *b)
+{
+	char *one = state(a);
+	char *other = state(b);
+	bool same = strcmp(one, other) == 0;
+
+	free(one);
+	free(other);
+	return same;
+}
+
+/* Whoever has a version is told of what changed since, once each. */
+static void
+test_changes(void)
+{
+	struct object_set *set = object_set_new();
+	const struct object_changes *changes;
+	uint64_t base;
+	GString *text;
+
+	put(set, "a", 1);
+	put(set, "b", 2);
+	commit(set, 2);
+	put(set, "a", 3);
+	put(set, "a", 4);
+	object_set_remove(set, "b");
+	object_set_remove(set, "never there");
+	changes = object_set_commit(set, 4);
+	g_assert_cmpuint(changes->put_count, ==, 1);
+	g_assert_cmpuint(changes->removed_count, ==, 1);
+	g_assert_cmpstr(changes->removed[0], ==, "b");
+	object_set_release(set);
+	text = object_set_write(set, 2, &base);
+	g_assert_cmpuint(base, ==, 2);
+	g_assert_nonnull(strstr(text->str, "\"Revision\":4"));
+	g_assert_nonnull(
+	    strstr(text->str, "{\"Name\":\"b\"}},\"Tombstone\":true"));
+	g_string_free(text, TRUE);
+	text = object_set_write(set, 4, &base);
+	g_assert_cmpstr(text->str, ==, "[]");
+	g_string_free(text, TRUE);
+	object_set_free(set);
+}
+
+/* What is held already, or later, changes nothing. */
+static void
+test_held(void)
+{
+	struct object_set *set = object_set_new();
+
+	put(set, "a", 5);
+	commit(set, 7);
+	put(set, "a", 5);
+	put(set, "a", 4);
+	g_assert_false(object_set_is_changed(set));
+	put(set, "a", 6);
+	g_assert_true(object_set_is_changed(set));
+	object_set_free(set);
+}
+
+/* Whoever is behind the removals that are remembered gets the whole. */
+static void
+test_forgotten(void)
+{
+	struct object_set *set = object_set_new();
+	struct object_set *other = object_set_new();
+	uint64_t base;
+
+	put(set, "a", 1);
+	for (uint64_t i = 0; i <= OBJECT_SET_REMOVED_MAX; i++) {
+		g_autofree char *name = g_strdup_printf("n%d", (int)i);
+
+		put(set, name, 1);
+	}
+	commit(set, 2);
+	take(other, set, 0, 2);
+	for (uint64_t i = 0; i <= OBJECT_SET_REMOVED_MAX; i++) {
+		g_autofree char *name = g_strdup_printf("n%d", (int)i);
+
+		object_set_remove(set, name);
+		commit(set, 3 + i);
+	}
+	g_string_free(object_set_write(set, 2, &base), TRUE);
+	g_assert_cmpuint(base, ==, 0);
+	g_string_free(object_set_write(set, 3, &base), TRUE);
+	g_assert_cmpuint(base, ==, 3);
+	take(other, set, 2, 3 + OBJECT_SET_REMOVED_MAX);
+	g_assert_true(is_same(set, other));
+	object_set_free(other);
+	object_set_free(set);
+}
+
+/*
+ * A list of several pages may name what came after the version of its first.
+ * The event that follows is passed on although the object is held already.
+ */
+static void
+test_ahead(void)
+{
+	struct object_set *set = object_set_new();
+	struct object_set *other = object_set_new();
+
+	commit(other, 7);
+	put(set, "a", 8);
+	commit(set, 7);
+	put(set, "a", 8);
+	g_assert_true(object_set_is_changed(set));
+	commit(set, 8);
+	take(other, set, 7, 8);
+	g_assert_true(is_same(set, other));
+	object_set_free(other);
+	object_set_free(set);
+}
+
+/*
+ * An object that came and went while one set did not look is told of to a third
+ * that saw it come.
+ */
+static void
+test_unseen(void)
+{
+	struct object_set *sets[3];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sets); i++) {
+		sets[i] = object_set_new();
+		commit(sets[i], 1);
+	}
+	put(sets[0], "a", 2);
+	commit(sets[0], 2);
+	take(sets[2], sets[0], 1, 2);
+	object_set_remove(sets[0], "a");
+	commit(sets[0], 3);
+	take(sets[1], sets[0], 1, 3);
+	take(sets[2], sets[1], 2, 3);
+	g_assert_true(is_same(sets[2], sets[0]));
+	for (size_t i = 0; i < G_N_ELEMENTS(sets); i++)
+		object_set_free(sets[i]);
+}
+
+/*
+ * Sets that follow each other through random changes, each at its own pace,
+ * hold the same as the first whenever they have its version.
+ */
+static void
+test_model(void)
+{
+	struct object_set *sets[MODEL_FOLLOWS + 1];
+	uint64_t versions[MODEL_FOLLOWS + 1] = {1, 0, 0, 0};
+	uint64_t revision = 1;
+
+	for (size_t i = 0; i <= MODEL_FOLLOWS; i++)
+		sets[i] = object_set_new();
+	commit(sets[0], 1);
+	for (int round = 0; round < MODEL_ROUNDS; round++) {
+		g_autofree char *name = g_strdup_printf(
+		    "n%d", g_test_rand_int_range(0, MODEL_NAMES));
+		int to = g_test_rand_int_range(1, MODEL_FOLLOWS + 1);
+		int from = g_test_rand_int_range(0, MODEL_FOLLOWS + 1);
+
+		revision++;
+		if (g_test_rand_int_range(0, 3) == 0)
+			object_set_remove(sets[0], name);
+		else
+			put(sets[0], name, revision);
+		if (g_test_rand_int_range(0, 2) == 0) {
+			commit(sets[0], revision);
+			versions[0] = revision;
+		}
+		if (versions[0] != revision || versions[from] <= versions[to])
+			continue;
+		take(sets[to], sets[from], versions[to], versions[from]);
+		versions[to] = versions[from];
+		if (versions[to] == versions[0])
+			g_assert_true(is_same(sets[to], sets[0]));
+	}
+	for (size_t i = 0; i <= MODEL_FOLLOWS; i++)
+		object_set_free(sets[i]);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/object_set/changes", test_changes);
+	g_test_add_func("/object_set/held", test_held);
+	g_test_add_func("/object_set/forgotten", test_forgotten);
+	g_test_add_func("/object_set/ahead", test_ahead);
+	g_test_add_func("/object_set/unseen", test_unseen);
+	g_test_add_func("/object_set/model", test_model);
+	return g_test_run();
+}
