Gather changes of the platform's objects before asking again

Cause: each change ended each watcher's waiting call, and each change that a peer told of cancelled and began one; while upstreams start, or after an outage, changes come every few milliseconds.

Left: 31 gateways all watch at the start and while the store is away.

--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -277,6 +277,32 @@
 	tear_down(&f);
 }
 
+/* Changes that follow each other closely are asked for in one call. */
+static void
+test_gathered(void)
+{
+	static const struct watch_case c = {"",
+	    {{"servers", 200,
+		 "{\"Items\":[],\"HasMore\":false,\"StoreRevision\":7}"},
+		{"Watch=7", 200,
+		    "{\"events\":[{\"Object\":"
+		    "{\"Metadata\":{\"Name\":\"a\"}}}],"
+		    "\"StoreRevision\":8}"},
+		{"Watch=8", 0, NULL}},
+	    NULL, 0};
+	struct fixture f = {.c = &c};
+	struct timespec known;
+
+	set_up(&f);
+	while (f.version < 8)
+		ev_run(f.loop, EVRUN_ONCE);
+	known = clock_monotonic(clock_system());
+	run_to_last(&f);
+	g_assert_cmpint(time_diff_ms(clock_monotonic(clock_system()), known),
+	    >=, OBJECT_GATHER_MS / 2);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -289,5 +315,6 @@
 	}
 	g_test_add_func("/object_watch/peer", test_peer);
 	g_test_add_func("/object_watch/inactive", test_inactive);
+	g_test_add_func("/object_watch/gathered", test_gathered);
 	return g_test_run();
 }
