Let a prompt wait that nobody can take yet; choose readers by the part's length

Others were refused because the plan's readers were ranked without regard to the streams that the part would stop: with ten engines free it took some that write long streams and priced their delay above the prompt's worth.

Change: a prompt that nobody can take now waits at the gateway for a fifth of its time to a first token and is planned anew each 50 ms, its lateness counted from its arrival; after that it is told when to come back, as before. Readers are ranked anew for each number of parts by the streams that a part of that length makes late.

The new cases of test_gateway and test_balance fail without.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -77,6 +77,14 @@
 	    0);
 }
 
+/* Returns how long ago the request arrived. */
+int64_t
+exchange_age_ms(const struct exchange *exchange)
+{
+	return time_diff_ms(
+	    clock_monotonic(exchange->all->clock), exchange->arrived);
+}
+
 /* Writes the line that tells how a request ended. */
 void
 exchange_finish(struct exchange *exchange, const char *how)
@@ -91,6 +99,7 @@
 		return;
 	exchange->ended = true;
 	ev_timer_stop(exchange->all->loop, &exchange->timer);
+	ev_timer_stop(exchange->all->loop, &exchange->wait);
 	metric_observe(&answer_ms, took);
 	if (first >= 0)
 		metric_observe(&first_event_ms, first);
@@ -271,6 +280,8 @@
 	exchange->arrived = clock_monotonic(all->clock);
 	ev_init(&exchange->stall, exchange_stalled);
 	exchange->stall.data = exchange;
+	ev_init(&exchange->wait, exchange_waited);
+	exchange->wait.data = exchange;
 	ev_init(&exchange->timer, deadline_passed);
 	exchange->timer.data = exchange;
 	event_cut_init(&exchange->cut);
@@ -307,6 +318,7 @@
 	exchange_finish(exchange, whole ? "answered" : "caller_left");
 	ev_timer_stop(all->loop, &exchange->timer);
 	ev_timer_stop(all->loop, &exchange->stall);
+	ev_timer_stop(all->loop, &exchange->wait);
 	for (size_t i = 0; i < exchange->tries; i++)
 		g_free(exchange->tried[i]);
 	g_free(exchange->at_fault);
--- a/src/gateway/exchange_choice.c
+++ b/src/gateway/exchange_choice.c
@@ -104,6 +104,7 @@
 	    .output_tokens = exchange->head.output_tokens,
 	    .class = choice_stream_class(exchange),
 	    .target_ms = (double)exchange->route->target_ms,
+	    .waited_ms = (double)exchange_age_ms(exchange),
 	};
 }
 
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -61,6 +61,7 @@
 	struct timespec deadline; /* nobody waits any longer */
 	ev_timer timer; /* at the deadline */
 	ev_timer stall; /* an upstream that says nothing is given up */
+	ev_timer wait; /* before its prompt is planned once more */
 	struct caller_head head;
 	uint64_t fingerprint; /* of organisation, target and body */
 	struct routing_table *table; /* that it was routed by */
@@ -124,6 +125,8 @@
     int64_t retry_after_ms, const char *why);
 void exchange_finish(struct exchange *, const char *how);
 int64_t exchange_left_ms(const struct exchange *);
+int64_t exchange_age_ms(const struct exchange *);
+void exchange_waited(struct ev_loop *, ev_timer *, int events);
 
 extern const struct http_call_ops exchange_call_ops;
 
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -114,15 +114,6 @@
 	};
 }
 
-/* Returns what a reader costs by itself: the streams that it may delay. */
-static double
-reader(const struct balance_candidate *candidate)
-{
-	return candidate->streams[STREAM_SHORT] * BALANCE_SHORT_PAUSE_MS +
-	    candidate->backlog_ms +
-	    candidate->error_share * BALANCE_ERROR_COST_MS;
-}
-
 /* Returns what a prompt in time is worth, in short streams of the usual length.
  */
 static double
@@ -171,6 +162,28 @@
 	return streams;
 }
 
+/* Orders the candidates by what a part of such a length costs there. */
+static void
+rank_readers(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count, double part_ms,
+    struct rank *ranks)
+{
+	for (size_t i = 0; i < count; i++) {
+		const struct balance_candidate *one = &candidates[i];
+
+		ranks[i] = (struct rank){
+		    .index = i,
+		    .cost = delayed(profile, one, part_ms) * BALANCE_DELAY_MS +
+			one->streams[STREAM_SHORT] * BALANCE_NEAR_MS +
+			one->backlog_ms +
+			one->error_share * BALANCE_ERROR_COST_MS,
+		    .tie = one->tie,
+		};
+	}
+	if (count > 1)
+		qsort(ranks, count, sizeof(*ranks), compare);
+}
+
 /* Returns the cost of reading with the first so many of an order. */
 static double
 cost_of(const struct engine_profile *profile,
@@ -196,7 +209,8 @@
 	    reading_pass_ms(profile, candidates[ranks[0].index].running + 1,
 		candidates[ranks[0].index].context_tokens);
 	return total +
-	    lateness(*first_token_ms, prompt->target_ms) * worth_of(prompt);
+	    lateness(prompt->waited_ms + *first_token_ms, prompt->target_ms) *
+	    worth_of(prompt);
 }
 
 /* Returns how many tokens an engine has memory for beside what runs there. */
@@ -285,7 +299,7 @@
     const struct balance_candidate *candidates, size_t count, double whole_ms,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	g_autofree struct rank *ranks = rank_all(candidates, count, reader);
+	g_autofree struct rank *ranks = g_new(struct rank, count);
 	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
 	size_t best = 1;
 	size_t writer;
@@ -294,15 +308,20 @@
 
 	for (size_t parts = 1; parts <= max; parts++) {
 		double expected_ms;
-		double cost = cost_of(profile, candidates, ranks, parts,
-		    whole_ms, prompt, &expected_ms);
+		double cost;
 
+		rank_readers(profile, candidates, count,
+		    whole_ms / (double)parts, ranks);
+		cost = cost_of(profile, candidates, ranks, parts, whole_ms,
+		    prompt, &expected_ms);
 		if (parts > 1 && cost >= least)
 			continue;
 		least = cost;
 		best = parts;
 		first_token_ms = expected_ms;
 	}
+	rank_readers(
+	    profile, candidates, count, whole_ms / (double)best, ranks);
 	writer = find_shelter(
 	    profile, candidates, ranks, count, whole_ms / (double)best, prompt);
 	if (writer == 0)
@@ -351,13 +370,16 @@
     const struct balance_candidate *candidates, size_t count, double whole_ms,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	g_autofree struct rank *ranks = rank_all(candidates, count, reader);
+	g_autofree struct rank *ranks = g_new(struct rank, count);
 	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
 
 	for (size_t parts = plan->helper_count + 2; parts <= max; parts++) {
-		size_t writer = choose_writer(
-		    profile, candidates, ranks, parts, prompt);
+		size_t writer;
 
+		rank_readers(profile, candidates, count,
+		    whole_ms / (double)parts, ranks);
+		writer = choose_writer(
+		    profile, candidates, ranks, parts, prompt);
 		*plan = (struct balance_plan){
 		    .first = ranks[writer].index,
 		    .part_ms = whole_ms / (double)parts,
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -65,6 +65,12 @@
  * wait; beyond it, others keep away.
  */
 #define BALANCE_PART_COST 0.5
+/*
+ * Waiting that a reader without streams may have ahead in place of one that a
+ * part makes late, and of one short stream that is near.
+ */
+#define BALANCE_DELAY_MS 240.0
+#define BALANCE_NEAR_MS	 60.0
 /* Cost of one more reader, in late short streams: it may fail. */
 #define BALANCE_READER_COST 0.03
 /* Gain of each short stream that an engine writes already, the same way. */
@@ -98,6 +104,7 @@
 	uint64_t output_tokens;
 	enum stream_class class;
 	double target_ms; /* to its first token */
+	double waited_ms; /* since it arrived */
 };
 
 /* Whether a prompt is served now. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -14,6 +14,7 @@
 #define GUARD_S	       20.0
 #define BODY_MAX_BYTES 65536
 #define SETTLE_ROUNDS  20
+#define READING_US     3000000
 #define KEY	       "Bearer k1"
 
 #define CONFIG                                                               \
@@ -39,8 +40,13 @@
 	"{\"Name\":\"open\",\"Host\":\"h\",\"PathPrefix\":\"/open/\","       \
 	"\"Kind\":\"idempotent\",\"Public\":true,\"Service\":\"s\"},"        \
 	"{\"Name\":\"empty\",\"Host\":\"h\",\"PathPrefix\":\"/empty/\","     \
-	"\"Kind\":\"idempotent\",\"Service\":\"t\"}],"                       \
-	"\"Services\":[{\"Name\":\"s\"},{\"Name\":\"t\"}],"                  \
+	"\"Kind\":\"idempotent\",\"Service\":\"t\"},"                        \
+	"{\"Name\":\"prompt\",\"Host\":\"h\",\"PathPrefix\":\"/prompt/\","   \
+	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"LatencyTargetMs\":1000,"   \
+	"\"GapTargetMs\":1000,\"Attempts\":2,\"Service\":\"s\"}],"           \
+	"\"Services\":[{\"Name\":\"s\",\"Engine\":{\"Slots\":16,"            \
+	"\"KvTokens\":315000,\"read_per_s\":177000,\"pairs_per_m\":0.184}}," \
+	"{\"Name\":\"t\"}],"                                                 \
 	"\"Limits\":{\"BodyBytes\":1000},"                                   \
 	"\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\"]}]}"
 
@@ -120,6 +126,7 @@
 	bool done;
 	bool cut;
 	char *come_back;
+	const char *tokens; /* of the caller's prompt; NULL for none */
 };
 
 /* The gateway has a caller's request. */
@@ -277,6 +284,8 @@
 	    {"X-Own", "kept"},
 	    {"Connection", "X-Hop"},
 	    {"X-Hop", "dropped"},
+	    {f->tokens != NULL ? "Heatherturn-Token-Count" : "X-None",
+		f->tokens != NULL ? f->tokens : "0"},
 	    {"Authorization", key},
 	};
 	g_autofree char *url = g_strdup_printf(
@@ -423,6 +432,64 @@
 	tear_down(&f);
 }
 
+/* Gives all upstreams so much to read, as if a peer had sent it there. */
+static void
+set_reading(struct fixture *f, uint64_t reading_us)
+{
+	struct fleet *fleet = knowledge_fleet(f->exchanges.knowledge);
+	struct upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry)
+		upstream->peers.reading_us = reading_us;
+}
+
+/* The engines are free again. */
+static void
+free_engines(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	set_reading(timer->data, 0);
+}
+
+static const struct wait_case {
+	const char *name;
+	double free_after_s;
+	int status;
+} waits[] = {
+    {"a prompt in a burst waits until engines can read it", 0.1, 200},
+    {"one that nobody can read soon is told when to come back", 2.0, 503},
+};
+
+/*
+ * Runs one case: a prompt comes when all engines are to read for three seconds,
+ * which its first token has one for.
+ */
+static void
+test_wait(gconstpointer data)
+{
+	const struct wait_case *c = &waits[GPOINTER_TO_SIZE(data)];
+	static const enum standin_step steps[] = {STANDIN_EVENTS};
+	struct fixture f = {.tokens = "20000, 10"};
+	struct timespec began;
+	ev_timer timer;
+
+	set_up(&f);
+	standin_set_steps(f.standin, steps, 1);
+	learn(&f);
+	set_reading(&f, READING_US);
+	ev_timer_init(&timer, free_engines, c->free_after_s, 0.0);
+	timer.data = &f;
+	ev_timer_start(f.loop, &timer);
+	began = clock_monotonic(clock_system());
+	call(&f, "/prompt/x", KEY);
+	RUN_UNTIL(&f, f.done);
+	ev_timer_stop(f.loop, &timer);
+	g_assert_cmpint(f.status, ==, c->status);
+	g_assert_cmpint(f.come_back != NULL, ==, c->status == 503);
+	g_assert_cmpint(
+	    time_diff_ms(clock_monotonic(clock_system()), began), <, 1000);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -434,6 +501,12 @@
 
 		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_request);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
+		g_autofree char *path = g_strdup_printf(
+		    "/gateway/wait/%s", waits[i].name);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_wait);
+	}
 	g_test_add_func("/gateway/headers", test_headers);
 	g_test_add_func("/gateway/caller leaves", test_caller_leaves);
 	g_test_add_func("/gateway/long body", test_long_body);
