Take an engine for free once it should have read its part

Cause: every part of a prompt counted at its engine until the prompt's first token, which waits for the last of them. Under later prompts' parts that is seconds, while most of the engines had long read theirs: in bursts engines with nothing to read were counted with 400 to 700 ms.

Change: each engine has a time until which all known parts keep it reading; a part counts until that time and 400 ms for the passes of streams, or until the first token where that comes sooner.

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -101,12 +101,11 @@
 	return (int64_t)time.tv_sec * MS_PER_S + time.tv_nsec / NS_PER_MS;
 }
 
-/* Returns the point ms milliseconds after time; ms may be negative. */
-struct timespec
-time_add_ms(struct timespec time, int64_t ms)
+/* Returns the point ns nanoseconds, less than a second, after time. */
+static struct timespec
+add_ns(struct timespec time, long ns)
 {
-	time.tv_sec += ms / MS_PER_S;
-	time.tv_nsec += ms % MS_PER_S * NS_PER_MS;
+	time.tv_nsec += ns;
 	if (time.tv_nsec >= NS_PER_S) {
 		time.tv_sec++;
 		time.tv_nsec -= NS_PER_S;
@@ -117,6 +116,22 @@
 	return time;
 }
 
+/* Returns the point ms milliseconds after time; ms may be negative. */
+struct timespec
+time_add_ms(struct timespec time, int64_t ms)
+{
+	time.tv_sec += ms / MS_PER_S;
+	return add_ns(time, ms % MS_PER_S * NS_PER_MS);
+}
+
+/* Returns the point us microseconds after time; us may be negative. */
+struct timespec
+time_add_us(struct timespec time, int64_t us)
+{
+	time.tv_sec += us / US_PER_S;
+	return add_ns(time, us % US_PER_S * NS_PER_US);
+}
+
 /* Returns how many whole milliseconds lie between two points in time. */
 int64_t
 time_diff_ms(struct timespec later, struct timespec earlier)
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #define MS_PER_S  1000
+#define US_PER_S  1000000
 #define US_PER_MS 1000
 #define NS_PER_MS 1000000
 #define NS_PER_US 1000
@@ -42,6 +43,7 @@
 struct timespec time_from_ms(int64_t ms);
 int64_t time_to_ms(struct timespec);
 struct timespec time_add_ms(struct timespec, int64_t ms);
+struct timespec time_add_us(struct timespec, int64_t us);
 int64_t time_diff_ms(struct timespec later, struct timespec earlier);
 int64_t time_diff_us(struct timespec later, struct timespec earlier);
 bool time_before(struct timespec, struct timespec);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -282,6 +282,8 @@
 	exchange->stall.data = exchange;
 	ev_init(&exchange->wait, exchange_waited);
 	exchange->wait.data = exchange;
+	ev_init(&exchange->reading, exchange_part_due);
+	exchange->reading.data = exchange;
 	ev_init(&exchange->timer, deadline_passed);
 	exchange->timer.data = exchange;
 	event_cut_init(&exchange->cut);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -54,6 +54,12 @@
 	size_t ticket; /* index of its ticket */
 };
 
+/* An upstream that reads a part of the prompt, as long as it is expected to. */
+struct reader {
+	char *upstream;
+	struct timespec done;
+};
+
 struct exchange {
 	struct exchanges *all;
 	struct httpd_request *http;
@@ -78,9 +84,11 @@
 	struct http_call *call; /* NULL between two sends */
 	struct upstream *upstream; /* of the send that is open */
 	uint64_t context_tokens; /* counted at that upstream */
-	char *readers[BALANCE_HELPERS_MAX + 1]; /* ids, until the first token */
+	struct reader
+	    readers[BALANCE_HELPERS_MAX + 1]; /* until they have read */
 	size_t reader_count;
 	uint64_t part_us; /* that each of them reads */
+	ev_timer reading; /* until the next of them has read */
 	struct send_helper helpers[BALANCE_HELPERS_MAX];
 	size_t helper_count;
 	struct tickets *tickets; /* memory that is set aside; or NULL */
@@ -116,6 +124,7 @@
 void exchange_send_ended(struct exchange *, enum send_end);
 void exchange_stop_send(struct exchange *);
 void exchange_prompt_read(struct exchange *);
+void exchange_part_due(struct ev_loop *, ev_timer *, int events);
 void exchange_forget_partial(struct exchange *);
 void exchange_expect_progress(struct exchange *);
 void exchange_stalled(struct ev_loop *, ev_timer *, int events);
--- a/src/gateway/exchange_parts.c
+++ b/src/gateway/exchange_parts.c
@@ -1,6 +1,8 @@
 #include "gateway/exchange_choice.h"
 #include "gateway/exchange_internal.h"
 
+/* Beyond the time that reading takes, for the passes of streams between. */
+#define READING_SLACK_MS 400
 /* Shorter reading is not told to the peers: it is over before they need it. */
 #define TOLD_READING_MS 20.0
 
@@ -8,8 +10,60 @@
 static void
 add_reader(struct exchange *exchange, struct upstream *upstream)
 {
+	struct timespec now = clock_monotonic(exchange->all->clock);
+
 	upstream->own.reading_us += exchange->part_us;
-	exchange->readers[exchange->reader_count++] = g_strdup(upstream->id);
+	exchange->readers[exchange->reader_count++] = (struct reader){
+	    .upstream = g_strdup(upstream->id),
+	    .done = time_add_ms(
+		upstream_add_reading(upstream, exchange->part_us, now),
+		READING_SLACK_MS),
+	};
+}
+
+/* Takes a part off the account of the upstream that reads it. */
+static void
+drop_reader(struct exchange *exchange, size_t at)
+{
+	const struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
+	struct upstream *upstream = fleet_find(
+	    fleet, exchange->readers[at].upstream);
+
+	/* It may have gone and come back under its id. */
+	if (upstream != NULL)
+		upstream->own.reading_us -= MIN(
+		    exchange->part_us, upstream->own.reading_us);
+	g_free(exchange->readers[at].upstream);
+	exchange->readers[at] = exchange->readers[--exchange->reader_count];
+}
+
+/* Takes note of the parts that have been read, and waits for the next. */
+static void
+expect_parts(struct exchange *exchange)
+{
+	struct timespec now = clock_monotonic(exchange->all->clock);
+	int64_t next_ms = INT64_MAX;
+
+	ev_timer_stop(exchange->all->loop, &exchange->reading);
+	for (size_t i = exchange->reader_count; i-- > 0;) {
+		int64_t left_ms = time_diff_ms(exchange->readers[i].done, now);
+
+		if (left_ms <= 0)
+			drop_reader(exchange, i);
+		else
+			next_ms = MIN(next_ms, left_ms);
+	}
+	if (exchange->reader_count == 0)
+		return;
+	ev_timer_set(&exchange->reading, (double)next_ms / MS_PER_S, 0.0);
+	ev_timer_start(exchange->all->loop, &exchange->reading);
+}
+
+/* An upstream should have read its part. */
+void
+exchange_part_due(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	expect_parts(timer->data);
 }
 
 /* Counts the prompt at all that read it; the peers can't foresee a long one. */
@@ -17,33 +71,27 @@
 exchange_count_reading(struct exchange *exchange, const struct choice *choice,
     const struct balance_plan *plan)
 {
+	const char *ids[BALANCE_HELPERS_MAX + 1];
+
 	exchange->part_us = (uint64_t)(plan->part_ms * US_PER_MS);
 	add_reader(exchange, choice->upstreams[plan->first]);
 	for (size_t i = 0; i < plan->helper_count; i++)
 		add_reader(exchange, choice->upstreams[plan->helpers[i]]);
+	for (size_t i = 0; i < exchange->reader_count; i++)
+		ids[i] = exchange->readers[i].upstream;
 	if (plan->part_ms >= TOLD_READING_MS)
-		load_share_tell_reading(exchange->all->load_share,
-		    (const char *const *)exchange->readers,
+		load_share_tell_reading(exchange->all->load_share, ids,
 		    exchange->reader_count, plan->part_ms);
+	expect_parts(exchange);
 }
 
 /* Takes the prompt off those that read it, once it is read or given up. */
 void
 exchange_prompt_read(struct exchange *exchange)
 {
-	const struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
-
-	for (size_t i = 0; i < exchange->reader_count; i++) {
-		struct upstream *upstream = fleet_find(
-		    fleet, exchange->readers[i]);
-
-		/* It may have gone and come back under its id. */
-		if (upstream != NULL)
-			upstream->own.reading_us -= MIN(
-			    exchange->part_us, upstream->own.reading_us);
-		g_free(exchange->readers[i]);
-	}
-	exchange->reader_count = 0;
+	ev_timer_stop(exchange->all->loop, &exchange->reading);
+	while (exchange->reader_count > 0)
+		drop_reader(exchange, exchange->reader_count - 1);
 }
 
 /* Returns how much of a prompt its helpers keep. */
--- a/src/gateway/load_share.c
+++ b/src/gateway/load_share.c
@@ -147,8 +147,11 @@
 		struct upstream *upstream = fleet_find(share->fleet, id);
 
 		find_load(work, id)->reading_us += told->part_us;
-		if (upstream != NULL)
-			upstream->peers.reading_us += told->part_us;
+		if (upstream == NULL)
+			continue;
+		upstream->peers.reading_us += told->part_us;
+		upstream_add_reading(
+		    upstream, told->part_us, clock_monotonic(share->clock));
 	}
 	work->told_at = clock_monotonic(share->clock);
 }
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -259,3 +259,18 @@
 {
 	return upstream->own.reading_us + upstream->peers.reading_us;
 }
+
+/*
+ * Adds a part to what an upstream reads, by any process, and returns when all
+ * of it will have been read.
+ */
+struct timespec
+upstream_add_reading(
+    struct upstream *upstream, uint64_t part_us, struct timespec now)
+{
+	if (time_before(upstream->reads_until, now))
+		upstream->reads_until = now;
+	upstream->reads_until = time_add_us(
+	    upstream->reads_until, (int64_t)part_us);
+	return upstream->reads_until;
+}
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -58,6 +58,7 @@
 	/* Work that lies on it. */
 	struct upstream_load own; /* of this process's requests */
 	struct upstream_load peers; /* of other processes', as told */
+	struct timespec reads_until; /* all that it is known to read */
 
 	TAILQ_ENTRY(upstream) entry;
 };
@@ -92,6 +93,8 @@
     const struct fleet *, const struct upstream *, struct timespec now);
 void fleet_began(struct fleet *, struct upstream *, struct timespec now);
 uint64_t upstream_reading_us(const struct upstream *);
+struct timespec upstream_add_reading(
+    struct upstream *, uint64_t part_us, struct timespec now);
 void fleet_ended(struct fleet *, struct upstream *, struct timespec now);
 
 #endif
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -490,6 +490,40 @@
 	tear_down(&f);
 }
 
+/* Returns what this gateway counts as being read, at all upstreams. */
+static uint64_t
+own_reading_us(const struct fixture *f)
+{
+	const struct fleet *fleet = knowledge_fleet(f->exchanges.knowledge);
+	const struct upstream *upstream;
+	uint64_t total = 0;
+
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry)
+		total += upstream->own.reading_us;
+	return total;
+}
+
+/*
+ * An engine that should have read its part is not taken for busy although the
+ * prompt's first token waits for others.
+ */
+static void
+test_reading(void)
+{
+	static const enum standin_step steps[] = {STANDIN_HANG};
+	struct fixture f = {.tokens = "20000, 10"};
+
+	set_up(&f);
+	standin_set_steps(f.standin, steps, 1);
+	learn(&f);
+	call(&f, "/prompt/x", KEY);
+	RUN_UNTIL(&f, standin_arrivals(f.standin) == 1);
+	g_assert_cmpuint(own_reading_us(&f), >, 0);
+	RUN_UNTIL(&f, own_reading_us(&f) == 0);
+	g_assert_false(f.done);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -507,6 +541,7 @@
 
 		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_wait);
 	}
+	g_test_add_func("/gateway/reading", test_reading);
 	g_test_add_func("/gateway/headers", test_headers);
 	g_test_add_func("/gateway/caller leaves", test_caller_leaves);
 	g_test_add_func("/gateway/long body", test_long_body);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -282,6 +282,23 @@
 	fleet_free(fleet);
 }
 
+/* Parts are read one after the other, from the time that they come. */
+static void
+test_reads_until(void)
+{
+	struct upstream upstream = {0};
+	struct timespec now = time_from_ms(1000);
+
+	g_assert_cmpint(
+	    time_to_ms(upstream_add_reading(&upstream, 200000, now)), ==, 1200);
+	g_assert_cmpint(
+	    time_to_ms(upstream_add_reading(&upstream, 300000, now)), ==, 1500);
+	now = time_from_ms(9000);
+	g_assert_cmpint(
+	    time_to_ms(upstream_add_reading(&upstream, 1500000, now)), ==,
+	    10500);
+}
+
 /* Adds one test for each case of a table. */
 #define ADD_CASES(table, prefix, function)                         \
 	do {                                                       \
@@ -305,5 +322,6 @@
 	g_test_add_func("/fleet/new work", test_fleet);
 	g_test_add_func("/fleet/lapse", test_lapse);
 	g_test_add_func("/fleet/restart", test_restart);
+	g_test_add_func("/fleet/reads until", test_reads_until);
 	return g_test_run();
 }
