An experiment tool: the placement on modelled engines, in virtual time

The log of who reads what has shown how the engines work, so that they can be modelled: a pass takes all that waits at its start, parts of prompts the last first, each step a piece, and a stream's pause is the pass.

Not in the model: memory, engines that fail.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -48,6 +48,17 @@
 	metric_add(&sends_count, 1);
 }
 
+/* Names the upstreams that help, with spaces between; to be freed. */
+static char *
+name_helpers(const struct choice *choice, const struct balance_plan *plan)
+{
+	const char *ids[BALANCE_HELPERS_MAX + 1] = {NULL};
+
+	for (size_t i = 0; i < plan->helper_count; i++)
+		ids[i] = choice->upstreams[plan->helpers[i]]->id;
+	return g_strjoinv(" ", (char **)ids);
+}
+
 /* Writes the line of a decision. */
 static void
 log_send(const struct exchange *exchange, const struct choice *choice,
@@ -56,18 +67,20 @@
 	const struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
 	const struct balance_candidate *chosen = &choice
 						      ->candidates[plan->first];
+	g_autofree char *helpers = name_helpers(choice, plan);
 
 	LOG_INFO("request sent",
-	    "{s:s, s:s, s:s, s:i, s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:I, "
-	    "s:I}",
+	    "{s:s, s:s, s:s, s:i, s:I, s:i, s:s, s:f, s:i, s:i, s:i, s:i, s:I, "
+	    "s:I, s:I}",
 	    "request", exchange->head.request_id, "upstream",
 	    choice->upstreams[plan->first]->id, "route", exchange->route->name,
 	    "try", (int)exchange->tries, "prompt_tokens",
 	    (json_int_t)exchange->head.prompt_tokens, "helpers",
-	    (int)plan->helper_count, "candidates", (int)choice->count,
-	    "running", (int)chosen->running, "backlog_ms",
-	    (int)chosen->backlog_ms, "expected_ms", (int)plan->first_token_ms,
-	    "left_ms", (json_int_t)exchange_left_ms(exchange), "routes_version",
+	    (int)plan->helper_count, "helped_by", helpers, "part_ms",
+	    plan->part_ms, "candidates", (int)choice->count, "running",
+	    (int)chosen->running, "backlog_ms", (int)chosen->backlog_ms,
+	    "expected_ms", (int)plan->first_token_ms, "left_ms",
+	    (json_int_t)exchange_left_ms(exchange), "routes_version",
 	    (json_int_t)exchange->table->version, "list_version",
 	    (json_int_t)fleet->version);
 }
--- /dev/null
+++ b/tests/experiment/experiment.c
@@ -0,0 +1,211 @@
+/*
+ * Places seeded loads by the policy on a model of the engines, in virtual time,
+ * and prints what came of it; or holds the model against a gateway's log.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "fleet_model.h"
+#include "replay.h"
+#include "traffic.h"
+
+#define LOADS_DEFAULT	 "0.2,0.4,0.6,0.8,1.0"
+#define SEEDS_DEFAULT	 20
+#define SECONDS_DEFAULT	 30
+#define ENGINES_DEFAULT	 16
+#define GATEWAYS_DEFAULT 5
+/* A gateway's round, as src/gateway/load_share.h sets it. */
+#define ROUND_MS      100.0
+#define ROUND_PEER_MS 4.0
+
+/* The engines of the users' deployments. */
+static const struct engine_profile profile = {
+    .slots = 16,
+    .memory_tokens = 315000,
+    .stride = 51,
+    .step_ms = 0.85,
+    .writer_ms = 0.00425,
+    .context_ms = 0.00285,
+    .read_tokens_per_ms = 177.0,
+    .pairs_ms = 0.184,
+    .chunk_tokens = 2048,
+    .hop_ms = 0.05,
+};
+
+static struct {
+	char *loads;
+	int seeds;
+	int seconds;
+	int engines;
+	int gateways;
+	char *replay;
+	gboolean prompts;
+} options = {NULL, SEEDS_DEFAULT, SECONDS_DEFAULT, ENGINES_DEFAULT,
+    GATEWAYS_DEFAULT, NULL, FALSE};
+
+static const GOptionEntry entries[] = {
+    {"loads", 0, 0, G_OPTION_ARG_STRING, &options.loads,
+	"Loads; 1 keeps all engines reading (" LOADS_DEFAULT ")", "LIST"},
+    {"seeds", 0, 0, G_OPTION_ARG_INT, &options.seeds, "Runs of each load", "N"},
+    {"seconds", 0, 0, G_OPTION_ARG_INT, &options.seconds, "Length of a run",
+	"S"},
+    {"engines", 0, 0, G_OPTION_ARG_INT, &options.engines, "Engines", "N"},
+    {"gateways", 0, 0, G_OPTION_ARG_INT, &options.gateways, "Gateways", "N"},
+    {"prompts", 0, 0, G_OPTION_ARG_NONE, &options.prompts,
+	"Print each prompt in place of the loads", NULL},
+    {"replay", 0, 0, G_OPTION_ARG_FILENAME, &options.replay,
+	"Compare the model with a gateway's log", "FILE"},
+    {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+};
+
+/* What came of the prompts of one class. */
+struct outcome {
+	double asked; /* worth */
+	double earned;
+	size_t count;
+	size_t in_time;
+	size_t refused;
+};
+
+/* Adds up one run. */
+static void
+count(const GPtrArray *prompts, struct outcome outcomes[STREAM_CLASSES])
+{
+	for (size_t i = 0; i < prompts->len; i++) {
+		const struct prompt *prompt = prompts->pdata[i];
+		struct outcome *outcome = &outcomes[prompt->class];
+
+		outcome->count++;
+		outcome->asked += traffic_worth(prompt);
+		outcome->earned += traffic_earned(prompt);
+		outcome->in_time += traffic_in_time(prompt);
+		outcome->refused += prompt->planned_ms < 0.0;
+	}
+}
+
+/* Prints the prompts of a run. */
+static void
+print_prompts(const GPtrArray *prompts, double load)
+{
+	for (size_t i = 0; i < prompts->len; i++) {
+		const struct prompt *prompt = prompts->pdata[i];
+
+		printf("%.2f\t%s\t%" PRIu64 "\t%.0f\t%.0f\t%u\n", load,
+		    prompt_classes[prompt->class].name, prompt->tokens,
+		    prompt->first_ms < 0.0
+			? -1.0
+			: prompt->first_ms - prompt->arrived_ms,
+		    prompt->pause_ms, prompt->refusals);
+	}
+}
+
+/* Prints what came of a load. */
+static void
+print_load(double load, const struct outcome outcomes[STREAM_CLASSES])
+{
+	double asked = 0.0;
+	double earned = 0.0;
+
+	for (size_t i = 0; i < STREAM_CLASSES; i++) {
+		asked += outcomes[i].asked;
+		earned += outcomes[i].earned;
+	}
+	printf("%.2f\t%.4f", load, earned / asked);
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		printf("\t%.4f\t%.4f\t%.4f",
+		    outcomes[i].earned / outcomes[i].asked,
+		    (double)outcomes[i].in_time / (double)outcomes[i].count,
+		    (double)outcomes[i].refused / (double)outcomes[i].count);
+	printf("\n");
+}
+
+/* Runs one load with all seeds. */
+static void
+run_load(double load)
+{
+	const struct fleet_model_settings settings = {
+	    .profile = &profile,
+	    .engines = (size_t)options.engines,
+	    .gateways = (size_t)options.gateways,
+	    .round_ms = ROUND_MS + ROUND_PEER_MS * (options.gateways - 1),
+	};
+	struct outcome outcomes[STREAM_CLASSES] = {0};
+
+	for (int seed = 0; seed < options.seeds; seed++) {
+		GRand *random = g_rand_new_with_seed((guint32)seed);
+		g_autoptr(GPtrArray) prompts = traffic_make(&profile,
+		    settings.engines, load, options.seconds * 1000.0, random);
+
+		fleet_model_run(&settings, prompts, random);
+		count(prompts, outcomes);
+		if (options.prompts)
+			print_prompts(prompts, load);
+		g_rand_free(random);
+	}
+	if (!options.prompts)
+		print_load(load, outcomes);
+}
+
+/* Prints the names of the columns. */
+static void
+print_heading(void)
+{
+	if (options.prompts) {
+		printf("load\tclass\ttokens\tfirst_ms\tpause_ms\trefusals\n");
+		return;
+	}
+	printf("load\tworth");
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		printf("\t%s\tin_time\trefused", prompt_classes[i].name);
+	printf("\n");
+}
+
+/* Runs all loads. */
+static void
+run_loads(void)
+{
+	g_auto(GStrv) loads = g_strsplit(
+	    options.loads != NULL ? options.loads : LOADS_DEFAULT, ",", -1);
+
+	print_heading();
+	for (size_t i = 0; loads[i] != NULL; i++)
+		run_load(g_ascii_strtod(loads[i], NULL));
+}
+
+/* Says whether the options make sense. */
+static bool
+check_options(void)
+{
+	if (options.seeds > 0 && options.seconds > 0 && options.engines > 0 &&
+	    options.gateways > 0)
+		return true;
+	fprintf(stderr,
+	    "experiment: seeds, seconds, engines and gateways are "
+	    "whole numbers above 0\n");
+	return false;
+}
+
+int
+main(int argc, char **argv)
+{
+	g_autoptr(GOptionContext)
+	    context = g_option_context_new("- place loads on modelled engines");
+	g_autoptr(GError) error = NULL;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "experiment: %s\n", error->message);
+		return EXIT_FAILURE;
+	}
+	if (!check_options())
+		return EXIT_FAILURE;
+	if (options.replay == NULL) {
+		run_loads();
+		return EXIT_SUCCESS;
+	}
+	if (replay_log(&profile, options.replay, &error))
+		return EXIT_SUCCESS;
+	fprintf(stderr, "experiment: %s\n", error->message);
+	return EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/experiment/fleet_model.c
@@ -0,0 +1,270 @@
+#include "fleet_model.h"
+
+#include <string.h>
+
+#include "traffic.h"
+
+/* Steps of the model's clock. */
+#define TICK_MS 5.0
+/* The way from a gateway to an engine, or to another gateway. */
+#define HOP_MS 1.0
+/* As a gateway does: see src/gateway/exchange_send.c and exchange_parts.c. */
+#define WAIT_SHARE	 0.2
+#define WAIT_ROUND_MS	 50.0
+#define COME_BACK_MS	 500.0
+#define READING_SLACK_MS 400.0
+#define TOLD_READING_MS	 20.0
+/* A caller comes back once. */
+#define REFUSALS_MAX 2
+
+/* What one gateway has at an engine. */
+struct account {
+	uint32_t running;
+	uint32_t streams[STREAM_CLASSES];
+	uint64_t context_tokens;
+	double reading_ms;
+};
+
+struct gateway {
+	struct account *own; /* by engine */
+	struct account *told; /* the same, as the others know it */
+	double *reads_until_ms; /* by engine */
+	double round_at_ms;
+};
+
+struct model {
+	const struct fleet_model_settings *settings;
+	struct engine **engines;
+	struct gateway *gateways;
+	GRand *random;
+	double now_ms;
+};
+
+/* Describes an engine as a gateway sees it. */
+static struct balance_candidate
+describe(struct model *model, const struct gateway *gateway, size_t engine)
+{
+	struct balance_candidate candidate = {
+	    .slots = model->settings->profile->slots,
+	    .tie = g_rand_int(model->random),
+	};
+
+	for (size_t i = 0; i < model->settings->gateways; i++) {
+		const struct gateway *one = &model->gateways[i];
+		const struct account *account = one == gateway
+		    ? &one->own[engine]
+		    : &one->told[engine];
+
+		candidate.running += account->running;
+		candidate.backlog_ms += account->reading_ms;
+		candidate.context_tokens += account->context_tokens;
+		for (size_t j = 0; j < STREAM_CLASSES; j++)
+			candidate.streams[j] += account->streams[j];
+	}
+	return candidate;
+}
+
+/* Counts a prompt's stream at its engine, or takes it off. */
+static void
+count_stream(struct gateway *gateway, const struct prompt *prompt, int by)
+{
+	struct account *account = &gateway->own[prompt->readers[0]];
+
+	account->running += (uint32_t)by;
+	account->streams[prompt->class] += (uint32_t)by;
+	account->context_tokens += (uint64_t)((int64_t)prompt->tokens * by);
+}
+
+/* Counts the parts of a prompt; the others are told of long ones at once. */
+static void
+count_reading(
+    struct model *model, struct gateway *gateway, struct prompt *prompt)
+{
+	for (size_t i = 0; i < prompt->reader_count; i++) {
+		size_t engine = prompt->readers[i];
+		double *until = &gateway->reads_until_ms[engine];
+
+		*until = MAX(*until, model->now_ms) + prompt->part_ms;
+		prompt->counted_until_ms[i] = *until + READING_SLACK_MS;
+		gateway->own[engine].reading_ms += prompt->part_ms;
+		if (prompt->part_ms >= TOLD_READING_MS)
+			gateway->told[engine].reading_ms += prompt->part_ms;
+	}
+}
+
+/* Takes parts off that are read, or should be. */
+static void
+uncount_reading(
+    struct model *model, struct gateway *gateway, struct prompt *prompt)
+{
+	for (size_t i = 0; i < prompt->reader_count; i++) {
+		if (prompt->counted_until_ms[i] <= 0.0 ||
+		    (prompt->first_ms < 0.0 &&
+			prompt->counted_until_ms[i] > model->now_ms))
+			continue;
+		prompt->counted_until_ms[i] = 0.0;
+		gateway->own[prompt->readers[i]].reading_ms -= prompt->part_ms;
+	}
+}
+
+/* Sends a prompt as planned. */
+static void
+send(struct model *model, struct gateway *gateway, struct prompt *prompt,
+    const struct balance_plan *plan)
+{
+	prompt->planned_ms = model->now_ms;
+	prompt->expected_ms = plan->first_token_ms;
+	prompt->part_ms = plan->part_ms;
+	prompt->readers[prompt->reader_count++] = plan->first;
+	for (size_t i = 0; i < plan->helper_count; i++)
+		prompt->readers[prompt->reader_count++] = plan->helpers[i];
+	prompt->unread = prompt->reader_count;
+	for (size_t i = 0; i < prompt->reader_count; i++)
+		engine_add(model->engines[prompt->readers[i]], prompt, i,
+		    model->now_ms + HOP_MS);
+	count_stream(gateway, prompt, 1);
+	count_reading(model, gateway, prompt);
+}
+
+/* Tells a prompt's caller to come back; after the last time it gives up. */
+static void
+refuse(struct model *model, struct prompt *prompt, double wait_ms)
+{
+	prompt->over = ++prompt->refusals >= REFUSALS_MAX;
+	prompt->left = prompt->over;
+	prompt->tried_ms = model->now_ms + wait_ms + COME_BACK_MS;
+}
+
+/* Plans a prompt that has come, has waited or has come back. */
+static void
+plan(struct model *model, struct gateway *gateway, struct prompt *prompt)
+{
+	const struct fleet_model_settings *settings = model->settings;
+	g_autofree struct balance_candidate *candidates = g_new(
+	    struct balance_candidate, settings->engines);
+	const struct prompt_class *class = &prompt_classes[prompt->class];
+	double waited_ms = model->now_ms - prompt->tried_ms;
+	const struct balance_prompt asked = {
+	    .tokens = prompt->tokens,
+	    .output_tokens = (uint64_t)prompt->events *
+		settings->profile->stride,
+	    .class = prompt->class,
+	    .target_ms = class->target_ms,
+	    .waited_ms = waited_ms,
+	};
+	struct balance_plan plan;
+
+	for (size_t i = 0; i < settings->engines; i++)
+		candidates[i] = describe(model, gateway, i);
+	if (balance_prompt(settings->profile, candidates, settings->engines,
+		&asked, &plan) == BALANCE_SERVE)
+		send(model, gateway, prompt, &plan);
+	else if (waited_ms >= class->target_ms * WAIT_SHARE)
+		refuse(model, prompt, plan.wait_ms);
+}
+
+/* Looks after one prompt that is not over. */
+static void
+look_after(struct model *model, size_t at, struct prompt *prompt)
+{
+	struct gateway
+	    *gateway = &model->gateways[at % model->settings->gateways];
+	double since_ms = model->now_ms - prompt->tried_ms;
+
+	if (prompt->planned_ms < 0.0) {
+		if (since_ms < TICK_MS ||
+		    (int64_t)since_ms % (int64_t)WAIT_ROUND_MS < TICK_MS)
+			plan(model, gateway, prompt);
+		return;
+	}
+	if (prompt->unread == 0 && !prompt->writes) {
+		engine_write(
+		    model->engines[prompt->readers[0]], prompt, model->now_ms);
+		prompt->writes = true;
+	}
+	uncount_reading(model, gateway, prompt);
+	if (!prompt->over)
+		return;
+	count_stream(gateway, prompt, -1);
+	prompt->left = true;
+}
+
+/* Has a gateway tell the others what it has, when its round has come. */
+static void
+tell(struct model *model, struct gateway *gateway)
+{
+	if (model->now_ms < gateway->round_at_ms)
+		return;
+	gateway->round_at_ms = model->now_ms + model->settings->round_ms;
+	memcpy(gateway->told, gateway->own,
+	    model->settings->engines * sizeof(*gateway->own));
+}
+
+/* Makes gateways and engines. */
+static void
+set_up(struct model *model)
+{
+	const struct fleet_model_settings *settings = model->settings;
+
+	model->engines = g_new(struct engine *, settings->engines);
+	for (size_t i = 0; i < settings->engines; i++)
+		model->engines[i] = engine_new(settings->profile);
+	model->gateways = g_new0(struct gateway, settings->gateways);
+	for (size_t i = 0; i < settings->gateways; i++) {
+		struct gateway *gateway = &model->gateways[i];
+
+		gateway->own = g_new0(struct account, settings->engines);
+		gateway->told = g_new0(struct account, settings->engines);
+		gateway->reads_until_ms = g_new0(double, settings->engines);
+		gateway->round_at_ms = g_rand_double_range(
+		    model->random, 0.0, settings->round_ms);
+	}
+}
+
+/* Frees them. */
+static void
+tear_down(struct model *model)
+{
+	for (size_t i = 0; i < model->settings->engines; i++)
+		engine_free(model->engines[i]);
+	for (size_t i = 0; i < model->settings->gateways; i++) {
+		g_free(model->gateways[i].own);
+		g_free(model->gateways[i].told);
+		g_free(model->gateways[i].reads_until_ms);
+	}
+	g_free(model->engines);
+	g_free(model->gateways);
+}
+
+/*
+ * Serves prompts, which are in the order of their arrival, until the last is
+ * whole or its caller has given up.
+ */
+void
+fleet_model_run(const struct fleet_model_settings *settings, GPtrArray *prompts,
+    GRand *random)
+{
+	struct model model = {.settings = settings, .random = random};
+	size_t first = 0; /* that is not over */
+
+	set_up(&model);
+	while (first < prompts->len) {
+		model.now_ms += TICK_MS;
+		for (size_t i = 0; i < settings->engines; i++)
+			engine_run(model.engines[i], model.now_ms);
+		for (size_t i = 0; i < settings->gateways; i++)
+			tell(&model, &model.gateways[i]);
+		for (size_t i = first; i < prompts->len; i++) {
+			struct prompt *prompt = prompts->pdata[i];
+
+			if (prompt->arrived_ms > model.now_ms)
+				break;
+			if (prompt->tried_ms <= model.now_ms && !prompt->left)
+				look_after(&model, i, prompt);
+		}
+		while (first < prompts->len &&
+		    ((struct prompt *)prompts->pdata[first])->left)
+			first++;
+	}
+	tear_down(&model);
+}
--- /dev/null
+++ b/tests/experiment/replay.c
@@ -0,0 +1,256 @@
+#include "replay.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "engine.h"
+#include "traffic.h"
+
+#define TICK_MS 1.0
+/* Prompts of at least so many tokens are counted as the next class. */
+#define MEDIUM_TOKENS 14000
+#define LONG_TOKENS   75000
+
+/* One request of the log. */
+struct logged {
+	struct prompt prompt;
+	double sent_ms;
+	double first_ms; /* below 0 where it has none */
+	double pause_ms;
+};
+
+struct replay {
+	GHashTable *requests; /* id -> struct logged */
+	GHashTable *engines; /* id -> index + 1 */
+	GPtrArray *order; /* of struct logged, by time sent */
+};
+
+/* Returns a text member; "" where there is none. */
+static const char *
+text_of(const json_t *line, const char *member)
+{
+	const char *text = json_string_value(json_object_get(line, member));
+
+	return text != NULL ? text : "";
+}
+
+/* Returns a number member; 0 where there is none. */
+static double
+number_of(const json_t *line, const char *member)
+{
+	return json_number_value(json_object_get(line, member));
+}
+
+/* Returns the index of an engine, which is met for the first time or not. */
+static size_t
+engine_index(struct replay *replay, const char *id)
+{
+	size_t next = g_hash_table_size(replay->engines);
+	size_t index = GPOINTER_TO_SIZE(
+	    g_hash_table_lookup(replay->engines, id));
+
+	if (index > 0)
+		return index - 1;
+	g_hash_table_insert(
+	    replay->engines, g_strdup(id), GSIZE_TO_POINTER(next + 1));
+	return next;
+}
+
+/* Takes the line of a prompt that was sent. */
+static void
+take_sent(struct replay *replay, const json_t *line, double now_ms)
+{
+	g_auto(GStrv) helpers = g_strsplit(text_of(line, "helped_by"), " ", 0);
+	struct logged *logged = g_new0(struct logged, 1);
+	struct prompt *prompt = &logged->prompt;
+
+	prompt->tokens = (uint64_t)number_of(line, "prompt_tokens");
+	prompt->class = prompt->tokens < MEDIUM_TOKENS ? STREAM_SHORT
+	    : prompt->tokens < LONG_TOKENS	       ? STREAM_MEDIUM
+						       : STREAM_LONG;
+	prompt->part_ms = number_of(line, "part_ms");
+	prompt->first_ms = -1.0;
+	prompt->readers[prompt->reader_count++] = engine_index(
+	    replay, text_of(line, "upstream"));
+	for (size_t i = 0;
+	     helpers[i] != NULL && prompt->reader_count < PROMPT_READERS_MAX;
+	     i++)
+		prompt->readers[prompt->reader_count++] = engine_index(
+		    replay, helpers[i]);
+	prompt->unread = prompt->reader_count;
+	logged->sent_ms = now_ms;
+	logged->first_ms = -1.0;
+	g_hash_table_replace(
+	    replay->requests, g_strdup(text_of(line, "request")), logged);
+}
+
+/* Takes the line of a request that ended. */
+static void
+take_ended(struct replay *replay, const json_t *line, double now_ms)
+{
+	struct logged *logged = g_hash_table_lookup(
+	    replay->requests, text_of(line, "request"));
+
+	if (logged == NULL)
+		return;
+	logged->prompt.events = (uint32_t)MAX(
+	    number_of(line, "last_event"), 1.0);
+	logged->pause_ms = number_of(line, "longest_pause_ms");
+	if (number_of(line, "first_event_ms") >= 0.0)
+		logged->first_ms = now_ms - number_of(line, "took_ms") +
+		    number_of(line, "first_event_ms");
+	g_ptr_array_add(replay->order, logged);
+}
+
+/* Takes one line, whatever stands before its JSON. */
+static void
+take_line(struct replay *replay, const char *text)
+{
+	const char *begin = strchr(text, '{');
+	json_t *line = begin == NULL
+	    ? NULL
+	    : json_loads(begin, JSON_DISABLE_EOF_CHECK, NULL);
+	g_autoptr(GDateTime) time = NULL;
+	double now_ms;
+
+	if (line != NULL)
+		time = g_date_time_new_from_iso8601(
+		    text_of(line, "time"), NULL);
+	if (time != NULL) {
+		now_ms = (double)g_date_time_to_unix(time) * MS_PER_S +
+		    g_date_time_get_microsecond(time) / (double)US_PER_MS;
+		if (strcmp(text_of(line, "text"), "request sent") == 0 &&
+		    number_of(line, "prompt_tokens") > 0.0)
+			take_sent(replay, line, now_ms);
+		else if (strcmp(text_of(line, "text"), "request ended") == 0)
+			take_ended(replay, line, now_ms);
+	}
+	json_decref(line);
+}
+
+/* Orders requests by the time at which they were sent. */
+static int
+compare(const void *a, const void *b)
+{
+	const struct logged *left = *(const struct logged *const *)a;
+	const struct logged *right = *(const struct logged *const *)b;
+
+	return (left->sent_ms > right->sent_ms) -
+	    (left->sent_ms < right->sent_ms);
+}
+
+/* Has model engines serve the prompts as they were sent. */
+static void
+serve(struct replay *replay, const struct engine_profile *profile)
+{
+	size_t count = g_hash_table_size(replay->engines);
+	g_autofree struct engine **engines = g_new(struct engine *, count + 1);
+	const struct logged *last;
+	double now_ms;
+	size_t next = 0;
+
+	if (replay->order->len == 0)
+		return;
+	for (size_t i = 0; i < count; i++)
+		engines[i] = engine_new(profile);
+	last = replay->order->pdata[replay->order->len - 1];
+	now_ms = ((struct logged *)replay->order->pdata[0])->sent_ms;
+	for (; now_ms < last->sent_ms + 30.0 * MS_PER_S; now_ms += TICK_MS) {
+		for (size_t i = 0; i < count; i++)
+			engine_run(engines[i], now_ms);
+		while (next < replay->order->len) {
+			struct logged *logged = replay->order->pdata[next];
+
+			if (logged->sent_ms > now_ms)
+				break;
+			next++;
+			for (size_t i = 0; i < logged->prompt.reader_count; i++)
+				engine_add(engines[logged->prompt.readers[i]],
+				    &logged->prompt, i, now_ms);
+		}
+		for (size_t i = 0; i < next; i++) {
+			struct logged *logged = replay->order->pdata[i];
+
+			if (logged->prompt.unread > 0 || logged->prompt.writes)
+				continue;
+			logged->prompt.writes = true;
+			engine_write(engines[logged->prompt.readers[0]],
+			    &logged->prompt, now_ms);
+		}
+	}
+	for (size_t i = 0; i < count; i++)
+		engine_free(engines[i]);
+}
+
+/* Prints how far the model is off for one class. */
+static void
+print_class(const struct replay *replay, enum stream_class class)
+{
+	double error = 0.0, off = 0.0, pause_off = 0.0, took = 0.0;
+	size_t in_time = 0, agreed = 0;
+	size_t count = 0;
+
+	for (size_t i = 0; i < replay->order->len; i++) {
+		const struct logged *logged = replay->order->pdata[i];
+		const struct prompt *prompt = &logged->prompt;
+		double target_ms = prompt_classes[class].target_ms;
+		double real_ms = logged->first_ms - logged->sent_ms;
+		double model_ms = prompt->first_ms - logged->sent_ms;
+
+		if (prompt->class != class || logged->first_ms < 0.0 ||
+		    prompt->first_ms < 0.0)
+			continue;
+		count++;
+		took += real_ms;
+		error += model_ms - real_ms;
+		off += fabs(model_ms - real_ms);
+		pause_off += fabs(prompt->pause_ms - logged->pause_ms);
+		in_time += real_ms <= target_ms;
+		agreed += (real_ms <= target_ms) == (model_ms <= target_ms);
+	}
+	if (count == 0)
+		return;
+	printf("%s\t%zu\t%.0f\t%+.0f\t%.0f\t%.0f\t%.3f\t%.3f\n",
+	    prompt_classes[class].name, count, took / (double)count,
+	    error / (double)count, off / (double)count,
+	    pause_off / (double)count, (double)in_time / (double)count,
+	    (double)agreed / (double)count);
+}
+
+/*
+ * Reads gateways' log lines, each at the end of a line of a file, and prints
+ * the model's error for each class. False where the file can't be read.
+ */
+bool
+replay_log(
+    const struct engine_profile *profile, const char *path, GError **error)
+{
+	struct replay replay = {0};
+	g_autofree char *text = NULL;
+	char *line, *rest;
+
+	if (!g_file_get_contents(path, &text, NULL, error))
+		return false;
+	replay.requests = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, NULL);
+	replay.engines = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, NULL);
+	replay.order = g_ptr_array_new();
+	for (line = strtok_r(text, "\n", &rest); line != NULL;
+	     line = strtok_r(NULL, "\n", &rest))
+		take_line(&replay, line);
+	g_ptr_array_sort(replay.order, compare);
+	serve(&replay, profile);
+	printf("class\tprompts\tfirst_ms\terror_ms\toff_ms\tpause_off_ms\t"
+	       "in_time\tagreed\n");
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		print_class(&replay, (enum stream_class)i);
+	g_ptr_array_unref(replay.order);
+	g_hash_table_unref(replay.engines);
+	g_hash_table_unref(replay.requests);
+	return true;
+}
--- /dev/null
+++ b/tests/experiment/traffic.c
@@ -0,0 +1,131 @@
+#include "traffic.h"
+
+#include <math.h>
+
+#include "base/clock.h"
+
+/* Waves of the load: part by which it swings, and their length. */
+#define WAVE_SWING 0.3
+#define WAVE_MS	   11000.0
+/* Prompts whose reading is averaged to find the load of one prompt. */
+#define SAMPLES 20000
+
+/* As the sheets of the users' deployments state them. */
+const struct prompt_class prompt_classes[STREAM_CLASSES] = {
+    [STREAM_SHORT] = {"short", 0.925, 4960, 0.9, 23800, 33, 300, 250, 10000,
+	1.3, 0.33},
+    [STREAM_MEDIUM] = {"medium", 0.047, 45000, 0.5, 110000, 20, 1500, 600,
+	10000, 4.2, 1.0},
+    [STREAM_LONG] = {"long", 0.028, 154000, 0.55, 700000, 16, 3000, 1000, 15000,
+	21.0, 5.2},
+};
+
+/* Returns a random number of a lognormal distribution by its mean. */
+static double
+lognormal(GRand *random, double mean, double spread)
+{
+	double radius = sqrt(-2.0 * log(1.0 - g_rand_double(random)));
+	double normal = radius * cos(2.0 * G_PI * g_rand_double(random));
+
+	return mean * exp(spread * normal - spread * spread / 2.0);
+}
+
+/* Makes one prompt of a random class. */
+static struct prompt *
+make_prompt(GRand *random, double arrived_ms)
+{
+	struct prompt *prompt = g_new0(struct prompt, 1);
+	double pick = g_rand_double(random);
+	size_t class = 0;
+
+	while (
+	    class + 1 < STREAM_CLASSES && pick >= prompt_classes[class].share)
+		pick -= prompt_classes[class ++].share;
+	prompt->class = (enum stream_class) class;
+	prompt->tokens = (uint64_t)MIN(
+	    lognormal(random, prompt_classes[class].tokens,
+		prompt_classes[class].spread),
+	    prompt_classes[class].tokens_max);
+	prompt->events = (uint32_t)MAX(
+	    lognormal(random, prompt_classes[class].events, 0.6), 1.0);
+	prompt->arrived_ms = arrived_ms;
+	prompt->tried_ms = arrived_ms;
+	prompt->planned_ms = -1.0;
+	prompt->first_ms = -1.0;
+	return prompt;
+}
+
+/* Returns how long one engine reads a prompt of the mix, in the mean. */
+double
+traffic_engine_ms(const struct engine_profile *profile)
+{
+	GRand *random = g_rand_new_with_seed(0);
+	double total = 0.0;
+
+	for (int i = 0; i < SAMPLES; i++) {
+		struct prompt *prompt = make_prompt(random, 0.0);
+
+		total += reading_ms(profile, prompt->tokens);
+		g_free(prompt);
+	}
+	g_rand_free(random);
+	return total / SAMPLES;
+}
+
+/*
+ * Makes the prompts of a while, by arrival: a load of 1 keeps all engines
+ * reading. The caller frees the array, which frees the prompts.
+ */
+GPtrArray *
+traffic_make(const struct engine_profile *profile, size_t engines, double load,
+    double length_ms, GRand *random)
+{
+	GPtrArray *prompts = g_ptr_array_new_with_free_func(g_free);
+	double mean_gap_ms = traffic_engine_ms(profile) /
+	    ((double)engines * load);
+	double now_ms = 0.0;
+
+	while (now_ms < length_ms) {
+		double wave = 1.0 +
+		    WAVE_SWING * sin(2.0 * G_PI * now_ms / WAVE_MS);
+
+		now_ms -= log(1.0 - g_rand_double(random)) * mean_gap_ms / wave;
+		g_ptr_array_add(prompts, make_prompt(random, now_ms));
+	}
+	return prompts;
+}
+
+/* Returns what a prompt is worth in time. */
+double
+traffic_worth(const struct prompt *prompt)
+{
+	const struct prompt_class *class = &prompt_classes[prompt->class];
+	double size = WORTH_FIXED +
+	    (1.0 - WORTH_FIXED) * (double)prompt->tokens / class->tokens;
+
+	return class->worth * MIN(size, WORTH_TIMES_MAX);
+}
+
+/* Says whether a prompt's answer came in time, its pauses included. */
+bool
+traffic_in_time(const struct prompt *prompt)
+{
+	const struct prompt_class *class = &prompt_classes[prompt->class];
+
+	return prompt->first_ms >= 0.0 &&
+	    prompt->first_ms - prompt->arrived_ms <= class->target_ms &&
+	    prompt->pause_ms <= class->gap_ms;
+}
+
+/* Returns what it earned. */
+double
+traffic_earned(const struct prompt *prompt)
+{
+	const struct prompt_class *class = &prompt_classes[prompt->class];
+
+	if (prompt->first_ms < 0.0 ||
+	    prompt->first_ms - prompt->arrived_ms > class->deadline_ms)
+		return 0.0;
+	return traffic_worth(prompt) *
+	    (traffic_in_time(prompt) ? 1.0 : class->late_worth / class->worth);
+}
