--- a/tests/experiment/experiment.c
+++ b/tests/experiment/experiment.c
@@ -9,6 +9,7 @@
 #include "fleet_model.h"
 #include "replay.h"
 #include "traffic.h"
+#include "users_engine.h"
 
 #define LOADS_DEFAULT	 "0.2,0.4,0.6,0.8,1.0"
 #define SEEDS_DEFAULT	 20
@@ -19,20 +20,6 @@
 #define ROUND_MS      100.0
 #define ROUND_PEER_MS 4.0
 
-/* The engines of the users' deployments. */
-static const struct engine_profile profile = {
-    .slots = 16,
-    .memory_tokens = 315000,
-    .stride = 51,
-    .step_ms = 0.85,
-    .writer_ms = 0.00425,
-    .context_ms = 0.00285,
-    .read_tokens_per_ms = 177.0,
-    .pairs_ms = 0.184,
-    .chunk_tokens = 2048,
-    .hop_ms = 0.05,
-};
-
 static struct {
 	char *loads;
 	int seeds;
@@ -125,7 +112,7 @@
 run_load(double load)
 {
 	const struct fleet_model_settings settings = {
-	    .profile = &profile,
+	    .profile = &users_engine,
 	    .engines = (size_t)options.engines,
 	    .gateways = (size_t)options.gateways,
 	    .round_ms = ROUND_MS + ROUND_PEER_MS * (options.gateways - 1),
@@ -134,7 +121,7 @@
 
 	for (int seed = 0; seed < options.seeds; seed++) {
 		GRand *random = g_rand_new_with_seed((guint32)seed);
-		g_autoptr(GPtrArray) prompts = traffic_make(&profile,
+		g_autoptr(GPtrArray) prompts = traffic_make(&users_engine,
 		    settings.engines, load, options.seconds * 1000.0, random);
 
 		fleet_model_run(&settings, prompts, random);
@@ -204,7 +191,7 @@
 		run_loads();
 		return EXIT_SUCCESS;
 	}
-	if (replay_log(&profile, options.replay, &error))
+	if (replay_log(&users_engine, options.replay, &error))
 		return EXIT_SUCCESS;
 	fprintf(stderr, "experiment: %s\n", error->message);
 	return EXIT_FAILURE;
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -9,23 +9,10 @@
 #include <glib.h>
 
 #include "policy/balance.h"
+#include "users_engine.h"
 
 #define ENGINES 16
 
-/* The engines of the users' deployments. */
-static const struct engine_profile profile = {
-    .slots = 16,
-    .memory_tokens = 315000,
-    .stride = 51,
-    .step_ms = 0.85,
-    .writer_ms = 0.00425,
-    .context_ms = 0.00285,
-    .read_tokens_per_ms = 177.0,
-    .pairs_ms = 0.184,
-    .chunk_tokens = 2048,
-    .hop_ms = 0.05,
-};
-
 /* One engine's state in a case. */
 struct engine {
 	uint32_t running;
@@ -96,7 +83,7 @@
 {
 	for (size_t i = 0; i < count; i++)
 		candidates[i] = (struct balance_candidate){
-		    .slots = profile.slots,
+		    .slots = users_engine.slots,
 		    .running = engines[i].running,
 		    .backlog_ms = engines[i].backlog_ms,
 		    .context_tokens = engines[i].context_tokens,
@@ -136,8 +123,8 @@
 
 	fill(candidates, c->engines, c->count);
 	g_assert_cmpint(
-	    balance_prompt(&profile, candidates, c->count, &prompt, &plan), ==,
-	    c->verdict);
+	    balance_prompt(&users_engine, candidates, c->count, &prompt, &plan),
+	    ==, c->verdict);
 	if (c->verdict != BALANCE_SERVE)
 		return;
 	if (c->first >= 0)
@@ -203,7 +190,7 @@
 {
 	for (size_t i = 0; i < ENGINES; i++)
 		candidates[i] = (struct balance_candidate){
-		    .slots = profile.slots,
+		    .slots = users_engine.slots,
 		    .running = replay->engines[i].running,
 		    .backlog_ms = replay->engines[i].backlog_ms,
 		    .streams = {[STREAM_SHORT] = replay->engines[i].running},
@@ -235,8 +222,8 @@
 		if (candidates[i].running < candidates[least].running)
 			least = i;
 	}
-	*plan = (struct balance_plan){
-	    .first = least, .part_ms = reading_ms(&profile, prompt->tokens)};
+	*plan = (struct balance_plan){.first = least,
+	    .part_ms = reading_ms(&users_engine, prompt->tokens)};
 	if (prompt->class == STREAM_SHORT)
 		return;
 	plan->part_ms /= ENGINES;
@@ -262,7 +249,7 @@
 		replay->long_count++;
 	if (replay->strategy == STRATEGY_SPREAD) {
 		spread(candidates, prompt, &plan);
-	} else if (balance_prompt(&profile, candidates, ENGINES, prompt,
+	} else if (balance_prompt(&users_engine, candidates, ENGINES, prompt,
 		       &plan) != BALANCE_SERVE) {
 		replay->long_refused++;
 		return;
@@ -375,7 +362,7 @@
 {
 	for (size_t i = 0; i < ENGINES; i++) {
 		candidates[i] = (struct balance_candidate){
-		    .slots = profile.slots, .tie = (uint32_t)i};
+		    .slots = users_engine.slots, .tie = (uint32_t)i};
 		for (size_t j = 0; j < burst->count; j++)
 			candidates[i].backlog_ms += burst->prompts[j]
 							.left_ms[i];
@@ -397,7 +384,7 @@
 	};
 
 	observe_burst(burst, candidates);
-	if (balance_prompt(&profile, candidates, ENGINES, &asked, &plan) !=
+	if (balance_prompt(&users_engine, candidates, ENGINES, &asked, &plan) !=
 	    BALANCE_SERVE) {
 		prompt->over = asked.waited_ms >=
 		    BURST_TARGET_MS * BURST_WAIT_SHARE;
@@ -514,10 +501,10 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sheet); i++)
 		g_assert_cmpfloat_with_epsilon(
-		    reading_ms(&profile, sheet[i].tokens), sheet[i].ms,
+		    reading_ms(&users_engine, sheet[i].tokens), sheet[i].ms,
 		    sheet[i].ms * 0.03);
 	g_assert_cmpfloat_with_epsilon(
-	    reading_pass_ms(&profile, 0, 0), 51 * 0.85, 0.01);
+	    reading_pass_ms(&users_engine, 0, 0), 51 * 0.85, 0.01);
 }
 
 int
--- /dev/null
+++ b/tests/test_edge_fuzz.c
@@ -0,0 +1,183 @@
+/*
+ * Decoders at the platform's edge under random damage, seeded: whatever the
+ * store, a peer or an upstream sends is refused or read, never worse.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "gateway/event_cut.h"
+#include "platform/decode.h"
+#include "platform/object_set.h"
+
+#define ROUNDS	  4000
+#define FLIPS_MAX 6
+
+static const char routes[] =
+    "[{\"Metadata\":{\"Name\":\"main\",\"Revision\":4},\"Spec\":{\"Version\":7,"
+    "\"Routes\":[{\"Name\":\"r\",\"Host\":\"a.example\",\"PathPrefix\":\"/a/\","
+    "\"Kind\":\"stream\",\"TimeoutMs\":900,\"CanResume\":true,\"Attempts\":2,"
+    "\"Split\":[{\"Service\":\"s\",\"Weight\":9},{\"Service\":\"t\"}]}],"
+    "\"Services\":[{\"Name\":\"s\",\"ColdS\":1.5,\"ColdPerS\":26,"
+    "\"Engine\":{\"read_per_s\":177000,\"KvTokens\":9,\"Slots\":4}}],"
+    "\"Limits\":{\"BodyBytes\":100},"
+    "\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\"],\"Priority\":3}]}}]";
+
+static const char upstreams[] =
+    "[{\"Metadata\":{\"Name\":\"i-1\",\"Revision\":9},\"Spec\":{\"Service\":"
+    "\"s\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"z\",\"State\":\"ready\","
+    "\"Slots\":16,\"ColdMs\":30,\"born\":1234567}},"
+    "{\"Metadata\":{\"Name\":\"i-2\",\"Revision\":8},\"Spec\":{\"Service\":"
+    "\"s\",\"Address\":\"127.0.0.1:2\",\"Zone\":\"y\",\"State\":\"draining\"}}"
+    "]";
+
+static const char events[] = "id: 1\ndata: {\"a\":1}\n\nid: 2\ndata: b\n\n"
+			     ": comment\n\nid: 3\r\ndata: c\r\n\r\nid: 4\n";
+
+/* Values that take the place of a byte more often than others. */
+static const char sharp[] = "{}[]\",:0-9.eE\\ntu\n\r ";
+
+/* Copies a text with some bytes changed and maybe its end cut off. */
+static char *
+damage(const char *text, size_t *length)
+{
+	char *copy = g_strdup(text);
+	int flips = g_test_rand_int_range(0, FLIPS_MAX + 1);
+
+	*length = strlen(text);
+	for (int i = 0; i < flips; i++)
+		copy[g_test_rand_int_range(0, (gint32)*length)] =
+		    g_test_rand_int_range(0, 3) == 0
+		    ? (char)g_test_rand_int_range(1, 256)
+		    : sharp[g_test_rand_int_range(0, sizeof(sharp) - 1)];
+	if (g_test_rand_int_range(0, 4) == 0)
+		*length = (size_t)g_test_rand_int_range(0, (gint32)*length + 1);
+	return copy;
+}
+
+/* Reads a damaged list of objects; NULL where it is none. */
+static json_t *
+damaged_list(const char *text)
+{
+	size_t length;
+	g_autofree char *copy = damage(text, &length);
+	json_t *list = json_loadb(copy, length, 0, NULL);
+
+	if (json_is_array(list))
+		return list;
+	json_decref(list);
+	return NULL;
+}
+
+/* Holds what of a list has names, as the watch does. */
+static void
+put_all(struct object_set *set, const json_t *list)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (list, i, item) {
+		if (object_name(item) != NULL)
+			object_set_put(set, item);
+	}
+}
+
+/* Damaged objects of both kinds are read or left out. */
+static void
+test_objects(void)
+{
+	size_t read = 0;
+
+	for (int round = 0; round < ROUNDS; round++) {
+		struct object_set *set = object_set_new();
+		const struct object_changes *changes;
+		struct upstream_reports reports;
+		g_autoptr(GError) error = NULL;
+		struct routing_table *table;
+		json_t *list = damaged_list(
+		    round % 2 == 0 ? routes : upstreams);
+
+		if (list != NULL)
+			put_all(set, list);
+		json_decref(list);
+		changes = object_set_commit(set, 1);
+		table = decode_routes(changes, &error);
+		g_assert_true((table == NULL) == (error != NULL));
+		reports = decode_upstreams(changes);
+		read += reports.items->len + (table != NULL);
+		decode_upstreams_clear(&reports);
+		if (table != NULL)
+			routing_table_unref(table);
+		object_set_free(set);
+	}
+	g_assert_cmpuint(read, >, 0);
+}
+
+/* What a set writes of damaged objects is read back as it was. */
+static void
+test_written(void)
+{
+	for (int round = 0; round < ROUNDS; round++) {
+		struct object_set *set = object_set_new();
+		json_t *list = damaged_list(upstreams);
+		g_autoptr(GString) text = NULL;
+		uint64_t base;
+
+		if (list != NULL)
+			put_all(set, list);
+		json_decref(list);
+		object_set_remove(set, "i-1");
+		object_set_commit(set, 2);
+		text = object_set_write(set, 1, &base);
+		list = json_loadb(text->str, text->len, 0, NULL);
+		g_assert_true(json_is_array(list));
+		json_decref(list);
+		object_set_free(set);
+	}
+}
+
+/* Keeps an event that is passed on. */
+static void
+take_event(
+    void *data, const uint8_t *bytes, size_t length, bool has_id, uint64_t id)
+{
+	g_byte_array_append(data, bytes, (guint)length);
+}
+
+/* A damaged event stream in random pieces passes on what came, in whole events.
+ */
+static void
+test_events(void)
+{
+	for (int round = 0; round < ROUNDS; round++) {
+		size_t length;
+		g_autofree char *copy = damage(events, &length);
+		g_autoptr(GByteArray) out = g_byte_array_new();
+		struct event_cut cut;
+		size_t at = 0;
+
+		event_cut_init(&cut);
+		while (at < length) {
+			size_t piece = (size_t)g_test_rand_int_range(
+			    1, (gint32)(length - at) + 1);
+
+			event_cut_feed(&cut, (const uint8_t *)copy + at, piece,
+			    take_event, out);
+			at += piece;
+		}
+		g_assert_cmpuint(out->len, <=, length);
+		if (out->len > 0)
+			g_assert_cmpmem(out->data, out->len, copy, out->len);
+		event_cut_clear(&cut);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/edge/objects", test_objects);
+	g_test_add_func("/edge/written", test_written);
+	g_test_add_func("/edge/events", test_events);
+	return g_test_run();
+}
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -92,6 +92,20 @@
 	g_assert_error(error, MESSAGE_ERROR, bad_frames[i].code);
 }
 
+/* An earlier build's pull has no word of changes; it gets the whole. */
+static void
+test_earlier_build(void)
+{
+	static const uint8_t pull[] = {
+	    0x98, MESSAGE_PULL, 0xa0, 0, 0, 0, 0, 0xa2, 'u', 'p', 7};
+	struct message *got = message_decode(pull, sizeof(pull), NULL);
+
+	g_assert_nonnull(got);
+	g_assert_cmpuint(got->pull.have, ==, 7);
+	g_assert_false(got->pull.changes);
+	message_free(got);
+}
+
 /* Flipped and truncated frames are refused or decoded, never worse. */
 static void
 test_fuzz(void)
@@ -140,6 +154,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/message/round-trip", test_round_trip);
+	g_test_add_func("/message/earlier build", test_earlier_build);
 	g_test_add_func("/message/fuzz", test_fuzz);
 	g_test_add_func("/message/random-bytes", test_random_bytes);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad_frames); i++) {
