Tell peers whom upstreams blame; read with fewer once a reader was gone

Ruled out: engines that are full ("engines have no memory": once), the gateways' own connections (all refusals came from upstreams and named another).

Change: an upstream that another could not read with is blamed for 2 s; LOAD says whom a gateway blames, and two peers are believed (one alone may have heard it from an upstream that was cut off). After such a refusal at most four engines read the prompt.

Conclusion: kept for the callers, who are served where they were refused.

--- a/src/gateway/exchange_choice.c
+++ b/src/gateway/exchange_choice.c
@@ -4,6 +4,12 @@
 
 #include "gateway/exchange_internal.h"
 
+/*
+ * Engines that read a prompt once one of its readers was gone: others may be as
+ * well, and each one more makes the last try fail more likely.
+ */
+#define DOUBTFUL_READERS_MAX 4
+
 /* Frees a choice. */
 void
 choice_clear(struct choice *choice)
@@ -80,7 +86,7 @@
 		choice->listed++;
 		if (was_tried(exchange, upstream->id) ||
 		    !bears_more(exchange, upstream, now) ||
-		    (!avoided && time_before(now, upstream->avoid_until)))
+		    (!avoided && upstream_is_avoided(upstream, now)))
 			continue;
 		choice->candidates[choice->count] = describe(
 		    exchange, upstream);
@@ -105,6 +111,8 @@
 	    .class = choice_stream_class(exchange),
 	    .target_ms = (double)exchange->route->target_ms,
 	    .waited_ms = (double)exchange_age_ms(exchange),
+	    .readers_max = exchange->at_fault != NULL ? DOUBTFUL_READERS_MAX
+						      : 0,
 	};
 }
 
--- a/src/gateway/exchange_verdict.c
+++ b/src/gateway/exchange_verdict.c
@@ -53,6 +53,8 @@
 			continue;
 		exchange->at_fault = g_strdup(upstream->id);
 		avoid(exchange, upstream);
+		upstream->blamed_until = time_add_ms(
+		    clock_monotonic(exchange->all->clock), FLEET_BLAMED_MS);
 		return;
 	}
 }
--- a/src/gateway/load_share.c
+++ b/src/gateway/load_share.c
@@ -7,6 +7,7 @@
 /* One peer's requests, as it told them last. */
 struct peer_work {
 	GHashTable *loads; /* upstream id -> struct upstream_load */
+	GPtrArray *blamed; /* ids of upstreams */
 	struct timespec told_at;
 	bool store_away;
 };
@@ -25,6 +26,23 @@
 	    idle_rounds; /* since nothing ran and the peers were told */
 };
 
+/* Adds whom one peer blames, or takes it back. */
+static void
+count_blamed(struct load_share *share, const struct peer_work *work, bool add)
+{
+	for (size_t i = 0; i < work->blamed->len; i++) {
+		struct upstream *upstream = fleet_find(
+		    share->fleet, work->blamed->pdata[i]);
+
+		if (upstream == NULL)
+			continue;
+		if (add)
+			upstream->peers_blaming++;
+		else if (upstream->peers_blaming > 0)
+			upstream->peers_blaming--;
+	}
+}
+
 /* Adds one peer's work to what lies on the upstreams, or takes it off. */
 static void
 count(struct load_share *share, const struct peer_work *work, bool add)
@@ -33,6 +51,7 @@
 	void *id;
 	void *value;
 
+	count_blamed(share, work, add);
 	g_hash_table_iter_init(&iter, work->loads);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		struct upstream *upstream = fleet_find(share->fleet, id);
@@ -68,6 +87,7 @@
 	struct peer_work *work = data;
 
 	g_hash_table_unref(work->loads);
+	g_ptr_array_unref(work->blamed);
 	g_free(work);
 }
 
@@ -82,6 +102,7 @@
 	work = g_new0(struct peer_work, 1);
 	work->loads = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
+	work->blamed = g_ptr_array_new_with_free_func(g_free);
 	g_hash_table_insert(share->peers, g_strdup(process), work);
 	return work;
 }
@@ -102,6 +123,9 @@
 	rows = MIN(rows, told->reading_us.count);
 	count(share, work, false);
 	g_hash_table_remove_all(work->loads);
+	g_ptr_array_set_size(work->blamed, 0);
+	for (size_t i = 0; i < told->blamed.count; i++)
+		g_ptr_array_add(work->blamed, g_strdup(told->blamed.items[i]));
 	for (size_t i = 0; i < rows; i++) {
 		struct upstream_load *load = g_new0(struct upstream_load, 1);
 
@@ -196,11 +220,16 @@
 	g_autofree uint64_t *longs = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *tokens = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *reading = g_new(uint64_t, max + 1);
+	g_autofree char **blamed = g_new(char *, max + 1);
+	struct timespec now = clock_monotonic(share->clock);
 	struct message message = {.kind = MESSAGE_LOAD};
 	struct upstream *upstream;
 	size_t rows = 0;
+	size_t blames = 0;
 
 	TAILQ_FOREACH (upstream, &share->fleet->upstreams, entry) {
+		if (time_before(now, upstream->blamed_until))
+			blamed[blames++] = upstream->id;
 		if (upstream->own.running == 0 && upstream->own.reading_us == 0)
 			continue;
 		ids[rows] = upstream->id;
@@ -211,7 +240,7 @@
 		tokens[rows] = upstream->own.context_tokens;
 		reading[rows++] = upstream->own.reading_us;
 	}
-	if (rows == 0 && share->idle_rounds > 0 &&
+	if (rows == 0 && blames == 0 && share->idle_rounds > 0 &&
 	    share->idle_rounds++ < LOAD_SHARE_IDLE_ROUNDS)
 		return;
 	share->idle_rounds = rows == 0 ? 1 : 0;
@@ -224,6 +253,7 @@
 	    .long_streams = {longs, rows},
 	    .context_tokens = {tokens, rows},
 	    .reading_us = {reading, rows},
+	    .blamed = {blamed, blames},
 	};
 	tell_all(share, &message);
 }
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -269,6 +269,8 @@
 	struct u64_array long_streams;
 	struct u64_array context_tokens; /* of all of them */
 	struct u64_array reading_us; /* of prompts without a first token */
+	struct string_array blamed; /* upstreams that others could not read with
+				     */
 };
 
 struct message_reading {
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -96,7 +96,8 @@
 		M(U64_ARRAY, load.medium_streams),
 		M(U64_ARRAY, load.long_streams),
 		M(U64_ARRAY, load.context_tokens),
-		M(U64_ARRAY, load.reading_us) } },
+		M(U64_ARRAY, load.reading_us),
+		M(STRING_ARRAY, load.blamed) }, .later = 1 },
 	[MESSAGE_READING] = { "reading", {
 		M(STRING_ARRAY, reading.upstreams),
 		M(U64, reading.part_us) } },
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -319,6 +319,8 @@
 	double least = 0.0;
 	double first_token_ms = 0.0;
 
+	if (prompt->readers_max > 0)
+		max = MIN(max, prompt->readers_max);
 	for (size_t parts = 1; parts <= max; parts++) {
 		double expected_ms;
 		double cost;
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -121,6 +121,7 @@
 	enum stream_class class;
 	double target_ms; /* to its first token */
 	double waited_ms; /* since it arrived */
+	size_t readers_max; /* 0 for as many as may be */
 };
 
 /* Whether a prompt is served now. */
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -71,6 +71,7 @@
 {
 	upstream->failures = 0;
 	upstream->avoid_until = (struct timespec){0};
+	upstream->blamed_until = (struct timespec){0};
 	upstream->error_share = 0.0;
 }
 
@@ -236,6 +237,16 @@
 	    !g_hash_table_contains(fleet->takeouts, upstream->failure_domain);
 }
 
+/* Says whether an upstream has failed lately, by ourselves or by several peers.
+ */
+bool
+upstream_is_avoided(const struct upstream *upstream, struct timespec now)
+{
+	return time_before(now, upstream->avoid_until) ||
+	    time_before(now, upstream->blamed_until) ||
+	    upstream->peers_blaming >= FLEET_BLAMING_PEERS;
+}
+
 /* Notes that a request of this process is sent to an upstream. */
 void
 fleet_began(struct fleet *fleet, struct upstream *upstream, struct timespec now)
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -54,6 +54,8 @@
 	uint32_t failures; /* in a row */
 	struct timespec avoid_until; /* after failures */
 	double error_share; /* of its answers lately */
+	struct timespec blamed_until; /* another could not read with it */
+	uint32_t peers_blaming; /* processes that found the same */
 
 	/* Work that lies on it. */
 	struct upstream_load own; /* of this process's requests */
@@ -80,6 +82,18 @@
  */
 #define FLEET_LAPSE_MS 1400
 
+/*
+ * How long an upstream that another could not read with is blamed. While the
+ * store is away the list does not say who leaves, and each refusal would find
+ * only one of many; one that is back is used again after this.
+ */
+#define FLEET_BLAMED_MS 2000
+/*
+ * So many peers that blame an upstream are believed. One alone may have heard
+ * it from an upstream that was cut off itself.
+ */
+#define FLEET_BLAMING_PEERS 2
+
 struct fleet *fleet_new(void);
 void fleet_free(struct fleet *);
 void fleet_apply(struct fleet *, uint64_t version,
@@ -91,6 +105,7 @@
 size_t fleet_count(const struct fleet *);
 bool fleet_takes_new_work(
     const struct fleet *, const struct upstream *, struct timespec now);
+bool upstream_is_avoided(const struct upstream *, struct timespec now);
 void fleet_began(struct fleet *, struct upstream *, struct timespec now);
 uint64_t upstream_reading_us(const struct upstream *);
 struct timespec upstream_add_reading(
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -106,6 +106,25 @@
 	}
 }
 
+/* A prompt whose first readers were gone is read by few. */
+static void
+test_few_readers(void)
+{
+	static const struct engine engines[8];
+	struct balance_candidate candidates[8];
+	const struct balance_prompt prompt = {.tokens = 154000,
+	    .class = STREAM_LONG,
+	    .target_ms = 3000,
+	    .readers_max = 2};
+	struct balance_plan plan;
+
+	fill(candidates, engines, 8);
+	g_assert_cmpint(
+	    balance_prompt(&users_engine, candidates, 8, &prompt, &plan), ==,
+	    BALANCE_SERVE);
+	g_assert_cmpuint(plan.helper_count, ==, 1);
+}
+
 /* Runs one case. */
 static void
 test_plan(gconstpointer data)
@@ -518,6 +537,7 @@
 		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_plan);
 	}
 	g_test_add_func("/balance/call", test_call);
+	g_test_add_func("/balance/few readers", test_few_readers);
 	g_test_add_func("/balance/swinging load", test_swinging_load);
 	g_test_add_func("/balance/burst", test_burst);
 	g_test_add_func("/reading/sheet", test_reading);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -179,7 +179,8 @@
 	    .body_max_bytes = BODY_MAX_BYTES,
 	    .bodies_max_bytes = BODY_MAX_BYTES,
 	};
-	const struct mesh_settings mesh = {.identity = &f->identity};
+	const struct mesh_settings mesh = {
+	    .identity = &f->identity, .listen = "127.0.0.1:0"};
 
 	f->loop = ev_loop_new(EVFLAG_AUTO);
 	ev_timer_init(&f->guard, guard_fired, GUARD_S, 0.0);
@@ -188,7 +189,8 @@
 	f->identity = (struct link_identity){.process = "g",
 	    .role = ROLE_GATEWAY,
 	    .failure_domain = "z",
-	    .address = "127.0.0.1:1"};
+	    .address = "127.0.0.1:1",
+	    .cluster_key = "secret"};
 	f->standin = standin_new(f->loop);
 	standin_set_config(f->standin, CONFIG);
 	f->http = http_client_new(f->loop, NULL);
@@ -524,6 +526,63 @@
 	tear_down(&f);
 }
 
+/* A peer of the gateway, which tells it whom it blames. */
+struct peer {
+	struct link_identity identity;
+	struct mesh *mesh;
+};
+
+/* Has a peer tell the gateway that it blames an upstream. */
+static void
+blame(struct fixture *f, struct peer *peer, const char *name, char *upstream)
+{
+	const struct mesh_settings settings = {
+	    .identity = &peer->identity, .listen = "127.0.0.1:0"};
+	struct message message = {
+	    .kind = MESSAGE_LOAD, .load = {.blamed = {&upstream, 1}}};
+	g_autofree char *address = g_strdup_printf(
+	    "127.0.0.1:%d", mesh_port(f->mesh));
+
+	peer->identity = (struct link_identity){.process = name,
+	    .role = ROLE_GATEWAY,
+	    .failure_domain = "z",
+	    .address = "127.0.0.1:1",
+	    .cluster_key = "secret"};
+	peer->mesh = mesh_new(f->loop, clock_system(), &settings, NULL);
+	g_assert_nonnull(peer->mesh);
+	mesh_send(peer->mesh, address, &message);
+}
+
+/*
+ * One peer that blames an upstream is not believed, two are, for as long as
+ * they say so.
+ */
+static void
+test_blamed(void)
+{
+	struct fixture f = {0};
+	struct upstream *upstream;
+	struct peer peers[2];
+	struct timespec now;
+
+	set_up(&f);
+	learn(&f);
+	upstream = TAILQ_FIRST(
+	    &knowledge_fleet(f.exchanges.knowledge)->upstreams);
+	blame(&f, &peers[0], "p1", upstream->id);
+	RUN_UNTIL(&f, upstream->peers_blaming == 1);
+	now = clock_monotonic(clock_system());
+	g_assert_false(upstream_is_avoided(upstream, now));
+	blame(&f, &peers[1], "p2", upstream->id);
+	RUN_UNTIL(&f, upstream->peers_blaming == 2);
+	g_assert_true(upstream_is_avoided(upstream, now));
+	/* What peers no longer say is forgotten. */
+	RUN_UNTIL(&f, upstream->peers_blaming == 0);
+	mesh_free(peers[0].mesh);
+	mesh_free(peers[1].mesh);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -541,6 +600,7 @@
 
 		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_wait);
 	}
+	g_test_add_func("/gateway/blamed", test_blamed);
 	g_test_add_func("/gateway/reading", test_reading);
 	g_test_add_func("/gateway/headers", test_headers);
 	g_test_add_func("/gateway/caller leaves", test_caller_leaves);
