Names: timeline, estimate, advance and classify for home-made words

A request's story out of logs is its timeline (src/operator/timeline), admission's judge is an estimate, its settle an advance to the present time, a gateway classifies an answer and updates an upstream's health, the HTTP client's settle is what it put off. No behaviour changes.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -40,7 +40,7 @@
 	struct ev_loop *loop;
 	CURLM *multi;
 	ev_timer timer; /* curl's own */
-	ev_timer settle; /* never started, only fed: work put off */
+	ev_timer put_off; /* never started, only fed: work put off */
 	struct call_list calls;
 	bool in_curl; /* one of curl's functions is on the stack */
 	char *ca_file; /* NULL for the system's */
@@ -95,11 +95,11 @@
 	client->in_curl = false;
 }
 
-/* Asks for client_settle() to run from the loop, soon. */
+/* Asks for client_run_put_off() to run from the loop, soon. */
 static void
-settle_later(struct http_client *client)
+put_off(struct http_client *client)
 {
-	ev_feed_event(client->loop, &client->settle, EV_CUSTOM);
+	ev_feed_event(client->loop, &client->put_off, EV_CUSTOM);
 }
 
 /* Whether a byte of the request may have left, judged to the safe side. */
@@ -187,7 +187,7 @@
 
 /* Brings what curl does with one call to what its owner asked for. */
 static void
-call_settle(struct http_call *call)
+call_finish(struct http_call *call)
 {
 	struct http_client *client = call->client;
 	bool pause = call->pause_wanted;
@@ -216,7 +216,7 @@
  * is for, so the walk starts over until a round finds nothing to do.
  */
 static void
-client_settle(struct ev_loop *loop, ev_timer *w, int events)
+client_run_put_off(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct http_client *client = w->data;
 	struct http_call *call, *next;
@@ -224,7 +224,7 @@
 	if (client->in_curl)
 		return;
 	TAILQ_FOREACH_SAFE (call, &client->calls, entry, next)
-		call_settle(call);
+		call_finish(call);
 	client_collect(client);
 }
 
@@ -238,7 +238,7 @@
 	curl_multi_socket_action(client->multi, fd, mask, &running);
 	client->in_curl = false;
 	client_collect(client);
-	settle_later(client);
+	put_off(client);
 }
 
 /* A socket of curl's is ready. */
@@ -445,8 +445,8 @@
 	TAILQ_INIT(&client->calls);
 	ev_init(&client->timer, timer_ready);
 	client->timer.data = client;
-	ev_init(&client->settle, client_settle);
-	client->settle.data = client;
+	ev_init(&client->put_off, client_run_put_off);
+	client->put_off.data = client;
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, watch_timer);
@@ -470,7 +470,7 @@
 	}
 	curl_multi_cleanup(client->multi);
 	ev_timer_stop(client->loop, &client->timer);
-	ev_clear_pending(client->loop, &client->settle);
+	ev_clear_pending(client->loop, &client->put_off);
 	g_free(client->ca_file);
 	g_free(client);
 }
@@ -633,7 +633,7 @@
 	if (request->timeout_ms > 0)
 		ev_timer_start(client->loop, &call->timeout);
 	stall_restart(call);
-	settle_later(client);
+	put_off(client);
 	return call;
 }
 
@@ -648,7 +648,7 @@
 	call->state = CALL_CANCELLED;
 	ev_timer_stop(client->loop, &call->stall);
 	ev_timer_stop(client->loop, &call->timeout);
-	settle_later(client);
+	put_off(client);
 }
 
 /* Whether any byte of the request may have left by now. */
@@ -664,7 +664,7 @@
 {
 	call->pause_wanted = true;
 	stall_restart(call);
-	settle_later(call->client);
+	put_off(call->client);
 }
 
 /* Asks for chunks again; the stall time starts over. */
@@ -673,7 +673,7 @@
 {
 	call->pause_wanted = false;
 	stall_restart(call);
-	settle_later(call->client);
+	put_off(call->client);
 }
 
 /* A header of the answer, its name in any case; NULL where it did not come. */
--- a/src/gateway/exchange_answer.c
+++ b/src/gateway/exchange_answer.c
@@ -30,7 +30,7 @@
 
 /* Decides what becomes of an answer. */
 static enum verdict
-judge(struct exchange *exchange, int status)
+classify(struct exchange *exchange, int status)
 {
 	const struct answer_head *answer = &exchange->answer;
 	bool success = status >= STATUS_OK && status < STATUS_MULTIPLE;
@@ -86,7 +86,7 @@
 
 	headers_read_answer(
 	    call, status, exchange->head.request_id, &exchange->answer);
-	switch (judge(exchange, status)) {
+	switch (classify(exchange, status)) {
 	case VERDICT_NOT_RUN:
 		exchange->send_end = SEND_NOT_RUN;
 		exchange->send_why = exchange->answer.other_instance
--- a/src/gateway/exchange_verdict.c
+++ b/src/gateway/exchange_verdict.c
@@ -112,7 +112,7 @@
 
 /* Learns from how a send ended. */
 static void
-judge_upstream(
+update_health(
     struct exchange *exchange, struct upstream *upstream, enum send_end end)
 {
 	double failed = end == SEND_FAILED || end == SEND_LOST ? 1.0 : 0.0;
@@ -153,7 +153,7 @@
 		exchange->sends++;
 	}
 	if (end != SEND_OPEN)
-		judge_upstream(exchange, upstream, end);
+		update_health(exchange, upstream, end);
 	if (end == SEND_LOST && exchange->broke)
 		check_death(exchange, upstream);
 	upstream->own.context_tokens -= exchange->context_tokens;
--- a/src/main.c
+++ b/src/main.c
@@ -18,7 +18,7 @@
     {"sidecar", command_sidecar, "serve one upstream from beside it"},
     {"ctl", command_ctl, "call the operators' interface"},
     {"check", command_check, "print the effective settings and faults"},
-    {"explain", command_explain, "tell one request's story from logs"},
+    {"explain", command_explain, "tell one request's timeline from logs"},
 };
 
 /* Prints what the binary can do. */
--- a/src/operator/explain.c
+++ b/src/operator/explain.c
@@ -5,17 +5,18 @@
 
 #include "base/exit_code.h"
 #include "commands.h"
-#include "operator/story.h"
+#include "operator/timeline.h"
 
 static const char usage_text[] =
     "Usage: heatherturn explain REQUEST-ID FILE...\n"
     "       heatherturn explain --upstream ID FILE...\n\n"
-    "Tells one request's story, or what happened to one upstream, out of the\n"
+    "Tells one request's timeline, or what happened to one upstream, out of "
+    "the\n"
     "log files of any number of processes; - stands for standard input.\n";
 
-/* Reads all lines of a file into a story; false where it can't be read. */
+/* Reads all lines of a file into a timeline; false where it can't be read. */
 static bool
-read_file(struct story *story, const char *path)
+read_file(struct timeline *timeline, const char *path)
 {
 	FILE *file = strcmp(path, "-") == 0 ? stdin : fopen(path, "r");
 	char *line = NULL;
@@ -27,38 +28,39 @@
 		return false;
 	}
 	while (getline(&line, &size, file) >= 0)
-		story_add(story, line);
+		timeline_add(timeline, line);
 	free(line);
 	if (file != stdin)
 		fclose(file);
 	return true;
 }
 
-/* Prints a story, or that there is none. */
+/* Prints a timeline, or that there is none. */
 static int
-print_story(struct story *story, const char *id)
+print_timeline(struct timeline *timeline, const char *id)
 {
 	g_autoptr(GString) text = g_string_new(NULL);
 
-	story_tell(story, text);
+	timeline_write(timeline, text);
 	fputs(text->str, stdout);
-	if (story_unreadable(story) > 0)
+	if (timeline_unreadable(timeline) > 0)
 		fprintf(stderr,
 		    "heatherturn explain: passed over %zu lines that were cut "
 		    "off\n",
-		    story_unreadable(story));
-	if (story_length(story) > 0)
+		    timeline_unreadable(timeline));
+	if (timeline_length(timeline) > 0)
 		return EXIT_CODE_OK;
 	fprintf(stderr, "heatherturn explain: no line tells of '%s'\n", id);
 	return EXIT_CODE_FAILED;
 }
 
-/* heatherturn explain: one request's story from the logs of many processes. */
+/* heatherturn explain: one request's timeline from the logs of many processes.
+ */
 int
 command_explain(int argc, char **argv)
 {
 	const char *member = "request";
-	struct story *story;
+	struct timeline *timeline;
 	int first = 1;
 	int code;
 
@@ -76,14 +78,14 @@
 		fputs(usage_text, stderr);
 		return EXIT_CODE_USAGE;
 	}
-	story = story_new(member, argv[first]);
+	timeline = timeline_new(member, argv[first]);
 	for (int i = first + 1; i < argc; i++) {
-		if (!read_file(story, argv[i])) {
-			story_free(story);
+		if (!read_file(timeline, argv[i])) {
+			timeline_free(timeline);
 			return EXIT_CODE_USAGE;
 		}
 	}
-	code = print_story(story, argv[first]);
-	story_free(story);
+	code = print_timeline(timeline, argv[first]);
+	timeline_free(timeline);
 	return code;
 }
--- a/src/operator/story.c
+++ b/src/operator/timeline.c
@@ -1,4 +1,4 @@
-#include "operator/story.h"
+#include "operator/timeline.h"
 
 #include <string.h>
 
@@ -10,13 +10,13 @@
 static const char *const head_members[] = {
     "time", "level", "process", "role", "failure_domain", "module", "text"};
 
-struct story_line {
+struct timeline_line {
 	size_t index; /* in the order of reading, for equal times */
 	GDateTime *time;
 	json_t *json;
 };
 
-struct story {
+struct timeline {
 	char *member; /* whose value is the id, e.g. request */
 	char *id;
 	size_t unreadable;
@@ -27,84 +27,84 @@
 static void
 free_line(void *data)
 {
-	struct story_line *line = data;
+	struct timeline_line *line = data;
 
 	g_date_time_unref(line->time);
 	json_decref(line->json);
 	g_free(line);
 }
 
-/* Makes an empty story of the lines in which a member has this value. */
-struct story *
-story_new(const char *member, const char *id)
+/* Makes an empty timeline of the lines in which a member has this value. */
+struct timeline *
+timeline_new(const char *member, const char *id)
 {
-	struct story *story = g_new0(struct story, 1);
+	struct timeline *timeline = g_new0(struct timeline, 1);
 
-	story->member = g_strdup(member);
-	story->id = g_strdup(id);
-	story->lines = g_ptr_array_new_with_free_func(free_line);
-	return story;
+	timeline->member = g_strdup(member);
+	timeline->id = g_strdup(id);
+	timeline->lines = g_ptr_array_new_with_free_func(free_line);
+	return timeline;
 }
 
-/* Frees a story; takes NULL. */
+/* Frees a timeline; takes NULL. */
 void
-story_free(struct story *story)
+timeline_free(struct timeline *timeline)
 {
-	if (story == NULL)
+	if (timeline == NULL)
 		return;
-	g_ptr_array_unref(story->lines);
-	g_free(story->member);
-	g_free(story->id);
-	g_free(story);
+	g_ptr_array_unref(timeline->lines);
+	g_free(timeline->member);
+	g_free(timeline->id);
+	g_free(timeline);
 }
 
-/* Returns how many lines belong to the story. */
+/* Returns how many lines belong to the timeline. */
 size_t
-story_length(const struct story *story)
+timeline_length(const struct timeline *timeline)
 {
-	return story->lines->len;
+	return timeline->lines->len;
 }
 
 /* Returns how many lines named the id and were no log lines of ours. */
 size_t
-story_unreadable(const struct story *story)
+timeline_unreadable(const struct timeline *timeline)
 {
-	return story->unreadable;
+	return timeline->unreadable;
 }
 
 /*
- * Takes in a log line if it belongs to the story, and says whether it did. A
+ * Takes in a log line if it belongs to the timeline, and says whether it did. A
  * line that was cut off, as at a kill, is counted and passed over.
  */
 bool
-story_add(struct story *story, const char *text)
+timeline_add(struct timeline *timeline, const char *text)
 {
 	json_t *json;
-	struct story_line *line;
+	struct timeline_line *line;
 	const char *value;
 	const char *time;
 
-	if (strstr(text, story->id) == NULL)
+	if (strstr(text, timeline->id) == NULL)
 		return false;
 	json = json_loads(text, 0, NULL);
-	value = json_string_value(json_object_get(json, story->member));
+	value = json_string_value(json_object_get(json, timeline->member));
 	time = json_string_value(json_object_get(json, "time"));
-	if (json != NULL && g_strcmp0(value, story->id) != 0) {
+	if (json != NULL && g_strcmp0(value, timeline->id) != 0) {
 		json_decref(json);
 		return false;
 	}
-	line = g_new0(struct story_line, 1);
+	line = g_new0(struct timeline_line, 1);
 	line->json = json;
-	line->index = story->lines->len;
+	line->index = timeline->lines->len;
 	if (time != NULL)
 		line->time = g_date_time_new_from_iso8601(time, NULL);
 	if (line->time == NULL) {
-		story->unreadable++;
+		timeline->unreadable++;
 		json_decref(json);
 		g_free(line);
 		return false;
 	}
-	g_ptr_array_add(story->lines, line);
+	g_ptr_array_add(timeline->lines, line);
 	return true;
 }
 
@@ -112,8 +112,8 @@
 static int
 compare_lines(const void *left, const void *right)
 {
-	const struct story_line *a = *(struct story_line *const *)left;
-	const struct story_line *b = *(struct story_line *const *)right;
+	const struct timeline_line *a = *(struct timeline_line *const *)left;
+	const struct timeline_line *b = *(struct timeline_line *const *)right;
 	int order = g_date_time_compare(a->time, b->time);
 
 	if (order != 0)
@@ -138,7 +138,8 @@
 
 /* Says whether a member is told in the head, is the id itself, or is empty. */
 static bool
-is_told(const struct story *story, const char *member, const json_t *value)
+is_told(
+    const struct timeline *timeline, const char *member, const json_t *value)
 {
 	if (json_is_string(value) && json_string_length(value) == 0)
 		return true;
@@ -146,7 +147,7 @@
 		if (strcmp(head_members[i], member) == 0)
 			return true;
 	}
-	return strcmp(story->member, member) == 0;
+	return strcmp(timeline->member, member) == 0;
 }
 
 /* Writes a list, such as the candidates of a choice, an item a line. */
@@ -175,7 +176,7 @@
 
 /* Writes one line: when, who, what, then its members, lists last. */
 static void
-write_line(const struct story *story, const struct story_line *line,
+write_line(const struct timeline *timeline, const struct timeline_line *line,
     double after_ms, GString *out)
 {
 	const char *process = json_string_value(
@@ -191,7 +192,7 @@
 	    role == NULL ? "process" : role, process == NULL ? "?" : process,
 	    text == NULL ? "" : text);
 	json_object_foreach (line->json, member, value) {
-		if (is_told(story, member, value) || json_is_array(value))
+		if (is_told(timeline, member, value) || json_is_array(value))
 			continue;
 		g_string_append_printf(out, ", %s ", member);
 		write_value(out, value);
@@ -203,24 +204,24 @@
 	g_string_append_c(out, '\n');
 }
 
-/* Writes the story, times counted from its first line. */
+/* Writes the timeline, times counted from its first line. */
 void
-story_tell(struct story *story, GString *out)
+timeline_write(struct timeline *timeline, GString *out)
 {
-	const struct story_line *first;
+	const struct timeline_line *first;
 	g_autofree char *begin = NULL;
 
-	if (story->lines->len == 0)
+	if (timeline->lines->len == 0)
 		return;
-	g_ptr_array_sort(story->lines, compare_lines);
-	first = story->lines->pdata[0];
+	g_ptr_array_sort(timeline->lines, compare_lines);
+	first = timeline->lines->pdata[0];
 	begin = g_date_time_format(first->time, "%Y-%m-%d %H:%M:%S.%f UTC");
 	g_string_append_printf(
-	    out, "%s %s, from %s\n", story->member, story->id, begin);
-	for (guint i = 0; i < story->lines->len; i++) {
-		const struct story_line *line = story->lines->pdata[i];
+	    out, "%s %s, from %s\n", timeline->member, timeline->id, begin);
+	for (guint i = 0; i < timeline->lines->len; i++) {
+		const struct timeline_line *line = timeline->lines->pdata[i];
 
-		write_line(story, line,
+		write_line(timeline, line,
 		    (double)g_date_time_difference(line->time, first->time) *
 			MS_PER_US,
 		    out);
--- /dev/null
+++ b/src/operator/timeline.h
@@ -0,0 +1,22 @@
+/*
+ * One request's timeline out of the JSON-lines logs of many processes: the
+ * lines that carry its id, sorted by time and told in words.
+ */
+#ifndef OPERATOR_TIMELINE_H
+#define OPERATOR_TIMELINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <glib.h>
+
+struct timeline;
+
+struct timeline *timeline_new(const char *member, const char *id);
+void timeline_free(struct timeline *);
+bool timeline_add(struct timeline *, const char *line);
+size_t timeline_length(const struct timeline *);
+size_t timeline_unreadable(const struct timeline *);
+void timeline_write(struct timeline *, GString *out);
+
+#endif
--- a/src/policy/admission.c
+++ b/src/policy/admission.c
@@ -126,7 +126,7 @@
 {
 	queue_remove(admission->queue, job);
 	admission_reject(admission, job, reason,
-	    judge_retry_after_ms(admission, job->class, now));
+	    estimate_retry_after_ms(admission, job->class, now));
 }
 
 /* Gives back all that waits. */
@@ -177,14 +177,14 @@
 
 	probe.cached_tokens = probe.prompt_tokens - job->uncached_tokens;
 	if (job->hold[0] == '\0') {
-		wait_ms = judge_wait_ms(admission, &probe, now);
+		wait_ms = estimate_wait_ms(admission, &probe, now);
 	} else if (memory_find(admission->memory, job->hold) == NULL) {
 		*reason = REJECT_STALE;
 		return false;
 	} else { /* its memory is held, and its group waits for it */
 		probe.prompt_tokens = 0;
 	}
-	return judge_accepts(admission, &probe, wait_ms, reason);
+	return estimate_accepts(admission, &probe, wait_ms, reason);
 }
 
 /*
@@ -206,13 +206,13 @@
 		admission_reject(admission, job, REJECT_STALE, 0);
 	} else if (!accepts(admission, job, now, &reason)) {
 		admission_reject(admission, job, reason,
-		    judge_retry_after_ms(admission, job->class, now));
+		    estimate_retry_after_ms(admission, job->class, now));
 	} else {
 		g_hash_table_insert(admission->jobs, &job->id, job);
 		g_hash_table_replace(admission->requests, job->request, job);
 		queue_push(admission->queue, job);
 	}
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 	return id;
 }
 
@@ -229,7 +229,7 @@
 		    admission, job, ADMISSION_CANCEL_ASKED);
 	else
 		admission_withdraw(admission, job, REJECT_CANCELLED, now);
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /*
@@ -263,7 +263,7 @@
 	job->state = JOB_GENERATING;
 	prefill_ended(&admission->prefill, job->class, job->uncached_tokens);
 	watch_first_token(admission, job, now);
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /* Takes a job off the running ones and gives back its memory. */
@@ -325,7 +325,7 @@
 	learn(admission, job, outcome, now);
 	end_running(admission, job, now);
 	admission_job_free(job);
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /* Takes in what an upstream that has started anew no longer has. */
@@ -356,7 +356,7 @@
 	if (admission->down) {
 		ramp_sign(&admission->ramp, RAMP_SIGN_LOST, now);
 		give_back(admission, REJECT_DOWN, now);
-		admission_settle(admission, now);
+		admission_advance(admission, now);
 		return;
 	}
 	take_start_count(admission, status, now);
@@ -375,7 +375,7 @@
 		ramp_reported_warm(&admission->ramp, now);
 	else
 		ramp_sign(&admission->ramp, RAMP_SIGN_REPORT, now);
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /* Stops or allows new work. What waits is given back, what runs goes on. */
@@ -385,14 +385,14 @@
 	admission->draining = on;
 	if (on)
 		give_back(admission, REJECT_DRAINING, now);
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /* Time has passed. */
 void
 admission_tick(struct admission *admission, struct timespec now)
 {
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /*
@@ -414,7 +414,7 @@
 		    time_add_ms(now, expires_ms), now);
 	if (!granted)
 		*retry_after_ms = HOLD_RETRY_MS;
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 	return granted;
 }
 
@@ -426,7 +426,7 @@
 {
 	memory_end(admission->memory, id);
 	admission_cancel_hold_users(admission, id);
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /* The upstream has freed the blocks of a released hold. */
@@ -435,7 +435,7 @@
     struct admission *admission, const char *id, struct timespec now)
 {
 	memory_freed(admission->memory, id);
-	admission_settle(admission, now);
+	admission_advance(admission, now);
 }
 
 /*
--- a/src/policy/admission_state.h
+++ b/src/policy/admission_state.h
@@ -61,7 +61,7 @@
 void admission_withdraw(struct admission *, struct admission_job *,
     enum reject_reason, struct timespec now);
 
-void admission_settle(struct admission *, struct timespec now);
+void admission_advance(struct admission *, struct timespec now);
 void admission_cancel_running(
     struct admission *, struct admission_job *, enum admission_cancel_reason);
 void admission_cancel_hold_users(struct admission *, const char *id);
@@ -71,11 +71,11 @@
 void schedule_start(struct admission *, struct timespec now);
 uint64_t schedule_short_reserve(const struct admission *);
 
-int64_t judge_wait_ms(const struct admission *, const struct admission_probe *,
-    struct timespec now);
-int64_t judge_retry_after_ms(
+int64_t estimate_wait_ms(const struct admission *,
+    const struct admission_probe *, struct timespec now);
+int64_t estimate_retry_after_ms(
     const struct admission *, enum work_class, struct timespec now);
-bool judge_accepts(const struct admission *, const struct admission_probe *,
+bool estimate_accepts(const struct admission *, const struct admission_probe *,
     int64_t wait_ms, enum reject_reason *);
 
 #endif
--- a/src/policy/settle.c
+++ b/src/policy/advance.c
@@ -180,7 +180,7 @@
 
 /* Brings everything up to the present time; each event ends with this. */
 void
-admission_settle(struct admission *admission, struct timespec now)
+admission_advance(struct admission *admission, struct timespec now)
 {
 	expire_queued(admission, now);
 	expire_running(admission, now);
--- a/src/policy/judge.c
+++ b/src/policy/estimate.c
@@ -39,7 +39,7 @@
  * its own work.
  */
 int64_t
-judge_wait_ms(const struct admission *admission,
+estimate_wait_ms(const struct admission *admission,
     const struct admission_probe *probe, struct timespec now)
 {
 	const struct prefill *prefill = &admission->prefill;
@@ -58,8 +58,8 @@
 
 /* Returns when half of what waits in that class is expected to be gone, ms. */
 int64_t
-judge_retry_after_ms(const struct admission *admission, enum work_class class,
-    struct timespec now)
+estimate_retry_after_ms(const struct admission *admission,
+    enum work_class class, struct timespec now)
 {
 	struct fair_load load;
 	int64_t work_ms, slots_ms;
@@ -97,7 +97,7 @@
  * where not, sets the reason.
  */
 bool
-judge_accepts(const struct admission *admission,
+estimate_accepts(const struct admission *admission,
     const struct admission_probe *probe, int64_t wait_ms,
     enum reject_reason *reason)
 {
@@ -126,16 +126,16 @@
     struct admission_offer *offer)
 {
 	*offer = (struct admission_offer){
-	    .wait_ms = judge_wait_ms(admission, probe, now),
+	    .wait_ms = estimate_wait_ms(admission, probe, now),
 	    .free_tokens = memory_available(admission->memory),
 	    .memory_tokens = memory_total(admission->memory),
 	    .running = admission->running_count,
 	    .queued = (uint32_t)queue_count(admission->queue),
 	    .limit = ramp_limit(&admission->ramp),
 	};
-	offer->accepting = judge_accepts(
+	offer->accepting = estimate_accepts(
 	    admission, probe, offer->wait_ms, &offer->reason);
 	if (!offer->accepting)
-		offer->retry_after_ms = judge_retry_after_ms(
+		offer->retry_after_ms = estimate_retry_after_ms(
 		    admission, probe->class, now);
 }
--- a/src/policy/schedule.c
+++ b/src/policy/schedule.c
@@ -180,7 +180,7 @@
 	if (!*hold_back) {
 		queue_remove(admission->queue, job);
 		admission_reject(admission, job, REJECT_BUSY,
-		    judge_retry_after_ms(admission, job->class, now));
+		    estimate_retry_after_ms(admission, job->class, now));
 		admission->suspect_ended = now;
 		admission->suspect_drain_since = (struct timespec){0};
 	}
@@ -245,7 +245,7 @@
 	if (!take_memory(admission, job)) {
 		admission_reject(admission, job,
 		    job->hold[0] != '\0' ? REJECT_STALE : REJECT_BUSY,
-		    judge_retry_after_ms(admission, job->class, now));
+		    estimate_retry_after_ms(admission, job->class, now));
 		return;
 	}
 	job->state = JOB_PREFILLING;
--- a/tests/test_operator_story.c
+++ b/tests/test_operator_timeline.c
@@ -1,12 +1,12 @@
 /*
- * A request's story: its own lines alone, by time, whatever file they came
+ * A request's timeline: its own lines alone, by time, whatever file they came
  * from.
  */
 #include <string.h>
 
 #include <glib.h>
 
-#include "operator/story.h"
+#include "operator/timeline.h"
 
 #define LINE(time, process, rest)                                       \
 	"{\"time\":\"2026-12-04T00:00:0" time "Z\",\"level\":\"info\"," \
@@ -32,43 +32,43 @@
 
 /* Lines are chosen, sorted and told. */
 static void
-test_story(void)
+test_timeline(void)
 {
-	struct story *story = story_new("request", "abc");
+	struct timeline *timeline = timeline_new("request", "abc");
 	g_autoptr(GString) text = g_string_new(NULL);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(line_cases); i++)
-		g_assert_cmpint(story_add(story, line_cases[i].line), ==,
+		g_assert_cmpint(timeline_add(timeline, line_cases[i].line), ==,
 		    line_cases[i].belongs);
-	g_assert_cmpuint(story_length(story), ==, 2);
-	g_assert_cmpuint(story_unreadable(story), ==, 2);
-	story_tell(story, text);
+	g_assert_cmpuint(timeline_length(timeline), ==, 2);
+	g_assert_cmpuint(timeline_unreadable(timeline), ==, 2);
+	timeline_write(timeline, text);
 	g_assert_cmpstr(text->str, ==,
 	    "request abc, from 2026-12-04 00:00:01.000000 UTC\n"
 	    "    +0.000 ms  entry e1: upstream chosen, upstream u1\n"
 	    "              candidates 1: upstream u1 wait_ms 3\n"
 	    " +1000.500 ms  entry s1: started\n");
-	story_free(story);
+	timeline_free(timeline);
 }
 
-/* A story without lines tells nothing. */
+/* A timeline without lines tells nothing. */
 static void
 test_empty(void)
 {
-	struct story *story = story_new("upstream", "u9");
+	struct timeline *timeline = timeline_new("upstream", "u9");
 	g_autoptr(GString) text = g_string_new(NULL);
 
-	story_tell(story, text);
+	timeline_write(timeline, text);
 	g_assert_cmpstr(text->str, ==, "");
-	story_free(story);
-	story_free(NULL);
+	timeline_free(timeline);
+	timeline_free(NULL);
 }
 
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/story/told", test_story);
-	g_test_add_func("/story/empty", test_empty);
+	g_test_add_func("/timeline/told", test_timeline);
+	g_test_add_func("/timeline/empty", test_empty);
 	return g_test_run();
 }
