The last send of a broken stream goes to none that may turn it away

A stream whose upstream left and cut it after 1.3 s went on at a second one, which turned it away (shed); its route allows two attempts, so that its caller got a part and no end, beside a change of the configuration.

Ruled out by the log: the change itself (the routes are the same), our own stop, a connection lost.

Change: the last send after another goes to no upstream that is cold or, as far as is known, full, while there are others. A case of test_gateway fails without.

--- a/src/gateway/exchange_choice.c
+++ b/src/gateway/exchange_choice.c
@@ -46,6 +46,26 @@
 	    cold_rate_part(bearable, registry_count(all->registry)), now);
 }
 
+/*
+ * Says whether an upstream may turn a request away: it is cold, or full as far
+ * as is known. The last send of a request that has run in part goes to none of
+ * these while there are others, since the caller would get only a part.
+ */
+static bool
+may_turn_away(const struct upstream *upstream, struct timespec now)
+{
+	return time_before(now, upstream->cold_until) ||
+	    upstream->own.running + upstream->peers.running >= upstream->slots;
+}
+
+/* Says whether a request's next send is its last after others. */
+static bool
+is_last_send(const struct exchange *exchange)
+{
+	return exchange->sends > 0 &&
+	    exchange->sends + 1 >= exchange->route->attempts;
+}
+
 /* Describes an upstream as a candidate. */
 static struct balance_candidate
 describe(struct exchange *exchange, const struct upstream *upstream)
@@ -66,13 +86,15 @@
 	return candidate;
 }
 
-/* Collects who may get this request; with avoided, also after failures. */
+/* Collects who may get this request. */
 void
-choice_collect(struct exchange *exchange, bool avoided, struct choice *choice)
+choice_collect(
+    struct exchange *exchange, enum choice_care care, struct choice *choice)
 {
 	struct fleet *fleet = knowledge_fleet(exchange->all->knowledge);
 	struct timespec now = clock_monotonic(exchange->all->clock);
 	size_t max = fleet_count(fleet);
+	bool sure = care == CHOICE_SURE && is_last_send(exchange);
 	struct upstream *upstream;
 
 	*choice = (struct choice){
@@ -86,7 +108,9 @@
 		choice->listed++;
 		if (was_tried(exchange, upstream->id) ||
 		    !bears_more(exchange, upstream, now) ||
-		    (!avoided && upstream_is_avoided(upstream, now)))
+		    (care != CHOICE_ANY &&
+			upstream_is_avoided(upstream, now)) ||
+		    (sure && may_turn_away(upstream, now)))
 			continue;
 		choice->candidates[choice->count] = describe(
 		    exchange, upstream);
--- a/src/gateway/exchange_choice.h
+++ b/src/gateway/exchange_choice.h
@@ -14,7 +14,14 @@
 	size_t listed; /* upstreams of the service, those left out included */
 };
 
-void choice_collect(struct exchange *, bool avoided, struct choice *);
+/* Which upstreams are left out, from the most to the fewest. */
+enum choice_care {
+	CHOICE_SURE, /* before a last send, those that may turn it away */
+	CHOICE_USABLE, /* those that failed lately */
+	CHOICE_ANY, /* only those that take no new work or were tried */
+};
+
+void choice_collect(struct exchange *, enum choice_care, struct choice *);
 void choice_clear(struct choice *);
 enum stream_class choice_stream_class(const struct exchange *);
 enum balance_verdict choice_plan(
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -253,10 +253,11 @@
 	struct balance_plan chosen = {0};
 	enum balance_verdict verdict;
 
-	choice_collect(exchange, false, &choice);
-	if (choice.count == 0) {
+	choice_collect(exchange, CHOICE_SURE, &choice);
+	for (int care = CHOICE_USABLE; care <= CHOICE_ANY && choice.count == 0;
+	     care++) {
 		choice_clear(&choice);
-		choice_collect(exchange, true, &choice);
+		choice_collect(exchange, (enum choice_care)care, &choice);
 	}
 	verdict = choice_plan(exchange, &choice, &chosen);
 	/* One that has begun goes on, whatever it costs. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -44,6 +44,9 @@
 	"{\"Name\":\"prompt\",\"Host\":\"h\",\"PathPrefix\":\"/prompt/\","   \
 	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"LatencyTargetMs\":1000,"   \
 	"\"GapTargetMs\":1000,\"Attempts\":2,\"Service\":\"s\"},"            \
+	"{\"Name\":\"last\",\"Host\":\"h\",\"PathPrefix\":\"/last/\","       \
+	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":2,"             \
+	"\"CanResume\":true,\"Service\":\"s\"},"                             \
 	"{\"Name\":\"hasty\",\"Host\":\"h\",\"PathPrefix\":\"/hasty/\","     \
 	"\"Kind\":\"stream\",\"TimeoutMs\":100,\"LatencyTargetMs\":1000,"    \
 	"\"GapTargetMs\":1000,\"Attempts\":2,\"Service\":\"s\"}],"           \
@@ -535,6 +538,44 @@
 	tear_down(&f);
 }
 
+/*
+ * A stream that broke off goes on at an upstream that is not cold: there is no
+ * further send if it is turned away.
+ */
+static void
+test_last_send(void)
+{
+	static const enum standin_step steps[] = {STANDIN_CUT, STANDIN_EVENTS};
+	struct fixture f = {0};
+	struct timespec later;
+	struct fleet *fleet;
+	struct upstream *upstream;
+	const char *first;
+	const char *second;
+
+	set_up(&f);
+	standin_set_steps(f.standin, steps, G_N_ELEMENTS(steps));
+	learn(&f);
+	fleet = knowledge_fleet(f.exchanges.knowledge);
+	later = time_add_ms(clock_monotonic(clock_system()), 60000);
+	/* The least busy get the first send, and are cold. */
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry)
+		upstream->cold_until = later;
+	upstream = fleet_find(fleet, "i-0");
+	upstream->cold_until = (struct timespec){0};
+	upstream->peers.running = 2;
+	call(&f, "/last/x", KEY);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpuint(standin_arrivals(f.standin), ==, 2);
+	first = standin_header(
+	    standin_arrival(f.standin, 0), "Heatherturn-Expect-Instance");
+	second = standin_header(
+	    standin_arrival(f.standin, 1), "Heatherturn-Expect-Instance");
+	g_assert_cmpstr(first, !=, "i-0");
+	g_assert_cmpstr(second, ==, "i-0");
+	tear_down(&f);
+}
+
 /* A peer of the gateway, which tells it whom it blames. */
 struct peer {
 	struct link_identity identity;
@@ -609,6 +650,7 @@
 
 		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_wait);
 	}
+	g_test_add_func("/gateway/last send", test_last_send);
 	g_test_add_func("/gateway/blamed", test_blamed);
 	g_test_add_func("/gateway/reading", test_reading);
 	g_test_add_func("/gateway/headers", test_headers);
