Reading once more: one place for what gateways and the model share

- Whether a prompt may wait is a decision: it is balance_may_wait() now, with its share and round in src/policy.
Share, round, slack of a reading, shortest told reading and a round of load stood again in the engine model and the tests.
- How often a request may be sent stood twice, once without the gateway's own limit, which a route with more than four attempts would have shown.
A new case of test_balance fails where it is.
- The registry read an object's name by the store's own words, outside platform/.
- Wrappers of exchange_closed() and exchange_drained() in the gateway and its test; an id that event_cut kept for its test alone; two structs named source; the loop that adds a table's cases, in seven tests (tests/cases.h).

--- a/src/gateway/event_cut.c
+++ b/src/gateway/event_cut.c
@@ -92,10 +92,6 @@
 		if (whole == 0)
 			return;
 		has_id = find_id(cut->held->data, whole, &id);
-		if (has_id) {
-			cut->has_id = true;
-			cut->id = id;
-		}
 		callback(data, cut->held->data, whole, has_id, id);
 		g_byte_array_remove_range(cut->held, 0, (guint)whole);
 	}
--- a/src/gateway/event_cut.h
+++ b/src/gateway/event_cut.h
@@ -17,8 +17,6 @@
 
 struct event_cut {
 	GByteArray *held; /* the beginning of an event */
-	bool has_id;
-	uint64_t id; /* of the last whole event that had one */
 };
 
 /* One whole event, its empty line included. */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -312,7 +312,7 @@
  * stopped: its connection to the upstream closes.
  */
 void
-exchange_closed(struct httpd_request *http, bool whole)
+exchange_closed(void *data, struct httpd_request *http, bool whole)
 {
 	struct exchange *exchange = httpd_request_data(http);
 	struct exchanges *all;
@@ -340,7 +340,7 @@
 
 /* The caller has taken what there was of a stream. */
 void
-exchange_drained(struct httpd_request *http)
+exchange_drained(void *data, struct httpd_request *http)
 {
 	struct exchange *exchange = httpd_request_data(http);
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -42,7 +42,7 @@
 void exchanges_clear(struct exchanges *);
 
 void exchange_start(struct exchanges *, struct httpd_request *);
-void exchange_closed(struct httpd_request *, bool whole);
-void exchange_drained(struct httpd_request *);
+void exchange_closed(void *data, struct httpd_request *, bool whole);
+void exchange_drained(void *data, struct httpd_request *);
 
 #endif
--- a/src/gateway/exchange_choice.c
+++ b/src/gateway/exchange_choice.c
@@ -63,7 +63,7 @@
 is_last_send(const struct exchange *exchange)
 {
 	return exchange->sends > 0 &&
-	    exchange->sends + 1 >= exchange->route->attempts;
+	    exchange->sends + 1 >= exchange_sends_max(exchange);
 }
 
 /* Describes an upstream as a candidate. */
@@ -162,3 +162,12 @@
 	*out = (struct balance_plan){.first = at < 0 ? 0 : (size_t)at};
 	return at < 0 ? BALANCE_NOBODY : BALANCE_SERVE;
 }
+
+/* Says whether a request that nobody can take now may wait. */
+bool
+choice_may_wait(const struct exchange *exchange, enum balance_verdict verdict)
+{
+	const struct balance_prompt prompt = describe_prompt(exchange);
+
+	return balance_may_wait(&prompt, verdict);
+}
--- a/src/gateway/exchange_choice.h
+++ b/src/gateway/exchange_choice.h
@@ -24,6 +24,7 @@
 void choice_collect(struct exchange *, enum choice_care, struct choice *);
 void choice_clear(struct choice *);
 enum stream_class choice_stream_class(const struct exchange *);
+bool choice_may_wait(const struct exchange *, enum balance_verdict);
 enum balance_verdict choice_plan(
     const struct exchange *, const struct choice *, struct balance_plan *);
 
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -120,6 +120,7 @@
 void exchange_send(struct exchange *);
 struct retry_window *exchange_retry_window(struct exchange *);
 void exchange_drop_helpers(struct exchange *);
+size_t exchange_sends_max(const struct exchange *);
 bool exchange_may_repeat(struct exchange *, size_t sends, bool repeat);
 void exchange_send_ended(struct exchange *, enum send_end);
 void exchange_stop_send(struct exchange *);
--- a/src/gateway/exchange_parts.c
+++ b/src/gateway/exchange_parts.c
@@ -1,11 +1,6 @@
 #include "gateway/exchange_choice.h"
 #include "gateway/exchange_internal.h"
 
-/* Beyond the time that reading takes, for the passes of streams between. */
-#define READING_SLACK_MS 400
-/* Shorter reading is not told to the peers: it is over before they need it. */
-#define TOLD_READING_MS 20.0
-
 /* Counts a part of the prompt at an upstream that reads it. */
 static void
 add_reader(struct exchange *exchange, struct upstream *upstream)
@@ -79,7 +74,7 @@
 		add_reader(exchange, choice->upstreams[plan->helpers[i]]);
 	for (size_t i = 0; i < exchange->reader_count; i++)
 		ids[i] = exchange->readers[i].upstream;
-	if (plan->part_ms >= TOLD_READING_MS)
+	if (plan->part_ms >= LOAD_SHARE_READING_MIN_MS)
 		load_share_tell_reading(exchange->all->load_share, ids,
 		    exchange->reader_count, plan->part_ms);
 	expect_parts(exchange);
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -46,6 +46,13 @@
 	return limits;
 }
 
+/* Returns how often the request may be sent at the most. */
+size_t
+exchange_sends_max(const struct exchange *exchange)
+{
+	return MIN(exchange->route->attempts, EXCHANGE_SENDS_MAX);
+}
+
 /*
  * Says whether the request may be sent to one more upstream after so many
  * sends. Repeat says that it may have run before, so that only one that may run
@@ -58,7 +65,7 @@
 
 	if (repeat && !route_may_repeat(exchange->route))
 		return false;
-	if (sends >= MIN(exchange->route->attempts, EXCHANGE_SENDS_MAX) ||
+	if (sends >= exchange_sends_max(exchange) ||
 	    exchange->tries >= EXCHANGE_TRIES_MAX ||
 	    exchange_left_ms(exchange) < SEND_LEFT_MIN_MS)
 		return false;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -11,12 +11,6 @@
 #define UNREACHABLE_MS 2000
 /* Times that engines are asked for one prompt's memory before it is refused. */
 #define TICKET_REFUSALS_MAX 2
-/*
- * A prompt that nobody can take waits for this part of its time to a first
- * token and is planned anew so often. Beyond it, it is told when to come back.
- */
-#define WAIT_TARGET_PERCENT 20
-#define WAIT_ROUND_MS	    50
 
 METRIC_DEFINE(sends_count, METRIC_COUNTER, "heatherturn_gateway_sends", NULL,
     "Requests sent to upstreams.");
@@ -215,21 +209,6 @@
 	}
 }
 
-/*
- * Says whether a prompt that nobody can take now may wait until somebody can:
- * in the bursts of long ones the engines are free again within a part of its
- * time.
- */
-static bool
-may_wait(const struct exchange *exchange, enum balance_verdict verdict)
-{
-	return (verdict == BALANCE_TOO_COSTLY ||
-		   verdict == BALANCE_NO_MEMORY) &&
-	    exchange->tries == 0 &&
-	    exchange_age_ms(exchange) <
-	    exchange->route->target_ms * WAIT_TARGET_PERCENT / 100;
-}
-
 /* Plans a prompt once more that has waited. */
 void
 exchange_waited(struct ev_loop *loop, ev_timer *timer, int events)
@@ -241,7 +220,8 @@
 static void
 plan_later(struct exchange *exchange)
 {
-	ev_timer_set(&exchange->wait, (double)WAIT_ROUND_MS / MS_PER_S, 0.0);
+	ev_timer_set(
+	    &exchange->wait, (double)BALANCE_WAIT_ROUND_MS / MS_PER_S, 0.0);
 	ev_timer_start(exchange->all->loop, &exchange->wait);
 }
 
@@ -263,7 +243,7 @@
 	/* One that has begun goes on, whatever it costs. */
 	if (verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
 		verdict = BALANCE_SERVE;
-	if (may_wait(exchange, verdict)) {
+	if (exchange->tries == 0 && choice_may_wait(exchange, verdict)) {
 		plan_later(exchange);
 		goto out;
 	}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -91,24 +91,10 @@
 	exchange_start(&gateway->exchanges, request);
 }
 
-/* A caller's request has ended. */
-static void
-take_closed(void *data, struct httpd_request *request, bool whole)
-{
-	exchange_closed(request, whole);
-}
-
-/* A caller has taken all there was of a stream. */
-static void
-take_drained(void *data, struct httpd_request *request)
-{
-	exchange_drained(request);
-}
-
 static const struct httpd_ops caller_ops = {
     .request = take_request,
-    .closed = take_closed,
-    .drained = take_drained,
+    .closed = exchange_closed,
+    .drained = exchange_drained,
 };
 
 /* Goes one step further in leaving, as time and open requests allow. */
--- a/src/gateway/knowledge.c
+++ b/src/gateway/knowledge.c
@@ -11,7 +11,7 @@
 #define TAKEN_BACK_COLD_MS 4000
 
 /* One kind of objects, and the document by which gateways share it. */
-struct source {
+struct shared_kind {
 	struct knowledge *knowledge;
 	const char *document;
 	struct object_watch *watch;
@@ -20,9 +20,9 @@
 struct knowledge {
 	struct clock *clock;
 	struct documents *documents;
-	struct source routes;
-	struct source upstreams;
-	struct source takeouts;
+	struct shared_kind routes;
+	struct shared_kind upstreams;
+	struct shared_kind takeouts;
 	struct routing_table *table; /* NULL before the first */
 	struct timespec table_at; /* when it came into force here */
 	struct fleet *fleet;
@@ -61,20 +61,18 @@
 
 /* Tells the peers that a kind has a newer version here. */
 static void
-announce(const struct source *source, uint64_t version)
+announce(const struct shared_kind *kind, uint64_t version)
 {
-	documents_announce(
-	    source->knowledge->documents, source->document, version);
+	documents_announce(kind->knowledge->documents, kind->document, version);
 }
 
 /* Writes what a peer lacks that has a version of a kind. */
 static GString *
 write_objects(void *data, uint64_t have, uint64_t *base)
 {
-	const struct source *source = data;
+	const struct shared_kind *kind = data;
 
-	return object_set_write(
-	    object_watch_objects(source->watch), have, base);
+	return object_set_write(object_watch_objects(kind->watch), have, base);
 }
 
 /* Takes what a peer wrote. */
@@ -82,9 +80,9 @@
 take_objects(void *data, uint64_t base, uint64_t version, const uint8_t *text,
     size_t length)
 {
-	const struct source *source = data;
+	const struct shared_kind *kind = data;
 
-	return object_watch_take(source->watch, base, version, text, length);
+	return object_watch_take(kind->watch, base, version, text, length);
 }
 
 /* Brings a routing table into force unless it is older than the one that is. */
@@ -112,17 +110,17 @@
 static void
 take_routes(void *data, uint64_t version, const struct object_changes *changes)
 {
-	const struct source *source = data;
+	const struct shared_kind *kind = data;
 	g_autoptr(GError) error = NULL;
 	struct routing_table *table = decode_routes(changes, &error);
 
 	if (table != NULL)
-		set_table(source->knowledge, table, version);
+		set_table(kind->knowledge, table, version);
 	else
 		LOG_WARN("routes not taken", "{s:s, s:I}", "why",
 		    error->message, "revision", (json_int_t)version);
-	announce(source, version);
-	tell_whole(source->knowledge);
+	announce(kind, version);
+	tell_whole(kind->knowledge);
 }
 
 /* A newer list of upstreams is here. */
@@ -130,8 +128,8 @@
 take_upstreams(
     void *data, uint64_t version, const struct object_changes *changes)
 {
-	const struct source *source = data;
-	struct knowledge *knowledge = source->knowledge;
+	const struct shared_kind *kind = data;
+	struct knowledge *knowledge = kind->knowledge;
 	struct upstream_reports reports = decode_upstreams(changes);
 
 	for (size_t i = 0; i < changes->removed_count; i++)
@@ -142,7 +140,7 @@
 	    reports.unusable->len, clock_monotonic(knowledge->clock));
 	metric_set(&upstreams_known, (int64_t)fleet_count(knowledge->fleet));
 	decode_upstreams_clear(&reports);
-	announce(source, version);
+	announce(kind, version);
 	tell_whole(knowledge);
 }
 
@@ -151,30 +149,30 @@
 take_takeouts(
     void *data, uint64_t version, const struct object_changes *changes)
 {
-	const struct source *source = data;
-	struct knowledge *knowledge = source->knowledge;
+	const struct shared_kind *kind = data;
+	struct knowledge *knowledge = kind->knowledge;
 	g_auto(GStrv)
-	    domains = object_set_names(object_watch_objects(source->watch));
+	    domains = object_set_names(object_watch_objects(kind->watch));
 
 	knowledge->takeouts_known = true;
 	fleet_set_takeouts(knowledge->fleet, (const char *const *)domains,
 	    g_strv_length(domains), clock_monotonic(knowledge->clock),
 	    TAKEN_BACK_COLD_MS);
-	announce(source, version);
+	announce(kind, version);
 	tell_whole(knowledge);
 }
 
 /* Follows a kind in the store, and shares it under a document's name. */
 static void
-follow(struct knowledge *knowledge, struct source *source, struct ev_loop *loop,
-    struct object_store *store, const char *kind, const char *document,
-    object_watch_fn *take)
+follow(struct knowledge *knowledge, struct shared_kind *kind,
+    struct ev_loop *loop, struct object_store *store, const char *name,
+    const char *document, object_watch_fn *take)
 {
-	source->knowledge = knowledge;
-	source->document = document;
-	source->watch = object_watch_new(loop, store, kind, take, source);
-	documents_set_source(knowledge->documents, document, write_objects,
-	    take_objects, source);
+	kind->knowledge = knowledge;
+	kind->document = document;
+	kind->watch = object_watch_new(loop, store, name, take, kind);
+	documents_set_source(
+	    knowledge->documents, document, write_objects, take_objects, kind);
 }
 
 /* Begins to learn from the store and from peers. */
--- a/src/gateway/load_share.h
+++ b/src/gateway/load_share.h
@@ -22,6 +22,8 @@
 /* Rounds without word after which a peer's work is forgotten. */
 #define LOAD_SHARE_SILENT_ROUNDS 6
 
+/* Shorter reading is not told at once: it is over before peers need it. */
+#define LOAD_SHARE_READING_MIN_MS 20.0
 /* A gateway with nothing to tell still says so often that it is there. */
 #define LOAD_SHARE_IDLE_ROUNDS 2
 /*
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -118,8 +118,7 @@
 		return;
 	}
 	json_array_foreach (page->items, i, item) {
-		const char *name = json_string_value(
-		    json_object_get(json_object_get(item, "Metadata"), "Name"));
+		const char *name = object_name(item);
 		const char *address = decode_gateway_address(item);
 
 		if (name == NULL || address == NULL)
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -302,6 +302,19 @@
 	return 0;
 }
 
+/* Has the first of an order help a writer, so that there are so many readers.
+ */
+static void
+add_helpers(const struct rank *ranks, size_t parts, size_t writer,
+    struct balance_plan *plan)
+{
+	plan->helper_count = 0;
+	for (size_t i = 0; plan->helper_count + 1 < parts; i++) {
+		if (i != writer)
+			plan->helpers[plan->helper_count++] = ranks[i].index;
+	}
+}
+
 /*
  * Plans a long prompt: of the engines that delay the fewest short streams, as
  * many as make the prompt's own lateness worth their delay. Returns what that
@@ -347,10 +360,7 @@
 	    .part_ms = whole_ms / (double)best,
 	    .first_token_ms = first_token_ms,
 	};
-	for (size_t i = 0; plan->helper_count + 1 < best; i++) {
-		if (i != writer)
-			plan->helpers[plan->helper_count++] = ranks[i].index;
-	}
+	add_helpers(ranks, best, writer, plan);
 	return least;
 }
 
@@ -364,17 +374,14 @@
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
 	uint64_t left = prompt->tokens + prompt->output_tokens;
-	uint64_t own = room(profile, &candidates[plan->first]);
 
-	if (profile->memory_tokens == 0 || left <= own)
+	if (profile->memory_tokens == 0)
 		return true;
-	left -= own;
-	for (size_t i = 0; i < plan->helper_count && left > 0; i++) {
-		uint64_t part = MIN(
+	left -= MIN(room(profile, &candidates[plan->first]), left);
+	for (size_t i = 0; i < plan->helper_count; i++) {
+		plan->held_tokens[i] = MIN(
 		    room(profile, &candidates[plan->helpers[i]]), left);
-
-		plan->held_tokens[i] = part;
-		left -= part;
+		left -= plan->held_tokens[i];
 	}
 	return left == 0;
 }
@@ -395,16 +402,9 @@
 		    whole_ms / (double)parts, ranks);
 		writer = choose_writer(
 		    profile, candidates, ranks, parts, prompt);
-		*plan = (struct balance_plan){
-		    .first = ranks[writer].index,
-		    .part_ms = whole_ms / (double)parts,
-		    .first_token_ms = plan->first_token_ms,
-		};
-		for (size_t i = 0; i < parts; i++) {
-			if (i != writer)
-				plan->helpers[plan->helper_count++] =
-				    ranks[i].index;
-		}
+		plan->first = ranks[writer].index;
+		plan->part_ms = whole_ms / (double)parts;
+		add_helpers(ranks, parts, writer, plan);
 		if (spread_memory(profile, candidates, prompt, plan))
 			return true;
 	}
@@ -434,26 +434,36 @@
 	double whole_ms = reading_ms(profile, prompt->tokens);
 	double worth = worth_of(prompt);
 	double cost = 0.0;
-	double wait_ms;
 
 	*plan = (struct balance_plan){0};
 	if (count == 0)
 		return BALANCE_NOBODY;
-	wait_ms = mean_backlog_ms(candidates, count);
 	if (prompt->class == STREAM_SHORT && whole_ms <= BALANCE_WHOLE_MS)
 		plan_short(profile, candidates, count, whole_ms, plan);
 	else
 		cost = plan_long(
 		    profile, candidates, count, whole_ms, prompt, plan);
-	plan->wait_ms = wait_ms;
+	plan->wait_ms = mean_backlog_ms(candidates, count);
 	plan->cost = cost;
 	plan->worth = worth;
 	if (cost > worth * BALANCE_ADMIT_SHARE)
 		return BALANCE_TOO_COSTLY;
 	if (spread_memory(profile, candidates, prompt, plan))
 		return BALANCE_SERVE;
-	if (plan_larger(profile, candidates, count, whole_ms, prompt, plan))
-		return BALANCE_SERVE;
-	plan->wait_ms = wait_ms;
-	return BALANCE_NO_MEMORY;
+	return plan_larger(profile, candidates, count, whole_ms, prompt, plan)
+	    ? BALANCE_SERVE
+	    : BALANCE_NO_MEMORY;
+}
+
+/*
+ * Says whether a prompt that is not served now may wait until it is: in the
+ * bursts of long ones the engines are free again within a part of its time.
+ */
+bool
+balance_may_wait(
+    const struct balance_prompt *prompt, enum balance_verdict verdict)
+{
+	return (verdict == BALANCE_TOO_COSTLY ||
+		   verdict == BALANCE_NO_MEMORY) &&
+	    prompt->waited_ms < prompt->target_ms * BALANCE_WAIT_SHARE;
 }
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -104,6 +104,13 @@
  */
 #define BALANCE_MEMORY_SHARE 0.9
 
+/*
+ * A prompt that nobody can take waits for this part of its time to a first
+ * token and is planned anew so often. Beyond it, it is told when to come back.
+ */
+#define BALANCE_WAIT_SHARE    0.2
+#define BALANCE_WAIT_ROUND_MS 50
+
 /* An upstream that may be chosen, as it is now. */
 struct balance_candidate {
 	uint32_t slots;
@@ -121,7 +128,7 @@
 	enum stream_class class;
 	double target_ms; /* to its first token */
 	double waited_ms; /* since it arrived */
-	size_t readers_max; /* 0 for as many as may be */
+	size_t readers_max; /* unless its memory needs more; 0 for any number */
 };
 
 /* Whether a prompt is served now. */
@@ -147,6 +154,7 @@
 
 enum stream_class balance_stream_class(double gap_target_ms);
 ssize_t balance_call(const struct balance_candidate *, size_t count);
+bool balance_may_wait(const struct balance_prompt *, enum balance_verdict);
 enum balance_verdict balance_prompt(const struct engine_profile *,
     const struct balance_candidate *, size_t count,
     const struct balance_prompt *, struct balance_plan *);
--- a/src/policy/reading.h
+++ b/src/policy/reading.h
@@ -8,6 +8,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/*
+ * A part counts as being read for this long beyond the time that reading takes,
+ * for the passes of streams between.
+ */
+#define READING_SLACK_MS 400
+
 /* The figures of a service's engines, as its configuration states them. */
 struct engine_profile {
 	uint32_t slots; /* requests in a batch */
--- a/tests/experiment/experiment.c
+++ b/tests/experiment/experiment.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 
 #include "fleet_model.h"
+#include "gateway/load_share.h"
 #include "replay.h"
 #include "traffic.h"
 #include "users_engine.h"
@@ -16,10 +17,6 @@
 #define SECONDS_DEFAULT	 30
 #define ENGINES_DEFAULT	 16
 #define GATEWAYS_DEFAULT 5
-/* A gateway's round, as src/gateway/load_share.h sets it. */
-#define ROUND_MS      100.0
-#define ROUND_PEER_MS 4.0
-
 static struct {
 	char *loads;
 	int seeds;
@@ -115,7 +112,8 @@
 	    .profile = &users_engine,
 	    .engines = (size_t)options.engines,
 	    .gateways = (size_t)options.gateways,
-	    .round_ms = ROUND_MS + ROUND_PEER_MS * (options.gateways - 1),
+	    .round_ms = LOAD_SHARE_ROUND_MS +
+		LOAD_SHARE_ROUND_PEER_MS * (options.gateways - 1),
 	};
 	struct outcome outcomes[STREAM_CLASSES] = {0};
 
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -2,18 +2,16 @@
 
 #include <string.h>
 
+#include "gateway/load_share.h"
 #include "traffic.h"
 
 /* Steps of the model's clock. */
 #define TICK_MS 5.0
 /* The way from a gateway to an engine, or to another gateway. */
 #define HOP_MS 1.0
-/* As a gateway does: see src/gateway/exchange_send.c and exchange_parts.c. */
-#define WAIT_SHARE	 0.2
-#define WAIT_ROUND_MS	 50.0
-#define COME_BACK_MS	 500.0
-#define READING_SLACK_MS 400.0
-#define TOLD_READING_MS	 20.0
+/* Added to the backlog when a caller is told to come back, as a gateway does.
+ */
+#define COME_BACK_MS 500.0
 /* A caller comes back once. */
 #define REFUSALS_MAX 2
 
@@ -87,7 +85,7 @@
 		*until = MAX(*until, model->now_ms) + prompt->part_ms;
 		prompt->counted_until_ms[i] = *until + READING_SLACK_MS;
 		gateway->own[engine].reading_ms += prompt->part_ms;
-		if (prompt->part_ms >= TOLD_READING_MS)
+		if (prompt->part_ms >= LOAD_SHARE_READING_MIN_MS)
 			gateway->told[engine].reading_ms += prompt->part_ms;
 	}
 }
@@ -143,23 +141,24 @@
 	g_autofree struct balance_candidate *candidates = g_new(
 	    struct balance_candidate, settings->engines);
 	const struct prompt_class *class = &prompt_classes[prompt->class];
-	double waited_ms = model->now_ms - prompt->tried_ms;
 	const struct balance_prompt asked = {
 	    .tokens = prompt->tokens,
 	    .output_tokens = (uint64_t)prompt->events *
 		settings->profile->stride,
 	    .class = prompt->class,
 	    .target_ms = class->target_ms,
-	    .waited_ms = waited_ms,
+	    .waited_ms = model->now_ms - prompt->tried_ms,
 	};
+	enum balance_verdict verdict;
 	struct balance_plan plan;
 
 	for (size_t i = 0; i < settings->engines; i++)
 		candidates[i] = describe(model, gateway, i);
-	if (balance_prompt(settings->profile, candidates, settings->engines,
-		&asked, &plan) == BALANCE_SERVE)
+	verdict = balance_prompt(
+	    settings->profile, candidates, settings->engines, &asked, &plan);
+	if (verdict == BALANCE_SERVE)
 		send(model, gateway, prompt, &plan);
-	else if (waited_ms >= class->target_ms * WAIT_SHARE)
+	else if (!balance_may_wait(&asked, verdict))
 		refuse(model, prompt, plan.wait_ms);
 }
 
@@ -173,7 +172,7 @@
 
 	if (prompt->planned_ms < 0.0) {
 		if (since_ms < TICK_MS ||
-		    (int64_t)since_ms % (int64_t)WAIT_ROUND_MS < TICK_MS)
+		    (int64_t)since_ms % BALANCE_WAIT_ROUND_MS < TICK_MS)
 			plan(model, gateway, prompt);
 		return;
 	}
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "cases.h"
 #include "policy/balance.h"
 #include "users_engine.h"
 
@@ -62,6 +63,11 @@
     {"a prompt over one engine's memory is held by helpers too",
 	{{0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}, {0}}, 12,
 	400000, STREAM_LONG, 3000, BALANCE_SERVE, -1, 3, 11, true},
+    {"helpers hold no more than the writer has no room for",
+	{{.context_tokens = 275000}, {.context_tokens = 275000},
+	    {.context_tokens = 275000},
+	    {.running = 8, .shorts = 8, .backlog_ms = 1}},
+	4, 284000, STREAM_LONG, 60000, BALANCE_SERVE, 3, 3, 3, true},
     {"a prompt that all memory together does not hold waits",
 	{{.context_tokens = 280000}, {.context_tokens = 280000}}, 2, 154000,
 	STREAM_LONG, 30000, BALANCE_NO_MEMORY, -1, 0, 1, false},
@@ -94,6 +100,15 @@
 		};
 }
 
+/* Returns how many tokens are planned for beside what runs at an engine. */
+static uint64_t
+room(const struct balance_candidate *candidate)
+{
+	return (uint64_t)((double)users_engine.memory_tokens *
+		   BALANCE_MEMORY_SHARE) -
+	    candidate->context_tokens;
+}
+
 /* A plan names each engine once at the most. */
 static void
 check_distinct(const struct balance_plan *plan)
@@ -154,6 +169,9 @@
 	for (size_t i = 0; i < plan.helper_count; i++)
 		held += plan.held_tokens[i];
 	g_assert_cmpint(held > 0, ==, c->holds);
+	if (held > 0)
+		g_assert_cmpuint(held + room(&candidates[plan.first]), ==,
+		    prompt.tokens + prompt.output_tokens);
 }
 
 /* A plain service's call goes to the upstream with the least waiting. */
@@ -353,8 +371,6 @@
 #define BURST_WAIT	5 /* steps until one that waits is planned anew */
 #define BURST_PROMPTS	64
 #define BURST_TARGET_MS 3000.0
-/* A prompt waits for this part of its time before it is turned away. */
-#define BURST_WAIT_SHARE 0.2
 
 /* One prompt of the burst. */
 struct burst_prompt {
@@ -395,6 +411,7 @@
 	struct burst_prompt *prompt = &burst->prompts[at];
 	struct balance_candidate candidates[ENGINES];
 	struct balance_plan plan;
+	enum balance_verdict verdict;
 	const struct balance_prompt asked = {
 	    .tokens = prompt->tokens,
 	    .class = STREAM_LONG,
@@ -403,10 +420,10 @@
 	};
 
 	observe_burst(burst, candidates);
-	if (balance_prompt(&users_engine, candidates, ENGINES, &asked, &plan) !=
-	    BALANCE_SERVE) {
-		prompt->over = asked.waited_ms >=
-		    BURST_TARGET_MS * BURST_WAIT_SHARE;
+	verdict = balance_prompt(
+	    &users_engine, candidates, ENGINES, &asked, &plan);
+	if (verdict != BALANCE_SERVE) {
+		prompt->over = !balance_may_wait(&asked, verdict);
 		return;
 	}
 	prompt->planned = true;
@@ -530,12 +547,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/balance/plan/%s", cases[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_plan);
-	}
+	ADD_CASES(cases, "/balance/plan", test_plan);
 	g_test_add_func("/balance/call", test_call);
 	g_test_add_func("/balance/few readers", test_few_readers);
 	g_test_add_func("/balance/swinging load", test_swinging_load);
--- a/tests/test_event_cut.c
+++ b/tests/test_event_cut.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "cases.h"
 #include "gateway/event_cut.h"
 
 static const struct cut_case {
@@ -28,6 +29,7 @@
 struct seen {
 	int events;
 	GString *bytes;
+	uint64_t last_id; /* of the events that had one; 0 before */
 };
 
 /* Counts an event. */
@@ -37,6 +39,8 @@
 	struct seen *seen = data;
 
 	seen->events++;
+	if (has_id)
+		seen->last_id = id;
 	g_string_append_len(seen->bytes, (const char *)bytes, (gssize)length);
 }
 
@@ -60,7 +64,7 @@
 		g_assert_cmpuint(seen.bytes->len + c->left, ==, length);
 		g_assert_true(
 		    memcmp(seen.bytes->str, c->bytes, seen.bytes->len) == 0);
-		g_assert_cmpuint(cut.has_id ? cut.id : 0, ==, c->last_id);
+		g_assert_cmpuint(seen.last_id, ==, c->last_id);
 		event_cut_restart(&cut);
 		g_assert_cmpuint(cut.held->len, ==, 0);
 		event_cut_clear(&cut);
@@ -72,11 +76,6 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/event_cut/%s", cases[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_cut);
-	}
+	ADD_CASES(cases, "/event_cut", test_cut);
 	return g_test_run();
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 
 #include "base/http_client.h"
+#include "cases.h"
 #include "gateway/exchange.h"
 #include "platform_standin.h"
 
@@ -142,24 +143,10 @@
 	exchange_start(&((struct fixture *)data)->exchanges, request);
 }
 
-/* A caller's request is over. */
-static void
-take_closed(void *data, struct httpd_request *request, bool whole)
-{
-	exchange_closed(request, whole);
-}
-
-/* A caller has taken all there was. */
-static void
-take_drained(void *data, struct httpd_request *request)
-{
-	exchange_drained(request);
-}
-
 static const struct httpd_ops caller_ops = {
     .request = take_request,
-    .closed = take_closed,
-    .drained = take_drained,
+    .closed = exchange_closed,
+    .drained = exchange_drained,
 };
 
 /* The test has hung. */
@@ -638,18 +625,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/gateway/request/%s", cases[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_request);
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/gateway/wait/%s", waits[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_wait);
-	}
+	ADD_CASES(cases, "/gateway/request", test_request);
+	ADD_CASES(waits, "/gateway/wait", test_wait);
 	g_test_add_func("/gateway/last send", test_last_send);
 	g_test_add_func("/gateway/blamed", test_blamed);
 	g_test_add_func("/gateway/reading", test_reading);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "cases.h"
 #include "policy/cold_rate.h"
 #include "policy/retry_window.h"
 
@@ -102,18 +103,8 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(windows); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/retry_window/%s", windows[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_window);
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/cold_rate/%s", parts[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_part);
-	}
+	ADD_CASES(windows, "/retry_window", test_window);
+	ADD_CASES(parts, "/cold_rate", test_part);
 	g_test_add_func("/retry_window/slides", test_window_slides);
 	return g_test_run();
 }
--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/httpd.h"
+#include "cases.h"
 #include "platform/object_watch.h"
 
 #define GUARD_S	       20.0
@@ -307,12 +308,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/object_watch/%s", cases[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_watch);
-	}
+	ADD_CASES(cases, "/object_watch", test_watch);
 	g_test_add_func("/object_watch/peer", test_peer);
 	g_test_add_func("/object_watch/inactive", test_inactive);
 	g_test_add_func("/object_watch/gathered", test_gathered);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "cases.h"
 #include "platform/decode.h"
 #include "routing/fleet.h"
 #include "routing/table.h"
@@ -299,18 +300,6 @@
 	    10500);
 }
 
-/* Adds one test for each case of a table. */
-#define ADD_CASES(table, prefix, function)                         \
-	do {                                                       \
-		for (size_t i = 0; i < G_N_ELEMENTS(table); i++) { \
-			g_autofree char *path = g_strdup_printf(   \
-			    prefix "/%s", (table)[i].name);        \
-                                                                   \
-			g_test_add_data_func(                      \
-			    path, GSIZE_TO_POINTER(i), function);  \
-		}                                                  \
-	} while (0)
-
 int
 main(int argc, char **argv)
 {
--- a/tests/test_tickets.c
+++ b/tests/test_tickets.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "base/httpd.h"
+#include "cases.h"
 #include "gateway/tickets.h"
 
 #define GUARD_S	       20.0
@@ -207,12 +208,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		g_autofree char *path = g_strdup_printf(
-		    "/tickets/ask/%s", cases[i].name);
-
-		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_ask);
-	}
+	ADD_CASES(cases, "/tickets/ask", test_ask);
 	g_test_add_func("/tickets/renew", test_renew);
 	g_test_add_func("/tickets/give up", test_give_up);
 	return g_test_run();
