--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -22,6 +22,11 @@
 #define STATUS_OK		   200
 /* Lower codes are informational: a final status line follows. */
 #define STATUS_FINAL_MIN 200
+/*
+ * Limit on all header lines of a call together: those of interim responses, of
+ * the final one and of its trailer.
+ */
+#define HEADERS_MAX_BYTES ((size_t)64 * 1024)
 /* Interval of TCP keep-alive probes, for calls with unreachable_ms. */
 #define KEEPALIVE_INTERVAL_S 1
 
@@ -51,6 +56,7 @@
 	CURL *easy;
 	struct curl_slist *headers_out;
 	GArray *headers_in; /* of struct http_header, in the order received */
+	size_t header_bytes; /* received in all header lines */
 	GByteArray *body;
 	const struct http_call_ops *ops;
 	void *data;
@@ -395,6 +401,11 @@
 	char *colon = memchr(bytes, ':', length);
 	struct http_header header;
 
+	call->header_bytes += length;
+	if (call->header_bytes > HEADERS_MAX_BYTES) {
+		call_fail(call, HTTP_CLIENT_ERROR_TOO_LARGE);
+		return 0;
+	}
 	stall_restart(call);
 	if (length > 5 && memcmp(bytes, "HTTP/", 5) == 0) {
 		g_array_set_size(call->headers_in, 0);
--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -75,8 +75,11 @@
 	return false;
 }
 
-/* Buffers bytes and calls back for each event that is complete. */
-void
+/*
+ * Buffers bytes and calls back for each event that is complete. Returns false
+ * if the incomplete event exceeds EVENT_SPLITTER_MAX_BYTES.
+ */
+bool
 event_splitter_feed(struct event_splitter *splitter, const uint8_t *bytes,
     size_t length, event_splitter_fn *callback, void *data)
 {
@@ -88,15 +91,14 @@
 	while (splitter->buffer->len > 0) {
 		event_length = first_event_length(
 		    splitter->buffer->data, splitter->buffer->len);
-		if (event_length == 0 &&
-		    splitter->buffer->len > EVENT_SPLITTER_MAX_BYTES)
-			event_length = splitter->buffer->len;
 		if (event_length == 0)
-			return;
+			return splitter->buffer->len <=
+			    EVENT_SPLITTER_MAX_BYTES;
 		has_id = find_id(splitter->buffer->data, event_length, &id);
 		callback(
 		    data, splitter->buffer->data, event_length, has_id, id);
 		g_byte_array_remove_range(
 		    splitter->buffer, 0, (guint)event_length);
 	}
+	return true;
 }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -12,9 +12,7 @@
 
 #include <glib.h>
 
-/*
- * A longer event is forwarded in pieces; the stream can't be resumed after it.
- */
+/* A longer event is an error: it may have no end. */
 #define EVENT_SPLITTER_MAX_BYTES ((size_t)1024 * 1024)
 
 struct event_splitter {
@@ -27,7 +25,7 @@
 
 void event_splitter_init(struct event_splitter *);
 void event_splitter_clear(struct event_splitter *);
-void event_splitter_feed(struct event_splitter *, const uint8_t *, size_t,
+bool event_splitter_feed(struct event_splitter *, const uint8_t *, size_t,
     event_splitter_fn *, void *data);
 void event_splitter_reset(struct event_splitter *);
 
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -36,6 +36,19 @@
 	    (json_int_t)wait_ms);
 }
 
+/* Applies what an upstream says of itself in the headers of a response. */
+void
+exchange_apply_notice(struct exchange *exchange,
+    struct fleet_upstream *upstream, const struct upstream_notice *notice)
+{
+	struct timespec now = clock_monotonic(exchange->context->clock);
+
+	if (notice->leaving)
+		fleet_upstream_on_leaving(upstream, "response", now);
+	if (notice->quiet_ms > 0)
+		fleet_upstream_on_quiet(upstream, notice->quiet_ms, now);
+}
+
 /*
  * Avoids the upstream that the current one reported, by id or address, as
  * unable to prefill with it. The current upstream is not marked.
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -129,6 +129,8 @@
 void exchange_discard_partial(struct exchange *);
 void exchange_restart_stall_timer(struct exchange *);
 void exchange_on_stall_timeout(struct ev_loop *, ev_timer *, int events);
+void exchange_apply_notice(
+    struct exchange *, struct fleet_upstream *, const struct upstream_notice *);
 void exchange_mark_faulty(struct exchange *, const char *faulty_upstream);
 void exchange_retry_or_fail(
     struct exchange *, enum send_outcome, const char *why);
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -90,6 +90,10 @@
 
 	headers_parse_response(call, status,
 	    exchange->caller_headers.request_id, &exchange->response);
+	/* Another process that has the address now speaks of itself. */
+	if (!exchange->response.wrong_instance)
+		exchange_apply_notice(
+		    exchange, exchange->upstream, &exchange->response.notice);
 	switch (classify(exchange, status)) {
 	case VERDICT_NOT_RUN:
 		exchange->send_outcome = SEND_NOT_RUN;
@@ -181,11 +185,14 @@
 {
 	struct exchange *exchange = data;
 
-	if (exchange->is_event_stream)
-		event_splitter_feed(&exchange->splitter, bytes, length,
-		    forward_event, exchange);
-	else
+	if (!exchange->is_event_stream) {
 		append_part(exchange, bytes, length);
+	} else if (!event_splitter_feed(&exchange->splitter, bytes, length,
+		       forward_event, exchange)) {
+		exchange->send_outcome = SEND_LOST;
+		exchange->send_error = "the upstream sent an event without end";
+		return false;
+	}
 	if (exchange->streaming &&
 	    httpd_stream_pending(exchange->http) > STREAM_PENDING_MAX_BYTES)
 		http_call_pause(exchange->call);
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -95,6 +95,18 @@
 	return candidate;
 }
 
+/* Counts an upstream that has asked for quiet. */
+static void
+count_quiet(struct selection *selection, const struct fleet_upstream *upstream,
+    struct timespec now)
+{
+	int64_t left_ms = quiet_left_ms(&upstream->quiet, now);
+
+	if (selection->quiet == 0 || left_ms < selection->quiet_left_ms)
+		selection->quiet_left_ms = left_ms;
+	selection->quiet++;
+}
+
 /* Collects the candidates for a request; clear them with selection_clear. */
 void
 selection_collect(struct exchange *exchange, enum selection_filter filter,
@@ -117,6 +129,10 @@
 		    !fleet_upstream_is_eligible(fleet, upstream, now))
 			continue;
 		selection->eligible++;
+		if (quiet_is_wanted(&upstream->quiet, now)) {
+			count_quiet(selection, upstream, now);
+			continue;
+		}
 		if (was_tried(exchange, upstream->id) ||
 		    !may_send_to_cold(exchange, upstream, now) ||
 		    (filter != SELECTION_ANY &&
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -13,6 +13,8 @@
 	struct fleet_upstream **upstreams;
 	size_t count;
 	size_t eligible; /* upstreams of the service that accept new requests */
+	size_t quiet; /* of these, that have asked for none now */
+	int64_t quiet_left_ms; /* until the first of those accepts requests */
 };
 
 /* Filters for upstreams, strictest first; each also applies those below it. */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -156,6 +156,25 @@
 		    "the engines did not reserve memory for the prompt");
 }
 
+/* Applies what a helper says of itself in its response to an order. */
+static void
+on_helper_notice(void *data, size_t index, const struct upstream_notice *notice)
+{
+	struct exchange *exchange = data;
+	const struct fleet *fleet = routing_state_fleet(
+	    exchange->context->routing_state);
+
+	for (size_t i = 0; i < exchange->helper_count; i++) {
+		const struct send_helper *helper = &exchange->helpers[i];
+		struct fleet_upstream *upstream = fleet_find(
+		    fleet, helper->upstream);
+
+		if (helper->reserved_tokens > 0 &&
+		    helper->reservation == index && upstream != NULL)
+			exchange_apply_notice(exchange, upstream, notice);
+	}
+}
+
 /* Reserves memory at the helpers; false if none is needed. */
 static bool
 reserve_memory(struct exchange *exchange)
@@ -175,7 +194,8 @@
 		return false;
 	exchange->reservations = reservations_new(exchange->context->loop,
 	    exchange->context->http, exchange->caller_headers.request_id,
-	    exchange->context->hold_ms, requests, count, on_reserved, exchange);
+	    exchange->context->hold_ms, requests, count, on_reserved,
+	    on_helper_notice, exchange);
 	return true;
 }
 
@@ -211,6 +231,14 @@
 		    "the engines have no memory for the prompt now");
 		break;
 	default:
+		if (selection->quiet > 0 &&
+		    selection->quiet == selection->eligible) {
+			exchange_fail(exchange, REFUSAL_OVERLOADED,
+			    quiet_retry_after_ms(selection->quiet_left_ms,
+				exchange->context->random),
+			    "all upstreams have asked for no requests now");
+			break;
+		}
 		exchange_fail(exchange, REFUSAL_NO_UPSTREAM,
 		    EXCHANGE_RETRY_AFTER_MS,
 		    selection->eligible > 0
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -45,6 +45,7 @@
 	struct ev_loop *loop;
 	struct clock *clock;
 	struct node *node;
+	GRand *random;
 	struct object_store *store;
 	struct routing_state *routing_state;
 	struct registry *registry;
@@ -173,7 +174,7 @@
 	    .registry = gateway->registry,
 	    .load_sync = gateway->load_sync,
 	    .mesh = node_mesh(gateway->node),
-	    .random = g_rand_new_with_seed(randombytes_random()),
+	    .random = gateway->random,
 	    .retry =
 		{
 		    .ratio = settings->retry_ratio,
@@ -245,8 +246,9 @@
 	    gateway->loop, gateway->clock, settings, &node_ops, gateway, error);
 	if (gateway->node == NULL)
 		return false;
-	gateway->store = object_store_new(
-	    node_http_client(gateway->node), settings->objects);
+	gateway->random = g_rand_new_with_seed(randombytes_random());
+	gateway->store = object_store_new(node_http_client(gateway->node),
+	    settings->objects, gateway->random);
 	gateway->routing_state = routing_state_new(gateway->loop,
 	    gateway->clock, gateway->store, node_documents(gateway->node));
 	gateway->registry = registry_new(gateway->loop, gateway->store,
@@ -266,12 +268,12 @@
 	ev_timer_stop(gateway->loop, &gateway->drain_poll_timer);
 	httpd_free(gateway->callers);
 	exchange_context_clear(&gateway->exchange_context);
-	if (gateway->exchange_context.random != NULL)
-		g_rand_free(gateway->exchange_context.random);
 	load_sync_free(gateway->load_sync);
 	registry_free(gateway->registry);
 	routing_state_free(gateway->routing_state);
 	object_store_free(gateway->store);
+	if (gateway->random != NULL)
+		g_rand_free(gateway->random);
 	node_free(gateway->node);
 	settings_clear(&gateway->settings);
 }
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -111,6 +111,25 @@
 	return peer_load;
 }
 
+/* Marks the upstreams that have told a peer that they leave. */
+static void
+apply_leaving(struct load_sync *sync, const char *process,
+    const struct message_load *message)
+{
+	struct timespec now = clock_monotonic(sync->clock);
+	size_t count = MIN(
+	    message->leaving.count, message->leaving_starts.count);
+
+	for (size_t i = 0; i < count; i++) {
+		struct fleet_upstream *upstream = fleet_find(
+		    sync->fleet, message->leaving.items[i]);
+		int64_t start = (int64_t)message->leaving_starts.items[i];
+
+		if (upstream != NULL && (start == upstream->start_wall_ms))
+			fleet_upstream_on_leaving(upstream, process, now);
+	}
+}
+
 /* Replaces a peer's load with the one it reports. */
 static void
 on_load(struct load_sync *sync, const char *process,
@@ -149,6 +168,7 @@
 	peer_load->received_at = clock_monotonic(sync->clock);
 	peer_load->store_disconnected = message->store_disconnected;
 	apply_peer_load(sync, peer_load, true);
+	apply_leaving(sync, process, message);
 }
 
 /* Returns a peer's load on one upstream; creates an empty one if needed. */
@@ -227,15 +247,23 @@
 	g_autofree uint64_t *tokens = g_new(uint64_t, max + 1);
 	g_autofree uint64_t *prefill_us = g_new(uint64_t, max + 1);
 	g_autofree char **faulty = g_new(char *, max + 1);
+	g_autofree char **leaving = g_new(char *, max + 1);
+	g_autofree uint64_t *starts = g_new(uint64_t, max + 1);
 	struct timespec now = clock_monotonic(sync->clock);
 	struct message message = {.kind = MESSAGE_LOAD};
 	struct fleet_upstream *upstream;
 	size_t rows = 0;
 	size_t faulty_count = 0;
+	size_t leaving_count = 0;
 
 	TAILQ_FOREACH (upstream, &sync->fleet->upstreams, entry) {
 		if (time_before(now, upstream->faulty_until))
 			faulty[faulty_count++] = upstream->id;
+		if (fleet_upstream_announces(upstream, now)) {
+			leaving[leaving_count] = upstream->id;
+			starts[leaving_count++] = (uint64_t)
+						      upstream->start_wall_ms;
+		}
 		if (upstream->own.running == 0 && upstream->own.prefill_us == 0)
 			continue;
 		ids[rows] = upstream->id;
@@ -246,7 +274,8 @@
 		tokens[rows] = upstream->own.context_tokens;
 		prefill_us[rows++] = upstream->own.prefill_us;
 	}
-	if (rows == 0 && faulty_count == 0 && sync->idle_rounds > 0 &&
+	if (rows == 0 && faulty_count == 0 && leaving_count == 0 &&
+	    sync->idle_rounds > 0 &&
 	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
 		return;
 	sync->idle_rounds = rows == 0 ? 1 : 0;
@@ -261,6 +290,8 @@
 	    .context_tokens = {tokens, rows},
 	    .prefill_us = {prefill_us, rows},
 	    .faulty = {faulty, faulty_count},
+	    .leaving = {leaving, leaving_count},
+	    .leaving_starts = {starts, leaving_count},
 	};
 	broadcast(sync, &message);
 }
@@ -331,6 +362,7 @@
 	struct load_sync *sync = timer->data;
 
 	expire_peers(sync);
+	fleet_expire(sync->fleet, clock_monotonic(sync->clock));
 	routing_state_set_watching(
 	    sync->routing_state, !has_enough_watchers(sync));
 	broadcast_load(sync);
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -10,12 +10,14 @@
 struct registry {
 	struct ev_loop *loop;
 	struct object_store *store;
+	struct object_store_observer observer;
 	struct mesh *mesh;
 	char *name;
 	char *address;
 	struct object_store_call *call;
 	ev_timer timer;
 	GPtrArray *addresses; /* of other gateways, from the current read */
+	GPtrArray *kept; /* addresses known before a restore; NULL for none */
 	char *page_token; /* last name of the previous page */
 	bool registered; /* our object is in the store */
 	uint32_t count; /* gateways in the last list */
@@ -89,11 +91,34 @@
 	json_decref(spec);
 }
 
+/*
+ * Adds the gateways known before a restore to a list that may lack them, until
+ * they have had time to register again.
+ */
+static void
+add_kept(struct registry *registry)
+{
+	if (registry->kept == NULL)
+		return;
+	for (guint i = 0; i < registry->kept->len; i++) {
+		const char *address = registry->kept->pdata[i];
+
+		if (!g_ptr_array_find_with_equal_func(
+			registry->addresses, address, g_str_equal, NULL))
+			g_ptr_array_add(registry->addresses, g_strdup(address));
+	}
+	if (registry->reads < REGISTRY_STARTUP_READS)
+		return;
+	g_ptr_array_unref(registry->kept);
+	registry->kept = NULL;
+}
+
 /* Sets the peers from a complete list, then registers or schedules a read. */
 static void
 apply_gateway_list(struct registry *registry)
 {
 	registry->reads++;
+	add_kept(registry);
 	registry->count = registry->addresses->len + 1;
 	mesh_set_peers(registry->mesh, MESH_SOURCE_HOSTS,
 	    (const char *const *)registry->addresses->pdata,
@@ -115,6 +140,11 @@
 
 	registry->call = NULL;
 	if (page->error != NULL || page->items == NULL) {
+		LOG_INFO("could not read the list of gateways", "{s:s, s:i}",
+		    "why",
+		    page->error != NULL ? page->error->message
+					: "list without items",
+		    "known", (int)registry->count);
 		g_clear_pointer(&registry->page_token, g_free);
 		schedule_read(registry, REGISTRY_RETRY_MS);
 		return;
@@ -160,6 +190,33 @@
 	read_list(timer->data);
 }
 
+/* Copies an address. */
+static gpointer
+copy_address(gconstpointer address, gpointer data)
+{
+	return g_strdup(address);
+}
+
+/* Registers again, and reads the list as often as after a start. */
+static void
+on_restored(void *data, uint64_t era)
+{
+	struct registry *registry = data;
+
+	if (registry->call != NULL)
+		object_store_call_cancel(registry->call);
+	registry->call = NULL;
+	g_clear_pointer(&registry->page_token, g_free);
+	if (registry->kept == NULL && registry->reads > 0)
+		registry->kept = g_ptr_array_copy(
+		    registry->addresses, copy_address, NULL);
+	registry->registered = false;
+	registry->reads = 0;
+	LOG_INFO("registering again in the restored store", "{s:I, s:i}", "era",
+	    (json_int_t)era, "peers", (int)registry->addresses->len);
+	schedule_read(registry, object_store_draw_delay_ms(registry->store));
+}
+
 /*
  * Registers a gateway that accepts peer links at an address and starts to
  * discover others.
@@ -177,6 +234,9 @@
 	registry->address = g_strdup(address);
 	ev_timer_init(&registry->timer, on_read_timer, 0.0, 0.0);
 	registry->timer.data = registry;
+	registry->observer = (struct object_store_observer){
+	    .restored = on_restored, .data = registry};
+	object_store_observe(store, &registry->observer);
 	read_list(registry);
 	return registry;
 }
@@ -189,9 +249,12 @@
 		return;
 	if (registry->call != NULL)
 		object_store_call_cancel(registry->call);
+	object_store_unobserve(registry->store, &registry->observer);
 	ev_timer_stop(registry->loop, &registry->timer);
 	if (registry->addresses != NULL)
 		g_ptr_array_unref(registry->addresses);
+	if (registry->kept != NULL)
+		g_ptr_array_unref(registry->kept);
 	g_free(registry->page_token);
 	g_free(registry->name);
 	g_free(registry->address);
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -1,7 +1,8 @@
 /*
  * Discovery of gateways: each writes an object of kind gateway, with the
  * address of its peer links, to the platform's store and periodically lists the
- * objects of the others.
+ * objects of the others. A store that was restored from a copy may lack any of
+ * them: ours is written again, and the others are kept until they have been.
  */
 #ifndef GATEWAY_REGISTRY_H
 #define GATEWAY_REGISTRY_H
--- a/src/gateway/reservations.c
+++ b/src/gateway/reservations.c
@@ -9,7 +9,10 @@
 #define LOG_MODULE "tickets"
 #include "base/log.h"
 
-#define STATUS_OK 200
+#define STATUS_OK	   200
+#define STATUS_MISDIRECTED 421
+/* An engine answers an order with a few members. */
+#define ORDER_RESPONSE_MAX_BYTES ((size_t)64 * 1024)
 
 METRIC_DEFINE(granted_count, METRIC_COUNTER, "heatherturn_gateway_tickets",
     NULL, "Memory reservations that engines granted.");
@@ -33,6 +36,7 @@
 	struct http_client *http;
 	int64_t hold_ms;
 	reservations_fn *done; /* NULL once called */
+	reservations_notice_fn *notice;
 	void *data;
 	ev_timer renew;
 	size_t pending; /* engines that have not answered yet */
@@ -69,6 +73,7 @@
 	    .body_length = strlen(body),
 	    .connect_timeout_ms = RESERVATIONS_ORDER_TIMEOUT_MS,
 	    .timeout_ms = RESERVATIONS_ORDER_TIMEOUT_MS,
+	    .response_max_bytes = ORDER_RESPONSE_MAX_BYTES,
 	    .dedicated_connection = true,
 	};
 
@@ -133,6 +138,22 @@
 	done(reservations->data, !reservations->failed);
 }
 
+/* Passes on what the engine says of itself, unless it is another process. */
+static void
+report_notice(const struct reservation *reservation,
+    const struct http_call *call, const struct http_result *result)
+{
+	struct reservations *reservations = reservation->reservations;
+	struct upstream_notice notice;
+
+	if (result->status == STATUS_MISDIRECTED)
+		return;
+	headers_parse_notice(call, result->status, &notice);
+	if (notice.leaving || notice.quiet_ms > 0)
+		reservations->notice(reservations->data,
+		    (size_t)(reservation - reservations->items), &notice);
+}
+
 /* Handles an engine's response to a reservation or its renewal. */
 static void
 on_reserve_done(
@@ -143,6 +164,7 @@
 	bool first = !reservation->granted;
 
 	reservation->call = NULL;
+	report_notice(reservation, call, result);
 	if (result->error == NULL && result->status == STATUS_OK) {
 		reservation->granted = true;
 		metric_add(&granted_count, 1);
@@ -197,7 +219,7 @@
 reservations_new(struct ev_loop *loop, struct http_client *http,
     const char *request, int64_t hold_ms,
     const struct reservation_request *wishes, size_t count,
-    reservations_fn *done, void *data)
+    reservations_fn *done, reservations_notice_fn *notice, void *data)
 {
 	struct reservations *reservations = g_new0(struct reservations, 1);
 
@@ -205,6 +227,7 @@
 	reservations->http = http;
 	reservations->hold_ms = hold_ms;
 	reservations->done = done;
+	reservations->notice = notice;
 	reservations->data = data;
 	reservations->count = count;
 	reservations->pending = count;
--- a/src/gateway/reservations.h
+++ b/src/gateway/reservations.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "base/http_client.h"
+#include "platform/headers.h"
 
 /* Timeout of an order; engines answer within milliseconds. */
 #define RESERVATIONS_ORDER_TIMEOUT_MS 300
@@ -35,9 +36,16 @@
 /* Reports whether all reservations were granted. If not, free them. */
 typedef void reservations_fn(void *data, bool granted);
 
+/*
+ * Reports what the engine of a reservation says of itself in any response, by
+ * the reservation's index.
+ */
+typedef void reservations_notice_fn(
+    void *data, size_t index, const struct upstream_notice *);
+
 struct reservations *reservations_new(struct ev_loop *, struct http_client *,
     const char *request, int64_t hold_ms, const struct reservation_request *,
-    size_t count, reservations_fn *, void *data);
+    size_t count, reservations_fn *, reservations_notice_fn *, void *data);
 void reservations_free(struct reservations *);
 const char *reservations_id(const struct reservations *, size_t index);
 
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -7,9 +7,6 @@
 #define LOG_MODULE "knowledge"
 #include "base/log.h"
 
-/* How long the upstreams of a domain that returns to service count as cold. */
-#define RETURNED_DOMAIN_COLD_MS 4000
-
 /* One kind of objects and the document that shares it with other gateways. */
 struct shared_kind {
 	struct routing_state *routing_state;
@@ -117,8 +114,13 @@
 {
 	const struct shared_kind *kind = data;
 	g_autoptr(GError) error = NULL;
-	struct routing_table *table = decode_routes(changes, &error);
+	struct routing_table *table;
 
+	if (changes->put_count == 0 && changes->removed_count == 0) {
+		announce(kind, version);
+		return;
+	}
+	table = decode_routes(changes, &error);
 	if (table != NULL)
 		set_table(kind->routing_state, table, version);
 	else
@@ -135,13 +137,21 @@
 	const struct shared_kind *kind = data;
 	struct routing_state *routing_state = kind->routing_state;
 	struct upstream_reports reports = decode_upstreams(changes);
+	struct upstream_list list;
 
 	for (size_t i = 0; i < changes->removed_count; i++)
 		g_ptr_array_add(reports.unusable, (char *)changes->removed[i]);
-	fleet_apply(routing_state->fleet, version,
-	    (const struct upstream_report *)(void *)reports.items->data,
-	    reports.items->len, (const char *const *)reports.unusable->pdata,
-	    reports.unusable->len, clock_monotonic(routing_state->clock));
+	list = (struct upstream_list){
+	    .version = version,
+	    .restored = changes->restored,
+	    .reports = (const struct upstream_report *)(void *)
+			   reports.items->data,
+	    .count = reports.items->len,
+	    .removed = (const char *const *)reports.unusable->pdata,
+	    .removed_count = reports.unusable->len,
+	};
+	fleet_apply(
+	    routing_state->fleet, &list, clock_monotonic(routing_state->clock));
 	metric_set(
 	    &upstreams_known, (int64_t)fleet_count(routing_state->fleet));
 	decode_upstreams_clear(&reports);
@@ -155,13 +165,17 @@
 {
 	const struct shared_kind *kind = data;
 	struct routing_state *routing_state = kind->routing_state;
+	struct timespec now = clock_monotonic(routing_state->clock);
 	g_auto(GStrv)
 	    domains = object_set_names(object_watch_objects(kind->watch));
 
 	routing_state->takeouts_known = true;
+	for (size_t i = 0; i < changes->removed_count && !changes->restored;
+	     i++)
+		fleet_end_takeout(
+		    routing_state->fleet, changes->removed[i], now);
 	fleet_set_takeouts(routing_state->fleet, (const char *const *)domains,
-	    g_strv_length(domains), clock_monotonic(routing_state->clock),
-	    RETURNED_DOMAIN_COLD_MS);
+	    g_strv_length(domains), changes->restored, now);
 	announce(kind, version);
 	notify_complete(routing_state);
 }
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -270,6 +270,8 @@
 	struct u64_array context_tokens; /* of all running requests */
 	struct u64_array prefill_us; /* prompts without a first token */
 	struct string_array faulty; /* not reached by another upstream */
+	struct string_array leaving; /* have announced that they leave */
+	struct u64_array leaving_starts; /* wall ms of their starts, or 0 */
 };
 
 struct message_prefill {
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -5,6 +5,12 @@
 #define LOG_MODULE "fleet"
 #include "base/log.h"
 
+/* What is remembered of an upstream that left the list. */
+struct departed {
+	struct departure departure;
+	struct quiet quiet;
+};
+
 /* Frees an upstream that is not, or no longer, part of a fleet. */
 static void
 free_upstream(struct fleet_upstream *upstream)
@@ -16,6 +22,32 @@
 	g_free(upstream);
 }
 
+/* Treats a domain's upstreams as cold: they may have restarted. */
+static void
+mark_domain_cold(struct fleet *fleet, const char *domain, struct timespec now)
+{
+	struct timespec until = time_add_ms(now, FLEET_RETURNED_COLD_MS);
+	struct fleet_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
+		if (g_strcmp0(upstream->failure_domain, domain) == 0 &&
+		    time_before(upstream->cold_until, until))
+			upstream->cold_until = until;
+	}
+}
+
+/* A failure domain was taken out or has returned to service. */
+static void
+on_takeout_change(
+    void *data, const char *domain, bool returned, struct timespec now)
+{
+	if (returned)
+		mark_domain_cold(data, domain, now);
+	LOG_INFO(returned ? "failure domain returned to service"
+			  : "failure domain taken out",
+	    "{s:s}", "domain", domain);
+}
+
 /* Returns a fleet without upstreams; free it with fleet_free. */
 struct fleet *
 fleet_new(void)
@@ -24,15 +56,22 @@
 
 	TAILQ_INIT(&fleet->upstreams);
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	fleet->takeouts = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, NULL);
+	fleet->departed = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, g_free);
+	fleet->takeouts = takeouts_new(on_takeout_change, fleet);
 	return fleet;
 }
 
-/* Removes an upstream from the fleet and frees it. */
+/* Removes an upstream from the fleet and frees it; its departure is kept. */
 static void
 remove_upstream(struct fleet *fleet, struct fleet_upstream *upstream)
 {
+	const struct departed departed = {
+	    .departure = upstream->departure, .quiet = upstream->quiet};
+
+	if (upstream->departure.state == DEPARTURE_REMOVED)
+		g_hash_table_replace(fleet->departed, g_strdup(upstream->id),
+		    g_memdup2(&departed, sizeof(departed)));
 	g_hash_table_remove(fleet->by_id, upstream->id);
 	TAILQ_REMOVE(&fleet->upstreams, upstream, entry);
 	free_upstream(upstream);
@@ -49,7 +88,8 @@
 	TAILQ_FOREACH_SAFE (upstream, &fleet->upstreams, entry, next)
 		remove_upstream(fleet, upstream);
 	g_hash_table_unref(fleet->by_id);
-	g_hash_table_unref(fleet->takeouts);
+	g_hash_table_unref(fleet->departed);
+	takeouts_free(fleet->takeouts);
 	g_free(fleet);
 }
 
@@ -58,8 +98,15 @@
 add_upstream(struct fleet *fleet, const struct upstream_report *report)
 {
 	struct fleet_upstream *upstream = g_new0(struct fleet_upstream, 1);
+	const struct departed *departed = g_hash_table_lookup(
+	    fleet->departed, report->id);
 
 	upstream->id = g_strdup(report->id);
+	if (departed != NULL) {
+		upstream->departure = departed->departure;
+		upstream->quiet = departed->quiet;
+		g_hash_table_remove(fleet->departed, report->id);
+	}
 	g_hash_table_insert(fleet->by_id, upstream->id, upstream);
 	TAILQ_INSERT_TAIL(&fleet->upstreams, upstream, entry);
 	return upstream;
@@ -73,6 +120,7 @@
 	upstream->avoid_until = (struct timespec){0};
 	upstream->faulty_until = (struct timespec){0};
 	upstream->error_share = 0.0;
+	upstream->quiet = (struct quiet){0};
 }
 
 /* Replaces a string if it differs. */
@@ -88,23 +136,30 @@
 /* Updates an upstream from its report and logs a change of its state. */
 static void
 update_upstream(struct fleet *fleet, struct fleet_upstream *upstream,
-    const struct upstream_report *report, struct timespec now)
+    const struct upstream_report *report, bool restored, struct timespec now)
 {
 	struct timespec cold = time_add_ms(now, report->cold_ms);
+	enum departure_state before = upstream->departure.state;
 
 	if (upstream->start_wall_ms != report->start_wall_ms)
 		reset_health(upstream);
 	set_text(&upstream->service, report->service);
 	set_text(&upstream->address, report->address);
 	set_text(&upstream->failure_domain, report->failure_domain);
-	if (upstream->draining != report->draining || !upstream->listed)
-		LOG_INFO("upstream listed", "{s:s, s:s, s:b, s:I, s:I}",
+	if (report->draining)
+		departure_on_draining(
+		    &upstream->departure, report->start_wall_ms);
+	else
+		departure_on_ready(
+		    &upstream->departure, report->start_wall_ms, restored, now);
+	if (upstream->departure.state != before || !upstream->listed)
+		LOG_INFO("upstream listed", "{s:s, s:s, s:b, s:b, s:I, s:I}",
 		    "upstream", report->id, "address", report->address,
-		    "draining", report->draining, "cold_ms",
+		    "draining", report->draining, "left",
+		    departure_has_left(&upstream->departure, now), "cold_ms",
 		    (json_int_t)report->cold_ms, "list_version",
 		    (json_int_t)fleet->version);
 	upstream->slots = report->slots;
-	upstream->draining = report->draining;
 	upstream->listed = true;
 	upstream->start_wall_ms = report->start_wall_ms;
 	if (report->cold_ms > 0 && time_before(upstream->cold_until, cold))
@@ -115,60 +170,68 @@
 static bool
 is_in_grace_period(const struct fleet_upstream *upstream, struct timespec now)
 {
-	return !upstream->listed &&
-	    time_diff_ms(now, upstream->unlisted_at) < FLEET_UNLISTED_GRACE_MS;
+	return !upstream->listed && time_before(now, upstream->unlisted_until);
 }
 
 /*
  * Returns whether an upstream is unlisted, has no open requests of this
- * process, and is draining or past its grace period.
+ * process, and has left or is past its grace period.
  */
 static bool
 is_removable(const struct fleet_upstream *upstream, struct timespec now)
 {
 	return !upstream->listed && upstream->own.running == 0 &&
-	    (upstream->draining || !is_in_grace_period(upstream, now));
+	    (departure_has_left(&upstream->departure, now) ||
+		!is_in_grace_period(upstream, now));
 }
 
-/* Marks an upstream as no longer listed; it is removed later. */
+/*
+ * Marks an upstream as no longer listed; it is removed later. One that had left
+ * before is used no more. One that a restored store lacks has not left.
+ */
 static void
-mark_unlisted(
-    struct fleet *fleet, struct fleet_upstream *upstream, struct timespec now)
+mark_unlisted(struct fleet *fleet, struct fleet_upstream *upstream,
+    bool restored, struct timespec now)
 {
+	int64_t grace_ms = restored ? DEPARTURE_RESTORE_RETURN_MS
+				    : FLEET_UNLISTED_GRACE_MS;
+
 	if (!upstream->listed)
 		return;
-	upstream->unlisted_at = now;
+	upstream->unlisted_until = departure_has_left(&upstream->departure, now)
+	    ? now
+	    : time_add_ms(now, grace_ms);
 	upstream->listed = false;
+	if (!restored)
+		departure_on_removed(&upstream->departure, now);
 	LOG_INFO("upstream gone from list", "{s:s, s:i, s:I}", "upstream",
 	    upstream->id, "running", (int)upstream->own.running, "list_version",
 	    (json_int_t)fleet->version);
 }
 
 /*
- * Applies a newer version of the upstream list: reports holds the upstreams
- * that were added or changed, removed the ids of those that left the list. A
- * removed upstream gets no new requests after its grace period and is freed
- * once its last request has ended.
+ * Applies a newer version of the upstream list. A removed upstream gets no new
+ * requests after its grace period and is freed once its last request has ended.
  */
 void
-fleet_apply(struct fleet *fleet, uint64_t version,
-    const struct upstream_report *reports, size_t count,
-    const char *const *removed, size_t removed_count, struct timespec now)
+fleet_apply(
+    struct fleet *fleet, const struct upstream_list *list, struct timespec now)
 {
 	struct fleet_upstream *upstream, *next;
 
-	fleet->version = version;
+	fleet->version = list->version;
 	fleet->applied_at = now;
-	for (size_t i = 0; i < count; i++) {
-		upstream = fleet_find(fleet, reports[i].id);
+	for (size_t i = 0; i < list->count; i++) {
+		upstream = fleet_find(fleet, list->reports[i].id);
 		if (upstream == NULL)
-			upstream = add_upstream(fleet, &reports[i]);
-		update_upstream(fleet, upstream, &reports[i], now);
+			upstream = add_upstream(fleet, &list->reports[i]);
+		update_upstream(
+		    fleet, upstream, &list->reports[i], list->restored, now);
 	}
-	for (size_t i = 0; i < removed_count; i++) {
-		upstream = fleet_find(fleet, removed[i]);
+	for (size_t i = 0; i < list->removed_count; i++) {
+		upstream = fleet_find(fleet, list->removed[i]);
 		if (upstream != NULL)
-			mark_unlisted(fleet, upstream, now);
+			mark_unlisted(fleet, upstream, list->restored, now);
 	}
 	TAILQ_FOREACH_SAFE (upstream, &fleet->upstreams, entry, next) {
 		if (is_removable(upstream, now))
@@ -176,48 +239,72 @@
 	}
 }
 
-/* Treats a domain's upstreams as cold until a time: they may have restarted. */
-static void
-mark_domain_cold(struct fleet *fleet, const char *domain, struct timespec until)
-{
-	struct fleet_upstream *upstream;
-
-	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		if (g_strcmp0(upstream->failure_domain, domain) == 0 &&
-		    time_before(upstream->cold_until, until))
-			upstream->cold_until = until;
-	}
-	LOG_INFO(
-	    "failure domain returned to service", "{s:s}", "domain", domain);
-}
-
 /*
  * Sets which failure domains get no new requests. The upstreams of a domain
- * that is returned to service are treated as cold for cold_ms.
+ * that is returned to service are treated as cold for FLEET_RETURNED_COLD_MS.
  */
 void
 fleet_set_takeouts(struct fleet *fleet, const char *const *domains,
-    size_t count, struct timespec now, int64_t cold_ms)
+    size_t count, bool restored, struct timespec now)
+{
+	takeouts_apply(fleet->takeouts, domains, count, restored, now);
+}
+
+/* Returns a failure domain to service whose takeout was removed. */
+void
+fleet_end_takeout(struct fleet *fleet, const char *domain, struct timespec now)
+{
+	takeouts_end(fleet->takeouts, domain, now);
+}
+
+/* Drops what is remembered too long: departures, takeouts after a restore. */
+void
+fleet_expire(struct fleet *fleet, struct timespec now)
 {
-	GHashTable *takeouts = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, NULL);
 	GHashTableIter iter;
-	void *domain;
+	void *value;
 
-	for (size_t i = 0; i < count; i++) {
-		if (!g_hash_table_contains(fleet->takeouts, domains[i]))
-			LOG_INFO("failure domain taken out", "{s:s}", "domain",
-			    domains[i]);
-		g_hash_table_add(takeouts, g_strdup(domains[i]));
-	}
-	g_hash_table_iter_init(&iter, fleet->takeouts);
-	while (g_hash_table_iter_next(&iter, &domain, NULL)) {
-		if (!g_hash_table_contains(takeouts, domain))
-			mark_domain_cold(
-			    fleet, domain, time_add_ms(now, cold_ms));
+	takeouts_expire(fleet->takeouts, now);
+	g_hash_table_iter_init(&iter, fleet->departed);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct departed *departed = value;
+
+		if (!departure_is_remembered(&departed->departure, now))
+			g_hash_table_iter_remove(&iter);
 	}
-	g_hash_table_unref(fleet->takeouts);
-	fleet->takeouts = takeouts;
+}
+
+/* An upstream has said that it leaves, to this process or to a peer. */
+void
+fleet_upstream_on_leaving(
+    struct fleet_upstream *upstream, const char *source, struct timespec now)
+{
+	if (!departure_on_announced(&upstream->departure))
+		return;
+	upstream->announced_at = now;
+	LOG_INFO("upstream announced that it leaves", "{s:s, s:s, s:s, s:i}",
+	    "upstream", upstream->id, "address", upstream->address, "source",
+	    source, "running", (int)upstream->own.running);
+}
+
+/* Returns whether peers are told now that an upstream leaves. */
+bool
+fleet_upstream_announces(
+    const struct fleet_upstream *upstream, struct timespec now)
+{
+	return upstream->departure.announced &&
+	    time_diff_ms(now, upstream->announced_at) < FLEET_ANNOUNCE_MS;
+}
+
+/* An upstream has asked this process for no requests for some time. */
+void
+fleet_upstream_on_quiet(
+    struct fleet_upstream *upstream, int64_t quiet_ms, struct timespec now)
+{
+	quiet_on_request(&upstream->quiet, quiet_ms, now);
+	LOG_INFO("upstream asked for no requests", "{s:s, s:I, s:I}",
+	    "upstream", upstream->id, "asked_ms", (json_int_t)quiet_ms,
+	    "for_ms", (json_int_t)quiet_left_ms(&upstream->quiet, now));
 }
 
 /* Finds an upstream by its id; NULL if there is none. */
@@ -238,15 +325,16 @@
 
 /*
  * Returns whether an upstream may get new requests: it is listed or in its
- * grace period, is not draining, and its failure domain is not taken out.
+ * grace period, has not left, and its failure domain is not taken out. One that
+ * has asked for quiet is eligible, but not now.
  */
 bool
 fleet_upstream_is_eligible(const struct fleet *fleet,
     const struct fleet_upstream *upstream, struct timespec now)
 {
 	return (upstream->listed || is_in_grace_period(upstream, now)) &&
-	    !upstream->draining &&
-	    !g_hash_table_contains(fleet->takeouts, upstream->failure_domain);
+	    !departure_has_left(&upstream->departure, now) &&
+	    !takeouts_contains(fleet->takeouts, upstream->failure_domain);
 }
 
 /*
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -16,6 +16,9 @@
 #include "base/list.h"
 #include "policy/balance.h"
 #include "policy/cold_rate.h"
+#include "policy/departure.h"
+#include "policy/quiet.h"
+#include "policy/takeouts.h"
 
 /* One upstream as reported by the platform's list. */
 struct upstream_report {
@@ -29,6 +32,17 @@
 	int64_t start_wall_ms; /* process start; 0 if not reported */
 };
 
+/* A newer version of the upstream list, or what changed in it. */
+struct upstream_list {
+	uint64_t version;
+	bool restored; /* the store went back to a copy, see policy/departure.h
+			*/
+	const struct upstream_report *reports; /* added or changed */
+	size_t count;
+	const char *const *removed; /* ids of those that left the list */
+	size_t removed_count;
+};
+
 /* The load of open requests on one upstream. */
 struct upstream_load {
 	uint32_t running;
@@ -43,9 +57,9 @@
 	char *address;
 	char *failure_domain;
 	uint32_t slots;
-	bool draining;
+	struct departure departure;
 	bool listed; /* in the list; else kept until idle */
-	struct timespec unlisted_at; /* when it left the list */
+	struct timespec unlisted_until; /* if not listed: used until then */
 	int64_t start_wall_ms;
 	struct timespec cold_until;
 	struct cold_rate cold_rate;
@@ -55,6 +69,8 @@
 	struct timespec avoid_until; /* back-off after failures */
 	double error_share; /* moving average of failed responses, 0 to 1 */
 	struct timespec faulty_until; /* reported by another upstream */
+	struct quiet quiet; /* it asked for no requests */
+	struct timespec announced_at; /* this process was told that it leaves */
 	uint32_t peer_fault_reports; /* peers that report it as faulty */
 
 	/* Load. */
@@ -70,7 +86,8 @@
 struct fleet {
 	struct fleet_upstreams upstreams;
 	GHashTable *by_id;
-	GHashTable *takeouts; /* failure domains taken out */
+	GHashTable *departed; /* id -> struct departed, of removed upstreams */
+	struct takeouts *takeouts; /* failure domains taken out */
 	uint64_t version; /* of the list in use */
 	struct timespec applied_at; /* when this process applied that version */
 };
@@ -96,13 +113,25 @@
  */
 #define FLEET_FAULT_REPORTS_MIN 2
 
+/* How long the upstreams of a domain that returns to service count as cold. */
+#define FLEET_RETURNED_COLD_MS 4000
+/* How long peers are told of an upstream that says that it leaves. */
+#define FLEET_ANNOUNCE_MS 3000
+
 struct fleet *fleet_new(void);
 void fleet_free(struct fleet *);
-void fleet_apply(struct fleet *, uint64_t version,
-    const struct upstream_report *, size_t count, const char *const *removed,
-    size_t removed_count, struct timespec now);
+void fleet_apply(
+    struct fleet *, const struct upstream_list *, struct timespec now);
 void fleet_set_takeouts(struct fleet *, const char *const *domains,
-    size_t count, struct timespec now, int64_t cold_ms);
+    size_t count, bool restored, struct timespec now);
+void fleet_end_takeout(struct fleet *, const char *domain, struct timespec now);
+void fleet_expire(struct fleet *, struct timespec now);
+void fleet_upstream_on_leaving(
+    struct fleet_upstream *, const char *source, struct timespec now);
+bool fleet_upstream_announces(
+    const struct fleet_upstream *, struct timespec now);
+void fleet_upstream_on_quiet(
+    struct fleet_upstream *, int64_t quiet_ms, struct timespec now);
 struct fleet_upstream *fleet_find(const struct fleet *, const char *id);
 size_t fleet_count(const struct fleet *);
 bool fleet_upstream_is_eligible(
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -135,9 +135,14 @@
 	    {"Heatherturn-Attempt-Id", id},
 	    {"Heatherturn-Server-Seal", "seal"},
 	    {"Content-Type", "text/plain"},
+	    {"Server-Leaving", "1"},
 	};
 	static const struct http_header not_run = {
 	    "Heatherturn-Not-Executed", "1"};
+	static const struct http_header leaving[] = {
+	    {"Heatherturn-Not-Executed", "1"}, {"Server-Leaving", "1"}};
+	static const struct http_header quiet[] = {
+	    {"Heatherturn-Not-Executed", "1"}, {"Retry-After", FAKE_QUIET_S}};
 
 	switch (step) {
 	case FAKE_STEP_OK:
@@ -172,10 +177,21 @@
 		break;
 	case FAKE_STEP_HANG:
 		break;
+	case FAKE_STEP_LEAVING:
+		httpd_respond(request, 200, headers, 4, "whole", 5);
+		break;
+	case FAKE_STEP_LEAVING_NOT_RUN:
+		httpd_respond(request, 503, leaving, 2, "", 0);
+		break;
+	case FAKE_STEP_QUIET:
+		httpd_respond(request, 503, quiet, 2, "", 0);
+		break;
 	case FAKE_STEP_STREAM:
+	case FAKE_STEP_LEAVING_STREAM:
 	case FAKE_STEP_CUT_STREAM:
 		headers[2].value = "text/event-stream";
-		httpd_stream_begin(request, 200, headers, 3);
+		httpd_stream_begin(request, 200, headers,
+		    step == FAKE_STEP_LEAVING_STREAM ? 4 : 3);
 		write_events(request, step == FAKE_STEP_CUT_STREAM);
 		break;
 	}
@@ -364,3 +380,12 @@
 {
 	json_array_clear(fake_platform->objects[1]);
 }
+
+/* Makes an upstream's object name another port, before the object is read. */
+void
+fake_platform_set_upstream_port(
+    struct fake_platform *fake_platform, size_t index, int port)
+{
+	json_array_set_new(fake_platform->objects[1], index,
+	    make_upstream_object(index, port));
+}
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -32,8 +32,16 @@
 	FAKE_STEP_HANG, /* no response */
 	FAKE_STEP_STREAM, /* the events after Last-Event-Id, of three */
 	FAKE_STEP_CUT_STREAM, /* the same, cut off in the second event */
+	FAKE_STEP_LEAVING, /* 200, complete, and says that it leaves */
+	FAKE_STEP_LEAVING_STREAM, /* FAKE_STEP_STREAM, and says so */
+	FAKE_STEP_LEAVING_NOT_RUN, /* FAKE_STEP_NOT_RUN, and says so */
+	FAKE_STEP_QUIET, /* FAKE_STEP_NOT_RUN with a Retry-After */
 };
 
+/* Retry-After of FAKE_STEP_QUIET. */
+#define FAKE_QUIET_S  "0.6"
+#define FAKE_QUIET_MS 600
+
 /* A request that an upstream received. */
 struct fake_platform_request {
 	size_t upstream;
@@ -58,5 +66,7 @@
 const char *fake_platform_request_header(
     const struct fake_platform_request *, const char *name);
 void fake_platform_remove_upstreams(struct fake_platform *);
+void fake_platform_set_upstream_port(
+    struct fake_platform *, size_t index, int port);
 
 #endif
--- /dev/null
+++ b/tests/gateway_fixture.h
@@ -0,0 +1,46 @@
+/*
+ * A whole gateway within the test process, between a caller and stand-ins of
+ * the platform.
+ */
+#ifndef TESTS_GATEWAY_FIXTURE_H
+#define TESTS_GATEWAY_FIXTURE_H
+
+#include "base/http_client.h"
+#include "fake_platform.h"
+#include "gateway/exchange.h"
+
+#define FIXTURE_KEY "Bearer k1"
+
+struct fixture {
+	struct ev_loop *loop;
+	ev_timer timeout;
+	struct fake_platform *fake_platform;
+	struct http_client *http;
+	struct mesh *mesh;
+	struct link_identity identity;
+	struct documents *documents;
+	struct object_store *store;
+	struct exchange_context exchange_context;
+	struct httpd *callers;
+	GByteArray *body; /* received by the caller */
+	int status;
+	bool done;
+	bool aborted;
+	char *retry_after;
+	const char *tokens; /* token count sent; NULL for none */
+};
+
+/* Runs the loop until a condition holds. */
+#define RUN_UNTIL(fixture, condition)                        \
+	do {                                                 \
+		while (!(condition))                         \
+			ev_run((fixture)->loop, EVRUN_ONCE); \
+	} while (0)
+
+void fixture_set_up(struct fixture *);
+void fixture_tear_down(struct fixture *);
+void fixture_wait_for_routing_state(struct fixture *);
+struct http_call *fixture_call(
+    struct fixture *, const char *path, const char *key);
+
+#endif
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -8,55 +8,12 @@
 
 #include <sodium.h>
 
-#include "base/http_client.h"
 #include "cases.h"
-#include "fake_platform.h"
-#include "gateway/exchange.h"
-
-#define TEST_TIMEOUT_S 20.0
-#define BODY_MAX_BYTES 65536
-#define SETTLE_ROUNDS  20
-#define PREFILL_US     3000000
-#define KEY	       "Bearer k1"
-
-#define CONFIG                                                               \
-	"{\"Version\":3,\"Routes\":["                                        \
-	"{\"Name\":\"once\",\"Host\":\"h\",\"PathPrefix\":\"/once/\","       \
-	"\"Kind\":\"non_idempotent\",\"TimeoutMs\":5000,\"Attempts\":2,"     \
-	"\"Service\":\"s\"},"                                                \
-	"{\"Name\":\"again\",\"Host\":\"h\",\"PathPrefix\":\"/again/\","     \
-	"\"Kind\":\"idempotent\",\"TimeoutMs\":5000,\"Attempts\":2,"         \
-	"\"Service\":\"s\"},"                                                \
-	"{\"Name\":\"single\",\"Host\":\"h\",\"PathPrefix\":\"/single/\","   \
-	"\"Kind\":\"idempotent\",\"TimeoutMs\":5000,\"Attempts\":1,"         \
-	"\"Service\":\"s\"},"                                                \
-	"{\"Name\":\"quick\",\"Host\":\"h\",\"PathPrefix\":\"/quick/\","     \
-	"\"Kind\":\"idempotent\",\"TimeoutMs\":100,\"Attempts\":2,"          \
-	"\"Service\":\"s\"},"                                                \
-	"{\"Name\":\"stream\",\"Host\":\"h\",\"PathPrefix\":\"/stream/\","   \
-	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":3,"             \
-	"\"CanResume\":true,\"Service\":\"s\"},"                             \
-	"{\"Name\":\"fragile\",\"Host\":\"h\",\"PathPrefix\":\"/fragile/\"," \
-	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":2,"             \
-	"\"Service\":\"s\"},"                                                \
-	"{\"Name\":\"open\",\"Host\":\"h\",\"PathPrefix\":\"/open/\","       \
-	"\"Kind\":\"idempotent\",\"Public\":true,\"Service\":\"s\"},"        \
-	"{\"Name\":\"empty\",\"Host\":\"h\",\"PathPrefix\":\"/empty/\","     \
-	"\"Kind\":\"idempotent\",\"Service\":\"t\"},"                        \
-	"{\"Name\":\"prompt\",\"Host\":\"h\",\"PathPrefix\":\"/prompt/\","   \
-	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"LatencyTargetMs\":1000,"   \
-	"\"GapTargetMs\":1000,\"Attempts\":2,\"Service\":\"s\"},"            \
-	"{\"Name\":\"last\",\"Host\":\"h\",\"PathPrefix\":\"/last/\","       \
-	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":2,"             \
-	"\"CanResume\":true,\"Service\":\"s\"},"                             \
-	"{\"Name\":\"hasty\",\"Host\":\"h\",\"PathPrefix\":\"/hasty/\","     \
-	"\"Kind\":\"stream\",\"TimeoutMs\":100,\"LatencyTargetMs\":1000,"    \
-	"\"GapTargetMs\":1000,\"Attempts\":2,\"Service\":\"s\"}],"           \
-	"\"Services\":[{\"Name\":\"s\",\"Engine\":{\"Slots\":16,"            \
-	"\"KvTokens\":315000,\"read_per_s\":177000,\"pairs_per_m\":0.184}}," \
-	"{\"Name\":\"t\"}],"                                                 \
-	"\"Limits\":{\"BodyBytes\":1000},"                                   \
-	"\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\"]}]}"
+#include "gateway_fixture.h"
+
+#define SETTLE_ROUNDS 20
+#define PREFILL_US    3000000
+#define KEY	      FIXTURE_KEY
 
 static const struct gateway_case {
 	const char *name;
@@ -124,223 +81,30 @@
 	KEY, {0}, 0, 503, NULL, true},
 };
 
-struct fixture {
-	const struct gateway_case *c;
-	struct ev_loop *loop;
-	ev_timer timeout;
-	struct fake_platform *fake_platform;
-	struct http_client *http;
-	struct mesh *mesh;
-	struct link_identity identity;
-	struct documents *documents;
-	struct object_store *store;
-	struct exchange_context exchange_context;
-	struct httpd *callers;
-	GByteArray *body; /* received by the caller */
-	int status;
-	bool done;
-	bool aborted;
-	char *retry_after;
-	const char *tokens; /* token count sent; NULL for none */
-};
-
-/* Starts the exchange of a caller's request. */
-static void
-on_request(void *data, struct httpd_request *request)
-{
-	exchange_start(&((struct fixture *)data)->exchange_context, request);
-}
-
-static const struct httpd_ops caller_ops = {
-    .request = on_request,
-    .closed = exchange_on_closed,
-    .drained = exchange_on_drained,
-};
-
-/* Fails a test that does not end within TEST_TIMEOUT_S. */
-static void
-on_timeout(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	g_error("the test did not end in time");
-}
-
-/* Runs the loop until a condition holds. */
-#define RUN_UNTIL(fixture, condition)                        \
-	do {                                                 \
-		while (!(condition))                         \
-			ev_run((fixture)->loop, EVRUN_ONCE); \
-	} while (0)
-
-/* Starts the stand-ins and a gateway. */
-static void
-set_up(struct fixture *f)
-{
-	const struct httpd_settings settings = {
-	    .address = "127.0.0.1:0",
-	    .body_max_bytes = BODY_MAX_BYTES,
-	    .bodies_max_bytes = BODY_MAX_BYTES,
-	};
-	const struct mesh_settings mesh = {
-	    .identity = &f->identity, .listen = "127.0.0.1:0"};
-
-	f->loop = ev_loop_new(EVFLAG_AUTO);
-	ev_timer_init(&f->timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
-	ev_timer_start(f->loop, &f->timeout);
-	f->body = g_byte_array_new();
-	f->identity = (struct link_identity){.process = "g",
-	    .role = ROLE_GATEWAY,
-	    .failure_domain = "z",
-	    .address = "127.0.0.1:1",
-	    .cluster_key = "secret"};
-	f->fake_platform = fake_platform_new(f->loop);
-	fake_platform_set_config(f->fake_platform, CONFIG);
-	f->http = http_client_new(f->loop, NULL);
-	f->mesh = mesh_new(f->loop, clock_system(), &mesh, NULL);
-	f->documents = documents_new(
-	    f->loop, clock_system(), f->mesh, &f->identity);
-	f->store = object_store_new(
-	    f->http, fake_platform_store_address(f->fake_platform));
-	f->exchange_context = (struct exchange_context){
-	    .loop = f->loop,
-	    .clock = clock_system(),
-	    .http = f->http,
-	    .mesh = f->mesh,
-	    .random = g_rand_new_with_seed(7),
-	    .retry = {.ratio = 0.2, .slack = 100, .window_ms = 10000},
-	    .cold_ratio = 1.0,
-	    .hold_ms = 3000,
-	};
-	f->exchange_context.routing_state = routing_state_new(
-	    f->loop, clock_system(), f->store, f->documents);
-	f->exchange_context.registry = registry_new(
-	    f->loop, f->store, f->mesh, "g", "127.0.0.1:1");
-	f->exchange_context.load_sync = load_sync_new(f->loop, clock_system(),
-	    f->mesh, "g", f->exchange_context.routing_state);
-	exchange_context_init(&f->exchange_context);
-	f->callers = httpd_new(f->loop, &settings, &caller_ops, f, NULL);
-	g_assert_nonnull(f->callers);
-}
-
-/* Frees all. */
-static void
-tear_down(struct fixture *f)
-{
-	httpd_free(f->callers);
-	exchange_context_clear(&f->exchange_context);
-	load_sync_free(f->exchange_context.load_sync);
-	registry_free(f->exchange_context.registry);
-	routing_state_free(f->exchange_context.routing_state);
-	object_store_free(f->store);
-	documents_free(f->documents);
-	mesh_free(f->mesh);
-	http_client_free(f->http);
-	fake_platform_free(f->fake_platform);
-	g_rand_free(f->exchange_context.random);
-	ev_timer_stop(f->loop, &f->timeout);
-	ev_loop_destroy(f->loop);
-	g_byte_array_unref(f->body);
-	g_free(f->retry_after);
-}
-
-/* Keeps the response's status and Retry-After. */
-static bool
-on_headers(void *data, struct http_call *call, int status)
-{
-	struct fixture *f = data;
-
-	f->status = status;
-	g_free(f->retry_after);
-	f->retry_after = g_strdup(http_call_header(call, "Retry-After"));
-	return true;
-}
-
-/* Appends a part of the response's body. */
-static bool
-on_chunk(void *data, const uint8_t *bytes, size_t length)
-{
-	g_byte_array_append(
-	    ((struct fixture *)data)->body, bytes, (guint)length);
-	return true;
-}
-
-/* Marks the caller's call as done, and whether it ended early. */
-static void
-on_done(void *data, struct http_call *call, const struct http_result *result)
-{
-	struct fixture *f = data;
-
-	f->done = true;
-	f->aborted = result->error != NULL;
-}
-
-/*
- * Sends a caller's request, with some headers that callers must not set; key is
- * the Authorization header, NULL for none.
- */
-static struct http_call *
-call(struct fixture *f, const char *path, const char *key)
-{
-	static const struct http_call_ops ops = {
-	    .headers = on_headers, .chunk = on_chunk, .done = on_done};
-	const struct http_header headers[] = {
-	    {"Host", "h"},
-	    {"Heatherturn-Attempt-Id", "r1"},
-	    {"Heatherturn-Tenant", "forged"},
-	    {"Heatherturn-Helpers", "127.0.0.1:9"},
-	    {"Heatherturn-Expect-Instance", "forged"},
-	    {"X-Own", "kept"},
-	    {"Connection", "X-Hop"},
-	    {"X-Hop", "dropped"},
-	    {f->tokens != NULL ? "Heatherturn-Token-Count" : "X-None",
-		f->tokens != NULL ? f->tokens : "0"},
-	    {"Authorization", key},
-	};
-	g_autofree char *url = g_strdup_printf(
-	    "http://127.0.0.1:%d%s", httpd_port(f->callers), path);
-	const struct http_call_request request = {
-	    .method = "POST",
-	    .url = url,
-	    .headers = headers,
-	    .header_count = G_N_ELEMENTS(headers) - (key == NULL ? 1 : 0),
-	    .body = "asked",
-	    .body_length = 5,
-	    .dedicated_connection = true,
-	};
-
-	return http_client_start(f->http, &request, &ops, f);
-}
-
-/* Waits until the gateway has its routes and upstreams. */
-static void
-wait_for_routing_state(struct fixture *f)
-{
-	RUN_UNTIL(
-	    f, routing_state_is_complete(f->exchange_context.routing_state));
-}
-
 /* Runs one case. */
 static void
 test_request(gconstpointer data)
 {
-	struct fixture f = {.c = &cases[GPOINTER_TO_SIZE(data)]};
+	const struct gateway_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	struct fixture f = {0};
 	g_autofree char *body = NULL;
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(
-	    f.fake_platform, f.c->steps, FAKE_PLATFORM_STEPS_MAX);
-	wait_for_routing_state(&f);
-	call(&f, f.c->path, f.c->key);
+	    f.fake_platform, c->steps, FAKE_PLATFORM_STEPS_MAX);
+	fixture_wait_for_routing_state(&f);
+	fixture_call(&f, c->path, c->key);
 	RUN_UNTIL(&f, f.done);
 	body = g_strndup((const char *)f.body->data, f.body->len);
 	g_assert_cmpuint(
-	    fake_platform_request_count(f.fake_platform), ==, f.c->arrivals);
-	g_assert_cmpint(f.aborted, ==, f.c->status == 0);
-	if (f.c->status != 0)
-		g_assert_cmpint(f.status, ==, f.c->status);
-	if (f.c->body != NULL)
-		g_assert_cmpstr(body, ==, f.c->body);
-	g_assert_cmpint(f.retry_after != NULL, ==, f.c->retry_after);
-	tear_down(&f);
+	    fake_platform_request_count(f.fake_platform), ==, c->arrivals);
+	g_assert_cmpint(f.aborted, ==, c->status == 0);
+	if (c->status != 0)
+		g_assert_cmpint(f.status, ==, c->status);
+	if (c->body != NULL)
+		g_assert_cmpstr(body, ==, c->body);
+	g_assert_cmpint(f.retry_after != NULL, ==, c->retry_after);
+	fixture_tear_down(&f);
 }
 
 /*
@@ -355,10 +119,10 @@
 	const struct fake_platform_request *arrival;
 	g_autofree char *expected = NULL;
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, 1);
-	wait_for_routing_state(&f);
-	call(&f, "/once/a%20b?c=d", KEY);
+	fixture_wait_for_routing_state(&f);
+	fixture_call(&f, "/once/a%20b?c=d", KEY);
 	RUN_UNTIL(&f, f.done);
 	arrival = fake_platform_request(f.fake_platform, 0);
 	g_assert_cmpstr(arrival->target, ==, "/once/a%20b?c=d");
@@ -382,7 +146,7 @@
 	    ==, expected);
 	g_assert_nonnull(fake_platform_request_header(
 	    arrival, "Heatherturn-Deadline-Remaining-Ms"));
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 /*
@@ -395,15 +159,15 @@
 	struct fixture f = {0};
 	struct http_call *request;
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, 1);
-	wait_for_routing_state(&f);
-	request = call(&f, "/again/x", KEY);
+	fixture_wait_for_routing_state(&f);
+	request = fixture_call(&f, "/again/x", KEY);
 	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 1);
 	http_call_cancel(request);
 	RUN_UNTIL(&f, fake_platform_request(f.fake_platform, 0)->closed_early);
 	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 1);
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 /* A body above the limit in force gets 413 and is not sent to an upstream. */
@@ -413,15 +177,15 @@
 	static const enum fake_platform_step steps[] = {FAKE_STEP_OK};
 	struct fixture f = {0};
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, 1);
-	wait_for_routing_state(&f);
+	fixture_wait_for_routing_state(&f);
 	httpd_set_body_max(f.callers, 4);
-	call(&f, "/again/x", KEY);
+	fixture_call(&f, "/again/x", KEY);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, 413);
 	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 0);
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 /* A request during which two upstreams died is not sent to a third. */
@@ -432,25 +196,25 @@
 	    FAKE_STEP_STOP, FAKE_STEP_STOP, FAKE_STEP_OK};
 	struct fixture f = {0};
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
-	wait_for_routing_state(&f);
-	call(&f, "/again/x", KEY);
+	fixture_wait_for_routing_state(&f);
+	fixture_call(&f, "/again/x", KEY);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, 502);
 	/* The deaths are recorded shortly after the response. */
 	for (int i = 0; i < SETTLE_ROUNDS; i++)
 		ev_run(f.loop, EVRUN_ONCE);
 	f.done = false;
-	call(&f, "/again/x", KEY);
+	fixture_call(&f, "/again/x", KEY);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, 503);
 	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 2);
 	f.done = false;
-	call(&f, "/again/y", KEY);
+	fixture_call(&f, "/again/y", KEY);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, 200);
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 /* Sets the prefill that peers have sent to each upstream, in microseconds. */
@@ -500,22 +264,22 @@
 	struct timespec started;
 	ev_timer timer;
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, 1);
-	wait_for_routing_state(&f);
+	fixture_wait_for_routing_state(&f);
 	set_peer_prefill(&f, PREFILL_US);
 	ev_timer_init(&timer, clear_peer_prefill, c->free_after_s, 0.0);
 	timer.data = &f;
 	ev_timer_start(f.loop, &timer);
 	started = clock_monotonic(clock_system());
-	call(&f, c->path, KEY);
+	fixture_call(&f, c->path, KEY);
 	RUN_UNTIL(&f, f.done);
 	ev_timer_stop(f.loop, &timer);
 	g_assert_cmpint(f.status, ==, c->status);
 	g_assert_cmpint(f.retry_after != NULL, ==, c->retry_after);
 	g_assert_cmpint(
 	    time_diff_ms(clock_monotonic(clock_system()), started), <, 1000);
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 /*
@@ -546,15 +310,15 @@
 	static const enum fake_platform_step steps[] = {FAKE_STEP_HANG};
 	struct fixture f = {.tokens = "20000, 10"};
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, 1);
-	wait_for_routing_state(&f);
-	call(&f, "/prompt/x", KEY);
+	fixture_wait_for_routing_state(&f);
+	fixture_call(&f, "/prompt/x", KEY);
 	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 1);
 	g_assert_cmpuint(own_prefill_us(&f), >, 0);
 	RUN_UNTIL(&f, own_prefill_us(&f) == 0);
 	g_assert_false(f.done);
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 /*
@@ -573,9 +337,9 @@
 	const char *first;
 	const char *second;
 
-	set_up(&f);
+	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
-	wait_for_routing_state(&f);
+	fixture_wait_for_routing_state(&f);
 	fleet = routing_state_fleet(f.exchange_context.routing_state);
 	later = time_add_ms(clock_monotonic(clock_system()), 60000);
 	/* The least busy upstreams, which get the first attempt, are cold. */
@@ -584,7 +348,7 @@
 	upstream = fleet_find(fleet, "i-0");
 	upstream->cold_until = (struct timespec){0};
 	upstream->peers.running = 2;
-	call(&f, "/last/x", KEY);
+	fixture_call(&f, "/last/x", KEY);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 2);
 	first = fake_platform_request_header(
@@ -595,7 +359,7 @@
 	    "Heatherturn-Expect-Instance");
 	g_assert_cmpstr(first, !=, "i-0");
 	g_assert_cmpstr(second, ==, "i-0");
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 /* A peer of the gateway that sends fault reports. */
@@ -638,8 +402,8 @@
 	struct peer peers[2];
 	struct timespec now;
 
-	set_up(&f);
-	wait_for_routing_state(&f);
+	fixture_set_up(&f);
+	fixture_wait_for_routing_state(&f);
 	upstream = TAILQ_FIRST(
 	    &routing_state_fleet(f.exchange_context.routing_state)->upstreams);
 	report_fault(&f, &peers[0], "p1", upstream->id);
@@ -653,7 +417,7 @@
 	RUN_UNTIL(&f, upstream->peer_fault_reports == 0);
 	mesh_free(peers[0].mesh);
 	mesh_free(peers[1].mesh);
-	tear_down(&f);
+	fixture_tear_down(&f);
 }
 
 int
--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -83,8 +83,94 @@
 	"a", 7},
 };
 
+/* A store that was restored from a copy during the case. */
+static const struct restore_case {
+	struct watch_case watch;
+	const char *eras[CALLS_MAX]; /* that the responses name */
+	uint64_t era; /* at the end */
+} restore_cases[] = {
+    {{"a watch of a restored store is followed by a new list, although the "
+      "store has the watched revision again",
+	 {{"servers", 200,
+	      "{\"Items\":[{\"Metadata\":{\"Name\":\"a\",\"Revision\":29}}],"
+	      "\"HasMore\":false,\"StoreRevision\":30}"},
+	     {"Watch=30", 200,
+		 "{\"events\":[{\"Object\":{\"Metadata\":{\"Name\":\"x\","
+		 "\"Revision\":31}}}],\"StoreRevision\":31}"},
+	     {"servers", 200,
+		 "{\"Items\":[{\"Metadata\":{\"Name\":\"c\","
+		 "\"Revision\":20}}],\"HasMore\":false,"
+		 "\"StoreRevision\":31}"},
+	     {"Watch=31", 0, NULL}},
+	 "c", 31},
+	{"1", "2", "2"}, 2},
+    {{"lost history of a restored store is followed by a list with lower "
+      "revisions",
+	 {{"servers", 200,
+	      "{\"Items\":[{\"Metadata\":{\"Name\":\"a\",\"Revision\":29}}],"
+	      "\"HasMore\":false,\"StoreRevision\":30}"},
+	     {"Watch=30", 410, "{}"},
+	     {"servers", 200,
+		 "{\"Items\":[{\"Metadata\":{\"Name\":\"b\","
+		 "\"Revision\":5}}],\"HasMore\":false,\"StoreRevision\":9}"},
+	     {"Watch=9", 0, NULL}},
+	 "b", 9},
+	{"1", "2", "2"}, 2},
+    {{"an object goes back to a lower revision of a restored store",
+	 {{"servers", 200,
+	      "{\"Items\":[{\"Metadata\":{\"Name\":\"a\",\"Revision\":29}}],"
+	      "\"HasMore\":false,\"StoreRevision\":30}"},
+	     {"Watch=30", 410, "{}"},
+	     {"servers", 200,
+		 "{\"Items\":[{\"Metadata\":{\"Name\":\"a\","
+		 "\"Revision\":5}}],\"HasMore\":false,\"StoreRevision\":9}"},
+	     {"Watch=9", 200,
+		 "{\"events\":[{\"Object\":{\"Metadata\":{\"Name\":\"a\","
+		 "\"Revision\":10},\"Spec\":\"new\"}}],"
+		 "\"StoreRevision\":10}"},
+	     {"Watch=10", 0, NULL}},
+	 "a", 10},
+	{"1", "2", "2", "2"}, 2},
+    {{"a failed call shows that the store was restored",
+	 {{"servers", 200,
+	      "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],"
+	      "\"HasMore\":false,\"StoreRevision\":7}"},
+	     {"Watch=7", 503, "{}"},
+	     {"servers", 200,
+		 "{\"Items\":[{\"Metadata\":{\"Name\":\"b\"}}],"
+		 "\"HasMore\":false,\"StoreRevision\":3}"},
+	     {"Watch=3", 0, NULL}},
+	 "b", 3},
+	{"1", "2", "2"}, 2},
+    {{"a list in two pages, between which the store was restored, is read "
+      "again",
+	 {{"servers", 200,
+	      "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],"
+	      "\"HasMore\":true,\"StoreRevision\":7}"},
+	     {"After=a", 200,
+		 "{\"Items\":[{\"Metadata\":{\"Name\":\"b\"}}],"
+		 "\"HasMore\":false,\"StoreRevision\":5}"},
+	     {"servers", 200,
+		 "{\"Items\":[{\"Metadata\":{\"Name\":\"c\"}}],"
+		 "\"HasMore\":false,\"StoreRevision\":6}"},
+	     {"Watch=6", 0, NULL}},
+	 "c", 6},
+	{"1", "2", "2"}, 2},
+    {{"a response of an earlier era is not used",
+	 {{"servers", 200,
+	      "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],"
+	      "\"HasMore\":false,\"StoreRevision\":7}"},
+	     {"Watch=7", 200,
+		 "{\"events\":[{\"Object\":{\"Metadata\":{\"Name\":\"x\"}}}],"
+		 "\"StoreRevision\":90}"},
+	     {"Watch=7", 0, NULL}},
+	 "a", 7},
+	{"2", "1"}, 2},
+};
+
 struct fixture {
 	const struct watch_case *c;
+	const char *const *eras; /* of the responses; NULL for none */
 	struct ev_loop *loop;
 	ev_timer timeout;
 	struct httpd *httpd;
@@ -101,15 +187,21 @@
 on_request(void *data, struct httpd_request *request)
 {
 	struct fixture *f = data;
-	const struct response *response = &f->c->responses[f->calls++];
+	size_t at = f->calls++;
+	const struct response *response = &f->c->responses[at];
+	const struct http_header era = {
+	    "Store-Era", f->eras == NULL ? NULL : f->eras[at]};
 
 	g_assert_cmpuint(f->calls, <=, CALLS_MAX);
 	g_assert_nonnull(response->query);
 	g_assert_nonnull(
 	    strstr(httpd_request_target(request), response->query));
+	g_assert_cmpint(strstr(httpd_request_target(request), "Watch=") != NULL,
+	    ==, strstr(response->query, "Watch=") != NULL);
 	if (response->status != 0)
-		httpd_respond(request, response->status, NULL, 0,
-		    response->body, strlen(response->body));
+		httpd_respond(request, response->status, &era,
+		    era.value == NULL ? 0 : 1, response->body,
+		    strlen(response->body));
 }
 
 /* Calls have no state. */
@@ -167,7 +259,7 @@
 	f->httpd = httpd_new(f->loop, &settings, &ops, f, NULL);
 	address = g_strdup_printf("127.0.0.1:%d", httpd_port(f->httpd));
 	f->http = http_client_new(f->loop, NULL);
-	f->store = object_store_new(f->http, address);
+	f->store = object_store_new(f->http, address, NULL);
 	f->watch = object_watch_new(f->loop, f->store, "servers", on_change, f);
 }
 
@@ -205,6 +297,20 @@
 	tear_down(&f);
 }
 
+/* Objects and version are those of the restored store. */
+static void
+test_restored(gconstpointer data)
+{
+	const struct restore_case *c = &restore_cases[GPOINTER_TO_SIZE(data)];
+	struct fixture f = {.c = &c->watch, .eras = c->eras};
+
+	set_up(&f);
+	run_to_last_call(&f);
+	g_assert_cmpstr(f.names, ==, c->watch.names);
+	g_assert_cmpuint(f.version, ==, c->watch.version | c->era << 44);
+	tear_down(&f);
+}
+
 /* Applies an update as received from a peer. */
 static bool
 apply_update(
@@ -311,6 +417,12 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/object_watch", test_watch);
+	for (size_t i = 0; i < G_N_ELEMENTS(restore_cases); i++) {
+		g_autofree char *path = g_strconcat("/object_watch/restored/",
+		    restore_cases[i].watch.name, NULL);
+
+		g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_restored);
+	}
 	g_test_add_func(
 	    "/object_watch/a peer's newer state replaces the local one",
 	    test_peer_update);
--- a/tests/test_reservations.c
+++ b/tests/test_reservations.c
@@ -32,6 +32,7 @@
 	struct fixture *fixture;
 	struct httpd *httpd;
 	int status;
+	bool leaving; /* says so in its responses */
 	int reserves;
 	int releases;
 	int64_t tokens;
@@ -44,12 +45,14 @@
 	struct engine engines[ENGINES];
 	bool answered;
 	bool granted;
+	bool leaving[ENGINES]; /* as their responses say */
 };
 
 /* Counts an order and responds as the case specifies. */
 static void
 on_request(void *data, struct httpd_request *request)
 {
+	static const struct http_header leaving = {"Server-Leaving", "1"};
 	struct engine *engine = data;
 	size_t length;
 	const uint8_t *body = httpd_request_body(request, &length);
@@ -65,7 +68,8 @@
 		engine->tokens = json_integer_value(
 		    json_object_get(order, "Tokens"));
 		if (engine->status != 0)
-			httpd_respond(request, engine->status, NULL, 0, "", 0);
+			httpd_respond(request, engine->status, &leaving,
+			    engine->leaving ? 1 : 0, "", 0);
 	}
 	json_decref(order);
 }
@@ -86,6 +90,16 @@
 	f->granted = granted;
 }
 
+/* Counts what the engines say of themselves. */
+static void
+on_notice(void *data, size_t index, const struct upstream_notice *notice)
+{
+	struct fixture *f = data;
+
+	g_assert_cmpuint(index, <, ENGINES);
+	f->leaving[index] |= notice->leaving;
+}
+
 /* Fails a case that does not end. */
 static void
 on_timeout(struct ev_loop *loop, ev_timer *timer, int events)
@@ -130,8 +144,8 @@
 		requests[i] = (struct reservation_request){
 		    .address = addresses[i], .tokens = 1000 * (i + 1)};
 	}
-	return reservations_new(
-	    f->loop, f->http, "r1", 3000, requests, ENGINES, on_result, f);
+	return reservations_new(f->loop, f->http, "r1", 3000, requests, ENGINES,
+	    on_result, on_notice, f);
 }
 
 /* Stops the engines and frees the fixture. */
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -209,6 +209,22 @@
 	};
 }
 
+/* Applies a list in which one upstream changed or was removed, or none. */
+static void
+apply_list(struct fleet *fleet, uint64_t version,
+    const struct upstream_report *one, const char *removed, struct timespec now)
+{
+	const struct upstream_list list = {
+	    .version = version,
+	    .reports = one,
+	    .count = one == NULL ? 0 : 1,
+	    .removed = &removed,
+	    .removed_count = removed == NULL ? 0 : 1,
+	};
+
+	fleet_apply(fleet, &list, now);
+}
+
 /* Take-outs and draining make an upstream ineligible; a return, cold. */
 static void
 test_fleet(void)
@@ -219,16 +235,16 @@
 	const char *domains[] = {"z"};
 	struct fleet_upstream *upstream;
 
-	fleet_apply(fleet, 1, &one, 1, NULL, 0, now);
+	apply_list(fleet, 1, &one, NULL, now);
 	upstream = fleet_find(fleet, "a");
 	g_assert_true(fleet_upstream_is_eligible(fleet, upstream, now));
-	fleet_set_takeouts(fleet, domains, 1, now, 3000);
+	fleet_set_takeouts(fleet, domains, 1, false, now);
 	g_assert_false(fleet_upstream_is_eligible(fleet, upstream, now));
-	fleet_set_takeouts(fleet, NULL, 0, now, 3000);
+	fleet_set_takeouts(fleet, NULL, 0, false, now);
 	g_assert_true(fleet_upstream_is_eligible(fleet, upstream, now));
 	g_assert_true(time_before(now, upstream->cold_until));
 	one.draining = true;
-	fleet_apply(fleet, 2, &one, 1, NULL, 0, now);
+	apply_list(fleet, 2, &one, NULL, now);
 	g_assert_false(fleet_upstream_is_eligible(fleet, upstream, now));
 	fleet_free(fleet);
 }
@@ -247,15 +263,15 @@
 	const char *removed = "a";
 	struct fleet_upstream *upstream;
 
-	fleet_apply(fleet, 1, &one, 1, NULL, 0, now);
+	apply_list(fleet, 1, &one, NULL, now);
 	upstream = fleet_find(fleet, "a");
 	fleet_add_request(fleet, upstream, now);
-	fleet_apply(fleet, 2, NULL, 0, &removed, 1, now);
+	apply_list(fleet, 2, NULL, removed, now);
 	g_assert_true(fleet_upstream_is_eligible(fleet, upstream, now));
 	now = time_add_ms(now, FLEET_UNLISTED_GRACE_MS);
 	g_assert_cmpint(FLEET_UNLISTED_GRACE_MS, <, 2000);
 	g_assert_false(fleet_upstream_is_eligible(fleet, upstream, now));
-	fleet_apply(fleet, 3, NULL, 0, NULL, 0, now);
+	apply_list(fleet, 3, NULL, NULL, now);
 	g_assert_nonnull(fleet_find(fleet, "a"));
 	fleet_remove_request(fleet, upstream, now);
 	g_assert_null(fleet_find(fleet, "a"));
@@ -271,14 +287,14 @@
 	struct upstream_report one = report("a", false, 1);
 	struct fleet_upstream *upstream;
 
-	fleet_apply(fleet, 1, &one, 1, NULL, 0, now);
+	apply_list(fleet, 1, &one, NULL, now);
 	upstream = fleet_find(fleet, "a");
 	upstream->failures = 3;
 	upstream->avoid_until = time_add_ms(now, 5000);
-	fleet_apply(fleet, 2, &one, 1, NULL, 0, now);
+	apply_list(fleet, 2, &one, NULL, now);
 	g_assert_cmpuint(upstream->failures, ==, 3);
 	one.start_wall_ms = 2;
-	fleet_apply(fleet, 3, &one, 1, NULL, 0, now);
+	apply_list(fleet, 3, &one, NULL, now);
 	g_assert_cmpuint(upstream->failures, ==, 0);
 	g_assert_false(time_before(now, upstream->avoid_until));
 	fleet_free(fleet);
