Each prompt that is sent is reported to the peers at once

Only prompts with parts of 20 ms and more were reported between the rounds, and without their stream.

Change: the message that reports a prompt is sent for each, with its class and context, and peers count the stream at once. The new case of test_gateway fails without it.

--- a/src/gateway/exchange_prefill.c
+++ b/src/gateway/exchange_prefill.c
@@ -66,14 +66,20 @@
 }
 
 /*
- * Adds the prompt to the load of all upstreams that prefill it. Reports a long
- * one to the peers, which can't foresee it.
+ * Adds the prompt to the load of all upstreams that prefill it, and reports it
+ * to the peers.
  */
 void
 exchange_add_prefill(struct exchange *exchange,
     const struct selection *selection, const struct balance_plan *plan)
 {
 	const char *ids[BALANCE_HELPERS_MAX + 1];
+	struct load_sync_prompt prompt = {
+	    .upstreams = ids,
+	    .part_ms = plan->part_ms,
+	    .class = exchange_stream_class(exchange),
+	    .context_tokens = exchange->context_tokens,
+	};
 
 	exchange->prefill_part_us = (uint64_t)(plan->part_ms * US_PER_MS);
 	add_prefill_part(exchange, selection->upstreams[plan->first]);
@@ -82,9 +88,9 @@
 		    exchange, selection->upstreams[plan->helpers[i]]);
 	for (size_t i = 0; i < exchange->prefill_part_count; i++)
 		ids[i] = exchange->prefill_parts[i].upstream;
-	if (plan->part_ms >= LOAD_SYNC_PREFILL_MIN_MS)
-		load_sync_send_prefill(exchange->context->load_sync, ids,
-		    exchange->prefill_part_count, plan->part_ms);
+	prompt.count = exchange->prefill_part_count;
+	if (exchange->caller_headers.has_prompt)
+		load_sync_send_prompt(exchange->context->load_sync, &prompt);
 	update_prefill_parts(exchange);
 }
 
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -185,13 +185,36 @@
 	return load;
 }
 
-/* Adds a prefill that a peer reports before its next round. */
+/* Adds the stream of a prompt that a peer has just sent. */
+static void
+add_stream(struct load_sync *sync, struct peer_load *peer_load,
+    const struct message_prefill *message)
+{
+	const char *id = message->upstreams.items[0];
+	struct upstream_load *load = get_upstream_load(peer_load, id);
+	struct fleet_upstream *upstream = fleet_find(sync->fleet, id);
+	size_t class = message->stream - 1;
+
+	load->running++;
+	load->streams[class]++;
+	load->context_tokens += message->context_tokens;
+	if (upstream == NULL)
+		return;
+	upstream->peers.running++;
+	upstream->peers.streams[class]++;
+	upstream->peers.context_tokens += message->context_tokens;
+}
+
+/* Adds a prompt that a peer reports before its next round. */
 static void
 on_prefill(struct load_sync *sync, const char *process,
     const struct message_prefill *message)
 {
 	struct peer_load *peer_load = get_peer_load(sync, process);
 
+	if (message->upstreams.count > 0 && message->stream > 0 &&
+	    message->stream <= STREAM_CLASSES)
+		add_stream(sync, peer_load, message);
 	for (size_t i = 0; i < message->upstreams.count; i++) {
 		const char *id = message->upstreams.items[i];
 		struct fleet_upstream *upstream = fleet_find(sync->fleet, id);
@@ -412,19 +435,21 @@
 }
 
 /*
- * Reports a long prompt to the peers without waiting for the next round. Each
- * of the upstreams prefills a part of it, which takes part_ms.
+ * Reports a prompt to the peers without waiting for the next round: until they
+ * know of it, all gateways choose the same upstreams and overfill them.
  */
 void
-load_sync_send_prefill(struct load_sync *sync, const char *const *upstreams,
-    size_t count, double part_ms)
+load_sync_send_prompt(
+    struct load_sync *sync, const struct load_sync_prompt *prompt)
 {
 	struct message message = {
 	    .kind = MESSAGE_PREFILL,
 	    .prefill =
 		{
-		    .upstreams = {(char **)upstreams, count},
-		    .part_us = (uint64_t)(part_ms * US_PER_MS),
+		    .upstreams = {(char **)prompt->upstreams, prompt->count},
+		    .part_us = (uint64_t)(prompt->part_ms * US_PER_MS),
+		    .stream = (uint32_t)prompt->class + 1,
+		    .context_tokens = prompt->context_tokens,
 		},
 	};
 
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -1,8 +1,8 @@
 /*
  * Exchange of load figures among gateways. Each gateway knows only its own
- * requests; without the others' loads all would pick the same upstreams. A long
- * prefill is reported immediately, the rest in short rounds. The load of a peer
- * that stops reporting is soon dropped.
+ * requests; without the others' loads all would pick the same upstreams. Each
+ * prompt that is sent is reported immediately, the rest in short rounds. The
+ * load of a peer that stops reporting is soon dropped.
  */
 #ifndef GATEWAY_LOAD_SYNC_H
 #define GATEWAY_LOAD_SYNC_H
@@ -22,8 +22,6 @@
 /* A peer's load is dropped after this many rounds without a message from it. */
 #define LOAD_SYNC_TIMEOUT_ROUNDS 6
 
-/* A shorter prefill is not reported at once: it ends before peers need it. */
-#define LOAD_SYNC_PREFILL_MIN_MS 20.0
 /* An idle gateway sends its empty load only once in this many rounds. */
 #define LOAD_SYNC_IDLE_ROUNDS 2
 /*
@@ -35,10 +33,18 @@
 
 struct load_sync;
 
+/* A prompt that was sent; the first upstream decodes its stream. */
+struct load_sync_prompt {
+	const char *const *upstreams; /* ids; each prefills one part */
+	size_t count;
+	double part_ms; /* prefill time of each part */
+	enum stream_class class;
+	uint64_t context_tokens; /* at the first upstream */
+};
+
 struct load_sync *load_sync_new(struct ev_loop *, struct clock *, struct mesh *,
     const char *self, struct routing_state *);
 void load_sync_free(struct load_sync *);
-void load_sync_send_prefill(struct load_sync *, const char *const *upstreams,
-    size_t count, double part_ms);
+void load_sync_send_prompt(struct load_sync *, const struct load_sync_prompt *);
 
 #endif
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -49,7 +49,7 @@
 	MESSAGE_STATUS_ANSWER,
 	MESSAGE_SUSPECT, /* a request that was running when an upstream died */
 	MESSAGE_LOAD, /* the sender's requests at each upstream */
-	MESSAGE_PREFILL, /* prefill parts that the sender has just assigned */
+	MESSAGE_PREFILL, /* a prompt that the sender has just sent */
 	MESSAGE_KINDS,
 };
 
@@ -277,6 +277,8 @@
 struct message_prefill {
 	struct string_array upstreams; /* one prefill part each */
 	uint64_t part_us; /* prefill time of each part */
+	uint32_t stream; /* 1 + enum stream_class, decoded by the first one */
+	uint64_t context_tokens; /* of that stream */
 };
 
 struct message {
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -101,7 +101,8 @@
 		M(U64_ARRAY, load.leaving_starts) }, .optional_count = 3 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
-		M(U64, prefill.part_us) } },
+		M(U64, prefill.part_us), M(U32, prefill.stream),
+		M(U64, prefill.context_tokens) }, .optional_count = 2 },
 };
 
 #undef M
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -62,18 +62,18 @@
 	return candidate;
 }
 
-/* Adds a prompt's stream to its engine's load (delta 1) or removes it (-1). */
+/* Adds a prompt's stream to a load (delta 1) or removes it (-1). */
 static void
-count_stream(struct gateway *gateway, const struct prompt *prompt, int delta)
+count_stream(struct account *accounts, const struct prompt *prompt, int delta)
 {
-	struct account *account = &gateway->own[prompt->engines[0]];
+	struct account *account = &accounts[prompt->engines[0]];
 
 	account->running += (uint32_t)delta;
 	account->streams[prompt->class] += (uint32_t)delta;
 	account->context_tokens += (uint64_t)((int64_t)prompt->tokens * delta);
 }
 
-/* Adds the prefill of a prompt; long parts are published at once. */
+/* Adds the prefill of a prompt, which is published at once. */
 static void
 count_prefill(
     struct model *model, struct gateway *gateway, struct prompt *prompt)
@@ -85,9 +85,7 @@
 		*until = MAX(*until, model->now_ms) + prompt->part_ms;
 		prompt->counted_until_ms[i] = *until + ENGINE_PREFILL_SLACK_MS;
 		gateway->own[engine].prefill_ms += prompt->part_ms;
-		if (prompt->part_ms >= LOAD_SYNC_PREFILL_MIN_MS)
-			gateway->published[engine].prefill_ms += prompt
-								     ->part_ms;
+		gateway->published[engine].prefill_ms += prompt->part_ms;
 	}
 }
 
@@ -121,7 +119,8 @@
 	for (size_t i = 0; i < prompt->engine_count; i++)
 		engine_prefill(model->engines[prompt->engines[i]], prompt, i,
 		    model->now_ms + NETWORK_LATENCY_MS);
-	count_stream(gateway, prompt, 1);
+	count_stream(gateway->own, prompt, 1);
+	count_stream(gateway->published, prompt, 1);
 	count_prefill(model, gateway, prompt);
 }
 
@@ -185,7 +184,7 @@
 	uncount_prefill(model, gateway, prompt);
 	if (!prompt->ended)
 		return;
-	count_stream(gateway, prompt, -1);
+	count_stream(gateway->own, prompt, -1);
 	prompt->released = true;
 }
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -368,15 +368,13 @@
 	struct mesh *mesh;
 };
 
-/* Starts a peer that reports an upstream as faulty to the gateway. */
+/* Starts a peer and sends a message of it to the gateway. */
 static void
-report_fault(
-    struct fixture *f, struct peer *peer, const char *name, char *upstream)
+start_peer(struct fixture *f, struct peer *peer, const char *name,
+    struct message *message)
 {
 	const struct mesh_settings settings = {
 	    .identity = &peer->identity, .listen = "127.0.0.1:0"};
-	struct message message = {
-	    .kind = MESSAGE_LOAD, .load = {.faulty = {&upstream, 1}}};
 	g_autofree char *address = g_strdup_printf(
 	    "127.0.0.1:%d", mesh_port(f->mesh));
 
@@ -387,7 +385,90 @@
 	    .cluster_key = "secret"};
 	peer->mesh = mesh_new(f->loop, clock_system(), &settings, NULL);
 	g_assert_nonnull(peer->mesh);
-	mesh_send(peer->mesh, address, &message);
+	mesh_send(peer->mesh, address, message);
+}
+
+/* Starts a peer that reports an upstream as faulty to the gateway. */
+static void
+report_fault(
+    struct fixture *f, struct peer *peer, const char *name, char *upstream)
+{
+	struct message message = {
+	    .kind = MESSAGE_LOAD, .load = {.faulty = {&upstream, 1}}};
+
+	start_peer(f, peer, name, &message);
+}
+
+/*
+ * A prompt that a peer reports counts at once: its stream at the first
+ * upstream, its prefill at all. The peer's next load replaces it.
+ */
+static void
+test_peer_prompt(void)
+{
+	struct fixture f = {0};
+	char *ids[] = {"i-0", "i-1"};
+	struct message message = {.kind = MESSAGE_PREFILL,
+	    .prefill = {.upstreams = {ids, 2},
+		.part_us = 5000,
+		.stream = STREAM_SHORT + 1,
+		.context_tokens = 700}};
+	struct message load = {.kind = MESSAGE_LOAD};
+	struct fleet_upstream *first;
+	struct fleet_upstream *second;
+	struct peer peer;
+	g_autofree char *address = NULL;
+
+	fixture_set_up(&f);
+	fixture_wait_for_routing_state(&f);
+	first = fleet_find(
+	    routing_state_fleet(f.exchange_context.routing_state), "i-0");
+	second = fleet_find(
+	    routing_state_fleet(f.exchange_context.routing_state), "i-1");
+	start_peer(&f, &peer, "p1", &message);
+	RUN_UNTIL(&f, second->peers.prefill_us == 5000);
+	g_assert_cmpuint(first->peers.prefill_us, ==, 5000);
+	g_assert_cmpuint(first->peers.running, ==, 1);
+	g_assert_cmpuint(first->peers.streams[STREAM_SHORT], ==, 1);
+	g_assert_cmpuint(first->peers.context_tokens, ==, 700);
+	g_assert_cmpuint(second->peers.running, ==, 0);
+	address = g_strdup_printf("127.0.0.1:%d", mesh_port(f.mesh));
+	mesh_send(peer.mesh, address, &load);
+	RUN_UNTIL(&f, first->peers.running == 0);
+	g_assert_cmpuint(first->peers.context_tokens, ==, 0);
+	mesh_free(peer.mesh);
+	fixture_tear_down(&f);
+}
+
+/* An upstream that has told a peer that it leaves gets no requests. */
+static void
+test_peer_leaving(void)
+{
+	struct fixture f = {0};
+	char *id = "i-0";
+	uint64_t other_start = 1;
+	uint64_t start = 0;
+	struct message message = {.kind = MESSAGE_LOAD,
+	    .load = {.leaving = {&id, 1}, .leaving_starts = {&other_start, 1}}};
+	struct fleet *fleet;
+	struct peer peers[2];
+
+	fixture_set_up(&f);
+	fixture_wait_for_routing_state(&f);
+	fleet = routing_state_fleet(f.exchange_context.routing_state);
+	start_peer(&f, &peers[0], "p1", &message);
+	for (int i = 0; i < SETTLE_ROUNDS; i++)
+		ev_run(f.loop, EVRUN_ONCE);
+	g_assert_true(fleet_upstream_is_eligible(
+	    fleet, fleet_find(fleet, id), clock_monotonic(clock_system())));
+	message.load.leaving_starts.items = &start;
+	start_peer(&f, &peers[1], "p2", &message);
+	RUN_UNTIL(&f,
+	    !fleet_upstream_is_eligible(
+		fleet, fleet_find(fleet, id), clock_monotonic(clock_system())));
+	mesh_free(peers[0].mesh);
+	mesh_free(peers[1].mesh);
+	fixture_tear_down(&f);
 }
 
 /*
@@ -433,6 +514,11 @@
 	g_test_add_func("/gateway/an upstream is avoided while two peers "
 			"report it as faulty",
 	    test_fault_reports);
+	g_test_add_func(
+	    "/gateway/a peer's prompt counts at once", test_peer_prompt);
+	g_test_add_func("/gateway/an upstream that has told a peer that it "
+			"leaves gets no requests",
+	    test_peer_leaving);
 	g_test_add_func(
 	    "/gateway/a prefill part stops counting after its predicted time",
 	    test_prefill_end);
