A starting gateway asks its seeds before the store

Change: policy/watching decides who watches. A gateway with seeds asks them first and lists only if they have not answered after 400 ms; once complete it does not watch for 5 s, by when it knows its peers.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,6 +4,7 @@
  * loop, and shuts down without interrupting requests.
  */
 #include <stdio.h>
+#include <string.h>
 
 #include <sodium.h>
 
@@ -236,11 +237,29 @@
 	return true;
 }
 
+/* Describes this gateway among those in the settings. */
+static struct load_sync_settings
+describe_self(struct gateway *gateway)
+{
+	const struct settings *settings = &gateway->settings;
+	const char *address = node_identity(gateway->node)->address;
+	struct load_sync_settings self = {.self = settings->id};
+
+	for (size_t i = 0; settings->peers[i] != NULL; i++) {
+		if (strcmp(settings->peers[i], address) == 0)
+			self.is_seed = true;
+		else
+			self.has_seeds = true;
+	}
+	return self;
+}
+
 /* Creates all modules; false with the first one's error. */
 static bool
 gateway_start(struct gateway *gateway, GError **error)
 {
 	const struct settings *settings = &gateway->settings;
+	struct load_sync_settings self;
 
 	gateway->node = node_new(
 	    gateway->loop, gateway->clock, settings, &node_ops, gateway, error);
@@ -249,13 +268,15 @@
 	gateway->random = g_rand_new_with_seed(randombytes_random());
 	gateway->store = object_store_new(node_http_client(gateway->node),
 	    settings->objects, gateway->random);
+	self = describe_self(gateway);
 	gateway->routing_state = routing_state_new(gateway->loop,
-	    gateway->clock, gateway->store, node_documents(gateway->node));
+	    gateway->clock, gateway->store, node_documents(gateway->node),
+	    self.is_seed || !self.has_seeds);
 	gateway->registry = registry_new(gateway->loop, gateway->store,
 	    node_mesh(gateway->node), settings->id,
 	    node_identity(gateway->node)->address);
 	gateway->load_sync = load_sync_new(gateway->loop, gateway->clock,
-	    node_mesh(gateway->node), settings->id, gateway->routing_state);
+	    node_mesh(gateway->node), &self, gateway->routing_state);
 	init_exchange_context(gateway);
 	return open_callers(gateway, error);
 }
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "policy/watching.h"
 #include "store/watchers.h"
 
 /* One peer's load as last reported. */
@@ -17,6 +18,9 @@
 	struct clock *clock;
 	struct mesh *mesh;
 	char *self; /* name of this process */
+	bool is_seed;
+	bool has_seeds;
+	struct timespec started_at;
 	struct routing_state *routing_state;
 	struct fleet *fleet;
 	struct mesh_handler handler;
@@ -378,6 +382,23 @@
 	    candidates, used, sync->self, LOAD_SYNC_WATCHERS);
 }
 
+/* Decides whether this process watches the store. */
+static void
+decide_watching(struct load_sync *sync)
+{
+	const struct watching_input input = {
+	    .age_ms = time_diff_ms(
+		clock_monotonic(sync->clock), sync->started_at),
+	    .is_seed = sync->is_seed,
+	    .has_seeds = sync->has_seeds,
+	    .complete = routing_state_is_complete(sync->routing_state),
+	    .elected = !has_enough_watchers(sync),
+	};
+
+	routing_state_set_watching(
+	    sync->routing_state, watching_is_needed(&input));
+}
+
 /* Runs a round: drops silent peers, decides on watching, reports our load. */
 static void
 on_round_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -386,8 +407,7 @@
 
 	expire_peers(sync);
 	fleet_expire(sync->fleet, clock_monotonic(sync->clock));
-	routing_state_set_watching(
-	    sync->routing_state, !has_enough_watchers(sync));
+	decide_watching(sync);
 	broadcast_load(sync);
 	ev_timer_set(timer, (double)round_ms(sync) / MS_PER_S, 0.0);
 	ev_timer_start(loop, timer);
@@ -396,14 +416,18 @@
 /* Starts to exchange load figures with the peers. */
 struct load_sync *
 load_sync_new(struct ev_loop *loop, struct clock *clock, struct mesh *mesh,
-    const char *self, struct routing_state *routing_state)
+    const struct load_sync_settings *settings,
+    struct routing_state *routing_state)
 {
 	struct load_sync *sync = g_new0(struct load_sync, 1);
 
 	sync->loop = loop;
 	sync->clock = clock;
 	sync->mesh = mesh;
-	sync->self = g_strdup(self);
+	sync->self = g_strdup(settings->self);
+	sync->is_seed = settings->is_seed;
+	sync->has_seeds = settings->has_seeds;
+	sync->started_at = clock_monotonic(clock);
 	sync->routing_state = routing_state;
 	sync->fleet = routing_state_fleet(routing_state);
 	sync->peers = g_hash_table_new_full(
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -42,8 +42,15 @@
 	uint64_t context_tokens; /* at the first upstream */
 };
 
+/* Who this process is among the gateways. */
+struct load_sync_settings {
+	const char *self; /* its name */
+	bool is_seed; /* its address is in the settings of all */
+	bool has_seeds; /* the address of another gateway is in its settings */
+};
+
 struct load_sync *load_sync_new(struct ev_loop *, struct clock *, struct mesh *,
-    const char *self, struct routing_state *);
+    const struct load_sync_settings *, struct routing_state *);
 void load_sync_free(struct load_sync *);
 void load_sync_send_prompt(struct load_sync *, const struct load_sync_prompt *);
 
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -188,22 +188,26 @@
 {
 	kind->routing_state = routing_state;
 	kind->document = document;
-	kind->watch = object_watch_new(loop, store, name, take, kind);
+	kind->watch = object_watch_new(
+	    loop, store, name, routing_state->watching, take, kind);
 	documents_set_codec(routing_state->documents, document, encode_objects,
 	    apply_objects, kind);
 }
 
-/* Starts to receive routing state from the store and from peers. */
+/*
+ * Starts to receive routing state from peers and, if it watches the store, from
+ * there.
+ */
 struct routing_state *
 routing_state_new(struct ev_loop *loop, struct clock *clock,
-    struct object_store *store, struct documents *documents)
+    struct object_store *store, struct documents *documents, bool watching)
 {
 	struct routing_state *routing_state = g_new0(struct routing_state, 1);
 
 	routing_state->clock = clock;
 	routing_state->documents = documents;
 	routing_state->fleet = fleet_new();
-	routing_state->watching = true;
+	routing_state->watching = watching;
 	start_watch(routing_state, &routing_state->routes, loop, store,
 	    DECODE_KIND_ROUTES, DOCUMENT_ROUTES, on_routes);
 	start_watch(routing_state, &routing_state->upstreams, loop, store,
@@ -231,14 +235,10 @@
 	g_free(routing_state);
 }
 
-/*
- * Sets whether this process watches the store or relies on its peers. It
- * watches in any case until all parts have been received.
- */
+/* Sets whether this process watches the store or relies on its peers. */
 void
 routing_state_set_watching(struct routing_state *routing_state, bool watching)
 {
-	watching |= !routing_state_is_complete(routing_state);
 	if (routing_state->watching == watching)
 		return;
 	routing_state->watching = watching;
--- a/src/gateway/routing_state.h
+++ b/src/gateway/routing_state.h
@@ -23,7 +23,7 @@
 typedef void routing_state_fn(void *data);
 
 struct routing_state *routing_state_new(struct ev_loop *, struct clock *,
-    struct object_store *, struct documents *);
+    struct object_store *, struct documents *, bool watching);
 void routing_state_free(struct routing_state *);
 void routing_state_set_complete_callback(
     struct routing_state *, routing_state_fn *, void *data);
