Rounds report only the loads that changed

Change: a round lists the upstreams whose load is not as the peers know it, and all of them every eighth round and when the peers change. What peers report is a module of its own, gateway/peer_loads.

--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -2,16 +2,8 @@
 
 #include <string.h>
 
+#include "gateway/peer_loads.h"
 #include "policy/watching.h"
-#include "store/watchers.h"
-
-/* One peer's load as last reported. */
-struct peer_load {
-	GHashTable *loads; /* upstream id -> struct upstream_load */
-	GPtrArray *faulty; /* ids of upstreams */
-	struct timespec received_at;
-	bool store_disconnected;
-};
 
 struct load_sync {
 	struct ev_loop *loop;
@@ -24,303 +16,206 @@
 	struct routing_state *routing_state;
 	struct fleet *fleet;
 	struct mesh_handler handler;
-	GHashTable *peers; /* process -> struct peer_load */
+	struct peer_loads *peers;
+	size_t reported_peers; /* number at the last full report */
+	unsigned int change_rounds; /* since the last full report */
 	ev_timer timer;
 	unsigned int idle_rounds; /* since the idle state was sent */
 };
 
-/* Adds one peer's fault reports to the upstreams, or removes them. */
+/* Handles a peer's message. */
 static void
-apply_fault_reports(
-    struct load_sync *sync, const struct peer_load *peer_load, bool add)
+on_message(void *data, struct link *link, const struct message *message)
 {
-	for (size_t i = 0; i < peer_load->faulty->len; i++) {
-		struct fleet_upstream *upstream = fleet_find(
-		    sync->fleet, peer_load->faulty->pdata[i]);
-
-		if (upstream == NULL)
-			continue;
-		if (add)
-			upstream->peer_fault_reports++;
-		else if (upstream->peer_fault_reports > 0)
-			upstream->peer_fault_reports--;
-	}
-}
+	struct load_sync *sync = data;
 
-/* Adds one peer's load to the upstreams, or removes it. */
-static void
-apply_peer_load(
-    struct load_sync *sync, const struct peer_load *peer_load, bool add)
-{
-	GHashTableIter iter;
-	void *id;
-	void *value;
-
-	apply_fault_reports(sync, peer_load, add);
-	g_hash_table_iter_init(&iter, peer_load->loads);
-	while (g_hash_table_iter_next(&iter, &id, &value)) {
-		struct fleet_upstream *upstream = fleet_find(sync->fleet, id);
-		const struct upstream_load *load = value;
-
-		if (upstream == NULL)
-			continue;
-		if (add) {
-			upstream->peers.running += load->running;
-			for (size_t i = 0; i < STREAM_CLASSES; i++)
-				upstream->peers.streams[i] += load->streams[i];
-			upstream->peers.context_tokens += load->context_tokens;
-			upstream->peers.prefill_us += load->prefill_us;
-			continue;
-		}
-		/*
-		 * It does not include the load of peers that reported before it
-		 * was added.
-		 */
-		upstream->peers.running -= MIN(
-		    load->running, upstream->peers.running);
-		for (size_t i = 0; i < STREAM_CLASSES; i++)
-			upstream->peers.streams[i] -= MIN(
-			    load->streams[i], upstream->peers.streams[i]);
-		upstream->peers.context_tokens -= MIN(
-		    load->context_tokens, upstream->peers.context_tokens);
-		upstream->peers.prefill_us -= MIN(
-		    load->prefill_us, upstream->peers.prefill_us);
-	}
+	if (message->kind == MESSAGE_LOAD)
+		peer_loads_on_load(sync->peers, link_peer(link)->process,
+		    &message->load, clock_monotonic(sync->clock));
+	else if (message->kind == MESSAGE_PREFILL)
+		peer_loads_on_prompt(sync->peers, link_peer(link)->process,
+		    &message->prefill, clock_monotonic(sync->clock));
 }
 
-/* Frees one peer's load. */
+static const struct mesh_ops load_sync_ops = {
+    .message = on_message,
+};
+
+/* Sends a message to all peers. */
 static void
-peer_load_free(void *data)
+broadcast(struct load_sync *sync, struct message *message)
 {
-	struct peer_load *peer_load = data;
+	size_t count;
+	const char *const *peers = mesh_peers(sync->mesh, &count);
 
-	g_hash_table_unref(peer_load->loads);
-	g_ptr_array_unref(peer_load->faulty);
-	g_free(peer_load);
+	for (size_t i = 0; i < count; i++)
+		mesh_send(sync->mesh, peers[i], message);
 }
 
-/* Returns a peer's load; creates an empty one if needed. */
-static struct peer_load *
-get_peer_load(struct load_sync *sync, const char *process)
+/* Rows of a report; the arrays have room for all upstreams. */
+struct report {
+	char **ids;
+	uint64_t *running;
+	uint64_t *streams[STREAM_CLASSES];
+	uint64_t *context_tokens;
+	uint64_t *prefill_us;
+	size_t rows;
+	char **faulty;
+	size_t faulty_count;
+	char **leaving;
+	uint64_t *leaving_starts;
+	size_t leaving_count;
+};
+
+/* Allocates the arrays of a report. */
+static void
+report_init(struct report *report, size_t max)
 {
-	struct peer_load *peer_load = g_hash_table_lookup(sync->peers, process);
-
-	if (peer_load != NULL)
-		return peer_load;
-	peer_load = g_new0(struct peer_load, 1);
-	peer_load->loads = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, g_free);
-	peer_load->faulty = g_ptr_array_new_with_free_func(g_free);
-	g_hash_table_insert(sync->peers, g_strdup(process), peer_load);
-	return peer_load;
+	*report = (struct report){
+	    .ids = g_new(char *, max + 1),
+	    .running = g_new(uint64_t, max + 1),
+	    .context_tokens = g_new(uint64_t, max + 1),
+	    .prefill_us = g_new(uint64_t, max + 1),
+	    .faulty = g_new(char *, max + 1),
+	    .leaving = g_new(char *, max + 1),
+	    .leaving_starts = g_new(uint64_t, max + 1),
+	};
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		report->streams[i] = g_new(uint64_t, max + 1);
 }
 
-/* Marks the upstreams that have told a peer that they leave. */
+/* Frees the arrays of a report. */
 static void
-apply_leaving(struct load_sync *sync, const char *process,
-    const struct message_load *message)
+report_clear(struct report *report)
 {
-	struct timespec now = clock_monotonic(sync->clock);
-	size_t count = MIN(
-	    message->leaving.count, message->leaving_starts.count);
-
-	for (size_t i = 0; i < count; i++) {
-		struct fleet_upstream *upstream = fleet_find(
-		    sync->fleet, message->leaving.items[i]);
-		int64_t start = (int64_t)message->leaving_starts.items[i];
-
-		if (upstream != NULL && (start == upstream->start_wall_ms))
-			fleet_upstream_on_leaving(upstream, process, now);
-	}
+	g_free(report->ids);
+	g_free(report->running);
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		g_free(report->streams[i]);
+	g_free(report->context_tokens);
+	g_free(report->prefill_us);
+	g_free(report->faulty);
+	g_free(report->leaving);
+	g_free(report->leaving_starts);
 }
 
-/* Replaces a peer's load with the one it reports. */
+/* Adds our load on an upstream to a report. */
 static void
-on_load(struct load_sync *sync, const char *process,
-    const struct message_load *message)
+add_row(struct report *report, struct fleet_upstream *upstream)
 {
-	struct peer_load *peer_load = get_peer_load(sync, process);
-	size_t rows = message->upstreams.count;
-
-	rows = MIN(rows, message->running.count);
-	rows = MIN(rows, message->short_streams.count);
-	rows = MIN(rows, message->medium_streams.count);
-	rows = MIN(rows, message->long_streams.count);
-	rows = MIN(rows, message->context_tokens.count);
-	rows = MIN(rows, message->prefill_us.count);
-	apply_peer_load(sync, peer_load, false);
-	g_hash_table_remove_all(peer_load->loads);
-	g_ptr_array_set_size(peer_load->faulty, 0);
-	for (size_t i = 0; i < message->faulty.count; i++)
-		g_ptr_array_add(
-		    peer_load->faulty, g_strdup(message->faulty.items[i]));
-	for (size_t i = 0; i < rows; i++) {
-		struct upstream_load *load = g_new0(struct upstream_load, 1);
-
-		load->running = (uint32_t)message->running.items[i];
-		load->streams[STREAM_SHORT] = (uint32_t)message->short_streams
-						  .items[i];
-		load->streams[STREAM_MEDIUM] = (uint32_t)message->medium_streams
-						   .items[i];
-		load->streams[STREAM_LONG] = (uint32_t)
-						 message->long_streams.items[i];
-		load->context_tokens = message->context_tokens.items[i];
-		load->prefill_us = message->prefill_us.items[i];
-		g_hash_table_replace(peer_load->loads,
-		    g_strdup(message->upstreams.items[i]), load);
-	}
-	peer_load->received_at = clock_monotonic(sync->clock);
-	peer_load->store_disconnected = message->store_disconnected;
-	apply_peer_load(sync, peer_load, true);
-	apply_leaving(sync, process, message);
+	size_t row = report->rows++;
+
+	report->ids[row] = upstream->id;
+	report->running[row] = upstream->own.running;
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		report->streams[i][row] = upstream->own.streams[i];
+	report->context_tokens[row] = upstream->own.context_tokens;
+	report->prefill_us[row] = upstream->own.prefill_us;
+	upstream->reported = upstream->own;
 }
 
-/* Returns a peer's load on one upstream; creates an empty one if needed. */
-static struct upstream_load *
-get_upstream_load(struct peer_load *peer_load, const char *upstream)
+/* Returns whether there is no load. */
+static bool
+is_idle(const struct upstream_load *load)
 {
-	struct upstream_load *load = g_hash_table_lookup(
-	    peer_load->loads, upstream);
-
-	if (load != NULL)
-		return load;
-	load = g_new0(struct upstream_load, 1);
-	g_hash_table_insert(peer_load->loads, g_strdup(upstream), load);
-	return load;
+	return load->running == 0 && load->prefill_us == 0 &&
+	    load->context_tokens == 0;
 }
 
-/* Adds the stream of a prompt that a peer has just sent. */
-static void
-add_stream(struct load_sync *sync, struct peer_load *peer_load,
-    const struct message_prefill *message)
+/* Returns whether the peers know our load on an upstream. */
+static bool
+is_reported(const struct fleet_upstream *upstream)
 {
-	const char *id = message->upstreams.items[0];
-	struct upstream_load *load = get_upstream_load(peer_load, id);
-	struct fleet_upstream *upstream = fleet_find(sync->fleet, id);
-	size_t class = message->stream - 1;
-
-	load->running++;
-	load->streams[class]++;
-	load->context_tokens += message->context_tokens;
-	if (upstream == NULL)
-		return;
-	upstream->peers.running++;
-	upstream->peers.streams[class]++;
-	upstream->peers.context_tokens += message->context_tokens;
+	const struct upstream_load *own = &upstream->own;
+	const struct upstream_load *reported = &upstream->reported;
+
+	return own->running == reported->running &&
+	    memcmp(own->streams, reported->streams, sizeof(own->streams)) ==
+	    0 &&
+	    own->context_tokens == reported->context_tokens &&
+	    own->prefill_us == reported->prefill_us;
 }
 
-/* Adds a prompt that a peer reports before its next round. */
+/* Collects our loads, or those that changed, and what we know of upstreams. */
 static void
-on_prefill(struct load_sync *sync, const char *process,
-    const struct message_prefill *message)
+collect_report(struct load_sync *sync, struct report *report, bool changes)
 {
-	struct peer_load *peer_load = get_peer_load(sync, process);
-
-	if (message->upstreams.count > 0 && message->stream > 0 &&
-	    message->stream <= STREAM_CLASSES)
-		add_stream(sync, peer_load, message);
-	for (size_t i = 0; i < message->upstreams.count; i++) {
-		const char *id = message->upstreams.items[i];
-		struct fleet_upstream *upstream = fleet_find(sync->fleet, id);
-
-		get_upstream_load(peer_load, id)->prefill_us += message
-								    ->part_us;
-		if (upstream == NULL)
-			continue;
-		upstream->peers.prefill_us += message->part_us;
-		fleet_upstream_add_prefill(
-		    upstream, message->part_us, clock_monotonic(sync->clock));
+	struct timespec now = clock_monotonic(sync->clock);
+	struct fleet_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &sync->fleet->upstreams, entry) {
+		if (time_before(now, upstream->faulty_until))
+			report->faulty[report->faulty_count++] = upstream->id;
+		if (fleet_upstream_announces(upstream, now)) {
+			report->leaving_starts[report->leaving_count] =
+			    (uint64_t)upstream->start_wall_ms;
+			report->leaving[report->leaving_count++] = upstream->id;
+		}
+		if (changes ? !is_reported(upstream) : !is_idle(&upstream->own))
+			add_row(report, upstream);
 	}
-	peer_load->received_at = clock_monotonic(sync->clock);
 }
 
-/* Handles a peer's message. */
-static void
-on_message(void *data, struct link *link, const struct message *message)
+/* Returns whether a round can be skipped because there is nothing to report. */
+static bool
+may_skip(struct load_sync *sync, const struct report *report)
 {
-	struct load_sync *sync = data;
+	bool empty = report->rows == 0 && report->faulty_count == 0 &&
+	    report->leaving_count == 0;
 
-	if (message->kind == MESSAGE_LOAD)
-		on_load(sync, link_peer(link)->process, &message->load);
-	else if (message->kind == MESSAGE_PREFILL)
-		on_prefill(sync, link_peer(link)->process, &message->prefill);
+	if (empty && sync->idle_rounds > 0 &&
+	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
+		return true;
+	sync->idle_rounds = report->rows == 0 ? 1 : 0;
+	return false;
 }
 
-static const struct mesh_ops load_sync_ops = {
-    .message = on_message,
-};
-
-/* Sends a message to all peers. */
-static void
-broadcast(struct load_sync *sync, struct message *message)
+/*
+ * Returns whether the next report lists only what changed. Now and then all is
+ * reported, and after a change of the peers, for those that lack earlier ones.
+ */
+static bool
+reports_changes(struct load_sync *sync)
 {
-	size_t count;
-	const char *const *peers = mesh_peers(sync->mesh, &count);
+	size_t peers;
 
-	for (size_t i = 0; i < count; i++)
-		mesh_send(sync->mesh, peers[i], message);
+	mesh_peers(sync->mesh, &peers);
+	if (peers == sync->reported_peers &&
+	    ++sync->change_rounds < LOAD_SYNC_FULL_ROUNDS)
+		return true;
+	sync->reported_peers = peers;
+	sync->change_rounds = 0;
+	return false;
 }
 
-/* Reports our load on each upstream to all peers; skips rounds while idle. */
+/* Reports our load on the upstreams to all peers; skips rounds while idle. */
 static void
 broadcast_load(struct load_sync *sync)
 {
-	size_t max = fleet_count(sync->fleet);
-	g_autofree char **ids = g_new(char *, max + 1);
-	g_autofree uint64_t *running = g_new(uint64_t, max + 1);
-	g_autofree uint64_t *short_streams = g_new(uint64_t, max + 1);
-	g_autofree uint64_t *medium_streams = g_new(uint64_t, max + 1);
-	g_autofree uint64_t *long_streams = g_new(uint64_t, max + 1);
-	g_autofree uint64_t *tokens = g_new(uint64_t, max + 1);
-	g_autofree uint64_t *prefill_us = g_new(uint64_t, max + 1);
-	g_autofree char **faulty = g_new(char *, max + 1);
-	g_autofree char **leaving = g_new(char *, max + 1);
-	g_autofree uint64_t *starts = g_new(uint64_t, max + 1);
-	struct timespec now = clock_monotonic(sync->clock);
 	struct message message = {.kind = MESSAGE_LOAD};
-	struct fleet_upstream *upstream;
-	size_t rows = 0;
-	size_t faulty_count = 0;
-	size_t leaving_count = 0;
+	bool changes = reports_changes(sync);
+	struct report report;
 
-	TAILQ_FOREACH (upstream, &sync->fleet->upstreams, entry) {
-		if (time_before(now, upstream->faulty_until))
-			faulty[faulty_count++] = upstream->id;
-		if (fleet_upstream_announces(upstream, now)) {
-			leaving[leaving_count] = upstream->id;
-			starts[leaving_count++] = (uint64_t)
-						      upstream->start_wall_ms;
-		}
-		if (upstream->own.running == 0 && upstream->own.prefill_us == 0)
-			continue;
-		ids[rows] = upstream->id;
-		running[rows] = upstream->own.running;
-		short_streams[rows] = upstream->own.streams[STREAM_SHORT];
-		medium_streams[rows] = upstream->own.streams[STREAM_MEDIUM];
-		long_streams[rows] = upstream->own.streams[STREAM_LONG];
-		tokens[rows] = upstream->own.context_tokens;
-		prefill_us[rows++] = upstream->own.prefill_us;
-	}
-	if (rows == 0 && faulty_count == 0 && leaving_count == 0 &&
-	    sync->idle_rounds > 0 &&
-	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
-		return;
-	sync->idle_rounds = rows == 0 ? 1 : 0;
+	report_init(&report, fleet_count(sync->fleet));
+	collect_report(sync, &report, changes);
 	message.load = (struct message_load){
 	    .store_disconnected = routing_state_is_store_disconnected(
 		sync->routing_state),
-	    .upstreams = {ids, rows},
-	    .running = {running, rows},
-	    .short_streams = {short_streams, rows},
-	    .medium_streams = {medium_streams, rows},
-	    .long_streams = {long_streams, rows},
-	    .context_tokens = {tokens, rows},
-	    .prefill_us = {prefill_us, rows},
-	    .faulty = {faulty, faulty_count},
-	    .leaving = {leaving, leaving_count},
-	    .leaving_starts = {starts, leaving_count},
+	    .upstreams = {report.ids, report.rows},
+	    .running = {report.running, report.rows},
+	    .short_streams = {report.streams[STREAM_SHORT], report.rows},
+	    .medium_streams = {report.streams[STREAM_MEDIUM], report.rows},
+	    .long_streams = {report.streams[STREAM_LONG], report.rows},
+	    .context_tokens = {report.context_tokens, report.rows},
+	    .prefill_us = {report.prefill_us, report.rows},
+	    .faulty = {report.faulty, report.faulty_count},
+	    .leaving = {report.leaving, report.leaving_count},
+	    .leaving_starts = {report.leaving_starts, report.leaving_count},
+	    .changes = changes,
 	};
-	broadcast(sync, &message);
+	if (!may_skip(sync, &report))
+		broadcast(sync, &message);
+	report_clear(&report);
 }
 
 /*
@@ -336,26 +231,6 @@
 	return LOAD_SYNC_ROUND_MS + (int64_t)peers * LOAD_SYNC_ROUND_PEER_MS;
 }
 
-/* Drops the load of peers that have stopped reporting. */
-static void
-expire_peers(struct load_sync *sync)
-{
-	struct timespec now = clock_monotonic(sync->clock);
-	int64_t silence_ms = round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS;
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, sync->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer_load *peer_load = value;
-
-		if (time_diff_ms(now, peer_load->received_at) < silence_ms)
-			continue;
-		apply_peer_load(sync, peer_load, false);
-		g_hash_table_iter_remove(&iter);
-	}
-}
-
 /*
  * Returns whether enough peers that rank before this process are alive and
  * reach the store, so that this process does not have to watch it.
@@ -363,21 +238,10 @@
 static bool
 has_enough_watchers(const struct load_sync *sync)
 {
-	guint count = g_hash_table_size(sync->peers);
-	g_autofree struct watcher_candidate *candidates = g_new(
-	    struct watcher_candidate, count + 1);
-	GHashTableIter iter;
-	void *process;
-	void *value;
-	size_t used = 0;
-
-	g_hash_table_iter_init(&iter, sync->peers);
-	while (g_hash_table_iter_next(&iter, &process, &value))
-		candidates[used++] = (struct watcher_candidate){
-		    .id = process,
-		    .answers = !((const struct peer_load *)value)
-				    ->store_disconnected,
-		};
+	size_t used;
+	g_autofree struct watcher_candidate
+	    *candidates = peer_loads_watcher_candidates(sync->peers, &used);
+
 	return !watchers_is_elected(
 	    candidates, used, sync->self, LOAD_SYNC_WATCHERS);
 }
@@ -405,7 +269,9 @@
 {
 	struct load_sync *sync = timer->data;
 
-	expire_peers(sync);
+	peer_loads_expire(sync->peers,
+	    round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
+	    clock_monotonic(sync->clock));
 	fleet_expire(sync->fleet, clock_monotonic(sync->clock));
 	decide_watching(sync);
 	broadcast_load(sync);
@@ -430,8 +296,7 @@
 	sync->started_at = clock_monotonic(clock);
 	sync->routing_state = routing_state;
 	sync->fleet = routing_state_fleet(routing_state);
-	sync->peers = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, peer_load_free);
+	sync->peers = peer_loads_new(sync->fleet);
 	sync->handler = (struct mesh_handler){
 	    .kinds = MESH_KIND(MESSAGE_LOAD) | MESH_KIND(MESSAGE_PREFILL),
 	    .ops = &load_sync_ops,
@@ -453,7 +318,7 @@
 		return;
 	ev_timer_stop(sync->loop, &sync->timer);
 	mesh_remove_handler(sync->mesh, &sync->handler);
-	g_hash_table_unref(sync->peers);
+	peer_loads_free(sync->peers);
 	g_free(sync->self);
 	g_free(sync);
 }
@@ -477,5 +342,13 @@
 		},
 	};
 
+	for (size_t i = 0; i < prompt->count; i++) {
+		struct fleet_upstream *upstream = fleet_find(
+		    sync->fleet, prompt->upstreams[i]);
+
+		if (upstream != NULL)
+			peer_loads_count_prompt(
+			    &upstream->reported, &message.prefill, i == 0);
+	}
 	broadcast(sync, &message);
 }
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -24,6 +24,11 @@
 
 /* An idle gateway sends its empty load only once in this many rounds. */
 #define LOAD_SYNC_IDLE_ROUNDS 2
+/*
+ * A round reports only what changed since the last message, and all loads once
+ * in this many rounds, for peers that lack a message.
+ */
+#define LOAD_SYNC_FULL_ROUNDS 8
 /*
  * Number of gateways that watch the store; each store call costs money. Three
  * are enough for one of them to see a change at once while others are
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -272,6 +272,7 @@
 	struct string_array faulty; /* not reached by another upstream */
 	struct string_array leaving; /* have announced that they leave */
 	struct u64_array leaving_starts; /* wall ms of their starts, or 0 */
+	bool changes; /* upstreams not listed are as in the last message */
 };
 
 struct message_prefill {
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -98,7 +98,8 @@
 		M(U64_ARRAY, load.context_tokens),
 		M(U64_ARRAY, load.prefill_us),
 		M(STRING_ARRAY, load.faulty), M(STRING_ARRAY, load.leaving),
-		M(U64_ARRAY, load.leaving_starts) }, .optional_count = 3 },
+		M(U64_ARRAY, load.leaving_starts), M(BOOL, load.changes) },
+		.optional_count = 4 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -75,6 +75,7 @@
 
 	/* Load. */
 	struct upstream_load own; /* requests of this process */
+	struct upstream_load reported; /* own, as the peers know it */
 	struct upstream_load peers; /* requests of other processes */
 	struct timespec prefill_until; /* when all prefill work is done */
 
