Loads reach other failure domains through relays; a starting gateway lists once

Change: policy/fanout sends a report straight to the own failure domain and to one relay in each other one, by a rendezvous hash of the sender; the relay passes it on under the sender's name. Gateways' objects name their domain. Each kind is listed once at the start, from the store or a peer, and then not watched for 5 s.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -243,7 +243,10 @@
 {
 	const struct settings *settings = &gateway->settings;
 	const char *address = node_identity(gateway->node)->address;
-	struct load_sync_settings self = {.self = settings->id};
+	struct load_sync_settings self = {
+	    .self = settings->id,
+	    .failure_domain = settings->failure_domain,
+	};
 
 	for (size_t i = 0; settings->peers[i] != NULL; i++) {
 		if (strcmp(settings->peers[i], address) == 0)
@@ -273,10 +276,10 @@
 	    gateway->clock, gateway->store, node_documents(gateway->node),
 	    self.is_seed || !self.has_seeds);
 	gateway->registry = registry_new(gateway->loop, gateway->store,
-	    node_mesh(gateway->node), settings->id,
-	    node_identity(gateway->node)->address);
+	    node_mesh(gateway->node), node_identity(gateway->node));
 	gateway->load_sync = load_sync_new(gateway->loop, gateway->clock,
-	    node_mesh(gateway->node), &self, gateway->routing_state);
+	    node_mesh(gateway->node), &self, gateway->registry,
+	    gateway->routing_state);
 	init_exchange_context(gateway);
 	return open_callers(gateway, error);
 }
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -3,13 +3,16 @@
 #include <string.h>
 
 #include "gateway/peer_loads.h"
+#include "policy/fanout.h"
 #include "policy/watching.h"
 
 struct load_sync {
 	struct ev_loop *loop;
 	struct clock *clock;
 	struct mesh *mesh;
+	const struct registry *registry;
 	char *self; /* name of this process */
+	char *failure_domain;
 	bool is_seed;
 	bool has_seeds;
 	struct timespec started_at;
@@ -23,33 +26,90 @@
 	unsigned int idle_rounds; /* since the idle state was sent */
 };
 
-/* Handles a peer's message. */
+/* Marks a message as passed on by a relay, or to be passed on by one. */
+static void
+mark_relayed(struct message *message, bool relay, const char *origin)
+{
+	if (message->kind == MESSAGE_LOAD) {
+		message->load.relay = relay;
+		message->load.origin = (char *)origin;
+	} else {
+		message->prefill.relay = relay;
+		message->prefill.origin = (char *)origin;
+	}
+}
+
+/* Returns whether a gateway is in the failure domain of this one. */
+static bool
+is_in_own_domain(const struct load_sync *sync, const char *address)
+{
+	return g_strcmp0(registry_failure_domain(sync->registry, address),
+		   sync->failure_domain) == 0;
+}
+
+/* Passes a message on to the other gateways in this failure domain. */
+static void
+pass_on(
+    struct load_sync *sync, const char *origin, const struct message *message)
+{
+	struct message copy = *message;
+	size_t count;
+	const char *const *peers = mesh_peers(sync->mesh, &count);
+
+	mark_relayed(&copy, false, origin);
+	for (size_t i = 0; i < count; i++) {
+		if (is_in_own_domain(sync, peers[i]))
+			mesh_send(sync->mesh, peers[i], &copy);
+	}
+}
+
+/* Handles a peer's message, which another one may have passed on. */
 static void
 on_message(void *data, struct link *link, const struct message *message)
 {
 	struct load_sync *sync = data;
-
+	bool is_load = message->kind == MESSAGE_LOAD;
+	const char *origin = is_load ? message->load.origin
+				     : message->prefill.origin;
+
+	if (origin == NULL || origin[0] == '\0')
+		origin = link_peer(link)->process;
+	if (is_load ? message->load.relay : message->prefill.relay)
+		pass_on(sync, origin, message);
 	if (message->kind == MESSAGE_LOAD)
-		peer_loads_on_load(sync->peers, link_peer(link)->process,
-		    &message->load, clock_monotonic(sync->clock));
+		peer_loads_on_load(sync->peers, origin, &message->load,
+		    clock_monotonic(sync->clock));
 	else if (message->kind == MESSAGE_PREFILL)
-		peer_loads_on_prompt(sync->peers, link_peer(link)->process,
-		    &message->prefill, clock_monotonic(sync->clock));
+		peer_loads_on_prompt(sync->peers, origin, &message->prefill,
+		    clock_monotonic(sync->clock));
 }
 
 static const struct mesh_ops load_sync_ops = {
     .message = on_message,
 };
 
-/* Sends a message to all peers. */
+/* Sends a message to all peers, to some of them through relays. */
 static void
 broadcast(struct load_sync *sync, struct message *message)
 {
 	size_t count;
 	const char *const *peers = mesh_peers(sync->mesh, &count);
+	g_autofree struct fanout_peer *targets = g_new(
+	    struct fanout_peer, count + 1);
 
 	for (size_t i = 0; i < count; i++)
+		targets[i] = (struct fanout_peer){
+		    .address = peers[i],
+		    .domain = registry_failure_domain(sync->registry, peers[i]),
+		    .connected = mesh_is_connected(sync->mesh, peers[i]),
+		};
+	fanout_assign(targets, count, sync->self, sync->failure_domain);
+	for (size_t i = 0; i < count; i++) {
+		if (targets[i].role == FANOUT_NONE)
+			continue;
+		mark_relayed(message, targets[i].role == FANOUT_RELAY, "");
 		mesh_send(sync->mesh, peers[i], message);
+	}
 }
 
 /* Rows of a report; the arrays have room for all upstreams. */
@@ -282,7 +342,7 @@
 /* Starts to exchange load figures with the peers. */
 struct load_sync *
 load_sync_new(struct ev_loop *loop, struct clock *clock, struct mesh *mesh,
-    const struct load_sync_settings *settings,
+    const struct load_sync_settings *settings, const struct registry *registry,
     struct routing_state *routing_state)
 {
 	struct load_sync *sync = g_new0(struct load_sync, 1);
@@ -290,7 +350,9 @@
 	sync->loop = loop;
 	sync->clock = clock;
 	sync->mesh = mesh;
+	sync->registry = registry;
 	sync->self = g_strdup(settings->self);
+	sync->failure_domain = g_strdup(settings->failure_domain);
 	sync->is_seed = settings->is_seed;
 	sync->has_seeds = settings->has_seeds;
 	sync->started_at = clock_monotonic(clock);
@@ -320,6 +382,7 @@
 	mesh_remove_handler(sync->mesh, &sync->handler);
 	peer_loads_free(sync->peers);
 	g_free(sync->self);
+	g_free(sync->failure_domain);
 	g_free(sync);
 }
 
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -13,6 +13,7 @@
 #include <ev.h>
 
 #include "base/clock.h"
+#include "gateway/registry.h"
 #include "gateway/routing_state.h"
 #include "peer/mesh.h"
 
@@ -50,12 +51,14 @@
 /* Who this process is among the gateways. */
 struct load_sync_settings {
 	const char *self; /* its name */
+	const char *failure_domain;
 	bool is_seed; /* its address is in the settings of all */
 	bool has_seeds; /* the address of another gateway is in its settings */
 };
 
 struct load_sync *load_sync_new(struct ev_loop *, struct clock *, struct mesh *,
-    const struct load_sync_settings *, struct routing_state *);
+    const struct load_sync_settings *, const struct registry *,
+    struct routing_state *);
 void load_sync_free(struct load_sync *);
 void load_sync_send_prompt(struct load_sync *, const struct load_sync_prompt *);
 
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -12,8 +12,8 @@
 	struct object_store *store;
 	struct object_store_observer observer;
 	struct mesh *mesh;
-	char *name;
-	char *address;
+	const struct link_identity *self;
+	GHashTable *domains; /* address -> failure domain, of gateways */
 	struct object_store_call *call;
 	ev_timer timer;
 	GPtrArray *addresses; /* of other gateways, from the current read */
@@ -70,10 +70,11 @@
 	if (page->error != NULL &&
 	    g_error_matches(
 		page->error, OBJECT_STORE_ERROR, OBJECT_STORE_ERROR_CONFLICT)) {
-		spec = decode_gateway_spec(registry->address);
+		spec = decode_gateway_spec(
+		    registry->self->address, registry->self->failure_domain);
 		registry->call = object_store_replace(registry->store,
-		    DECODE_KIND_GATEWAYS, registry->name, spec, on_replaced,
-		    registry);
+		    DECODE_KIND_GATEWAYS, registry->self->process, spec,
+		    on_replaced, registry);
 		json_decref(spec);
 		return;
 	}
@@ -84,10 +85,12 @@
 static void
 create_own_object(struct registry *registry)
 {
-	json_t *spec = decode_gateway_spec(registry->address);
+	json_t *spec = decode_gateway_spec(
+	    registry->self->address, registry->self->failure_domain);
 
 	registry->call = object_store_create(registry->store,
-	    DECODE_KIND_GATEWAYS, registry->name, spec, on_created, registry);
+	    DECODE_KIND_GATEWAYS, registry->self->process, spec, on_created,
+	    registry);
 	json_decref(spec);
 }
 
@@ -130,6 +133,25 @@
 		create_own_object(registry);
 }
 
+/* Adds a gateway of the list, which may be this one. */
+static void
+add_gateway(struct registry *registry, const char *name, const char *address,
+    const char *failure_domain)
+{
+	const struct link_identity *self = registry->self;
+
+	if (strcmp(address, self->address) == 0) {
+		registry->registered |= strcmp(name, self->process) == 0;
+		return;
+	}
+	if (strcmp(name, self->process) == 0)
+		return;
+	g_ptr_array_add(registry->addresses, g_strdup(address));
+	if (failure_domain != NULL)
+		g_hash_table_replace(registry->domains, g_strdup(address),
+		    g_strdup(failure_domain));
+}
+
 /* Handles one page of the list. */
 static void
 on_gateway_list_page(void *data, const struct object_store_response *page)
@@ -157,11 +179,8 @@
 			continue;
 		g_free(registry->page_token);
 		registry->page_token = g_strdup(name);
-		if (strcmp(address, registry->address) == 0)
-			registry->registered |= strcmp(name, registry->name) ==
-			    0;
-		else if (strcmp(name, registry->name) != 0)
-			g_ptr_array_add(registry->addresses, g_strdup(address));
+		add_gateway(registry, name, address,
+		    decode_gateway_failure_domain(item));
 	}
 	if (page->more)
 		read_list(registry);
@@ -218,20 +237,21 @@
 }
 
 /*
- * Registers a gateway that accepts peer links at an address and starts to
- * discover others.
+ * Registers a gateway, which accepts peer links at its address, and starts to
+ * discover others. Its identity must outlive the registry.
  */
 struct registry *
 registry_new(struct ev_loop *loop, struct object_store *store,
-    struct mesh *mesh, const char *name, const char *address)
+    struct mesh *mesh, const struct link_identity *self)
 {
 	struct registry *registry = g_new0(struct registry, 1);
 
 	registry->loop = loop;
 	registry->store = store;
 	registry->mesh = mesh;
-	registry->name = g_strdup(name);
-	registry->address = g_strdup(address);
+	registry->self = self;
+	registry->domains = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, g_free);
 	ev_timer_init(&registry->timer, on_read_timer, 0.0, 0.0);
 	registry->timer.data = registry;
 	registry->observer = (struct object_store_observer){
@@ -256,8 +276,7 @@
 	if (registry->kept != NULL)
 		g_ptr_array_unref(registry->kept);
 	g_free(registry->page_token);
-	g_free(registry->name);
-	g_free(registry->address);
+	g_hash_table_unref(registry->domains);
 	g_free(registry);
 }
 
@@ -269,3 +288,10 @@
 		return MAX(registry->count, REGISTRY_STARTUP_COUNT);
 	return registry->count;
 }
+
+/* Returns the failure domain of a gateway; NULL if it is not known. */
+const char *
+registry_failure_domain(const struct registry *registry, const char *address)
+{
+	return g_hash_table_lookup(registry->domains, address);
+}
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -37,8 +37,10 @@
 struct registry;
 
 struct registry *registry_new(struct ev_loop *, struct object_store *,
-    struct mesh *, const char *name, const char *address);
+    struct mesh *, const struct link_identity *);
 void registry_free(struct registry *);
 uint32_t registry_count(const struct registry *);
+const char *registry_failure_domain(
+    const struct registry *, const char *address);
 
 #endif
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -59,12 +59,16 @@
 	notify_complete(routing_state);
 }
 
-/* Announces a newer version of a kind to the peers. */
+/*
+ * Announces a newer version of a kind to the peers. Without watching, the first
+ * version ends the calls to the store.
+ */
 static void
 announce(const struct shared_kind *kind, uint64_t version)
 {
 	documents_announce(
 	    kind->routing_state->documents, kind->document, version);
+	object_watch_set_active(kind->watch, kind->routing_state->watching);
 }
 
 /* Encodes the changes that a peer with version have lacks. */
@@ -188,15 +192,14 @@
 {
 	kind->routing_state = routing_state;
 	kind->document = document;
-	kind->watch = object_watch_new(
-	    loop, store, name, routing_state->watching, take, kind);
+	kind->watch = object_watch_new(loop, store, name, take, kind);
 	documents_set_codec(routing_state->documents, document, encode_objects,
 	    apply_objects, kind);
 }
 
 /*
- * Starts to receive routing state from peers and, if it watches the store, from
- * there.
+ * Starts to receive routing state from peers and from the store. Each kind is
+ * listed once; the store is watched after that if `watching` is set.
  */
 struct routing_state *
 routing_state_new(struct ev_loop *loop, struct clock *clock,
--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -407,6 +407,17 @@
 	return connection != NULL ? connection->address : "";
 }
 
+/* Returns whether a link to an address is open and in use. */
+bool
+mesh_is_connected(const struct mesh *mesh, const char *address)
+{
+	const struct mesh_connection *connection = g_hash_table_lookup(
+	    mesh->by_address, address);
+
+	return connection != NULL && link_is_open(connection->link) &&
+	    !link_is_stale(connection->link);
+}
+
 /* Sends one message to an address; false if the link's queue is full. */
 bool
 mesh_send(struct mesh *mesh, const char *address, struct message *message)
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -102,6 +102,7 @@
 
 struct link *mesh_get_link(struct mesh *, const char *address);
 const char *mesh_link_address(const struct link *);
+bool mesh_is_connected(const struct mesh *, const char *address);
 bool mesh_send(struct mesh *, const char *address, struct message *);
 size_t mesh_queued_bytes(const struct mesh *);
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -273,6 +273,8 @@
 	struct string_array leaving; /* have announced that they leave */
 	struct u64_array leaving_starts; /* wall ms of their starts, or 0 */
 	bool changes; /* upstreams not listed are as in the last message */
+	bool relay; /* to be passed on in the receiver's failure domain */
+	char *origin; /* process whose message a relay passes on; or empty */
 };
 
 struct message_prefill {
@@ -280,6 +282,8 @@
 	uint64_t part_us; /* prefill time of each part */
 	uint32_t stream; /* 1 + enum stream_class, decoded by the first one */
 	uint64_t context_tokens; /* of that stream */
+	bool relay; /* as of a load, like the next one */
+	char *origin;
 };
 
 struct message {
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -98,12 +98,14 @@
 		M(U64_ARRAY, load.context_tokens),
 		M(U64_ARRAY, load.prefill_us),
 		M(STRING_ARRAY, load.faulty), M(STRING_ARRAY, load.leaving),
-		M(U64_ARRAY, load.leaving_starts), M(BOOL, load.changes) },
-		.optional_count = 4 },
+		M(U64_ARRAY, load.leaving_starts), M(BOOL, load.changes),
+		M(BOOL, load.relay), M(STRING, load.origin) },
+		.optional_count = 6 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
-		M(U64, prefill.context_tokens) }, .optional_count = 2 },
+		M(U64, prefill.context_tokens), M(BOOL, prefill.relay),
+		M(STRING, prefill.origin) }, .optional_count = 4 },
 };
 
 #undef M
--- a/src/policy/watching.h
+++ b/src/policy/watching.h
@@ -5,8 +5,8 @@
  * from a common loss of power. Until they know each other, each lists every
  * kind of object and watches it, and each of the upstreams that also come back
  * then causes one more call of every process. So a process that knows the
- * address of another one asks that one first, and does not watch until it knows
- * enough others to tell who does.
+ * address of another one lists each kind once, or gets it from there, and does
+ * not watch until it knows enough others to tell who does.
  */
 #ifndef POLICY_WATCHING_H
 #define POLICY_WATCHING_H
@@ -14,8 +14,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Time in which another process answers, if it has anything to answer. */
-#define WATCHING_DEFER_MS 400
 /* Time after which the processes that started together know each other. */
 #define WATCHING_SETTLE_MS 5000
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -440,6 +440,42 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * A message that a relay passes on counts for the gateway that sent it, also
+ * beside the relay's own.
+ */
+static void
+test_relayed_prompt(void)
+{
+	struct fixture f = {0};
+	char *id = "i-0";
+	struct message relayed = {.kind = MESSAGE_PREFILL,
+	    .prefill = {.upstreams = {&id, 1},
+		.stream = STREAM_SHORT + 1,
+		.origin = "far"}};
+	struct message own = {.kind = MESSAGE_LOAD};
+	struct message far_end = {
+	    .kind = MESSAGE_LOAD, .load = {.origin = "far"}};
+	struct fleet_upstream *upstream;
+	struct peer peer;
+	g_autofree char *address = NULL;
+
+	fixture_set_up(&f);
+	fixture_wait_for_routing_state(&f);
+	upstream = fleet_find(
+	    routing_state_fleet(f.exchange_context.routing_state), id);
+	start_peer(&f, &peer, "p1", &relayed);
+	RUN_UNTIL(&f, upstream->peers.running == 1);
+	address = g_strdup_printf("127.0.0.1:%d", mesh_port(f.mesh));
+	mesh_send(peer.mesh, address, &own);
+	mesh_send(peer.mesh, address, &relayed);
+	RUN_UNTIL(&f, upstream->peers.running == 2);
+	mesh_send(peer.mesh, address, &far_end);
+	RUN_UNTIL(&f, upstream->peers.running == 0);
+	mesh_free(peer.mesh);
+	fixture_tear_down(&f);
+}
+
 /* An upstream that has told a peer that it leaves gets no requests. */
 static void
 test_peer_leaving(void)
@@ -516,6 +552,9 @@
 	    test_fault_reports);
 	g_test_add_func(
 	    "/gateway/a peer's prompt counts at once", test_peer_prompt);
+	g_test_add_func("/gateway/a prompt passed on by a relay counts for "
+			"its sender",
+	    test_relayed_prompt);
 	g_test_add_func("/gateway/an upstream that has told a peer that it "
 			"leaves gets no requests",
 	    test_peer_leaving);
