Shares of a cold upstream's rate in whole requests; faults that readers had found

Cause: a gateway's share of a cold upstream's rate was rounded down: with 68 gateways and 44 requests a second nobody sent anything to an upstream that was cold.

The others are mended where they were found.

--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -182,7 +182,8 @@
 		const Heatherturn__V1__Service *service = document->services[i];
 
 		if (service->kind !=
-		    HEATHERTURN__V1__SERVICE_KIND__SERVICE_KIND_MODEL)
+			HEATHERTURN__V1__SERVICE_KIND__SERVICE_KIND_MODEL ||
+		    !frontend_is_allowed(request, service))
 			continue;
 		json_array_append_new(models,
 		    json_pack("{s:s, s:s, s:s}", "id", service->id, "object",
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -27,6 +27,7 @@
 	struct http_client *http;
 	struct routing_state *routing_state;
 	struct registry *registry;
+	const char *address; /* of this gateway, for its peers */
 	struct load_sync *load_sync;
 	struct mesh *mesh; /* shares which requests crash upstreams */
 	GRand *random;
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -41,6 +41,11 @@
     const struct fleet_upstream *upstream, struct timespec now)
 {
 	const struct exchange_context *context = exchange->context;
+	struct cold_rate_sharers sharers = {
+	    .upstream = upstream->id,
+	    .self = context->address,
+	    .count_min = registry_count(context->registry),
+	};
 	double capacity_per_s;
 
 	if (exchange->profile->cold_per_s <= 0.0 ||
@@ -48,9 +53,10 @@
 		return true;
 	capacity_per_s = exchange->profile->cold_per_s * context->cold_ratio +
 	    context->cold_slack;
+	sharers.others = registry_others(
+	    context->registry, &sharers.other_count);
 	return cold_rate_allows(&upstream->cold_rate,
-	    cold_rate_share(capacity_per_s, registry_count(context->registry)),
-	    now);
+	    cold_rate_share(capacity_per_s, &sharers), now);
 }
 
 /*
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -173,6 +173,7 @@
 	    .http = node_http_client(gateway->node),
 	    .routing_state = gateway->routing_state,
 	    .registry = gateway->registry,
+	    .address = node_identity(gateway->node)->address,
 	    .load_sync = gateway->load_sync,
 	    .mesh = node_mesh(gateway->node),
 	    .random = gateway->random,
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -17,6 +17,7 @@
 	struct object_store_call *call;
 	ev_timer timer;
 	GPtrArray *addresses; /* of other gateways, from the current read */
+	GPtrArray *others; /* addresses from the last complete read, or NULL */
 	GPtrArray *kept; /* addresses known before a restore; NULL for none */
 	char *page_token; /* last name of the previous page */
 	bool registered; /* our object is in the store */
@@ -123,6 +124,9 @@
 	registry->reads++;
 	add_kept(registry);
 	registry->count = registry->addresses->len + 1;
+	if (registry->others != NULL)
+		g_ptr_array_unref(registry->others);
+	registry->others = g_ptr_array_ref(registry->addresses);
 	mesh_set_peers(registry->mesh, MESH_SOURCE_HOSTS,
 	    (const char *const *)registry->addresses->pdata,
 	    registry->addresses->len);
@@ -226,13 +230,13 @@
 		object_store_call_cancel(registry->call);
 	registry->call = NULL;
 	g_clear_pointer(&registry->page_token, g_free);
-	if (registry->kept == NULL && registry->reads > 0)
+	if (registry->kept == NULL && registry->others != NULL)
 		registry->kept = g_ptr_array_copy(
-		    registry->addresses, copy_address, NULL);
+		    registry->others, copy_address, NULL);
 	registry->registered = false;
 	registry->reads = 0;
 	LOG_INFO("registering again in the restored store", "{s:I, s:i}", "era",
-	    (json_int_t)era, "peers", (int)registry->addresses->len);
+	    (json_int_t)era, "peers", (int)registry->count - 1);
 	schedule_read(registry, object_store_draw_delay_ms(registry->store));
 }
 
@@ -273,6 +277,8 @@
 	ev_timer_stop(registry->loop, &registry->timer);
 	if (registry->addresses != NULL)
 		g_ptr_array_unref(registry->addresses);
+	if (registry->others != NULL)
+		g_ptr_array_unref(registry->others);
 	if (registry->kept != NULL)
 		g_ptr_array_unref(registry->kept);
 	g_free(registry->page_token);
@@ -295,3 +301,15 @@
 {
 	return g_hash_table_lookup(registry->domains, address);
 }
+
+/*
+ * Returns the addresses of the other gateways in the last complete list, valid
+ * until the next read.
+ */
+const char *const *
+registry_others(const struct registry *registry, size_t *count)
+{
+	*count = registry->others == NULL ? 0 : registry->others->len;
+	return *count == 0 ? NULL
+			   : (const char *const *)registry->others->pdata;
+}
--- a/src/operator/ctl_fields.c
+++ b/src/operator/ctl_fields.c
@@ -117,6 +117,12 @@
 	if (strcmp(path, STANDARD_INPUT) == 0) {
 		contents = g_malloc0(INPUT_MAX_BYTES + 1);
 		length = fread(contents, 1, INPUT_MAX_BYTES, stdin);
+		if (length == INPUT_MAX_BYTES && fgetc(stdin) != EOF) {
+			g_set_error(error, CTL_ERROR, CTL_ERROR_FILE,
+			    "standard input is longer than %d bytes",
+			    INPUT_MAX_BYTES);
+			return NULL;
+		}
 		contents[length] = '\0';
 		return g_steal_pointer(&contents);
 	}
--- a/src/policy/cold_rate.h
+++ b/src/policy/cold_rate.h
@@ -4,12 +4,15 @@
  * failure domain's return to service. When a failure domain returns to service,
  * all its upstreams look idle and would receive the whole load at once, which a
  * cold upstream does not survive. Each process therefore sends at most its
- * share of the requests per second that a cold upstream can handle.
+ * share of the requests per second that a cold upstream can handle. Shares are
+ * whole requests: with more processes than requests, some have one and others
+ * none, and which these are differs from one upstream to the next.
  */
 #ifndef POLICY_COLD_RATE_H
 #define POLICY_COLD_RATE_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 #include <time.h>
 
@@ -26,7 +29,17 @@
 	uint32_t next;
 };
 
-uint32_t cold_rate_share(double sustainable_per_s, uint32_t processes);
+/* The processes that share the rate of an upstream. */
+struct cold_rate_sharers {
+	const char *upstream; /* id */
+	const char *self; /* address of this process */
+	const char *const *others; /* addresses of the others */
+	size_t other_count;
+	uint32_t count_min; /* processes that there are at least */
+};
+
+uint32_t cold_rate_share(
+    double sustainable_per_s, const struct cold_rate_sharers *);
 bool cold_rate_allows(
     const struct cold_rate *, uint32_t share, struct timespec now);
 void cold_rate_record_send(struct cold_rate *, struct timespec now);
--- a/src/policy/group.c
+++ b/src/policy/group.c
@@ -180,7 +180,8 @@
 
 	for (size_t i = 0; i < group->plan.count; i++) {
 		invariant_check(&all_held, group->members[i].held, NULL, NULL);
-		if (i != group->plan.leader)
+		/* A member whose part has no tokens has prefilled nothing. */
+		if (i != group->plan.leader && group->members[i].kv != NULL)
 			group->imports[count++] = group->members[i].kv;
 	}
 	group->imports[count] = NULL;
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -20,7 +20,7 @@
 
 struct suspect {
 	uint64_t fingerprint;
-	struct death deaths[QUARANTINE_DEATHS];
+	struct death deaths[QUARANTINE_DEATHS]; /* in the order of their time */
 	uint32_t count;
 	uint32_t cleared_count; /* cleared by a successful run alone */
 	TAILQ_ENTRY(suspect) entry;
@@ -153,6 +153,36 @@
 	return false;
 }
 
+/* Inserts a death among those of its suspect, which must have room. */
+static void
+insert_death(struct suspect *suspect, const struct death *death)
+{
+	uint32_t at = suspect->count++;
+
+	for (; at > 0 && time_before(death->at, suspect->deaths[at - 1].at);
+	     at--)
+		suspect->deaths[at] = suspect->deaths[at - 1];
+	suspect->deaths[at] = *death;
+}
+
+/* Moves a suspect to its place in the order of the last deaths. */
+static void
+reorder(struct quarantine *quarantine, struct suspect *suspect)
+{
+	struct suspect *before;
+
+	TAILQ_REMOVE(&quarantine->suspects, suspect, entry);
+	before = TAILQ_LAST(&quarantine->suspects, suspects);
+	while (before != NULL &&
+	    time_before(last_death(suspect), last_death(before)))
+		before = TAILQ_PREV(before, suspects, entry);
+	if (before != NULL)
+		TAILQ_INSERT_AFTER(
+		    &quarantine->suspects, before, suspect, entry);
+	else
+		TAILQ_INSERT_HEAD(&quarantine->suspects, suspect, entry);
+}
+
 /*
  * Adds a death to a fingerprint. Returns false if it was known or makes no
  * difference.
@@ -173,9 +203,8 @@
 		suspect->count--;
 		suspect->cleared_count--;
 	}
-	suspect->deaths[suspect->count++] = (struct death){.id = id, .at = at};
-	TAILQ_REMOVE(&quarantine->suspects, suspect, entry);
-	TAILQ_INSERT_TAIL(&quarantine->suspects, suspect, entry);
+	insert_death(suspect, &(struct death){.id = id, .at = at});
+	reorder(quarantine, suspect);
 	return true;
 }
 
--- a/src/store/hosts.c
+++ b/src/store/hosts.c
@@ -49,6 +49,15 @@
 	g_free(host);
 }
 
+/* Returns the role of a host by its name; 0 if it is unknown. */
+static enum role
+host_role(const char *name)
+{
+	if (strcmp(name, "entry") == 0)
+		return ROLE_ENTRY;
+	return strcmp(name, "sidecar") == 0 ? ROLE_SIDECAR : 0;
+}
+
 /* Parses a host; NULL if a member is missing or of the wrong type. */
 static struct host *
 parse_host(json_t *object)
@@ -68,7 +77,7 @@
 	host = g_new0(struct host, 1);
 	host->id = g_strdup(id);
 	host->address = g_strdup(address);
-	host->role = strcmp(role, "entry") == 0 ? ROLE_ENTRY : ROLE_SIDECAR;
+	host->role = host_role(role);
 	host->failure_domain = g_strdup(domain);
 	host->leaving = strcmp(state, "leaving") == 0;
 	return host;
@@ -94,7 +103,14 @@
 
 		if (host == NULL)
 			goto err;
-		g_ptr_array_add(list, host);
+		if (host->role != 0) {
+			g_ptr_array_add(list, host);
+			continue;
+		}
+		LOG_WARN("host of an unknown role left out", "{s:s, s:s}",
+		    "host", host->id, "role",
+		    json_string_value(json_object_get(object, "role")));
+		free_host(host);
 	}
 	json_decref(root);
 	return list;
--- a/src/upstream/engine.c
+++ b/src/upstream/engine.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#define LOG_MODULE "engine"
+#include "base/log.h"
+
 /* Added to a cache event poll's own wait. */
 #define CACHE_POLL_MARGIN_MS 2000
 /* An engine that does not respond within this time is down. */
@@ -197,8 +200,8 @@
 }
 
 /*
- * Parses cache events and passes them on. Events without a kind or prefix are
- * skipped; any kind but "stored" counts as an eviction.
+ * Parses cache events and passes them on. Events without a prefix or of an
+ * unknown kind are skipped.
  */
 static void
 on_cache_events(void *data, json_t *json, const GError *error)
@@ -218,6 +221,12 @@
 		sequence = json_integer_value(json_object_get(entry, "seq"));
 		if (kind == NULL || value == NULL)
 			continue;
+		if (strcmp(kind, "stored") != 0 &&
+		    strcmp(kind, "evicted") != 0) {
+			LOG_DEBUG("cache event of an unknown kind skipped",
+			    "{s:s}", "kind", kind);
+			continue;
+		}
 		/* A string or a signed integer: both carry 64 bits. */
 		prefix = json_string_value(value);
 		events[count++] = (struct upstream_cache_event){
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -101,6 +101,7 @@
 	    .clock = clock_system(),
 	    .http = f->http,
 	    .mesh = f->mesh,
+	    .address = "127.0.0.1:1",
 	    .random = g_rand_new_with_seed(7),
 	    .retry = {.ratio = 0.2, .slack = 100, .window_ms = 10000},
 	    .cold_ratio = 1.0,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -113,6 +113,40 @@
 	quarantine_free(b);
 }
 
+/*
+ * A report of an earlier death neither shortens nor extends the time for which
+ * its suspect and the others are kept.
+ */
+static void
+test_late_report(void)
+{
+	struct quarantine_limits limits;
+	struct quarantine *quarantine;
+	uint64_t first = 7;
+	uint64_t second = 8;
+	struct timespec now = time_from_ms(100000);
+	const struct quarantine_report late = {
+	    .fingerprint = first, .death = 5, .age_ms = 900};
+
+	quarantine_limits_init(&limits);
+	limits.expiry_ms = 1000;
+	quarantine = quarantine_new(&limits);
+	quarantine_record_death(quarantine, 1, &first, 1, now);
+	quarantine_record_death(
+	    quarantine, 2, &second, 1, time_add_ms(now, 500));
+	now = time_add_ms(now, 600);
+	g_assert_true(quarantine_merge_report(quarantine, &late, now));
+	now = time_add_ms(now, 300);
+	g_assert_cmpint(
+	    quarantine_check(quarantine, first, now), !=, QUARANTINE_CLEAN);
+	now = time_add_ms(now, 200);
+	g_assert_cmpint(
+	    quarantine_check(quarantine, first, now), ==, QUARANTINE_CLEAN);
+	g_assert_cmpint(
+	    quarantine_check(quarantine, second, now), ==, QUARANTINE_SUSPECT);
+	quarantine_free(quarantine);
+}
+
 /* An upstream with its sidecar's table and its runs. */
 struct upstream {
 	char id[8];
@@ -374,5 +408,8 @@
 		g_test_add_data_func(
 		    fleet_cases[i].name, &fleet_cases[i], test_fleet);
 	g_test_add_func("/quarantine/reports are passed on once", test_reports);
+	g_test_add_func(
+	    "/quarantine/a late report does not change when suspects expire",
+	    test_late_report);
 	return g_test_run();
 }
--- a/tests/test_watchers.c
+++ b/tests/test_watchers.c
@@ -243,6 +243,24 @@
 		g_test_add_data_func(path, &(table)[i], test);       \
 	}
 
+/* A host of an unknown role is left out; the others hold. */
+static void
+test_unknown_role(void)
+{
+	static const char text[] =
+	    "{\"hosts\":[{\"id\":\"x\",\"address\":\"127.0.0.1:1\","
+	    "\"role\":\"odd\",\"failure_domain\":\"a\",\"state\":\"live\"},"
+	    "{\"id\":\"e\",\"address\":\"127.0.0.1:2\","
+	    "\"role\":\"entry\",\"failure_domain\":\"a\",\"state\":\"live\"}]}";
+	g_autoptr(GError) error = NULL;
+	g_autoptr(GPtrArray)
+	    list = hosts_parse((const uint8_t *)text, sizeof(text) - 1, &error);
+
+	g_assert_no_error(error);
+	g_assert_cmpuint(list->len, ==, 1);
+	g_assert_cmpstr(((const struct host *)list->pdata[0])->id, ==, "e");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -253,5 +271,7 @@
 	ADD(update_cases, "update", test_update_interval);
 	g_test_add_func("/watchers/two others watch when the two watchers stop",
 	    test_takeover);
+	g_test_add_func("/watchers/a host of an unknown role is left out",
+	    test_unknown_role);
 	return g_test_run();
 }
