Gossip prefers peers of the own failure domain

Change: the mesh lists peers of the own domain first, as the registry knows them, and gossip chooses a far one in eight. test_gossip plays 940 processes in five domains: in force everywhere within 284 ms (2031 ms with loss and stopped processes), under three in ten documents cross to another domain, where four in five would.

--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -117,6 +117,23 @@
 	registry->kept = NULL;
 }
 
+/* Tells the mesh which of the peers are in the failure domain of this one. */
+static void
+set_near_peers(struct registry *registry)
+{
+	g_autoptr(GPtrArray) near = g_ptr_array_new();
+
+	for (guint i = 0; i < registry->addresses->len; i++) {
+		char *address = registry->addresses->pdata[i];
+
+		if (g_strcmp0(registry_failure_domain(registry, address),
+			registry->self->failure_domain) == 0)
+			g_ptr_array_add(near, address);
+	}
+	mesh_set_near(
+	    registry->mesh, (const char *const *)near->pdata, near->len);
+}
+
 /* Sets the peers from a complete list, then registers or schedules a read. */
 static void
 apply_gateway_list(struct registry *registry)
@@ -130,6 +147,7 @@
 	mesh_set_peers(registry->mesh, MESH_SOURCE_HOSTS,
 	    (const char *const *)registry->addresses->pdata,
 	    registry->addresses->len);
+	set_near_peers(registry);
 	g_clear_pointer(&registry->page_token, g_free);
 	if (registry->registered)
 		schedule_read(registry, read_interval_ms(registry));
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -230,7 +230,8 @@
 	size_t count;
 
 	mesh_peers(documents->mesh, &count);
-	gossip_set_peers(documents->spread, count);
+	gossip_set_peers(
+	    documents->spread, count, mesh_near_count(documents->mesh));
 }
 
 /* Sets the version in force here; notifies a few peers if it is newer. */
--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -33,6 +33,8 @@
 	uint64_t reporter;
 	TAILQ_HEAD(mesh_connection_list, mesh_connection) connections;
 	GHashTable *by_address; /* connection returned for a peer's address */
+	GHashTable *near; /* addresses in the own failure domain */
+	size_t near_count; /* of the peers */
 	TAILQ_HEAD(mesh_handler_list, mesh_handler) handlers;
 	GPtrArray *sources[MESH_SOURCES];
 	GPtrArray *peers; /* union of the sources, without this process */
@@ -317,6 +319,8 @@
 	mesh->reporter = XXH3_64bits_withSeed(mesh->identity->process,
 	    strlen(mesh->identity->process), mesh->identity->incarnation);
 	mesh->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	mesh->near = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, NULL);
 	mesh->peers = g_ptr_array_new();
 	mesh->suspects = suspects_new();
 	TAILQ_INIT(&mesh->connections);
@@ -353,6 +357,7 @@
 		g_ptr_array_unref(mesh->sources[i]);
 	g_ptr_array_unref(mesh->peers);
 	g_hash_table_unref(mesh->by_address);
+	g_hash_table_unref(mesh->near);
 	suspects_free(mesh->suspects);
 	g_free(mesh);
 }
@@ -437,25 +442,57 @@
 	return bytes;
 }
 
-/* Builds the list of peers: the distinct addresses of all sources. */
+/* Adds the distinct addresses of all sources that are near, or the others. */
 static void
-merge_sources(struct mesh *mesh)
+add_peers(struct mesh *mesh, GHashTable *seen, bool near)
 {
-	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
-
-	g_ptr_array_set_size(mesh->peers, 0);
 	for (size_t i = 0; i < MESH_SOURCES; i++) {
 		for (guint j = 0; j < mesh->sources[i]->len; j++) {
 			char *address = g_ptr_array_index(mesh->sources[i], j);
 
-			if (g_strcmp0(address, mesh->identity->address) != 0 &&
-			    g_hash_table_add(seen, address))
-				g_ptr_array_add(mesh->peers, address);
+			if (g_hash_table_contains(mesh->near, address) !=
+				near ||
+			    g_strcmp0(address, mesh->identity->address) == 0 ||
+			    !g_hash_table_add(seen, address))
+				continue;
+			g_ptr_array_add(mesh->peers, address);
 		}
 	}
+}
+
+/* Builds the list of peers: the near ones, then the others. */
+static void
+merge_sources(struct mesh *mesh)
+{
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	g_ptr_array_set_size(mesh->peers, 0);
+	add_peers(mesh, seen, true);
+	mesh->near_count = mesh->peers->len;
+	add_peers(mesh, seen, false);
 	metric_set(&peer_count, mesh->peers->len);
 }
 
+/*
+ * Sets which addresses are near, in the failure domain of this process. They
+ * come first in the list of peers, as far as they are peers.
+ */
+void
+mesh_set_near(struct mesh *mesh, const char *const *addresses, size_t count)
+{
+	g_hash_table_remove_all(mesh->near);
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_add(mesh->near, g_strdup(addresses[i]));
+	merge_sources(mesh);
+}
+
+/* Returns how many of the first peers are near. */
+size_t
+mesh_near_count(const struct mesh *mesh)
+{
+	return mesh->near_count;
+}
+
 /* Replaces the addresses of one source. */
 void
 mesh_set_peers(struct mesh *mesh, enum mesh_source source,
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -109,6 +109,8 @@
 void mesh_set_peers(
     struct mesh *, enum mesh_source, const char *const *addresses, size_t);
 const char *const *mesh_peers(const struct mesh *, size_t *count);
+void mesh_set_near(struct mesh *, const char *const *addresses, size_t count);
+size_t mesh_near_count(const struct mesh *);
 
 void mesh_query_status(struct mesh *, const char *const *addresses,
     size_t count, int64_t timeout_ms, mesh_status_fn *, void *data);
--- a/src/policy/gossip.c
+++ b/src/policy/gossip.c
@@ -26,6 +26,7 @@
 	size_t document_count;
 	size_t required; /* index of the document that is needed at start */
 	size_t peer_count;
+	size_t near_count; /* the first peers are near */
 	struct timespec last_round;
 	unsigned int waves_left; /* remaining waves for the newest version */
 	struct timespec next_wave; /* time of the next wave */
@@ -63,11 +64,12 @@
 	gossip->required = index;
 }
 
-/* Sets the number of peers to choose from. */
+/* Sets the number of peers to choose from, of which the first are near. */
 void
-gossip_set_peers(struct gossip *gossip, size_t count)
+gossip_set_peers(struct gossip *gossip, size_t count, size_t near_count)
 {
 	gossip->peer_count = count;
+	gossip->near_count = near_count;
 }
 
 /* Returns the current version of a document, or 0 if it is missing. */
@@ -88,6 +90,24 @@
 		actions->items[actions->count++] = *action;
 }
 
+/* Draws a peer; a near one if enough of them are left. */
+static size_t
+draw_peer(struct gossip *gossip, size_t wanted)
+{
+	size_t from = 0;
+	size_t below = gossip->peer_count;
+
+	if (gossip->near_count > wanted &&
+	    gossip->near_count < gossip->peer_count) {
+		if (g_rand_int_range(gossip->random, 0, GOSSIP_FAR_ONE_IN) == 0)
+			from = gossip->near_count;
+		else
+			below = gossip->near_count;
+	}
+	return (size_t)g_rand_int_range(
+	    gossip->random, (gint32)from, (gint32)below);
+}
+
 /* Sends the current versions to random peers, each at most once. */
 static void
 send_digests(
@@ -98,8 +118,7 @@
 
 	wanted = MIN(wanted, gossip->peer_count);
 	while (count < wanted) {
-		size_t peer = (size_t)g_rand_int_range(
-		    gossip->random, 0, (gint32)gossip->peer_count);
+		size_t peer = draw_peer(gossip, wanted);
 		size_t i = 0;
 
 		while (i < count && chosen[i] != peer)
--- a/src/policy/gossip.h
+++ b/src/policy/gossip.h
@@ -3,7 +3,9 @@
  * to notify, when, and what to pull. A process that receives a newer version
  * notifies a few random peers at once and a few more in later waves. In every
  * round each process compares versions with random peers, and the older side
- * pulls. Versions only increase.
+ * pulls. Versions only increase. Most of the peers chosen are near, in the same
+ * failure domain, so that a document crosses to another domain a few times
+ * only, however many processes there are.
  *
  * The module does no I/O, has no clock and no random source of its own: events
  * and times are passed in, actions are returned, and the same events and seed
@@ -35,6 +37,8 @@
 /* Interval and number of peers while a document is missing. */
 #define GOSSIP_MISSING_ROUND_MS 250
 #define GOSSIP_MISSING_PEERS	4
+/* One in so many peers that are chosen is far, if there are near ones. */
+#define GOSSIP_FAR_ONE_IN 8
 /* Timeout of a pull. */
 #define GOSSIP_PULL_TIMEOUT_MS 200
 /*
@@ -75,7 +79,7 @@
 
 struct gossip *gossip_new(GRand *, size_t documents);
 void gossip_free(struct gossip *);
-void gossip_set_peers(struct gossip *, size_t count);
+void gossip_set_peers(struct gossip *, size_t count, size_t near_count);
 void gossip_set_required(struct gossip *, size_t index);
 uint64_t gossip_version(const struct gossip *, size_t index);
 
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -23,6 +23,8 @@
 #define PULL_BYTES	    60
 #define HANDSHAKE_BYTES	    900 /* HELLOs, ping and pong of a new link */
 #define LOOP_ITERATIONS_MAX 1000000
+/* Without near peers four in five documents cross to another domain. */
+#define FAR_BODIES_SHARE_MAX 0.3
 
 struct event {
 	size_t from;
@@ -46,14 +48,18 @@
 	int delay_max_ms;
 	int stopped_percent;
 	int writes;
+	size_t domains; /* processes are near within one; 1: all alike */
 } simulation_cases[] = {
-    {"a few processes without faults", 6, 0, 2, 0, 3},
-    {"hundreds of processes without faults", 300, 0, 2, 0, 3},
-    {"the planned maximum without faults", 940, 0, 2, 0, 5},
-    {"the planned maximum with loss and delay", 940, 15, 60, 0, 5},
+    {"a few processes without faults", 6, 0, 2, 0, 3, 1},
+    {"hundreds of processes without faults", 300, 0, 2, 0, 3, 1},
+    {"the planned maximum without faults", 940, 0, 2, 0, 5, 1},
+    {"the planned maximum with loss and delay", 940, 15, 60, 0, 5, 1},
     {"the planned maximum with loss, delay and stopped processes", 940, 15, 60,
-	10, 5},
-    {"two processes with heavy loss", 2, 30, 60, 0, 3},
+	10, 5, 1},
+    {"two processes with heavy loss", 2, 30, 60, 0, 3, 1},
+    {"the planned maximum in five failure domains", 940, 0, 2, 0, 5, 5},
+    {"five failure domains with loss, delay and stopped processes", 940, 15, 60,
+	10, 5, 5},
 };
 
 struct simulation {
@@ -62,6 +68,7 @@
 	int64_t now_ms;
 	struct node nodes[NODES_MAX];
 	GQueue slots[CALENDAR_SLOTS];
+	uint64_t far_bodies; /* documents sent to another failure domain */
 };
 
 /* Draws a number from 0 up to, but not including, a bound. */
@@ -84,6 +91,35 @@
 	    g_memdup2(event, sizeof(*event)));
 }
 
+/* Returns the number of nodes in a node's failure domain. */
+static size_t
+domain_size(const struct simulation *simulation)
+{
+	return simulation->c->nodes / simulation->c->domains;
+}
+
+/* Returns whether two nodes are in the same failure domain. */
+static bool
+is_near(const struct simulation *simulation, size_t a, size_t b)
+{
+	return a / domain_size(simulation) == b / domain_size(simulation);
+}
+
+/* Returns the node that is a node's peer of an index: the near ones first. */
+static size_t
+peer_at(const struct simulation *simulation, size_t node, size_t peer)
+{
+	size_t size = domain_size(simulation);
+	size_t start = node / size * size;
+	size_t at = start + peer;
+
+	if (peer < size - 1)
+		return at + (at >= node);
+	/* The others are those before the domain, then those after it. */
+	peer -= size - 1;
+	return peer < start ? peer : peer + size;
+}
+
 /* Sends a node's actions. A link's handle is 16 * (its peer's index + 1). */
 static void
 send_actions(struct simulation *simulation, size_t from,
@@ -97,7 +133,10 @@
 
 		event.to = action->link != NULL
 		    ? GPOINTER_TO_SIZE(action->link) / 16 - 1
-		    : action->peer + (action->peer >= from);
+		    : peer_at(simulation, from, action->peer);
+		if (action->kind == GOSSIP_SEND_DOCUMENT)
+			simulation->far_bodies += !is_near(
+			    simulation, from, event.to);
 		for (size_t d = 0; d < DOCUMENT_COUNT; d++)
 			event.versions[d] = gossip_version(node->gossip, d);
 		node->messages++;
@@ -241,6 +280,9 @@
 	g_assert_cmpfloat(messages, <, 8);
 	g_assert_cmpfloat(bytes, <, CONTROL_BYTES_PER_S);
 	g_assert_cmpfloat(bodies, <, 2.5);
+	if (simulation->c->domains > 1)
+		g_assert_cmpfloat((double)simulation->far_bodies, <,
+		    FAR_BODIES_SHARE_MAX * bodies * processes * writes);
 }
 
 /* Writes versions in turn; each must reach every node within IN_FORCE_MS. */
@@ -257,8 +299,8 @@
 	for (size_t i = 0; i < simulation->c->nodes; i++) {
 		simulation->nodes[i].gossip = gossip_new(
 		    simulation->random, DOCUMENT_COUNT);
-		gossip_set_peers(
-		    simulation->nodes[i].gossip, simulation->c->nodes - 1);
+		gossip_set_peers(simulation->nodes[i].gossip,
+		    simulation->c->nodes - 1, domain_size(simulation) - 1);
 	}
 	for (int write = 1; write <= simulation->c->writes; write++) {
 		uint64_t version = (uint64_t)write * 10;
@@ -286,7 +328,7 @@
 test_crossed(void)
 {
 	static const struct simulation_case crossed = {
-	    "crossed", 2, 0, 1, 0, 0};
+	    "crossed", 2, 0, 1, 0, 0, 1};
 	struct simulation *simulation = g_new0(struct simulation, 1);
 	uint64_t messages;
 
@@ -296,7 +338,7 @@
 		struct gossip_actions actions = {0};
 
 		simulation->nodes[i].gossip = gossip_new(simulation->random, 2);
-		gossip_set_peers(simulation->nodes[i].gossip, 1);
+		gossip_set_peers(simulation->nodes[i].gossip, 1, 0);
 		gossip_accept_document(simulation->nodes[i].gossip, i, 7,
 		    time_from_ms(0), &actions);
 		send_actions(simulation, i, &actions);
@@ -329,7 +371,7 @@
 	uint64_t versions[GOSSIP_DOCUMENTS_MAX] = {5};
 	struct gossip_actions actions = {0};
 
-	gossip_set_peers(gossip, 1);
+	gossip_set_peers(gossip, 1, 0);
 	gossip_accept_document(gossip, 0, 4, time_from_ms(0), &actions);
 	for (int ms = 0; ms < 5000; ms += GOSSIP_TICK_MS) {
 		actions.count = 0;
