Rejected callers come back spread, and after the first upstream accepts requests

Cause: a request that no upstream accepts was rejected with a fixed Retry-After of 500 ms, so callers that were rejected together came back together, also before any of the upstreams that had asked for quiet would take them.

Change: one function for all such rejections: the time until the first upstream accepts requests, or 500 ms, and up to half of it more, at random.

test_upstream_notices also checks the caller that the last upstream rejects; that case passed before, since its retry found no upstream.

--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -134,6 +134,7 @@
 void exchange_mark_faulty(struct exchange *, const char *faulty_upstream);
 void exchange_retry_or_fail(
     struct exchange *, enum send_outcome, const char *why);
+int64_t exchange_retry_after_ms(struct exchange *);
 void exchange_fail(struct exchange *, enum refusal not_run,
     int64_t retry_after_ms, const char *why);
 void exchange_finish(struct exchange *, const char *how);
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -181,6 +181,6 @@
 	if (consume_retry(exchange))
 		exchange_send(exchange);
 	else
-		exchange_fail(
-		    exchange, REFUSAL_NOT_RUN, EXCHANGE_RETRY_AFTER_MS, why);
+		exchange_fail(exchange, REFUSAL_NOT_RUN,
+		    exchange_retry_after_ms(exchange), why);
 }
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -151,6 +151,31 @@
 	}
 }
 
+/* Returns whether all upstreams have asked for no requests now. */
+bool
+selection_is_quiet(const struct selection *selection)
+{
+	return selection->quiet > 0 && selection->quiet == selection->eligible;
+}
+
+/*
+ * Returns when the caller of a rejected request should come back, in
+ * milliseconds: soon, or once the first upstream accepts requests again, and
+ * not together with the others.
+ */
+int64_t
+exchange_retry_after_ms(struct exchange *exchange)
+{
+	struct selection selection;
+	int64_t left_ms = EXCHANGE_RETRY_AFTER_MS;
+
+	selection_collect(exchange, SELECTION_ANY, &selection);
+	if (selection_is_quiet(&selection))
+		left_ms = selection.quiet_left_ms;
+	selection_clear(&selection);
+	return quiet_retry_after_ms(left_ms, exchange->context->random);
+}
+
 /* Returns the stream class for the route's gap target. */
 enum stream_class
 exchange_stream_class(const struct exchange *exchange)
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -27,6 +27,7 @@
 void selection_collect(
     struct exchange *, enum selection_filter, struct selection *);
 void selection_clear(struct selection *);
+bool selection_is_quiet(const struct selection *);
 enum stream_class exchange_stream_class(const struct exchange *);
 bool exchange_may_wait(const struct exchange *, enum balance_verdict);
 enum balance_verdict selection_plan(
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -231,17 +231,11 @@
 		    "the engines have no memory for the prompt now");
 		break;
 	default:
-		if (selection->quiet > 0 &&
-		    selection->quiet == selection->eligible) {
-			exchange_fail(exchange, REFUSAL_OVERLOADED,
-			    quiet_retry_after_ms(selection->quiet_left_ms,
-				exchange->context->random),
-			    "all upstreams have asked for no requests now");
-			break;
-		}
 		exchange_fail(exchange, REFUSAL_NO_UPSTREAM,
-		    EXCHANGE_RETRY_AFTER_MS,
-		    selection->eligible > 0
+		    exchange_retry_after_ms(exchange),
+		    selection_is_quiet(selection)
+			? "all upstreams have asked for no requests now"
+			: selection->eligible > 0
 			? "no upstream has capacity now"
 			: "no upstream accepts new requests now");
 		break;
--- a/tests/test_cold_rate.c
+++ b/tests/test_cold_rate.c
@@ -9,6 +9,7 @@
 #include "policy/cold_rate.h"
 
 #define PROCESSES_MAX 340
+#define UPSTREAMS     8
 #define SECOND_MS     1000
 #define STEP_MS	      5
 
@@ -74,7 +75,7 @@
 test_share(gconstpointer data)
 {
 	const struct share_case *c = &shares[GPOINTER_TO_SIZE(data)];
-	char *names[PROCESSES_MAX];
+	char *names[PROCESSES_MAX] = {NULL};
 	uint32_t total = 0;
 	uint32_t differ = 0;
 
@@ -88,8 +89,9 @@
 		g_assert_cmpuint(share, <=, c->most);
 		g_assert_cmpuint(count_sends(share), ==, share);
 		total += share;
-		for (char digit = '2'; digit <= '9'; digit++) {
-			char upstream[] = {'i', '-', digit, '\0'};
+		for (int j = 0; j < UPSTREAMS; j++) {
+			g_autofree char *upstream = g_strdup_printf(
+			    "other-%d", j);
 
 			differ += share !=
 			    share_of(i, names, c->processes, c->requests_per_s,
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -147,20 +147,21 @@
 	fixture_wait_for_routing_state(&f);
 	started = clock_monotonic(clock_system());
 	request(&f, "/once/x");
-	request(&f, "/once/x");
-	g_assert_cmpint(f.status, ==, 503);
-	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==,
-	    FAKE_PLATFORM_UPSTREAMS);
-	request(&f, "/once/x");
-	g_assert_cmpint(f.status, ==, 503);
-	g_assert_nonnull(f.retry_after);
-	retry_after_s = g_ascii_strtod(f.retry_after, NULL);
-	g_assert_cmpfloat(retry_after_s * MS_PER_S +
-		(double)time_diff_ms(clock_monotonic(clock_system()), started),
-	    >=, FAKE_QUIET_MS);
-	g_assert_cmpfloat(retry_after_s * MS_PER_S, <=, 2 * FAKE_QUIET_MS);
-	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==,
-	    FAKE_PLATFORM_UPSTREAMS);
+	/* The second is rejected by the last upstream, the third by none. */
+	for (int i = 0; i < 2; i++) {
+		request(&f, "/once/x");
+		g_assert_cmpint(f.status, ==, 503);
+		g_assert_nonnull(f.retry_after);
+		retry_after_s = g_ascii_strtod(f.retry_after, NULL);
+		g_assert_cmpfloat(retry_after_s * MS_PER_S +
+			(double)time_diff_ms(
+			    clock_monotonic(clock_system()), started),
+		    >=, FAKE_QUIET_MS);
+		g_assert_cmpfloat(
+		    retry_after_s * MS_PER_S, <=, 2 * FAKE_QUIET_MS);
+		g_assert_cmpuint(fake_platform_request_count(f.fake_platform),
+		    ==, FAKE_PLATFORM_UPSTREAMS);
+	}
 	fixture_tear_down(&f);
 }
 
