--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -50,7 +50,7 @@
 
 /* Passes a message on to the other gateways in this failure domain. */
 static void
-pass_on(
+relay_message(
     struct load_sync *sync, const char *origin, const struct message *message)
 {
 	struct message copy = *message;
@@ -76,7 +76,7 @@
 	if (origin == NULL || origin[0] == '\0')
 		origin = link_peer(link)->process;
 	if (is_load ? message->load.relay : message->prefill.relay)
-		pass_on(sync, origin, message);
+		relay_message(sync, origin, message);
 	if (message->kind == MESSAGE_LOAD)
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -100,7 +100,7 @@
  * they have had time to register again.
  */
 static void
-add_kept(struct registry *registry)
+add_kept_peers(struct registry *registry)
 {
 	if (registry->kept == NULL)
 		return;
@@ -139,7 +139,7 @@
 apply_gateway_list(struct registry *registry)
 {
 	registry->reads++;
-	add_kept(registry);
+	add_kept_peers(registry);
 	registry->count = registry->addresses->len + 1;
 	if (registry->others != NULL)
 		g_ptr_array_unref(registry->others);
@@ -255,7 +255,7 @@
 	registry->reads = 0;
 	LOG_INFO("registering again in the restored store", "{s:I, s:i}", "era",
 	    (json_int_t)era, "peers", (int)registry->count - 1);
-	schedule_read(registry, object_store_draw_delay_ms(registry->store));
+	schedule_read(registry, object_store_random_delay_ms(registry->store));
 }
 
 /*
