--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import json
+import os
 import random
 import shutil
 import signal
@@ -31,6 +32,8 @@
 QUIET_FROM_S = 0.5  # after a response that asks for quiet
 QUIET_REQUESTS_MAX = 2
 ROLLBACK_SLACK_S = 0.25
+PORTS = (20000, 32000)
+PORTS_PER_SOAK = 300
 CALLER_COUNT = 12
 DEADLINE_MS = 4000
 NOT_RUN_STATUSES = {408, 421, 429, 503}
@@ -601,14 +604,26 @@
 
 
 def find_free_ports(count):
-    """Returns ports on loopback that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Returns ports on loopback that nothing listens on.
+
+    They are below those that the system gives to outgoing connections, one of
+    which could otherwise take a port before its gateway listens. Each process
+    begins its search elsewhere.
+    """
+    first, end = PORTS
+    start = os.getpid() * PORTS_PER_SOAK % (end - first)
+    ports = []
+    for offset in range(end - first):
+        port = first + (start + offset) % (end - first)
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"fewer than {count} free ports from {first} to {end}")
 
 
 def keep_logs(folder):
