Log what a draining gateway accepts, and which requests its exit cuts

Nothing said how long after the stop a request came in, how much time it had, or that the exit had cut it: such requests were logged as caller_left. The times of a stop are in policy/drain, where they can be tested; what is accepted and when the process exits has not changed.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -279,6 +279,20 @@
 	return true;
 }
 
+/* Logs how much time a request has that is received while draining. */
+static void
+log_drain(const struct exchange *exchange)
+{
+	const struct drain *drain = &exchange->context->drain;
+
+	if (!drain_is_started(drain))
+		return;
+	LOG_INFO("request received while draining", "{s:s?, s:I, s:I}",
+	    "request", exchange->caller_headers.request_id, "since_stop_ms",
+	    (json_int_t)time_diff_ms(exchange->arrived, drain->started_at),
+	    "left_ms", (json_int_t)drain_left_ms(drain, exchange->arrived));
+}
+
 /* Starts the exchange of a request that has been received completely. */
 void
 exchange_start(struct exchange_context *context, struct httpd_request *http)
@@ -303,6 +317,7 @@
 	headers_parse_caller(http, &exchange->caller_headers);
 	exchange->has_last_event = exchange->caller_headers.has_last_event;
 	exchange->last_event = exchange->caller_headers.last_event;
+	log_drain(exchange);
 	if (routing_state_table(context->routing_state) == NULL) {
 		exchange_refuse(exchange, REFUSAL_NOT_READY,
 		    NOT_READY_RETRY_AFTER_MS,
@@ -317,6 +332,15 @@
 	exchange_send(exchange);
 }
 
+/* Returns how a request ended whose connection was closed. */
+static const char *
+end_reason(const struct exchange_context *context, bool complete)
+{
+	if (complete)
+		return "answered";
+	return context->exiting ? "process_exit" : "caller_left";
+}
+
 /*
  * Called by the HTTP server when the response has been sent or the caller has
  * disconnected. Cancels the send, which closes its upstream connection, and
@@ -332,7 +356,7 @@
 		return;
 	context = exchange->context;
 	exchange_stop_send(exchange);
-	exchange_finish(exchange, complete ? "answered" : "caller_left");
+	exchange_finish(exchange, end_reason(context, complete));
 	ev_timer_stop(context->loop, &exchange->deadline_timer);
 	ev_timer_stop(context->loop, &exchange->stall_timer);
 	ev_timer_stop(context->loop, &exchange->wait_timer);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -18,6 +18,7 @@
 #include "gateway/load_sync.h"
 #include "gateway/registry.h"
 #include "gateway/routing_state.h"
+#include "policy/drain.h"
 #include "policy/retry_window.h"
 
 /* State and settings that all exchanges share. */
@@ -36,6 +37,8 @@
 	double cold_slack;
 	int64_t hold_ms; /* reservation lifetime between renewals */
 	GHashTable *retry_windows; /* service -> struct retry_window */
+	struct drain drain;
+	bool exiting; /* open requests are cut */
 	size_t open;
 };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -23,11 +23,6 @@
 #define START_WAIT_MS 500
 /* How often a draining gateway checks whether its requests have ended. */
 #define DRAIN_POLL_MS 50
-/*
- * Exit this long before the platform kills the process; requests still open are
- * answered until then.
- */
-#define STOP_RESERVE_MS 700
 /*
  * Reservations are requested for less than the configured time: orders take
  * time to arrive.
@@ -55,9 +50,6 @@
 	struct httpd *callers;
 	struct ev_timer start_timer;
 	struct ev_timer drain_poll_timer;
-	struct timespec stop_accepting_at; /* no new connections after this */
-	struct timespec exit_at; /* exit even if requests are open */
-	bool draining;
 	bool stopped_accepting;
 };
 
@@ -117,10 +109,11 @@
 on_drain_poll(struct ev_loop *loop, struct ev_timer *timer, int events)
 {
 	struct gateway *gateway = timer->data;
+	const struct drain *drain = &gateway->exchange_context.drain;
 	struct timespec now = clock_monotonic(gateway->clock);
 
 	if (!gateway->stopped_accepting &&
-	    !time_before(now, gateway->stop_accepting_at)) {
+	    !time_before(now, drain->accept_until)) {
 		gateway->stopped_accepting = true;
 		httpd_stop_accepting(gateway->callers);
 		LOG_INFO("no longer accepting connections", "{s:I}",
@@ -129,7 +122,7 @@
 	}
 	if (gateway->stopped_accepting && gateway->exchange_context.open == 0)
 		ev_break(loop, EVBREAK_ALL);
-	if (!time_before(now, gateway->exit_at)) {
+	if (drain_left_ms(drain, now) == 0) {
 		LOG_WARN("exiting with open requests", "{s:I}", "open_requests",
 		    (json_int_t)gateway->exchange_context.open);
 		ev_break(loop, EVBREAK_ALL);
@@ -144,17 +137,17 @@
 start_draining(void *data)
 {
 	struct gateway *gateway = data;
-	struct timespec now = clock_monotonic(gateway->clock);
+	struct drain *drain = &gateway->exchange_context.drain;
+	const struct drain_limits limits = {
+	    .notice_ms = gateway->settings.drain_notice_ms,
+	    .grace_ms = (int64_t)(gateway->settings.grace_s * MS_PER_S),
+	};
 
-	if (gateway->draining)
+	if (drain_is_started(drain))
 		return;
-	gateway->draining = true;
+	drain_start(drain, &limits, clock_monotonic(gateway->clock));
 	node_start_draining(gateway->node);
 	httpd_disable_keep_alive(gateway->callers);
-	gateway->stop_accepting_at = time_add_ms(
-	    now, gateway->settings.drain_notice_ms);
-	gateway->exit_at = time_add_ms(now,
-	    (int64_t)(gateway->settings.grace_s * MS_PER_S) - STOP_RESERVE_MS);
 	ev_timer_init(
 	    &gateway->drain_poll_timer, on_drain_poll, 0, DRAIN_POLL_MS / 1e3);
 	gateway->drain_poll_timer.data = gateway;
@@ -291,6 +284,7 @@
 {
 	ev_timer_stop(gateway->loop, &gateway->start_timer);
 	ev_timer_stop(gateway->loop, &gateway->drain_poll_timer);
+	gateway->exchange_context.exiting = true;
 	httpd_free(gateway->callers);
 	exchange_context_clear(&gateway->exchange_context);
 	load_sync_free(gateway->load_sync);
--- /dev/null
+++ b/src/policy/drain.c
@@ -0,0 +1,39 @@
+#include "policy/drain.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/*
+ * Exit this long before the platform kills the process; requests still open are
+ * answered until then.
+ */
+#define EXIT_RESERVE_MS 700
+
+/* The process was asked to stop; further requests to stop change nothing. */
+void
+drain_start(
+    struct drain *drain, const struct drain_limits *limits, struct timespec now)
+{
+	if (drain_is_started(drain))
+		return;
+	*drain = (struct drain){
+	    .started_at = now,
+	    .accept_until = time_add_ms(now, limits->notice_ms),
+	    .exit_at = time_add_ms(now, limits->grace_ms - EXIT_RESERVE_MS),
+	};
+}
+
+/* Returns whether the process was asked to stop. */
+bool
+drain_is_started(const struct drain *drain)
+{
+	return time_is_set(drain->started_at);
+}
+
+/* Returns the time in milliseconds until the process exits; 0 if it is over. */
+int64_t
+drain_left_ms(const struct drain *drain, struct timespec now)
+{
+	return MAX(time_diff_ms(drain->exit_at, now), 0);
+}
