--- /dev/null
+++ b/tests/test_drain.c
@@ -0,0 +1,109 @@
+/*
+ * A gateway that was asked to stop. Guards against requests that are taken long
+ * after the stop and cut when the process exits.
+ */
+#include <sodium.h>
+
+#include "cases.h"
+#include "gateway_fixture.h"
+
+#define NOTICE_MS 3000
+#define GRACE_MS  8000
+
+static const struct drain_case {
+	const char *name;
+	const char *path;
+	size_t calls_before; /* answered by the route before the stop */
+	int64_t since_stop_ms;
+	int status;
+	size_t arrivals; /* of the request at upstreams */
+} cases[] = {
+    {"a request is served while there is time for it", "/stream/x", 0, 1000,
+	200, 1},
+    {"a request after the notice is refused", "/stream/x", 0, NOTICE_MS, 503,
+	0},
+    {"a request that may last until the exit is refused", "/stream/x", 0, 2500,
+	503, 0},
+    {"a request that is known to be short is served until the notice ends",
+	"/stream/x", 1, NOTICE_MS - 100, 200, 1},
+    {"a known short request after the notice is refused", "/stream/x", 1,
+	NOTICE_MS, 503, 0},
+};
+
+/* Starts the gateway's drain as if it had been asked to stop before. */
+static void
+start_drain(struct fixture *f, int64_t since_stop_ms)
+{
+	static const struct drain_limits limits = {
+	    .notice_ms = NOTICE_MS, .grace_ms = GRACE_MS};
+
+	drain_start(&f->exchange_context.drain, &limits,
+	    time_add_ms(clock_monotonic(clock_system()), -since_stop_ms));
+}
+
+/* Sends a request and waits for the end of its response. */
+static void
+call(struct fixture *f, const char *path)
+{
+	f->done = false;
+	fixture_call(f, path, FIXTURE_KEY);
+	RUN_UNTIL(f, f->done);
+}
+
+/* Runs one case. */
+static void
+test_request(gconstpointer data)
+{
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_STREAM, FAKE_STEP_STREAM};
+	const struct drain_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	struct fixture f = {0};
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
+	fixture_wait_for_routing_state(&f);
+	for (size_t i = 0; i < c->calls_before; i++)
+		call(&f, c->path);
+	start_drain(&f, c->since_stop_ms);
+	call(&f, c->path);
+	g_assert_cmpint(f.status, ==, c->status);
+	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==,
+	    c->calls_before + c->arrivals);
+	g_assert_cmpint(f.retry_after != NULL, ==, c->status == 503);
+	fixture_tear_down(&f);
+}
+
+/*
+ * A request that an upstream rejects is not sent to another one if it could be
+ * cut there: it has not run, so another gateway can serve it.
+ */
+static void
+test_retry(void)
+{
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_NOT_RUN, FAKE_STEP_STREAM};
+	struct fixture f = {0};
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
+	fixture_wait_for_routing_state(&f);
+	fixture_call(&f, "/stream/x", FIXTURE_KEY);
+	RUN_UNTIL(&f, f.exchange_context.open == 1);
+	start_drain(&f, NOTICE_MS);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpint(f.status, ==, 503);
+	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 1);
+	fixture_tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	ADD_CASES(cases, "/drain", test_request);
+	g_test_add_func("/drain/a rejected request is not sent again after the "
+			"notice",
+	    test_retry);
+	return g_test_run();
+}
