Hypotheses on crashing prompt parts; log parts, and how far broken responses were

Log lines could not tell the hypotheses apart: which shared parts the prompt of a request has, and at which upstream and after how many events a response broke. What is sent and where has not changed.

--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -131,6 +131,17 @@
 	http_client_start(exchange->context->http, &request, &ops, check);
 }
 
+/* Logs how far the response was that a broken connection has ended. */
+static void
+log_broken_send(
+    const struct exchange *exchange, const struct fleet_upstream *upstream)
+{
+	LOG_INFO("connection to upstream broken", "{s:s, s:s, s:b, s:i}",
+	    "request", exchange->caller_headers.request_id, "upstream",
+	    upstream->id, "begun", time_is_set(exchange->begun_at), "events",
+	    (int)exchange->send_events);
+}
+
 /* Updates the back-off and the share of failures of an upstream. */
 static void
 update_health(struct exchange *exchange, struct fleet_upstream *upstream,
@@ -180,8 +191,10 @@
 	}
 	if (outcome != SEND_OPEN)
 		update_health(exchange, upstream, outcome);
-	if (outcome == SEND_LOST && exchange->disconnected)
+	if (outcome == SEND_LOST && exchange->disconnected) {
+		log_broken_send(exchange, upstream);
 		check_death(exchange, upstream);
+	}
 	upstream->own.context_tokens -= exchange->context_tokens;
 	if (exchange->stream_count != NULL)
 		(*exchange->stream_count)--;
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -116,6 +116,7 @@
 		break;
 	}
 	exchange->send_outcome = SEND_ANSWERED;
+	exchange->begun_at = clock_monotonic(exchange->context->clock);
 	if (exchange->streaming)
 		return true;
 	set_response_headers(exchange, call, status);
@@ -147,6 +148,7 @@
 {
 	struct exchange *exchange = data;
 
+	exchange->send_events++;
 	if (has_id && exchange->has_last_event && id <= exchange->last_event)
 		return;
 	if (has_id) {
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/exchange_selection.h"
@@ -30,6 +32,8 @@
 	exchange->upstream = upstream;
 	exchange->send_outcome = SEND_OPEN;
 	exchange->send_error = NULL;
+	exchange->begun_at = (struct timespec){0};
+	exchange->send_events = 0;
 	exchange->disconnected = false;
 	exchange->tried[exchange->tries++] = g_strdup(upstream->id);
 	fleet_add_request(routing_state_fleet(exchange->context->routing_state),
@@ -60,6 +64,18 @@
 	return g_strjoinv(" ", (char **)ids);
 }
 
+/* Returns the hashes of the prompt's shared parts; free it with g_free. */
+static char *
+format_parts(const struct exchange *exchange)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < exchange->caller_headers.part_count; i++)
+		g_string_append_printf(text, "%s%" PRIx64, i > 0 ? " " : "",
+		    exchange->caller_headers.parts[i]);
+	return g_string_free(text, FALSE);
+}
+
 /* Logs the chosen upstream and what the choice was based on. */
 static void
 log_send(const struct exchange *exchange, const struct selection *selection,
@@ -70,15 +86,16 @@
 	const struct balance_candidate *chosen = &selection
 						      ->candidates[plan->first];
 	g_autofree char *helpers = join_helper_ids(selection, plan);
+	g_autofree char *parts = format_parts(exchange);
 
 	LOG_INFO("request sent",
-	    "{s:s, s:s, s:s, s:i, s:I, s:i, s:s, s:f, s:i, s:i, s:i, s:i, s:I, "
-	    "s:I, s:I}",
+	    "{s:s, s:s, s:s, s:i, s:I, s:s, s:i, s:s, s:f, s:i, s:i, s:i, s:i, "
+	    "s:I, s:I, s:I}",
 	    "request", exchange->caller_headers.request_id, "upstream",
 	    selection->upstreams[plan->first]->id, "route",
 	    exchange->route->name, "try", (int)exchange->tries, "prompt_tokens",
-	    (json_int_t)exchange->caller_headers.prompt_tokens, "helpers",
-	    (int)plan->helper_count, "helped_by", helpers, "part_ms",
+	    (json_int_t)exchange->caller_headers.prompt_tokens, "parts", parts,
+	    "helpers", (int)plan->helper_count, "helped_by", helpers, "part_ms",
 	    plan->part_ms, "candidates", (int)selection->count, "running",
 	    (int)chosen->running, "backlog_ms", (int)chosen->backlog_ms,
 	    "expected_ms", (int)plan->first_token_ms, "left_ms",
