--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -7,11 +7,13 @@
 
 #define BODY_MAX_BYTES 65536
 #define STREAM_EVENTS  3
+#define CRASH_DELAY_S  0.02
 
 struct fake_platform_upstream {
 	struct fake_platform *fake_platform;
 	size_t index;
-	struct httpd *httpd;
+	struct httpd *httpd; /* NULL while it has stopped */
+	int port;
 	ev_timer stop_timer;
 };
 
@@ -164,6 +166,14 @@
 		httpd_abort(request);
 		break;
 	case FAKE_STEP_STOP:
+		ev_timer_set(&upstream->stop_timer, 0.0, 0.0);
+		ev_timer_start(
+		    upstream->fake_platform->loop, &upstream->stop_timer);
+		break;
+	case FAKE_STEP_CRASH:
+		headers[2].value = "text/event-stream";
+		httpd_stream_begin(request, 200, headers, 3);
+		ev_timer_set(&upstream->stop_timer, CRASH_DELAY_S, 0.0);
 		ev_timer_start(
 		    upstream->fake_platform->loop, &upstream->stop_timer);
 		break;
@@ -247,14 +257,45 @@
 	    "Address", address, "Zone", "z", "State", "ready", "Slots", 4);
 }
 
+/* Starts an upstream; port 0 for any. */
+static void
+start_upstream(struct fake_platform_upstream *upstream, int port)
+{
+	static const struct httpd_ops upstream_ops = {
+	    .request = on_request, .closed = on_closed, .drained = on_drained};
+	char address[32];
+	const struct httpd_settings settings = {
+	    .address = address,
+	    .body_max_bytes = BODY_MAX_BYTES,
+	    .bodies_max_bytes = BODY_MAX_BYTES,
+	};
+
+	snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+	upstream->httpd = httpd_new(upstream->fake_platform->loop, &settings,
+	    &upstream_ops, upstream, NULL);
+	g_assert_nonnull(upstream->httpd);
+	upstream->port = httpd_port(upstream->httpd);
+}
+
+/* Starts the upstreams that have stopped, at their addresses. */
+void
+fake_platform_restart_upstreams(struct fake_platform *fake_platform)
+{
+	for (size_t i = 0; i < FAKE_PLATFORM_UPSTREAMS; i++) {
+		struct fake_platform_upstream *upstream = &fake_platform
+							       ->upstreams[i];
+
+		if (upstream->httpd == NULL)
+			start_upstream(upstream, upstream->port);
+	}
+}
+
 /* Starts the store and the upstreams, each on its own port. */
 struct fake_platform *
 fake_platform_new(struct ev_loop *loop)
 {
 	static const struct httpd_ops store_ops = {
 	    .request = on_store_request, .closed = on_store_closed};
-	static const struct httpd_ops upstream_ops = {
-	    .request = on_request, .closed = on_closed, .drained = on_drained};
 	const struct httpd_settings settings = {
 	    .address = "127.0.0.1:0",
 	    .body_max_bytes = BODY_MAX_BYTES,
@@ -279,10 +320,9 @@
 		upstream->index = i;
 		ev_timer_init(&upstream->stop_timer, on_stop_timer, 0.0, 0.0);
 		upstream->stop_timer.data = upstream;
-		upstream->httpd = httpd_new(
-		    loop, &settings, &upstream_ops, upstream, NULL);
+		start_upstream(upstream, 0);
 		json_array_append_new(fake_platform->objects[1],
-		    make_upstream_object(i, httpd_port(upstream->httpd)));
+		    make_upstream_object(i, upstream->port));
 	}
 	return fake_platform;
 }
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -35,6 +35,7 @@
 	FAKE_STEP_LEAVING, /* 200, complete, and says that it leaves */
 	FAKE_STEP_LEAVING_STREAM, /* FAKE_STEP_STREAM, and says so */
 	FAKE_STEP_LEAVING_NOT_RUN, /* FAKE_STEP_NOT_RUN, and says so */
+	FAKE_STEP_CRASH, /* begins a stream, then FAKE_STEP_STOP */
 	FAKE_STEP_QUIET, /* FAKE_STEP_NOT_RUN with a Retry-After */
 };
 
@@ -65,6 +66,7 @@
     const struct fake_platform *, size_t);
 const char *fake_platform_request_header(
     const struct fake_platform_request *, const char *name);
+void fake_platform_restart_upstreams(struct fake_platform *);
 void fake_platform_remove_upstreams(struct fake_platform *);
 void fake_platform_set_upstream_port(
     struct fake_platform *, size_t index, int port);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -191,6 +191,8 @@
 	    {"X-Hop", "dropped"},
 	    {f->tokens != NULL ? "Heatherturn-Token-Count" : "X-None",
 		f->tokens != NULL ? f->tokens : "0"},
+	    {f->parts != NULL ? "Heatherturn-Prompt-Prefix" : "X-None",
+		f->parts != NULL ? f->parts : "0"},
 	    {"Authorization", key},
 	};
 	g_autofree char *url = g_strdup_printf(
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -28,6 +28,7 @@
 	bool aborted;
 	char *retry_after;
 	const char *tokens; /* token count sent; NULL for none */
+	const char *parts; /* prompt parts sent; NULL for none */
 };
 
 /* Runs the loop until a condition holds. */
--- /dev/null
+++ b/tests/test_crash_parts.c
@@ -0,0 +1,71 @@
+/*
+ * Prompt parts that crash upstreams. Guards against requests that share such a
+ * part and are sent to one upstream after the other, no two alike.
+ */
+#include <stdio.h>
+
+#include <sodium.h>
+
+#include "cases.h"
+#include "gateway_fixture.h"
+
+#define CRASHES	      3
+#define SETTLE_ROUNDS 20
+
+/* Sends a request whose path and last part no other has. */
+static void
+call(struct fixture *f, const char *shared_parts, int number)
+{
+	g_autofree char *path = g_strdup_printf("/fragile/%d", number);
+	g_autofree char *parts = g_strdup_printf(
+	    "%s,%x:5", shared_parts, 0xe0 + number);
+
+	f->parts = parts;
+	f->done = false;
+	g_byte_array_set_size(f->body, 0);
+	fixture_call(f, path, FIXTURE_KEY);
+	RUN_UNTIL(f, f->done);
+	f->parts = NULL;
+}
+
+/*
+ * After three upstreams have crashed while they began to answer requests with
+ * one part, requests with that part are refused; others that share the key and
+ * the first part are served.
+ */
+static void
+test_unlike_requests(void)
+{
+	static const enum fake_platform_step steps[] = {FAKE_STEP_CRASH,
+	    FAKE_STEP_CRASH, FAKE_STEP_CRASH, FAKE_STEP_STREAM};
+	struct fixture f = {0};
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
+	fixture_wait_for_routing_state(&f);
+	for (int i = 0; i < CRASHES; i++)
+		call(&f, "f1:40,bad:100", i);
+	for (int i = 0; i < SETTLE_ROUNDS; i++)
+		ev_run(f.loop, EVRUN_ONCE);
+	fake_platform_restart_upstreams(f.fake_platform);
+	call(&f, "f1:40,bad:100", CRASHES);
+	g_assert_cmpint(f.status, ==, 503);
+	g_assert_cmpuint(
+	    fake_platform_request_count(f.fake_platform), ==, CRASHES);
+	call(&f, "f1:40,600d:100", CRASHES + 1);
+	g_assert_cmpint(f.status, ==, 200);
+	g_assert_cmpuint(
+	    fake_platform_request_count(f.fake_platform), ==, CRASHES + 1);
+	fixture_tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	g_test_add_func("/crash parts/unlike requests with a part that crashes "
+			"upstreams are refused",
+	    test_unlike_requests);
+	return g_test_run();
+}
