Prompt parts that crash upstreams are refused by all gateways

Cause: a request that crashes upstreams was told from others by a fingerprint of the whole request. These share only a part of their prompts, no two are alike, so each fingerprint collected one or two deaths and was refused once its own retry had crashed too. The reports themselves arrived.

Change: the shared parts of a request are charged with an upstream's death if the request had not survived its first two events there, doubly if its response had begun (policy/part_quarantine). Three deaths at begun responses refuse a part everywhere, for ten minutes, before a first send and before each further one. Sound parts that stand beside it are cleared by the requests with them that survive, and where nothing survives a death is explained by the deepest part alone. gateway/crash_sync spreads charges and survivals among all gateways: at once to four random peers, which pass them on; all of them when a link opens; and by digests compared twice a second, for what was missed.

--- /dev/null
+++ b/src/gateway/crash_sync.c
@@ -0,0 +1,371 @@
+#include "gateway/crash_sync.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "base/metrics.h"
+#include "policy/part_quarantine.h"
+
+#define LOG_MODULE "crashes"
+#include "base/log.h"
+
+/* Peers to which new events are sent at once. */
+#define FANOUT 4
+/* Events of this time are sent together. */
+#define FLUSH_MS 20
+/* Interval of the comparison with a random peer. */
+#define COMPARE_MS 500
+/* Maximum number of events in one message. */
+#define EVENTS_MAX 512
+
+/* What the receiver of a message does if its digest differs. */
+enum sync_request {
+	SYNC_NONE,
+	SYNC_ASK, /* sends its charges, and asks for the others */
+	SYNC_ANSWER, /* sends its charges */
+};
+
+struct crash_sync {
+	struct ev_loop *loop;
+	struct clock *clock;
+	struct mesh *mesh;
+	GRand *random;
+	struct part_quarantine *quarantine;
+	struct mesh_handler handler;
+	GArray *pending; /* of struct part_event, to be sent */
+	ev_timer flush_timer;
+	ev_timer compare_timer;
+};
+
+METRIC_DEFINE(charges_count, METRIC_COUNTER, "heatherturn_prompt_part_charges",
+    NULL, "Upstream deaths charged to prompt parts, by any gateway.");
+
+/* Encodes some events and the digest; the arrays are valid for the callback. */
+static void
+encode(struct crash_sync *sync, const struct part_event *events, size_t count,
+    enum sync_request request, void (*send)(void *, struct message *),
+    void *data)
+{
+	struct timespec now = clock_monotonic(sync->clock);
+	g_autofree uint64_t *columns = g_new(uint64_t, 5 * count + 1);
+	struct message message = {
+	    .kind = MESSAGE_CRASHES,
+	    .crashes =
+		{
+		    .parts = {columns, count},
+		    .kinds = {columns + count, count},
+		    .depths = {columns + 2 * count, count},
+		    .deaths = {columns + 3 * count, count},
+		    .ages_ms = {columns + 4 * count, count},
+		    .digest = part_quarantine_digest(sync->quarantine, now),
+		    .request = request,
+		},
+	};
+
+	for (size_t i = 0; i < count; i++) {
+		columns[i] = events[i].part;
+		columns[count + i] = events[i].kind;
+		columns[2 * count + i] = events[i].depth;
+		columns[3 * count + i] = events[i].death;
+		columns[4 * count + i] = (uint64_t)MAX(
+		    time_diff_ms(now, events[i].at), 0);
+	}
+	send(data, &message);
+}
+
+/* Sends a message to random peers. */
+static void
+send_to_some(void *data, struct message *message)
+{
+	struct crash_sync *sync = data;
+	size_t count;
+	const char *const *peers = mesh_peers(sync->mesh, &count);
+
+	for (size_t i = 0; i < FANOUT && count > 0; i++)
+		mesh_send(sync->mesh,
+		    peers[g_rand_int_range(sync->random, 0, (gint32)count)],
+		    message);
+}
+
+/* Sends a message on a link. */
+static void
+send_on_link(void *data, struct message *message)
+{
+	link_send(data, message);
+}
+
+/* Sends the pending events. */
+static void
+on_flush(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct crash_sync *sync = timer->data;
+	const struct part_event *pending = (const struct part_event *)(void *)
+					       sync->pending->data;
+
+	for (size_t at = 0; at < sync->pending->len; at += EVENTS_MAX)
+		encode(sync, pending + at,
+		    MIN(sync->pending->len - at, EVENTS_MAX), SYNC_NONE,
+		    send_to_some, sync);
+	g_array_set_size(sync->pending, 0);
+}
+
+/* Queues an event for the peers. */
+static void
+queue_event(struct crash_sync *sync, const struct part_event *event)
+{
+	g_array_append_val(sync->pending, *event);
+	if (ev_is_active(&sync->flush_timer))
+		return;
+	ev_timer_set(&sync->flush_timer, (double)FLUSH_MS / MS_PER_S, 0.0);
+	ev_timer_start(sync->loop, &sync->flush_timer);
+}
+
+/* Logs an event that has changed what is known of a part. */
+static void
+log_event(const struct crash_sync *sync, const struct part_event *event,
+    const char *source)
+{
+	char part[17];
+	char death[17];
+
+	snprintf(part, sizeof(part), "%" PRIx64, event->part);
+	snprintf(death, sizeof(death), "%" PRIx64, event->death);
+	LOG_INFO(event->kind == PART_SURVIVED ? "prompt part cleared"
+					      : "prompt part charged",
+	    "{s:s, s:i, s:s, s:b, s:s, s:I}", "part", part, "depth",
+	    (int)event->depth, "death", death, "begun",
+	    event->kind == PART_CHARGED_BEGUN, "source", source, "age_ms",
+	    (json_int_t)time_diff_ms(clock_monotonic(sync->clock), event->at));
+}
+
+/* Logs that requests with a part are refused from now on, or no longer. */
+static void
+on_refused(void *data, uint64_t part, bool refused)
+{
+	char text[17];
+
+	snprintf(text, sizeof(text), "%" PRIx64, part);
+	LOG_WARN(refused ? "prompt part refused" : "prompt part accepted again",
+	    "{s:s}", "part", text);
+}
+
+/* Adds an event and queues it, or what refutes it, for the peers. */
+static void
+add_event(
+    struct crash_sync *sync, const struct part_event *event, const char *source)
+{
+	struct part_event survival;
+
+	switch (part_quarantine_add(
+	    sync->quarantine, event, clock_monotonic(sync->clock))) {
+	case PART_KNOWN:
+		break;
+	case PART_REFUTED:
+		if (part_quarantine_survival(
+			sync->quarantine, event->part, &survival))
+			queue_event(sync, &survival);
+		break;
+	case PART_NEW:
+		if (event->kind != PART_SURVIVED)
+			metric_add(&charges_count, 1);
+		log_event(sync, event, source);
+		queue_event(sync, event);
+		break;
+	}
+}
+
+/* Decides again which parts are refused. */
+static void
+update(struct crash_sync *sync)
+{
+	part_quarantine_update(
+	    sync->quarantine, clock_monotonic(sync->clock), on_refused, sync);
+}
+
+/* Appends a charge to a list. */
+static void
+collect_charge(void *data, const struct part_event *event)
+{
+	g_array_append_val((GArray *)data, *event);
+}
+
+/* Sends all charges on a link; nothing if there are none. */
+static void
+send_all(struct crash_sync *sync, struct link *link, enum sync_request request)
+{
+	g_autoptr(GArray)
+	    charges = g_array_new(FALSE, FALSE, sizeof(struct part_event));
+	const struct part_event *events;
+
+	part_quarantine_for_each_charge(sync->quarantine,
+	    clock_monotonic(sync->clock), collect_charge, charges);
+	events = (const struct part_event *)(void *)charges->data;
+	for (size_t at = 0; at < charges->len; at += EVENTS_MAX)
+		encode(sync, events + at, MIN(charges->len - at, EVENTS_MAX),
+		    at + EVENTS_MAX < charges->len ? SYNC_NONE : request,
+		    send_on_link, link);
+	if (charges->len == 0 && request != SYNC_NONE)
+		encode(sync, NULL, 0, request, send_on_link, link);
+}
+
+/* Adds a peer's events; sends it what it lacks if it asked for that. */
+static void
+on_message(void *data, struct link *link, const struct message *message)
+{
+	struct crash_sync *sync = data;
+	const struct message_crashes *crashes = &message->crashes;
+	struct timespec now = clock_monotonic(sync->clock);
+	size_t count = crashes->parts.count;
+
+	if (crashes->kinds.count != count || crashes->depths.count != count ||
+	    crashes->deaths.count != count || crashes->ages_ms.count != count) {
+		LOG_WARN("report of crashes ignored: its columns differ",
+		    "{s:s}", "peer", link_peer(link)->process);
+		return;
+	}
+	for (size_t i = 0; i < count; i++) {
+		const struct part_event event = {
+		    .kind = (enum part_event_kind)MIN(
+			crashes->kinds.items[i], PART_CHARGED_BEGUN),
+		    .part = crashes->parts.items[i],
+		    .depth = (uint32_t)MIN(
+			crashes->depths.items[i], UINT32_MAX),
+		    .death = crashes->deaths.items[i],
+		    .at = time_add_ms(now,
+			-(int64_t)MIN(
+			    crashes->ages_ms.items[i], PART_QUARANTINE_MS)),
+		};
+
+		add_event(sync, &event, link_peer(link)->process);
+	}
+	update(sync);
+	if (crashes->request != SYNC_NONE &&
+	    crashes->digest != part_quarantine_digest(sync->quarantine, now))
+		send_all(sync, link,
+		    crashes->request == SYNC_ASK ? SYNC_ANSWER : SYNC_NONE);
+}
+
+/* Sends all charges to a peer whose link has opened. */
+static void
+on_opened(void *data, struct link *link)
+{
+	send_all(data, link, SYNC_NONE);
+}
+
+static const struct mesh_ops crash_sync_ops = {
+    .message = on_message,
+    .opened = on_opened,
+};
+
+/* Compares what is known with a random peer, if anything is. */
+static void
+on_compare(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct crash_sync *sync = timer->data;
+	size_t count;
+	const char *const *peers = mesh_peers(sync->mesh, &count);
+
+	if (count == 0 ||
+	    part_quarantine_digest(
+		sync->quarantine, clock_monotonic(sync->clock)) == 0)
+		return;
+	encode(sync, NULL, 0, SYNC_ASK, send_on_link,
+	    mesh_get_link(sync->mesh,
+		peers[g_rand_int_range(sync->random, 0, (gint32)count)]));
+}
+
+/* Starts the exchange; the mesh and the random source must outlive it. */
+struct crash_sync *
+crash_sync_new(
+    struct ev_loop *loop, struct clock *clock, struct mesh *mesh, GRand *random)
+{
+	struct crash_sync *sync = g_new0(struct crash_sync, 1);
+
+	sync->loop = loop;
+	sync->clock = clock;
+	sync->mesh = mesh;
+	sync->random = random;
+	sync->quarantine = part_quarantine_new();
+	sync->pending = g_array_new(FALSE, FALSE, sizeof(struct part_event));
+	sync->handler = (struct mesh_handler){
+	    .ops = &crash_sync_ops,
+	    .data = sync,
+	    .kinds = MESH_KIND(MESSAGE_CRASHES),
+	};
+	mesh_add_handler(mesh, &sync->handler);
+	ev_init(&sync->flush_timer, on_flush);
+	sync->flush_timer.data = sync;
+	ev_timer_init(&sync->compare_timer, on_compare,
+	    (double)COMPARE_MS / MS_PER_S, (double)COMPARE_MS / MS_PER_S);
+	sync->compare_timer.data = sync;
+	ev_timer_start(loop, &sync->compare_timer);
+	return sync;
+}
+
+/* Stops the exchange; NULL is allowed. */
+void
+crash_sync_free(struct crash_sync *sync)
+{
+	if (sync == NULL)
+		return;
+	ev_timer_stop(sync->loop, &sync->flush_timer);
+	ev_timer_stop(sync->loop, &sync->compare_timer);
+	mesh_remove_handler(sync->mesh, &sync->handler);
+	part_quarantine_free(sync->quarantine);
+	g_array_unref(sync->pending);
+	g_free(sync);
+}
+
+/*
+ * Reports the death of an upstream during a request with these parts whose
+ * response had begun or not, and had not survived.
+ */
+void
+crash_sync_report_death(struct crash_sync *sync, uint64_t death,
+    const uint64_t *parts, size_t count, bool begun)
+{
+	for (size_t i = 0; i < count; i++)
+		add_event(sync,
+		    &(struct part_event){
+			.kind = begun ? PART_CHARGED_BEGUN
+				      : PART_CHARGED_WAITING,
+			.part = parts[i],
+			.depth = (uint32_t)i,
+			.death = death,
+			.at = clock_monotonic(sync->clock),
+		    },
+		    "own");
+	update(sync);
+}
+
+/* Reports that a request with these parts has survived its first events. */
+void
+crash_sync_report_survival(struct crash_sync *sync, const uint64_t *parts,
+    size_t count, struct timespec began_at)
+{
+	for (size_t i = 0; i < count; i++)
+		add_event(sync,
+		    &(struct part_event){.kind = PART_SURVIVED,
+			.part = parts[i],
+			.depth = (uint32_t)i,
+			.at = began_at},
+		    "own");
+	update(sync);
+}
+
+/*
+ * Returns for how many milliseconds requests with these parts are refused; 0 if
+ * they are not.
+ */
+int64_t
+crash_sync_refused_ms(
+    struct crash_sync *sync, const uint64_t *parts, size_t count)
+{
+	struct timespec now = clock_monotonic(sync->clock);
+	int64_t left_ms = 0;
+
+	for (size_t i = 0; i < count; i++)
+		left_ms = MAX(left_ms,
+		    part_quarantine_left_ms(sync->quarantine, parts[i], now));
+	return left_ms;
+}
--- /dev/null
+++ b/src/gateway/crash_sync.h
@@ -0,0 +1,32 @@
+/*
+ * Exchange of what gateways see of prompt parts that crash upstreams. Each new
+ * event goes to a few random peers at once, which pass it on; gateways whose
+ * knowledge differs, by a digest that they compare twice a second, send each
+ * other all of it, as they do when a link opens.
+ */
+#ifndef GATEWAY_CRASH_SYNC_H
+#define GATEWAY_CRASH_SYNC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "peer/mesh.h"
+
+struct crash_sync;
+
+struct crash_sync *crash_sync_new(
+    struct ev_loop *, struct clock *, struct mesh *, GRand *);
+void crash_sync_free(struct crash_sync *);
+void crash_sync_report_death(struct crash_sync *, uint64_t death,
+    const uint64_t *parts, size_t count, bool begun);
+void crash_sync_report_survival(struct crash_sync *, const uint64_t *parts,
+    size_t count, struct timespec began_at);
+int64_t crash_sync_refused_ms(
+    struct crash_sync *, const uint64_t *parts, size_t count);
+
+#endif
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -303,10 +303,31 @@
 	return length == 0 ? hash : XXH3_64bits_withSeed(body, length, hash);
 }
 
-/* Refuses a request that has crashed upstreams several times. */
+/* Refuses a request with a prompt part that crashes upstreams. */
+bool
+exchange_refuse_crashing_part(struct exchange *exchange)
+{
+	int64_t left_ms = crash_sync_refused_ms(exchange->context->crash_sync,
+	    exchange->caller_headers.parts,
+	    exchange->caller_headers.part_count);
+
+	if (left_ms == 0)
+		return false;
+	exchange_fail(exchange, REFUSAL_QUARANTINED, left_ms,
+	    "upstreams crashed when they began to answer requests with a part "
+	    "of this prompt");
+	return true;
+}
+
+/*
+ * Refuses a request that has crashed upstreams several times, or a part of
+ * whose prompt has.
+ */
 static bool
 is_quarantined(struct exchange *exchange)
 {
+	if (exchange_refuse_crashing_part(exchange))
+		return true;
 	exchange->fingerprint = fingerprint(exchange);
 	if (mesh_suspect_deaths(exchange->context->mesh,
 		exchange->fingerprint) < QUARANTINE_DEATHS)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "base/clock.h"
 #include "base/http_client.h"
 #include "base/httpd.h"
+#include "gateway/crash_sync.h"
 #include "gateway/load_sync.h"
 #include "gateway/registry.h"
 #include "gateway/routing_state.h"
@@ -30,6 +31,7 @@
 	struct registry *registry;
 	const char *address; /* of this gateway, for its peers */
 	struct load_sync *load_sync;
+	struct crash_sync *crash_sync;
 	struct mesh *mesh; /* shares which requests crash upstreams */
 	GRand *random;
 	struct retry_window_limits retry; /* slack for all gateways */
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
 #include "gateway/exchange_internal.h"
+#include "policy/part_quarantine.h"
+#include "policy/quarantine.h"
 
 #define LOG_MODULE "verdict"
 #include "base/log.h"
@@ -79,8 +81,13 @@
 /* Checks whether an upstream died when its connection broke. */
 struct death_check {
 	struct mesh *mesh;
+	struct crash_sync *crash_sync;
 	uint64_t fingerprint; /* of the request */
 	char *upstream; /* id */
+	uint64_t death; /* id of its death, if it died */
+	uint64_t parts[PROMPT_PARTS_MAX]; /* of the request, if suspect */
+	size_t part_count;
+	bool begun; /* the response had begun */
 };
 
 /*
@@ -98,6 +105,8 @@
 		    "upstream", check->upstream, "fingerprint",
 		    (json_int_t)check->fingerprint);
 		mesh_report_upstream_death(check->mesh, check->fingerprint);
+		crash_sync_report_death(check->crash_sync, check->death,
+		    check->parts, check->part_count, check->begun);
 	}
 	g_free(check->upstream);
 	g_free(check);
@@ -107,7 +116,8 @@
  * Connects to an upstream whose connection broke during a request, to find out
  * whether it died. Deaths are reported by the request's fingerprint to all
  * gateways, so that a request which crashes every upstream that runs it is not
- * sent to all of them.
+ * sent to all of them, and by its prompt's parts if it had not survived its
+ * first events.
  */
 static void
 check_death(struct exchange *exchange, const struct fleet_upstream *upstream)
@@ -128,9 +138,27 @@
 	check->mesh = exchange->context->mesh;
 	check->fingerprint = exchange->fingerprint;
 	check->upstream = g_strdup(upstream->id);
+	check->crash_sync = exchange->context->crash_sync;
+	check->death = quarantine_death_id(
+	    upstream->id, (uint64_t)upstream->start_wall_ms);
+	check->begun = time_is_set(exchange->begun_at);
+	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS) {
+		check->part_count = exchange->caller_headers.part_count;
+		memcpy(check->parts, exchange->caller_headers.parts,
+		    sizeof(check->parts));
+	}
 	http_client_start(exchange->context->http, &request, &ops, check);
 }
 
+/* Reports that the request's response has survived its first events. */
+void
+exchange_report_survival(struct exchange *exchange)
+{
+	crash_sync_report_survival(exchange->context->crash_sync,
+	    exchange->caller_headers.parts, exchange->caller_headers.part_count,
+	    exchange->begun_at);
+}
+
 /* Logs how far the response was that a broken connection has ended. */
 static void
 log_broken_send(
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -122,6 +122,8 @@
     struct exchange *, enum refusal, int64_t retry_after_ms, const char *why);
 void exchange_send(struct exchange *);
 bool exchange_may_begin(struct exchange *);
+bool exchange_refuse_crashing_part(struct exchange *);
+void exchange_report_survival(struct exchange *);
 struct retry_window *exchange_retry_window(struct exchange *);
 void exchange_clear_helpers(struct exchange *);
 size_t exchange_sends_max(const struct exchange *);
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -1,4 +1,5 @@
 #include "gateway/exchange_internal.h"
+#include "policy/part_quarantine.h"
 
 #define LOG_MODULE "answer"
 #include "base/log.h"
@@ -148,7 +149,8 @@
 {
 	struct exchange *exchange = data;
 
-	exchange->send_events++;
+	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
+		exchange_report_survival(exchange);
 	if (has_id && exchange->has_last_event && id <= exchange->last_event)
 		return;
 	if (has_id) {
@@ -207,6 +209,8 @@
 {
 	const struct http_header *headers;
 
+	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS)
+		exchange_report_survival(exchange);
 	exchange_end_send(exchange,
 	    exchange->status >= STATUS_SERVER_MIN ? SEND_FAILED
 						  : SEND_ANSWERED);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -285,6 +285,8 @@
 	struct balance_plan chosen = {0};
 	enum balance_verdict verdict;
 
+	if (exchange_refuse_crashing_part(exchange))
+		return;
 	if (!exchange_may_begin(exchange)) {
 		exchange_fail(exchange, REFUSAL_DRAINING,
 		    DRAINING_RETRY_AFTER_MS,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -46,6 +46,7 @@
 	struct routing_state *routing_state;
 	struct registry *registry;
 	struct load_sync *load_sync;
+	struct crash_sync *crash_sync;
 	struct exchange_context exchange_context;
 	struct httpd *callers;
 	struct ev_timer start_timer;
@@ -168,6 +169,7 @@
 	    .registry = gateway->registry,
 	    .address = node_identity(gateway->node)->address,
 	    .load_sync = gateway->load_sync,
+	    .crash_sync = gateway->crash_sync,
 	    .mesh = node_mesh(gateway->node),
 	    .random = gateway->random,
 	    .retry =
@@ -274,6 +276,8 @@
 	gateway->load_sync = load_sync_new(gateway->loop, gateway->clock,
 	    node_mesh(gateway->node), &self, gateway->registry,
 	    gateway->routing_state);
+	gateway->crash_sync = crash_sync_new(gateway->loop, gateway->clock,
+	    node_mesh(gateway->node), gateway->random);
 	init_exchange_context(gateway);
 	return open_callers(gateway, error);
 }
@@ -287,6 +291,7 @@
 	gateway->exchange_context.exiting = true;
 	httpd_free(gateway->callers);
 	exchange_context_clear(&gateway->exchange_context);
+	crash_sync_free(gateway->crash_sync);
 	load_sync_free(gateway->load_sync);
 	registry_free(gateway->registry);
 	routing_state_free(gateway->routing_state);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -50,6 +50,7 @@
 	MESSAGE_SUSPECT, /* a request that was running when an upstream died */
 	MESSAGE_LOAD, /* the sender's requests at each upstream */
 	MESSAGE_PREFILL, /* a prompt that the sender has just sent */
+	MESSAGE_CRASHES, /* prompt parts with which upstreams died or not */
 	MESSAGE_KINDS,
 };
 
@@ -286,6 +287,16 @@
 	char *origin;
 };
 
+struct message_crashes {
+	struct u64_array parts; /* as many as in each array below */
+	struct u64_array kinds; /* enum part_event_kind */
+	struct u64_array depths; /* positions in a prompt */
+	struct u64_array deaths; /* ids */
+	struct u64_array ages_ms;
+	uint64_t digest; /* of all charges that the sender knows */
+	uint32_t request; /* whether to send more if the digest differs */
+};
+
 struct message {
 	uint32_t kind; /* enum message_kind */
 	char request[REQUEST_ID_SIZE]; /* empty for none */
@@ -315,6 +326,7 @@
 		struct message_suspect suspect;
 		struct message_load load;
 		struct message_prefill prefill;
+		struct message_crashes crashes;
 	};
 };
 
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -106,6 +106,10 @@
 		M(U64, prefill.part_us), M(U32, prefill.stream),
 		M(U64, prefill.context_tokens), M(BOOL, prefill.relay),
 		M(STRING, prefill.origin) }, .optional_count = 4 },
+	[MESSAGE_CRASHES] = { "crashes", {
+		M(U64_ARRAY, crashes.parts), M(U64_ARRAY, crashes.kinds),
+		M(U64_ARRAY, crashes.depths), M(U64_ARRAY, crashes.deaths), M(U64_ARRAY, crashes.ages_ms),
+		M(U64, crashes.digest), M(U32, crashes.request) } },
 };
 
 #undef M
--- a/src/peer/traffic.c
+++ b/src/peer/traffic.c
@@ -61,6 +61,7 @@
 	case MESSAGE_STATUS_QUERY:
 	case MESSAGE_STATUS_ANSWER:
 	case MESSAGE_SUSPECT:
+	case MESSAGE_CRASHES:
 		return &documents;
 	default:
 		return &work;
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -114,6 +114,8 @@
 	f->exchange_context.load_sync = load_sync_new(f->loop, clock_system(),
 	    f->mesh, &self, f->exchange_context.registry,
 	    f->exchange_context.routing_state);
+	f->exchange_context.crash_sync = crash_sync_new(
+	    f->loop, clock_system(), f->mesh, f->exchange_context.random);
 	exchange_context_init(&f->exchange_context);
 	f->callers = httpd_new(f->loop, &settings, &caller_ops, f, NULL);
 	g_assert_nonnull(f->callers);
@@ -125,6 +127,7 @@
 {
 	httpd_free(f->callers);
 	exchange_context_clear(&f->exchange_context);
+	crash_sync_free(f->exchange_context.crash_sync);
 	load_sync_free(f->exchange_context.load_sync);
 	registry_free(f->exchange_context.registry);
 	routing_state_free(f->exchange_context.routing_state);
--- /dev/null
+++ b/tests/test_part_quarantine.c
@@ -0,0 +1,165 @@
+/*
+ * Which prompt parts are refused because they crash upstreams. Guards against
+ * parts that crash one upstream after the other, and against sound parts that
+ * are refused because they stood beside them.
+ */
+#include "base/clock.h"
+#include "cases.h"
+#include "policy/part_quarantine.h"
+
+#define START_MS  100000
+#define STEPS_MAX 12
+#define PARTS	  4
+
+/* One event, or the time at which it ends if part is 0. */
+struct step {
+	uint64_t part;
+	uint64_t death; /* 0 for a survival */
+	bool begun;
+	int64_t at_ms;
+	uint32_t depth;
+};
+
+static const struct quarantine_case {
+	const char *name;
+	struct step steps[STEPS_MAX];
+	int64_t now_ms;
+	bool refused[PARTS]; /* by part, from 1 */
+} cases[] = {
+    {"two deaths do not refuse a part",
+	{{1, 1, true, 0, 0}, {1, 2, true, 9, 0}}, 10, {false}},
+    {"three deaths at begun responses refuse a part",
+	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 3, true, 9, 0}}, 10,
+	{true}},
+    {"a death that several gateways report counts once",
+	{{1, 1, true, 0, 0}, {1, 1, true, 1, 0}, {1, 1, true, 2, 0}}, 10,
+	{false}},
+    {"five deaths before the response began do not refuse a part",
+	{{1, 1, false, 0, 0}, {1, 2, false, 0, 0}, {1, 3, false, 0, 0},
+	    {1, 4, false, 0, 0}, {1, 5, false, 0, 0}},
+	10, {false}},
+    {"six deaths before the response began refuse a part",
+	{{1, 1, false, 0, 0}, {1, 2, false, 0, 0}, {1, 3, false, 0, 0},
+	    {1, 4, false, 0, 0}, {1, 5, false, 0, 0}, {1, 6, false, 0, 0}},
+	10, {true}},
+    {"a report that the response had begun replaces one that it had not",
+	{{1, 1, false, 0, 0}, {1, 1, true, 0, 0}, {1, 2, true, 0, 0},
+	    {1, 3, true, 0, 0}},
+	10, {true}},
+    {"a survival refutes charges before it",
+	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 0, false, 6, 0},
+	    {1, 3, true, 9, 0}},
+	10, {false}},
+    {"a survival refutes charges shortly after its response began",
+	{{1, 0, false, 0, 0}, {1, 1, true, 900, 0}, {1, 2, true, 950, 0},
+	    {1, 3, true, 1000, 0}},
+	1000, {false}},
+    {"a survival does not refute charges long after it",
+	{{1, 0, false, 0, 0}, {1, 1, true, 2000, 0}, {1, 2, true, 2050, 0},
+	    {1, 3, true, 2100, 0}},
+	2100, {true}},
+    {"a refused part that survives is accepted again",
+	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 3, true, 9, 0},
+	    {1, 0, false, 8, 0}},
+	10, {false}},
+    {"of parts that stand together the deepest is refused",
+	{{1, 1, true, 0, 0}, {2, 1, true, 0, 1}, {1, 2, true, 5, 0},
+	    {2, 2, true, 5, 1}, {1, 3, true, 9, 0}, {2, 3, true, 9, 1}},
+	10, {false, true}},
+    {"of parts that stand together one that has survived before is accepted",
+	{{2, 0, false, 0, 0}, {1, 1, true, 2000, 0}, {2, 1, true, 2000, 1},
+	    {1, 2, true, 2000, 0}, {2, 2, true, 2000, 1}, {1, 3, true, 2000, 0},
+	    {2, 3, true, 2000, 1}},
+	2000, {true, false}},
+    {"a first part that crashes beside others is refused",
+	{{1, 1, true, 0, 0}, {2, 1, true, 0, 1}, {1, 2, true, 5, 0},
+	    {3, 2, true, 5, 1}, {1, 3, true, 9, 0}, {4, 3, true, 9, 1}},
+	10, {true, false, false, false}},
+    {"charges end with time",
+	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 3, true, 9, 0}},
+	PART_QUARANTINE_MS + 9, {false}},
+};
+
+/* Sets what has changed, by part. */
+static void
+on_refused(void *data, uint64_t part, bool refused)
+{
+	((bool *)data)[part] = refused;
+}
+
+/* Runs one case. */
+static void
+test_case(gconstpointer data)
+{
+	const struct quarantine_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	struct part_quarantine *quarantine = part_quarantine_new();
+	struct timespec now = time_from_ms(START_MS + c->now_ms);
+	bool refused[PARTS + 1] = {false};
+
+	for (const struct step *step = c->steps; step->part != 0; step++) {
+		const struct part_event event = {
+		    .kind = step->death == 0 ? PART_SURVIVED
+			: step->begun	     ? PART_CHARGED_BEGUN
+					     : PART_CHARGED_WAITING,
+		    .part = step->part,
+		    .depth = step->depth,
+		    .death = step->death,
+		    .at = time_from_ms(START_MS + step->at_ms),
+		};
+
+		part_quarantine_add(quarantine, &event, event.at);
+	}
+	part_quarantine_update(quarantine, now, on_refused, refused);
+	for (size_t i = 0; i < PARTS; i++) {
+		g_assert_cmpint(refused[i + 1], ==, c->refused[i]);
+		g_assert_cmpint(
+		    part_quarantine_left_ms(quarantine, i + 1, now) > 0, ==,
+		    c->refused[i]);
+	}
+	part_quarantine_free(quarantine);
+}
+
+/* Nothing to do. */
+static void
+ignore_refused(void *data, uint64_t part, bool refused)
+{
+}
+
+/*
+ * The table is bounded, and parts that only survive do not push out one that is
+ * refused.
+ */
+static void
+test_bound(void)
+{
+	struct part_quarantine *quarantine = part_quarantine_new();
+	struct timespec now = time_from_ms(START_MS);
+	struct part_event event = {
+	    .kind = PART_CHARGED_BEGUN, .part = UINT64_MAX, .at = now};
+
+	for (event.death = 1; event.death <= 3; event.death++)
+		part_quarantine_add(quarantine, &event, now);
+	part_quarantine_update(quarantine, now, ignore_refused, NULL);
+	event.kind = PART_SURVIVED;
+	for (event.part = 1; event.part <= 2 * PART_QUARANTINE_PARTS_MAX;
+	     event.part++)
+		part_quarantine_add(quarantine, &event, now);
+	g_assert_cmpint(
+	    part_quarantine_left_ms(quarantine, UINT64_MAX, now), >, 0);
+	g_assert_false(part_quarantine_survival(quarantine, 1, &event));
+	g_assert_true(part_quarantine_survival(
+	    quarantine, 2 * PART_QUARANTINE_PARTS_MAX, &event));
+	part_quarantine_free(quarantine);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_CASES(cases, "/part quarantine", test_case);
+	g_test_add_func(
+	    "/part quarantine/a refused part is kept when the table "
+	    "is full",
+	    test_bound);
+	return g_test_run();
+}
