Requests with a refused part are cancelled at their upstreams

Requests that wait at an upstream, or whose prompt it prefills, when one of their parts is refused would still crash it as their responses begin. They are cancelled and their callers told: 502, as the outcome is unknown, or 503 if nothing was sent yet. Responses that have survived their first events go on. The new case of test_crash_parts fails without the change: the request stays at its upstream until its deadline.

--- a/src/gateway/crash_sync.c
+++ b/src/gateway/crash_sync.c
@@ -32,6 +32,8 @@
 	GRand *random;
 	struct part_quarantine *quarantine;
 	struct mesh_handler handler;
+	crash_sync_refused_fn *refused_callback;
+	void *refused_callback_data;
 	GArray *pending; /* of struct part_event, to be sent */
 	ev_timer flush_timer;
 	ev_timer compare_timer;
@@ -142,11 +144,14 @@
 static void
 on_refused(void *data, uint64_t part, bool refused)
 {
+	struct crash_sync *sync = data;
 	char text[17];
 
 	snprintf(text, sizeof(text), "%" PRIx64, part);
 	LOG_WARN(refused ? "prompt part refused" : "prompt part accepted again",
 	    "{s:s}", "part", text);
+	if (refused && sync->refused_callback != NULL)
+		sync->refused_callback(sync->refused_callback_data, part);
 }
 
 /* Adds an event and queues it, or what refutes it, for the peers. */
@@ -316,6 +321,15 @@
 	g_free(sync);
 }
 
+/* Sets the callback for parts that are refused from now on. */
+void
+crash_sync_set_refused_callback(
+    struct crash_sync *sync, crash_sync_refused_fn *callback, void *data)
+{
+	sync->refused_callback = callback;
+	sync->refused_callback_data = data;
+}
+
 /*
  * Reports the death of an upstream during a request with these parts whose
  * response had begun or not, and had not survived.
--- a/src/gateway/crash_sync.h
+++ b/src/gateway/crash_sync.h
@@ -19,9 +19,14 @@
 
 struct crash_sync;
 
+/* Requests with a part are refused from now on. */
+typedef void crash_sync_refused_fn(void *data, uint64_t part);
+
 struct crash_sync *crash_sync_new(
     struct ev_loop *, struct clock *, struct mesh *, GRand *);
 void crash_sync_free(struct crash_sync *);
+void crash_sync_set_refused_callback(
+    struct crash_sync *, crash_sync_refused_fn *, void *data);
 void crash_sync_report_death(struct crash_sync *, uint64_t death,
     const uint64_t *parts, size_t count, bool begun);
 void crash_sync_report_survival(struct crash_sync *, const uint64_t *parts,
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -61,6 +61,9 @@
 {
 	context->retry_windows = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
+	TAILQ_INIT(&context->exchanges);
+	crash_sync_set_refused_callback(
+	    context->crash_sync, exchange_on_part_refused, context);
 	context->durations = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -359,6 +362,7 @@
 	struct exchange *exchange = g_new0(struct exchange, 1);
 
 	context->open++;
+	TAILQ_INSERT_TAIL(&context->exchanges, exchange, entry);
 	metric_add(&requests, 1);
 	exchange->context = context;
 	exchange->http = http;
@@ -433,6 +437,7 @@
 	event_splitter_clear(&exchange->splitter);
 	routing_table_unref(exchange->table);
 	context->open--;
+	TAILQ_REMOVE(&context->exchanges, exchange, entry);
 	g_free(exchange);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "base/clock.h"
 #include "base/http_client.h"
 #include "base/httpd.h"
+#include "base/list.h"
 #include "gateway/crash_sync.h"
 #include "gateway/load_sync.h"
 #include "gateway/registry.h"
@@ -22,6 +23,8 @@
 #include "policy/drain.h"
 #include "policy/retry_window.h"
 
+struct exchange;
+
 /* State and settings that all exchanges share. */
 struct exchange_context {
 	struct ev_loop *loop;
@@ -41,6 +44,7 @@
 	GHashTable *retry_windows; /* service -> struct retry_window */
 	GHashTable *durations; /* route -> struct duration */
 	struct drain drain;
+	TAILQ_HEAD(exchange_list, exchange) exchanges; /* open ones */
 	bool exiting; /* open requests are cut */
 	size_t open;
 };
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -159,6 +159,41 @@
 	    exchange->begun_at);
 }
 
+/* Returns whether the request's prompt has a part. */
+static bool
+has_part(const struct exchange *exchange, uint64_t part)
+{
+	for (size_t i = 0; i < exchange->caller_headers.part_count; i++) {
+		if (exchange->caller_headers.parts[i] == part)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Cancels the sends with a part that is refused from now on, before their
+ * upstreams crash too. Those whose responses have survived go on.
+ */
+void
+exchange_on_part_refused(void *data, uint64_t part)
+{
+	struct exchange_context *context = data;
+	struct exchange *exchange;
+
+	TAILQ_FOREACH (exchange, &context->exchanges, entry) {
+		if (exchange->upstream == NULL || !has_part(exchange, part) ||
+		    exchange->send_events >= PART_QUARANTINE_SURVIVED_EVENTS)
+			continue;
+		/* Without a call, memory is being reserved and nothing sent. */
+		exchange->may_have_run |= exchange->call != NULL;
+		exchange_stop_send(exchange);
+		exchange_discard_partial(exchange);
+		exchange_fail(exchange, REFUSAL_QUARANTINED, 0,
+		    "upstreams crashed when they began to answer requests with "
+		    "a part of this prompt");
+	}
+}
+
 /* Logs how far the response was that a broken connection has ended. */
 static void
 log_broken_send(
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -116,6 +116,7 @@
 	struct timespec first_event_at;
 	struct timespec last_event_at;
 	int64_t longest_gap_ms; /* longest time between two events */
+	TAILQ_ENTRY(exchange) entry;
 };
 
 void exchange_refuse(
@@ -124,6 +125,7 @@
 bool exchange_may_begin(struct exchange *);
 bool exchange_refuse_crashing_part(struct exchange *);
 void exchange_report_survival(struct exchange *);
+crash_sync_refused_fn exchange_on_part_refused;
 struct retry_window *exchange_retry_window(struct exchange *);
 void exchange_clear_helpers(struct exchange *);
 size_t exchange_sends_max(const struct exchange *);
--- a/tests/test_crash_parts.c
+++ b/tests/test_crash_parts.c
@@ -59,6 +59,38 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * A request that an upstream has not answered yet is cancelled there once a
+ * part of its prompt is refused, and its caller is told; a sound one goes on.
+ */
+static void
+test_cancelled(void)
+{
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_HANG, FAKE_STEP_HANG};
+	struct fixture f = {0};
+	/* The hash of "bad". */
+	const uint64_t part = UINT64_C(0xf7c170336e83ce9a);
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
+	fixture_wait_for_routing_state(&f);
+	f.parts = "f1:40,600d:100,e0:5";
+	fixture_call(&f, "/fragile/sound", FIXTURE_KEY);
+	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 1);
+	f.parts = "f1:40,bad:100,e1:5";
+	fixture_call(&f, "/fragile/bad", FIXTURE_KEY);
+	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 2);
+	for (uint64_t death = 1; death <= CRASHES; death++)
+		crash_sync_report_death(
+		    f.exchange_context.crash_sync, death, &part, 1, true);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpint(f.status, ==, 502);
+	RUN_UNTIL(&f, fake_platform_request(f.fake_platform, 1)->closed_early);
+	g_assert_false(fake_platform_request(f.fake_platform, 0)->closed_early);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -67,5 +99,8 @@
 	g_test_add_func("/crash parts/unlike requests with a part that crashes "
 			"upstreams are refused",
 	    test_unlike_requests);
+	g_test_add_func("/crash parts/a request at an upstream is cancelled "
+			"once a part of it is refused",
+	    test_cancelled);
 	return g_test_run();
 }
