--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -33,6 +33,10 @@
 	"{\"Name\":\"prompt\",\"Host\":\"h\",\"PathPrefix\":\"/prompt/\","   \
 	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"LatencyTargetMs\":1000,"   \
 	"\"GapTargetMs\":1000,\"Attempts\":2,\"Service\":\"s\"},"            \
+	"{\"Name\":\"parts\",\"Host\":\"h\",\"PathPrefix\":\"/parts/\","     \
+	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"LatencyTargetMs\":1000,"   \
+	"\"GapTargetMs\":1000,\"Attempts\":2,\"CanResume\":true,"            \
+	"\"Service\":\"s\"},"                                                \
 	"{\"Name\":\"last\",\"Host\":\"h\",\"PathPrefix\":\"/last/\","       \
 	"\"Kind\":\"stream\",\"TimeoutMs\":5000,\"Attempts\":2,"             \
 	"\"CanResume\":true,\"Service\":\"s\"},"                             \
