A response that ends inside its headers is no response

A gateway retried, but took the upstream for one that had closed in an orderly way, so that its death was not looked for and a request that crashed each upstream in this state went on to the next ones.

Cause: where a connection ends after at least one header line, curl reports success with that status, as for an unframed response without a body. The client passed this on as a complete call whose headers callback never came.

Change: a call whose final response has no end of headers has ended early.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -69,6 +69,8 @@
 	bool pause_wanted;
 	bool paused;
 	bool sent;
+	bool connect_only;
+	bool headers_complete; /* those of the final response */
 	bool failed; /* error_code is set and overrides curl's code */
 	enum http_client_error error_code;
 	TAILQ_ENTRY(http_call) entry;
@@ -151,6 +153,17 @@
 	    texts[kind], curl_easy_strerror(code));
 }
 
+/*
+ * Returns whether a connection has ended inside the headers of a response,
+ * which curl takes for an unframed one.
+ */
+static bool
+is_cut_in_headers(const struct http_call *call, CURLcode code)
+{
+	return code == CURLE_OK && !call->connect_only &&
+	    !call->headers_complete;
+}
+
 /* Ends a call: removes it from curl, calls its done callback, frees it. */
 static void
 call_end(struct http_call *call, CURLcode code)
@@ -159,6 +172,8 @@
 	GError *error;
 	long status = 0;
 
+	if (is_cut_in_headers(call, code))
+		code = CURLE_PARTIAL_FILE;
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	result.status = (int)status;
 	result.may_have_sent = call_may_have_sent(call);
@@ -375,14 +390,16 @@
 }
 
 /*
- * Calls the headers callback for a final response; false if it ends the call.
+ * Handles the end of the headers: calls the headers callback for a final
+ * response. Returns false if it ends the call.
  */
 static bool
-report_headers(struct http_call *call)
+on_headers_end(struct http_call *call)
 {
 	long status = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	call->headers_complete = status >= STATUS_FINAL_MIN;
 	if (call->ops->headers == NULL || status < STATUS_FINAL_MIN ||
 	    call->state != CALL_RUNNING)
 		return true;
@@ -410,7 +427,7 @@
 	if (length > 5 && memcmp(bytes, "HTTP/", 5) == 0) {
 		g_array_set_size(call->headers_in, 0);
 	} else if (length <= 2 && (bytes[0] == '\r' || bytes[0] == '\n')) {
-		return report_headers(call) ? length : 0;
+		return on_headers_end(call) ? length : 0;
 	} else if (colon != NULL) {
 		header.name = g_strndup(bytes, (size_t)(colon - bytes));
 		header.value = g_strstrip(
@@ -644,6 +661,7 @@
 	    : RESPONSE_MAX_DEFAULT_BYTES;
 	call->stall_ms = request->stall_ms;
 	call->unreachable_ms = request->unreachable_ms;
+	call->connect_only = request->connect_only;
 	ev_init(&call->stall, on_call_stalled);
 	call->stall.data = call;
 	ev_timer_init(&call->timeout, on_call_timeout,
