An unframed stream that ends inside an event is a broken connection

What callers saw: a request that crashed each upstream writing an unframed answer was resumed and sent on without end; its upstreams' deaths were never counted.

Cause: whether an upstream may have died is checked where the HTTP client reports a broken connection. The close of an unframed response is no error to it: only the event that remains incomplete shows the break, and this was taken for a failure without a disconnection.

Change: the incomplete event counts as one.

--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -265,8 +265,10 @@
 		return;
 	}
 	outcome = failed_outcome(exchange, result);
-	exchange->disconnected = result->error != NULL &&
-	    result->error->code == HTTP_CLIENT_ERROR_DISCONNECTED;
+	/* An unframed stream ends without an error wherever it breaks. */
+	exchange->disconnected = result->error == NULL
+	    ? has_partial_event
+	    : result->error->code == HTTP_CLIENT_ERROR_DISCONNECTED;
 	exchange_discard_partial(exchange);
 	exchange_end_send(exchange, outcome);
 	if (exchange->streaming && !exchange->is_event_stream) {
