Callers of HTTP 1.0 see that a stream was cut

What callers saw: a stream, or a long response, that was broken off ended for a caller of HTTP 1.0 with an orderly close, as a complete one does. So did the streams that the gateway's exit cut.

Cause: such a caller gets no chunks, so without a length nothing but the close ends its response. To abort, the HTTP library shuts the connection down and then closes it, for it relies on the missing last chunk.

Change: an aborted stream that only its connection ends is reset. SO_LINGER would come too late, since the library's shutdown sends the FIN; so the socket is disconnected first, which sends a reset at once. Bytes that the caller has not received by then are lost with it. Responses with chunks or a length end as before.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -168,14 +168,15 @@
  * Handles the request's headers; rejects a declared body length over a limit.
  */
 static enum MHD_Result
-start_request(
-    struct httpd_request *request, const char *path, const char *method)
+start_request(struct httpd_request *request, const char *path,
+    const char *method, const char *version)
 {
 	const char *length_text = httpd_request_header(
 	    request, MHD_HTTP_HEADER_CONTENT_LENGTH);
 	guint64 length = 0;
 
 	request->started = true;
+	request->old_version = strcmp(version, MHD_HTTP_VERSION_1_1) != 0;
 	request->path = g_strdup(path);
 	request->method = g_strdup(method);
 	if (length_text != NULL)
@@ -264,7 +265,7 @@
 	size_t taken = *length;
 
 	if (!request->started)
-		return start_request(request, path, method);
+		return start_request(request, path, method, version);
 	if (taken == 0)
 		return dispatch_request(request);
 	*length = 0;
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -35,9 +35,11 @@
 	int status;
 	GByteArray *stream; /* NULL for a complete response */
 	size_t stream_read; /* bytes of stream already sent */
+	bool old_version; /* of HTTP, before 1.1 */
 	bool started; /* its headers were read */
 	bool dispatched; /* passed to the owner */
 	bool stream_ended;
+	bool ends_with_connection; /* the stream has no length or chunks */
 	bool written_since_drain; /* since the last drained callback */
 	bool suspended;
 	bool disconnected;
--- a/src/base/httpd_request.c
+++ b/src/base/httpd_request.c
@@ -1,9 +1,15 @@
+#include <sys/socket.h>
+
+#include <errno.h>
 #include <string.h>
 
 #include <jansson.h>
 
 #include "base/httpd_internal.h"
 
+#define LOG_MODULE "httpd"
+#include "base/log.h"
+
 /* Buffer size of a streamed response. */
 #define STREAM_BLOCK_BYTES 1024
 /* Sent bytes are removed from a stream's buffer above this. */
@@ -72,6 +78,20 @@
 	httpd_schedule_run(request->httpd);
 }
 
+/*
+ * Resets the connection of a response that nothing but its end completes. The
+ * library would close it in an orderly way, as after a complete one.
+ */
+static void
+reset_connection(struct httpd_request *request)
+{
+	static const struct sockaddr unspecified = {.sa_family = AF_UNSPEC};
+
+	if (connect(request->peer->fd, &unspecified, sizeof(unspecified)) != 0)
+		LOG_WARN("can't reset connection", "{s:s}", "why",
+		    g_strerror(errno));
+}
+
 /*
  * Closes the connection without completing the response; closed() follows from
  * the loop, also if the caller has disconnected.
@@ -79,6 +99,8 @@
 void
 httpd_abort(struct httpd_request *request)
 {
+	if (request->ends_with_connection && !request->disconnected)
+		reset_connection(request);
 	request->disconnected = true;
 	resume_request(request);
 }
@@ -295,6 +317,8 @@
 
 	g_return_if_fail(request->response == NULL);
 	request->stream = g_byte_array_new();
+	request->ends_with_connection = length == MHD_SIZE_UNKNOWN &&
+	    request->old_version;
 	response = MHD_create_response_from_callback(
 	    length, STREAM_BLOCK_BYTES, read_stream, request, NULL);
 	set_response(request, response, status, headers, header_count);
