A plain service's stream that ends inside an event is lost

What callers saw: the event stream of a plain service that was broken off without a length or chunks was answered, and stored with its claim, as a complete 200.

Cause: the dialect of plain services took the end of a connection for the end of the response, whatever it had sent. The gateway's exchange looks for an event that remains incomplete, the sidecar did not.

Change: such a response ends as lost, as with a broken connection: a repeatable call is tried again, another gets an error, and its claim's outcome is unknown.

--- a/src/upstream/event_stream.c
+++ b/src/upstream/event_stream.c
@@ -75,3 +75,19 @@
 	}
 	return true;
 }
+
+/* Moves a position past the next bytes of its stream. */
+void
+event_stream_advance(
+    struct event_stream_position *position, const uint8_t *bytes, size_t length)
+{
+	for (size_t i = 0; i < length; i++) {
+		if (bytes[i] == '\n') {
+			position->in_event &= position->in_line;
+			position->in_line = false;
+		} else if (bytes[i] != '\r') {
+			position->in_line = true;
+			position->in_event = true;
+		}
+	}
+}
--- a/src/upstream/event_stream.h
+++ b/src/upstream/event_stream.h
@@ -16,6 +16,12 @@
 	GString *data;
 };
 
+/* Where a stream that is not decoded stands; zero before its first byte. */
+struct event_stream_position {
+	bool in_line; /* its current line is not empty */
+	bool in_event; /* an empty line has yet to end the last event */
+};
+
 /* The data of one event, its lines joined; false stops the decoder. */
 typedef bool event_stream_fn(void *data, const char *text, size_t length);
 
@@ -23,5 +29,7 @@
 void event_stream_clear(struct event_stream *);
 bool event_stream_feed(struct event_stream *, const uint8_t *, size_t,
     event_stream_fn *, void *data);
+void event_stream_advance(
+    struct event_stream_position *, const uint8_t *, size_t length);
 
 #endif
--- a/src/upstream/plain.c
+++ b/src/upstream/plain.c
@@ -5,11 +5,13 @@
 #include <string.h>
 
 #include "base/list.h"
+#include "upstream/event_stream.h"
 #include "upstream/json_client.h"
 #include "upstream/upstream.h"
 
 #define HEALTH_TIMEOUT_MS 1000
 #define HEADERS_MAX	  3
+#define EVENT_STREAM_TYPE "text/event-stream"
 
 struct plain_call {
 	struct upstream_call call;
@@ -17,6 +19,7 @@
 	const struct upstream_call_ops *ops;
 	void *data;
 	uint64_t sequence;
+	struct event_stream_position position; /* if it is an event stream */
 	bool ending;
 	bool dropped; /* in the callback of its end */
 	TAILQ_ENTRY(plain_call) entry;
@@ -53,13 +56,27 @@
 	struct upstream_event event = {
 	    .sequence = ++call->sequence, .data = bytes, .length = length};
 
+	event_stream_advance(&call->position, bytes, length);
 	call->ops->event(call->data, &event);
 	return true;
 }
 
+/*
+ * Returns whether a response is an event stream that ended inside an event:
+ * without a length or chunks, a broken connection shows in nothing else.
+ */
+static bool
+is_cut_in_event(const struct plain_call *call, const char *type)
+{
+	return type != NULL &&
+	    g_ascii_strncasecmp(
+		type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE)) == 0 &&
+	    call->position.in_event;
+}
+
 /*
  * Passes on the end of a call. Any HTTP status is the service's own response;
- * only a failed call is an error.
+ * only a failed call or a stream that broke off is an error.
  */
 static void
 on_done(void *data, struct http_call *http, const struct http_result *result)
@@ -75,6 +92,9 @@
 		error = upstream_error_from_result(result);
 	else if (result->body->len > 0)
 		on_chunk(call, result->body->data, result->body->len);
+	if (error == NULL && is_cut_in_event(call, end.content_type))
+		error = g_error_new_literal(UPSTREAM_ERROR, UPSTREAM_ERROR_LOST,
+		    "upstream: the response ended inside an event");
 	end.error = error;
 	if (!call->dropped)
 		call->ops->ended(call->data, &end);
