An empty line after the last event is not the start of another one

What callers saw: a complete stream that ended with one empty line more than its last event needs was resumed at another upstream, or cut.

Cause: any byte that remained in the splitter counted as an event that was broken off.

Change: only a byte that is no line end begins an event.

--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -28,6 +28,18 @@
 	g_byte_array_set_size(splitter->buffer, 0);
 }
 
+/* Returns whether an event has begun; empty lines between events are none. */
+bool
+event_splitter_is_in_event(const struct event_splitter *splitter)
+{
+	for (guint i = 0; i < splitter->buffer->len; i++) {
+		if (splitter->buffer->data[i] != '\r' &&
+		    splitter->buffer->data[i] != '\n')
+			return true;
+	}
+	return false;
+}
+
 /* Returns the length of the first complete event, 0 if there is none. */
 static size_t
 first_event_length(const uint8_t *bytes, size_t length)
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -255,7 +255,7 @@
 {
 	struct exchange *exchange = data;
 	bool has_partial_event = exchange->is_event_stream &&
-	    exchange->splitter.buffer->len > 0;
+	    event_splitter_is_in_event(&exchange->splitter);
 	const char *why = "the response ended inside an event";
 	enum send_outcome outcome;
 
--- a/tests/test_event_splitter.c
+++ b/tests/test_event_splitter.c
@@ -14,16 +14,23 @@
 	const char *bytes;
 	int events;
 	uint64_t last_id; /* 0 for none */
-	size_t remaining; /* bytes of an incomplete event */
+	size_t remaining; /* bytes after the last complete event */
+	bool in_event; /* and they have begun another one */
 } cases[] = {
-    {"one event", "id: 3\ndata: x\n\n", 1, 3, 0},
-    {"two events", "id: 3\ndata: x\n\nid: 4\ndata: y\n\n", 2, 4, 0},
-    {"an incomplete event", "id: 3\ndata: x\n\nid: 4\nda", 1, 3, 8},
-    {"an event without id", "data: x\n\n", 1, 0, 0},
-    {"lines that end with CR LF", "id: 12\r\ndata: x\r\n\r\n", 1, 12, 0},
-    {"an id after the data", "data: x\nid:7\n\n", 1, 7, 0},
-    {"an id that is not a number", "id: x\ndata: y\n\n", 1, 0, 0},
-    {"nothing", "", 0, 0, 0},
+    {"one event", "id: 3\ndata: x\n\n", 1, 3, 0, false},
+    {"two events", "id: 3\ndata: x\n\nid: 4\ndata: y\n\n", 2, 4, 0, false},
+    {"an incomplete event", "id: 3\ndata: x\n\nid: 4\nda", 1, 3, 8, true},
+    {"an event without id", "data: x\n\n", 1, 0, 0, false},
+    {"lines that end with CR LF", "id: 12\r\ndata: x\r\n\r\n", 1, 12, 0, false},
+    {"an id after the data", "data: x\nid:7\n\n", 1, 7, 0, false},
+    {"an id that is not a number", "id: x\ndata: y\n\n", 1, 0, 0, false},
+    {"nothing", "", 0, 0, 0, false},
+    {"an empty line after an event", "id: 3\ndata: x\n\n\n", 1, 3, 1, false},
+    {"an empty line that ends with CR LF after an event",
+	"id: 3\ndata: x\n\n\r\n", 1, 3, 2, false},
+    {"an event whose empty line is missing", "id: 3\ndata: x\n", 0, 0, 14,
+	true},
+    {"an empty line before an event", "\nid: 3\ndata: x\n\n", 1, 3, 0, false},
 };
 
 struct split_events {
@@ -65,6 +72,8 @@
 			    MIN(step, length - at), on_event, &split_events);
 		g_assert_cmpint(split_events.events, ==, c->events);
 		g_assert_cmpuint(splitter.buffer->len, ==, c->remaining);
+		g_assert_cmpint(
+		    event_splitter_is_in_event(&splitter), ==, c->in_event);
 		g_assert_cmpuint(
 		    split_events.bytes->len + c->remaining, ==, length);
 		g_assert_true(memcmp(split_events.bytes->str, c->bytes,
