--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -95,6 +95,11 @@
 	"/stream/x",
 	{{.bytes = OK STREAM "\r\n" E1 "id: 2\ndata: 2"}, {LAST_EVENTS}}, 2,
 	200, E1 E2 E3, 0, NULL},
+    {"an unframed stream that ends before its first event is resumed",
+	"/stream/x", {{.bytes = OK STREAM "\r\n"}, {ALL_EVENTS}}, 2, 200,
+	E1 E2 E3, 0, NULL},
+    {"an unframed stream that ends before its first event is cut", "/fragile/x",
+	{{.bytes = OK STREAM "\r\n"}}, 1, 0, "", 0, NULL},
     {"an unframed stream that ends inside an event and can't be resumed is cut",
 	"/fragile/x", {{.bytes = OK STREAM "\r\n" E1 "id: 2\nda"}}, 1, 0, E1, 0,
 	NULL},
@@ -241,6 +246,11 @@
 	{{.bytes = OK STREAM "\r\n" E1 "id: 2\nda", .end = RAW_END_STOP},
 	    {.bytes = OK STREAM "\r\n" E2 "id: 3\nda", .end = RAW_END_STOP}},
 	0},
+    {"upstreams that died before an unframed stream's first event are counted",
+	"/last/x",
+	{{.bytes = OK STREAM "\r\n", .end = RAW_END_STOP},
+	    {.bytes = OK STREAM "\r\n", .end = RAW_END_STOP}},
+	0},
     {"upstreams that died inside a response's headers are counted", "/again/x",
 	{{.bytes = OK TEXT, .end = RAW_END_STOP},
 	    {.bytes = OK TEXT, .end = RAW_END_STOP}},
@@ -281,6 +291,34 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * Upstreams that die after the first event of an unframed stream are charged to
+ * the prompt's part, though each stream looks complete.
+ */
+static void
+test_part_death(void)
+{
+	static const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = OK STREAM "\r\n" E1, .end = RAW_END_STOP},
+	    {.bytes = OK STREAM "\r\n" E1, .end = RAW_END_STOP},
+	    {.bytes = OK STREAM "\r\n" E1, .end = RAW_END_STOP}};
+	struct fixture f = {.parts = "bad:100,e0:5"};
+	struct raw_server *server = set_up(&f, responses);
+
+	for (size_t i = 0; i < RAW_SERVER_PORTS; i++) {
+		call(&f, "/fragile/x");
+		g_assert_cmpint(f.status, ==, 200);
+		for (int j = 0; j < SETTLE_ROUNDS; j++)
+			ev_run(f.loop, EVRUN_ONCE);
+	}
+	call(&f, "/fragile/x");
+	g_assert_cmpint(f.status, ==, 503);
+	g_assert_nonnull(
+	    g_strstr_len((char *)f.body->data, f.body->len, "quarantined"));
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
 /* Events of about 2 KB. */
 #define FILL_16 "0123456789abcdef"
 #define FILL_256                                                        \
@@ -381,5 +419,8 @@
 	ADD_CASES(cases, "/unframed", test_response);
 	ADD_CASES(death_cases, "/unframed", test_death);
 	ADD_CASES(slow_cases, "/unframed", test_slow_caller);
+	g_test_add_func("/unframed/upstreams that died after an unframed "
+			"stream's first event are charged to its part",
+	    test_part_death);
 	return g_test_run();
 }
