A crash in an unframed stream counts before its first event and after it

What callers saw: an upstream that crashes where its response ends with its connection looked like a complete response: an empty stream was passed on, and the death was neither checked nor charged to the request and its prompt's parts; the response even cleared them.

--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -113,15 +113,16 @@
 }
 
 /*
- * Connects to an upstream whose connection broke during a request, to find out
- * whether it died. Deaths are reported by the request's fingerprint to all
+ * Connects to the upstream, whose connection ended during the request, to find
+ * out whether it died. Deaths are reported by the request's fingerprint to all
  * gateways, so that a request which crashes every upstream that runs it is not
  * sent to all of them, and by its prompt's parts if it had not survived its
  * first events.
  */
-static void
-check_death(struct exchange *exchange, const struct fleet_upstream *upstream)
+void
+exchange_check_death(struct exchange *exchange)
 {
+	const struct fleet_upstream *upstream = exchange->upstream;
 	static const struct http_call_ops ops = {.done = on_death_check_done};
 	struct death_check *check = g_new0(struct death_check, 1);
 	g_autofree char *url = g_strconcat(
@@ -242,6 +243,10 @@
 	ev_timer_stop(exchange->context->loop, &exchange->stall_timer);
 	exchange_clear_prefill(exchange);
 	exchange_clear_helpers(exchange);
+	if (outcome == SEND_LOST && exchange->disconnected) {
+		log_broken_send(exchange, upstream);
+		exchange_check_death(exchange);
+	}
 	exchange->upstream = NULL;
 	exchange->call = NULL;
 	exchange->send_outcome = outcome;
@@ -254,10 +259,6 @@
 	}
 	if (outcome != SEND_OPEN)
 		update_health(exchange, upstream, outcome);
-	if (outcome == SEND_LOST && exchange->disconnected) {
-		log_broken_send(exchange, upstream);
-		check_death(exchange, upstream);
-	}
 	upstream->own.context_tokens -= exchange->context_tokens;
 	if (exchange->stream_count != NULL)
 		(*exchange->stream_count)--;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -125,6 +125,7 @@
 bool exchange_may_begin(struct exchange *);
 bool exchange_refuse_crashing_part(struct exchange *);
 void exchange_report_survival(struct exchange *);
+void exchange_check_death(struct exchange *);
 crash_sync_refused_fn exchange_on_part_refused;
 struct retry_window *exchange_retry_window(struct exchange *);
 void exchange_clear_helpers(struct exchange *);
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -209,8 +209,12 @@
 {
 	const struct http_header *headers;
 
-	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS)
+	/* The upstream may have died in an unframed response. */
+	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS &&
+	    exchange->response.framed)
 		exchange_report_survival(exchange);
+	else if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS)
+		exchange_check_death(exchange);
 	exchange_end_send(exchange,
 	    exchange->status >= STATUS_SERVER_MIN ? SEND_FAILED
 						  : SEND_ANSWERED);
@@ -248,26 +252,40 @@
 	}
 }
 
+/*
+ * Returns whether an event stream broke off though its connection ended without
+ * an error: inside an event or, where only the connection frames it, before the
+ * first one.
+ */
+static bool
+is_cut_stream(const struct exchange *exchange)
+{
+	if (!exchange->is_event_stream)
+		return false;
+	return event_splitter_is_in_event(&exchange->splitter) ||
+	    (!exchange->response.framed && exchange->send_events == 0 &&
+		!exchange->has_last_event);
+}
+
 /* Completes the response, or retries or fails the request after an error. */
 static void
 on_upstream_done(
     void *data, struct http_call *call, const struct http_result *result)
 {
 	struct exchange *exchange = data;
-	bool has_partial_event = exchange->is_event_stream &&
-	    event_splitter_is_in_event(&exchange->splitter);
-	const char *why = "the response ended inside an event";
+	bool is_cut = is_cut_stream(exchange);
+	const char *why = "the response ended inside or before an event";
 	enum send_outcome outcome;
 
 	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED &&
-	    !has_partial_event) {
+	    !is_cut) {
 		finish_response(exchange);
 		return;
 	}
 	outcome = failed_outcome(exchange, result);
 	/* An unframed stream ends without an error wherever it breaks. */
 	exchange->disconnected = result->error == NULL
-	    ? has_partial_event
+	    ? is_cut
 	    : result->error->code == HTTP_CLIENT_ERROR_DISCONNECTED;
 	exchange_discard_partial(exchange);
 	exchange_end_send(exchange, outcome);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -306,7 +306,9 @@
 	struct raw_server *server = set_up(&f, responses);
 
 	for (size_t i = 0; i < RAW_SERVER_PORTS; i++) {
-		call(&f, "/fragile/x");
+		g_autofree char *path = g_strdup_printf("/fragile/%zu", i);
+
+		call(&f, path);
 		g_assert_cmpint(f.status, ==, 200);
 		for (int j = 0; j < SETTLE_ROUNDS; j++)
 			ev_run(f.loop, EVRUN_ONCE);
