A stopping gateway waits for requests that are still being read

What callers saw: the connection was closed without a response if the end of a request's body came after the notice, although seconds of the grace time were left.

Cause: the process exited when no exchange was open, and a request has none until its body is complete; nor has one that the server itself rejects.

Change: it exits when the server has no request. One that completes after the notice is refused with 503 (draining). The time of the exit bounds the wait.

Test, before: test_gateway_stop.c:262:test_body_after_notice: 'g_str_has_prefix(received->str, "HTTP/1.1 503 ")' should be TRUE (4 of 4 runs); after: ok in 3 of 3 runs.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -102,6 +102,16 @@
     .drained = exchange_on_drained,
 };
 
+/* Returns whether callers' requests are open, including those being read. */
+static bool
+has_open_requests(const struct gateway *gateway)
+{
+	struct httpd_stats stats;
+
+	httpd_stats(gateway->callers, &stats);
+	return stats.open_requests > 0;
+}
+
 /*
  * Stops accepting connections after the notice time; exits once no request is
  * open or the grace time ends.
@@ -121,7 +131,7 @@
 		    "open_requests",
 		    (json_int_t)gateway->exchange_context.open);
 	}
-	if (gateway->stopped_accepting && gateway->exchange_context.open == 0)
+	if (gateway->stopped_accepting && !has_open_requests(gateway))
 		ev_break(loop, EVBREAK_ALL);
 	if (drain_left_ms(drain, now) == 0) {
 		LOG_WARN("exiting with open requests", "{s:I}", "open_requests",
