A stopping server answers the first request of an open connection

What callers saw: on a connection that they had just opened, the end of the stream instead of a response, if the stop came between the connection and its first request, although new connections were served for seconds more.

Cause: at the stop every connection without a request was shut down and what came on it was dropped unread, also if it had carried none. Callers expect that of a kept connection, not of a new one.

Change: only connections that have carried a request are shut down.

Test, before: test_gateway_stop.c:288:test_new_connection: 'g_str_has_prefix(received->str, "HTTP/1.1 200 ")' should be TRUE (4 of 4 runs); after: ok in 3 of 3 runs.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -126,6 +126,7 @@
 	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
 			    ->socket_context;
 	request->peer->request = request;
+	request->peer->used = true;
 	return request;
 }
 
@@ -463,7 +464,8 @@
 
 /*
  * Closes each connection after its current response, and idle ones now. New
- * connections are accepted, for one request each.
+ * connections are accepted, for one request each; so is the first request of
+ * one that is open, as its caller does not expect a close yet.
  */
 void
 httpd_disable_keep_alive(struct httpd *httpd)
@@ -474,7 +476,7 @@
 		return;
 	httpd->closing = true;
 	TAILQ_FOREACH (peer, &httpd->peers, entry) {
-		if (peer->request == NULL)
+		if (peer->request == NULL && peer->used)
 			shutdown_write(peer);
 	}
 }
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -14,6 +14,7 @@
 	int fd;
 	bool read_closed; /* the peer has shut down its side */
 	bool write_closed; /* we have shut down our side */
+	bool used; /* a request of it has been read */
 	struct httpd_request *request; /* NULL between requests */
 	TAILQ_ENTRY(httpd_peer) entry;
 };
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -261,6 +261,32 @@
 	tear_down(&f);
 }
 
+/* A connection without a request so far: its request is answered. */
+static void
+test_new_connection(void)
+{
+	g_autoptr(GString) received = g_string_new(NULL);
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_OK, FAKE_STEP_OK};
+	struct fixture f = {0};
+	int other, fd;
+
+	set_up(&f, "2000", "4", steps, G_N_ELEMENTS(steps));
+	fd = connect_to_gateway(&f);
+	other = connect_to_gateway(&f);
+	exchange(&f, other);
+	kill(f.gateway, SIGTERM);
+	/* Its end shows that the gateway drains. */
+	read_until(&f, other, received, NULL);
+	g_string_truncate(received, 0);
+	send_text(fd, HEAD "asked");
+	read_until(&f, fd, received, NULL);
+	close(fd);
+	close(other);
+	g_assert_true(g_str_has_prefix(received->str, "HTTP/1.1 200 "));
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -271,5 +297,8 @@
 	g_test_add_func("/gateway_stop/a request whose body ends after the "
 			"notice is refused",
 	    test_body_after_notice);
+	g_test_add_func("/gateway_stop/a request on a new connection is "
+			"answered after the stop",
+	    test_new_connection);
 	return g_test_run();
 }
