Connections that wait to be accepted are served when a process stops accepting

What callers saw: a reset connection, after they had connected and sent a whole request, if the process had been late when it closed its listener.

Cause: closing a listening socket resets the connections that the system has completed and the process has not yet accepted. After the close, a process without open requests exited in the same step, before it had read a request of a connection that it had just accepted.

Change: the backlog is accepted before the listener is closed, and gateways and entries exit one poll later at the earliest.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -489,8 +489,9 @@
 }
 
 /*
- * Stops accepting connections. Running requests are answered, and each response
- * closes its connection.
+ * Stops accepting connections. Those that wait to be accepted are served one
+ * request each. Running requests are answered, and each response closes its
+ * connection.
  */
 void
 httpd_stop_accepting(struct httpd *httpd)
@@ -501,6 +502,7 @@
 		return;
 	httpd->stopping = true;
 	httpd_disable_keep_alive(httpd);
+	httpd_accept_backlog(httpd);
 	fd = MHD_quiesce_daemon(httpd->daemon);
 	if (fd >= 0)
 		close(fd);
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -80,6 +80,7 @@
 bool httpd_request_reserve(struct httpd_request *, size_t bytes);
 int httpd_listen(const char *address, GError **);
 int httpd_local_port(int fd);
+void httpd_accept_backlog(struct httpd *);
 void httpd_schedule_run(struct httpd *);
 
 #endif
--- a/src/base/httpd_listen.c
+++ b/src/base/httpd_listen.c
@@ -2,12 +2,15 @@
 
 #include <errno.h>
 #include <netdb.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "base/httpd_internal.h"
 
 #define LISTEN_BACKLOG 1024
+/* Bounds the runs if the library accepts no more connections. */
+#define BACKLOG_RUNS_MAX 128
 
 /*
  * Resolves HOST:PORT or [HOST]:PORT with a numeric host; NULL and an error if
@@ -77,3 +80,21 @@
 	freeaddrinfo(info);
 	return fd;
 }
+
+/*
+ * Accepts the connections that the system has completed; closing the listening
+ * socket would reset them.
+ */
+void
+httpd_accept_backlog(struct httpd *httpd)
+{
+	struct pollfd listener = {
+	    .fd = MHD_get_daemon_info(httpd->daemon, MHD_DAEMON_INFO_LISTEN_FD)
+		      ->listen_fd,
+	    .events = POLLIN,
+	};
+
+	for (int i = 0; i < BACKLOG_RUNS_MAX && poll(&listener, 1, 0) > 0; i++)
+		MHD_run(httpd->daemon);
+	httpd_schedule_run(httpd);
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -110,9 +110,10 @@
 		LOG_INFO("no longer accepting connections", "{s:I}",
 		    "open_requests",
 		    (json_int_t)frontend_open_requests(entry->frontend));
-	}
-	if (is_idle(entry))
+	} else if (is_idle(entry)) {
+		/* Connections accepted last have been read by now. */
 		ev_break(loop, EVBREAK_ALL);
+	}
 }
 
 /*
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -130,9 +130,10 @@
 		LOG_INFO("no longer accepting connections", "{s:I}",
 		    "open_requests",
 		    (json_int_t)gateway->exchange_context.open);
-	}
-	if (gateway->stopped_accepting && !has_open_requests(gateway))
+	} else if (gateway->stopped_accepting && !has_open_requests(gateway)) {
+		/* Connections accepted last have been read by now. */
 		ev_break(loop, EVBREAK_ALL);
+	}
 	if (drain_left_ms(drain, now) == 0) {
 		LOG_WARN("exiting with open requests", "{s:I}", "open_requests",
 		    (json_int_t)gateway->exchange_context.open);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -381,6 +381,25 @@
 	RUN_UNTIL(fixture, fixture->closed_complete == 1);
 }
 
+/*
+ * A connection that waits to be accepted when accepting stops is served: its
+ * caller may have sent its request.
+ */
+static void
+test_stop_with_backlog(struct fixture *fixture, gconstpointer unused)
+{
+	g_autoptr(GString) received = g_string_new(NULL);
+	int fd = send_text(fixture,
+	    "POST /echo?a=b%20c HTTP/1.1\r\nHost: h\r\nX-Y: z\r\n"
+	    "Content-Length: 3\r\n\r\nhey");
+
+	httpd_stop_accepting(fixture->httpd);
+	read_until(fixture, fd, received, NULL);
+	close(fd);
+	g_assert_true(g_str_has_prefix(received->str, "HTTP/1.1 201 "));
+	RUN_UNTIL(fixture, fixture->closed_complete == 1);
+}
+
 /* Freeing a server closes its pending requests. */
 static void
 test_free_with_pending(struct fixture *fixture, gconstpointer unused)
@@ -542,6 +561,8 @@
 	add_test("bodies have a common limit", NULL, test_bodies_limit);
 	add_test("running requests are completed after accepting has stopped",
 	    NULL, test_stop_accepting);
+	add_test("connections not yet accepted are served when accepting stops",
+	    NULL, test_stop_with_backlog);
 	add_test(
 	    "connections wait for a paused server", NULL, test_start_paused);
 	add_test("connections close when keep-alive is disabled", NULL,
