A gateway that exits answers requests that have no response yet

What callers saw: a closed connection without any response when the grace time was over, for requests that waited for an upstream.

Cause: the exit closed all connections, although 700 ms remained until the platform kills the process and nothing had been sent to these callers.

Change: at the time of the exit such requests get 502 (upstream_lost) if they may have run, else 503 (draining); the process exits one poll later. Streams that have begun are cut as before.

Test, before: test_gateway_stop.c:308:test_unanswered: 'g_str_has_prefix(received->str, "HTTP/1.1 502 ")' should be TRUE (3 of 3 runs); after: ok in 3 of 3 runs.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -320,3 +320,30 @@
 out:
 	selection_clear(&selection);
 }
+
+/*
+ * Ends the requests that have no response yet, since the process is about to
+ * exit: a status tells callers more than a closed connection. Streams that have
+ * begun are cut by the exit.
+ */
+void
+exchange_end_unanswered(struct exchange_context *context)
+{
+	struct exchange *exchange, *next;
+
+	context->exiting = true;
+	TAILQ_FOREACH_SAFE (exchange, &context->exchanges, entry, next) {
+		bool may_have_sent = exchange->call != NULL;
+		bool is_waiting = ev_is_active(&exchange->wait_timer);
+
+		if (exchange->streaming ||
+		    (exchange->upstream == NULL && !is_waiting))
+			continue;
+		exchange_stop_send(exchange);
+		exchange_discard_partial(exchange);
+		exchange->may_have_run |= may_have_sent;
+		exchange_fail(exchange, REFUSAL_DRAINING,
+		    DRAINING_RETRY_AFTER_MS,
+		    "this process exits before the upstream has responded");
+	}
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -134,10 +134,15 @@
 		/* Connections accepted last have been read by now. */
 		ev_break(loop, EVBREAK_ALL);
 	}
-	if (drain_left_ms(drain, now) == 0) {
+	if (drain_left_ms(drain, now) > 0)
+		return;
+	if (gateway->exchange_context.exiting) {
+		ev_break(loop, EVBREAK_ALL);
+	} else {
+		/* The responses are sent before the next poll. */
 		LOG_WARN("exiting with open requests", "{s:I}", "open_requests",
 		    (json_int_t)gateway->exchange_context.open);
-		ev_break(loop, EVBREAK_ALL);
+		exchange_end_unanswered(&gateway->exchange_context);
 	}
 }
 
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -287,6 +287,26 @@
 	tear_down(&f);
 }
 
+/* A request whose upstream has not responded by the exit gets a status. */
+static void
+test_unanswered(void)
+{
+	g_autoptr(GString) received = g_string_new(NULL);
+	static const enum fake_platform_step steps[] = {FAKE_STEP_HANG};
+	struct fixture f = {0};
+	int fd;
+
+	set_up(&f, "100", "1.5", steps, G_N_ELEMENTS(steps));
+	fd = connect_to_gateway(&f);
+	send_text(fd, HEAD "asked");
+	RUN_UNTIL(&f, fake_platform_request_count(f.platform) == 1);
+	kill(f.gateway, SIGTERM);
+	read_until(&f, fd, received, NULL);
+	close(fd);
+	g_assert_true(g_str_has_prefix(received->str, "HTTP/1.1 502 "));
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -300,5 +320,8 @@
 	g_test_add_func("/gateway_stop/a request on a new connection is "
 			"answered after the stop",
 	    test_new_connection);
+	g_test_add_func("/gateway_stop/a request without a response at the "
+			"exit gets a status",
+	    test_unanswered);
 	return g_test_run();
 }
