A stopping server reads what has arrived before it closes kept connections

What callers saw: the end of the connection instead of a response for a request that they had sent on a kept connection before the stop, if the process was late to read it.

Cause: at the stop, connections without a request that has been read are shut down, and what came on them is dropped.

Change: the library runs once before that, unless the server is still paused.

Test, before: test_httpd, "an unread request is answered when keep-alive is disabled": '(fixture)->timed_out' should be FALSE, 3 of 3 runs; after: ok in 3 of 3 runs.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -475,6 +475,9 @@
 	if (httpd->closing)
 		return;
 	httpd->closing = true;
+	/* Requests that have arrived would be dropped below. */
+	if (ev_is_active(&httpd->readable))
+		run_daemon(httpd);
 	TAILQ_FOREACH (peer, &httpd->peers, entry) {
 		if (peer->request == NULL && peer->used)
 			shutdown_write(peer);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -546,6 +546,35 @@
 	RUN_UNTIL(fixture, fixture->closed_complete == 2);
 }
 
+/*
+ * A request that has arrived on a kept connection, but has not been read, is
+ * answered when keep-alive is disabled.
+ */
+static void
+test_disable_keep_alive_unread(struct fixture *fixture, gconstpointer unused)
+{
+	g_autoptr(GString) received = g_string_new(NULL);
+	int fd = send_text(fixture, PENDING_REQUEST);
+
+	for (int i = 0; i < 2; i++) {
+		RUN_UNTIL(fixture, fixture->pending != NULL);
+		httpd_respond(fixture->pending, 200, NULL, 0, "late", 4);
+		fixture->pending = NULL;
+		g_string_truncate(received, 0);
+		read_until(fixture, fd, received, i == 0 ? "late" : NULL);
+		g_assert_true(g_str_has_suffix(received->str, "late"));
+		if (i == 0) {
+			RUN_UNTIL(fixture, fixture->closed_complete == 1);
+			g_assert_cmpint(
+			    write(fd, PENDING_REQUEST, strlen(PENDING_REQUEST)),
+			    >, 0);
+			httpd_disable_keep_alive(fixture->httpd);
+		}
+	}
+	close(fd);
+	RUN_UNTIL(fixture, fixture->closed_complete == 2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -567,6 +596,8 @@
 	    "connections wait for a paused server", NULL, test_start_paused);
 	add_test("connections close when keep-alive is disabled", NULL,
 	    test_disable_keep_alive);
+	add_test("an unread request is answered when keep-alive is disabled",
+	    NULL, test_disable_keep_alive_unread);
 	add_test("pending requests are closed with the server", NULL,
 	    test_free_with_pending);
 	add_test("random requests do no harm", NULL, test_fuzz);
