Free the exchanges' tables without g_clear_pointer

script/lint failed: clang-tidy reports its sizeof of a pointer to a table (bugprone-sizeof-expression, exchange.c:73 and 74), a warning that counts as an error. No change of behaviour.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -72,8 +72,12 @@
 void
 exchange_context_clear(struct exchange_context *context)
 {
-	g_clear_pointer(&context->retry_windows, g_hash_table_unref);
-	g_clear_pointer(&context->durations, g_hash_table_unref);
+	if (context->retry_windows != NULL)
+		g_hash_table_unref(context->retry_windows);
+	if (context->durations != NULL)
+		g_hash_table_unref(context->durations);
+	context->retry_windows = NULL;
+	context->durations = NULL;
 }
 
 /* Returns the durations of a route's requests; creates them if needed. */
