A draining gateway takes requests whose deadline is before its exit

A route's likely duration may exceed the time that a request has: then it ends by its deadline at the latest, and refusing it gains nothing. The new case of test_drain was refused before (503 == 200). The case of a request that may last until the exit now comes 2.5 s after the stop: at 1 s, its deadline of 5 s is over before the exit. Found by a review of the drain.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -105,11 +105,12 @@
 {
 	struct exchange_context *context = exchange->context;
 	struct timespec now = clock_monotonic(context->clock);
-	int64_t expected_ms = duration_likely_ms(
-	    route_duration(context, exchange->route->name));
+	int64_t expected_ms;
 
-	if (exchange->streaming)
+	if (!drain_is_started(&context->drain) || exchange->streaming)
 		return true;
+	expected_ms = MIN(exchange_remaining_ms(exchange),
+	    duration_likely_ms(route_duration(context, exchange->route->name)));
 	if (exchange->may_have_run)
 		return drain_may_repeat(&context->drain, expected_ms, now);
 	return drain_may_begin(&context->drain, expected_ms, now);
