The soak restarts gateways in series and presses on stopping ones

What callers saw: streams cut by the exit of a gateway that had taken them long after SIGTERM (LOST). The soak restarted one gateway at a time with streams of 0.6 s and callers that turned away from it, so it could not see this.

Change: the fault "roll" restarts gateways in turn, overlapping and again while they start, with SIGHUP and configuration changes in between. At each planned stop eight callers open connections to the gateway until its process is gone, hold them for up to 2.25 s and send then; four more callers ask for streams of 1 to 4 s all the time.

Check: a request that a gateway has read is answered, with any status. Its exit may cut it only in the last sixth of the grace, and only if it was sent at most 3/8 of the grace after SIGTERM by the caller's clock. Read means: a response began, an upstream has it, or the connection ended over 0.2 s after the request. Left out are gateways with an unplanned disturbance, and requests that an upstream broke off or whose path to upstreams was disturbed.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -18,13 +19,13 @@
 import socket
 import time
 
+import planned_stops
 import platform_standin as standin
+from planned_stops import DRAIN_MS, GRACE_S
 
 UPSTREAM_COUNT = 5
 DOMAINS = ("a", "b")
 PROPAGATION_S = 2.5  # from an acknowledged change until all gateways apply it
-GRACE_S = 4.0
-DRAIN_MS = 1000
 STORE_FAULT_S = 6.0  # duration of a store fault and of the recovery from it
 START_TIMEOUT_S = 10.0  # until all gateways are ready
 RESTORE_AGE_S = (0.5, 4.0)  # of the copy that the store goes back to
@@ -36,9 +37,18 @@
 PORTS_PER_SOAK = 300
 CALLER_COUNT = 12
 DEADLINE_MS = 4000
+LONG_DEADLINE_MS = 10000
+LONG_EVENTS = (12, 50)  # 1 to 4 s
+LONG_CALLER_COUNT = 4  # who only ask for long streams
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 ROUTES = (("/stream/", "stream", True), ("/once/", "non_idempotent", False),
-          ("/again/", "idempotent", False))
+          ("/again/", "idempotent", False), ("/long/", "stream", True))
+SHORT_PATHS = tuple(path for path, _, _ in ROUTES if path != "/long/")
+
+
+def deadline_ms(path):
+    """Returns the time in milliseconds that a request may take."""
+    return LONG_DEADLINE_MS if path.startswith("/long/") else DEADLINE_MS
 
 
 def make_config(version, keys):
@@ -46,8 +56,8 @@
     return {
         "Version": version,
         "Routes": [{"Name": path, "Host": "h", "PathPrefix": path,
-                    "Kind": kind, "TimeoutMs": DEADLINE_MS, "Attempts": 2,
-                    "LatencyTargetMs": 300, "GapTargetMs": 250,
+                    "Kind": kind, "TimeoutMs": deadline_ms(path),
+                    "Attempts": 2, "LatencyTargetMs": 300, "GapTargetMs": 250,
                     "CanResume": resume, "Service": "s"}
                    for path, kind, resume in ROUTES],
         "Services": [{"Name": "s"}],
@@ -55,6 +65,11 @@
         "Tenants": [{"Name": f"o{key}", "Keys": [key]} for key in keys]}
 
 
+FAULTS = ("kill", "stop", "pause", "hang_up", "store_fault", "cut_store",
+          "cut_upstream", "upstream_fault", "crash_upstream", "drain",
+          "take_out", "revoke", "change", "restore_store", "leave", "roll")
+
+
 class Gateway:
     """A gateway process, which reaches the store through its own proxy."""
 
@@ -66,6 +81,8 @@
         self.seed_port = seed_port
         self.process = None
         self.disturbances = []  # (from, to) in wall seconds
+        self.unplanned = []  # those that may lose requests
+        self.stops = []  # (SIGTERM, exit) in wall seconds
         self.stopping = False
         self.incarnation = 0  # rises with each start and pause
         self.rejected_keys = {}  # key -> (incarnation, wall s of rejection)
@@ -97,24 +114,38 @@
         if not self.stopping or code not in (0, -signal.SIGKILL):
             self.bad_exits.append(code)
 
-    def add_disturbance(self, seconds=0.0):
+    def add_disturbance(self, seconds=0.0, planned=False):
         """Records a disturbance that lasts some seconds from now on."""
-        self.disturbances.append((time.time(), time.time() + seconds))
+        period = (time.time(), time.time() + seconds)
+        self.disturbances.append(period)
+        if not planned:
+            self.unplanned.append(period)
 
     def was_undisturbed(self, since, until):
         """Whether it was undisturbed from PROPAGATION_S before since on."""
         return not any(start < until and end > since - PROPAGATION_S
                        for start, end in self.disturbances)
 
+    def was_calm(self, since, until):
+        """Whether only planned work disturbed it from then on."""
+        return not any(start < until and end > since - PROPAGATION_S
+                       for start, end in self.unplanned)
+
     def signal(self, number):
         """Sends a signal to the process if it still exists."""
-        self.add_disturbance()
+        self.add_disturbance(
+            planned=number in (signal.SIGTERM, signal.SIGHUP))
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    def hang_up(self):
+        """Sends SIGHUP, which reloads the settings."""
+        self.signal(signal.SIGHUP)
+
     async def restart(self, number):
         """Stops the process by a signal and starts it again."""
         self.stopping = True
+        asked = time.time()
         self.signal(number)
         try:
             await asyncio.wait_for(self.process.wait(), GRACE_S + 1)
@@ -122,8 +153,19 @@
             self.process.kill()
             self.bad_exits.append("did not exit in time")
             await self.process.wait()
+        if number == signal.SIGTERM:
+            self.stops.append((asked, time.time()))
         await self.start()
-        self.add_disturbance()
+        self.add_disturbance(planned=number == signal.SIGTERM)
+
+    async def is_listening(self):
+        """Whether the process accepts connections yet, or has exited."""
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.http)
+            writer.close()
+        except OSError:
+            return self.process.returncode is not None
+        return True
 
     async def is_ready(self):
         """Whether /readyz returns 200."""
@@ -141,8 +183,9 @@
 class Soak:
     """A run with one seed."""
 
-    def __init__(self, binary, folder, seed, seconds, gateway_count):
+    def __init__(self, binary, folder, seed, seconds, gateway_count, faults):
         self.random = random.Random(seed)
+        self.fault_kinds = faults
         self.seed, self.seconds = seed, seconds
         self.end = 0.0
         self.store = standin.Store()
@@ -165,6 +208,7 @@
         self.violations = []
         self.attempts = {}  # request id -> (path, status, gateway)
         self.sent = {}  # request id -> (wall s, gateway, its incarnation)
+        self.cuts = planned_stops.Cuts()
         self.statuses = {}
         self.faults = {}
         self.requests = 0
@@ -233,7 +277,8 @@
             if connection is None:
                 await asyncio.sleep(0.05)
                 continue
-            path = rng.choice(ROUTES)[0]
+            path = ("/long/" if number >= CALLER_COUNT
+                    else rng.choice(SHORT_PATHS))
             try:
                 keep_alive = await asyncio.wait_for(
                     self.request(path, rng, connected_gateway, *connection),
@@ -259,32 +304,42 @@
         self.requests += 1
         request_id = f"{self.seed}-{self.requests}"
         key = rng.choice(self.keys + list(self.revoked))
+        if path == "/long/":
+            path += str(rng.randint(*LONG_EVENTS))
+        elif path == "/stream/":
+            path += str(standin.EVENTS)
         sent = time.time()
         self.attempts[request_id] = (path, None, gateway)
         self.sent[request_id] = (sent, gateway, gateway.incarnation)
         writer.write((
-            f"POST {path}x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
             f"Heatherturn-Attempt-Id: {request_id}\r\n"
-            f"Heatherturn-Deadline-Remaining-Ms: {DEADLINE_MS}\r\n"
+            f"Heatherturn-Deadline-Remaining-Ms: {deadline_ms(path)}\r\n"
             f"Authorization: Bearer {key}\r\n\r\nasks").encode())
+        headers, body = await self.cuts.watch(
+            request_id, self.read_response(request_id, reader, rng),
+            self.attempts)
+        self.check_response(request_id, key, sent, headers, body)
+        return headers.get("connection") != "close"
+
+    async def read_response(self, request_id, reader, rng):
+        """Returns the headers and the body of a response."""
         line, headers = await standin.read_header(reader)
         status = int(line.split(" ")[1])
+        path, _, gateway = self.attempts[request_id]
         self.attempts[request_id] = (path, status, gateway)
         self.statuses[status] = self.statuses.get(status, 0) + 1
         if headers.get("transfer-encoding") == "chunked":
-            body = await self.read_events(request_id, reader, rng)
-        else:
-            body = await standin.read_body(reader, headers)
-        self.check_response(request_id, key, sent, headers, body)
-        return headers.get("connection") != "close"
+            return headers, await self.read_events(reader, rng)
+        return headers, await standin.read_body(reader, headers)
 
-    async def read_events(self, request_id, reader, rng):
+    async def read_events(self, reader, rng):
         """Reads a stream; disconnects early with 1% probability per chunk."""
         body = b""
         async for chunk in standin.read_chunks(reader):
             body += chunk
             if rng.random() < 0.01:
-                raise standin.BrokenConnection
+                raise planned_stops.CallerLeft
         return body
 
     def check_response(self, request_id, key, sent, headers, body):
@@ -294,9 +349,10 @@
                 headers.get("heatherturn-attempt-id") != request_id:
             self.add_violation("response of another request",
                                request=request_id)
-        if status == 200 and path == "/stream/":
-            events = b"".join(b"id: %d\ndata: %d\n\n" % (i, i)
-                              for i in range(1, standin.EVENTS + 1))
+        if status == 200 and standin.is_stream(path):
+            events = b"".join(
+                b"id: %d\ndata: %d\n\n" % (i, i)
+                for i in range(1, standin.event_count(path) + 1))
             if body != events:
                 self.add_violation("stream incomplete or out of order",
                                    request=request_id,
@@ -335,16 +391,11 @@
 
     async def inject_faults(self):
         """Starts faults, which may overlap, until 4 s before the end."""
-        kinds = (self.kill, self.stop, self.pause, self.hang_up,
-                 self.store_fault, self.cut_store, self.cut_upstream,
-                 self.upstream_fault, self.crash_upstream, self.drain,
-                 self.take_out, self.revoke, self.change, self.restore_store,
-                 self.leave)
         active = set()
         while time.monotonic() < self.end - 4:
-            kind = self.random.choice(kinds)
-            self.faults[kind.__name__] = self.faults.get(kind.__name__, 0) + 1
-            active.add(asyncio.ensure_future(kind()))
+            kind = self.random.choice(self.fault_kinds)
+            self.faults[kind] = self.faults.get(kind, 0) + 1
+            active.add(asyncio.ensure_future(getattr(self, kind)()))
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
         await asyncio.gather(*active)
 
@@ -361,7 +412,19 @@
     async def stop(self):
         """Restarts a gateway gracefully."""
         if gateway := self.pick():
-            await gateway.restart(signal.SIGTERM)
+            await self.stop_gateway(gateway)
+
+    async def stop_gateway(self, gateway):
+        """Restarts a gateway gracefully, while callers press on it."""
+        callers = [asyncio.ensure_future(planned_stops.call_stopping(
+            self, gateway, random.Random(self.random.random())))
+            for _ in range(planned_stops.CALLERS_PER_STOP)]
+        await gateway.restart(signal.SIGTERM)
+        await asyncio.gather(*callers)
+
+    async def roll(self):
+        """Restarts all gateways, one after the other or overlapping."""
+        await planned_stops.roll(self)
 
     async def pause(self):
         """Pauses a gateway, as a frozen host would."""
@@ -372,9 +435,9 @@
             gateway.incarnation += 1
 
     async def hang_up(self):
-        """Sends SIGHUP, which reloads the settings."""
+        """Sends SIGHUP to a gateway."""
         if gateway := self.pick():
-            gateway.signal(signal.SIGHUP)
+            gateway.hang_up()
 
     async def store_fault(self):
         """Makes the store busy, silent or slow, and drops its history."""
@@ -429,7 +492,16 @@
 
     async def cut_upstream(self):
         """Disturbs the path to one upstream."""
-        await self.disturb_proxy(self.random.choice(self.proxies), 2.0)
+        with self.path_fault():
+            await self.disturb_proxy(self.random.choice(self.proxies), 2.0)
+
+    @contextlib.contextmanager
+    def path_fault(self):
+        """Records for how long requests at upstreams may be lost."""
+        period = [time.time(), float("inf")]
+        self.cuts.path_faults.append(period)
+        yield
+        period[1] = time.time()
 
     async def disturb_proxy(self, proxy, longest_s):
         """Disturbs the connections of a proxy for some time."""
@@ -455,10 +527,11 @@
     async def crash_upstream(self):
         """Makes an upstream unreachable for some time."""
         number = self.random.randrange(UPSTREAM_COUNT)
-        self.proxies[number].state = "refuse"
-        self.proxies[number].reset()
-        await asyncio.sleep(self.random.uniform(0.5, 2.0))
-        self.proxies[number].state = "open"
+        with self.path_fault():
+            self.proxies[number].state = "refuse"
+            self.proxies[number].reset()
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            self.proxies[number].state = "open"
 
     async def drain(self):
         """Drains an upstream for some time."""
@@ -545,6 +618,7 @@
         runs = {}
         for upstream in self.upstreams:
             self.check_quiet(upstream)
+            self.cuts.cut_by_upstream |= upstream.broken_off
             if upstream.read_on:
                 self.add_violation("endless response read on",
                                    upstream=upstream.name,
@@ -555,10 +629,11 @@
             path, status, _ = self.attempts.get(request_id, (None, None, None))
             if path is None:
                 self.add_violation("unknown request ran", request=request_id)
-            if path == "/once/" and times > 1:
+                continue
+            if path.startswith("/once/") and times > 1:
                 self.add_violation("non-idempotent request ran twice",
                                    request=request_id, times=times)
-            if path == "/once/" and status in NOT_RUN_STATUSES:
+            if path.startswith("/once/") and status in NOT_RUN_STATUSES:
                 self.add_violation("request refused as not run had run",
                                    request=request_id)
         self.check_excluded()
@@ -585,7 +660,8 @@
         self.end = time.monotonic() + self.seconds
         await asyncio.gather(
             self.inject_faults(),
-            *(self.run_caller(i) for i in range(CALLER_COUNT)))
+            *(self.run_caller(i)
+              for i in range(CALLER_COUNT + LONG_CALLER_COUNT)))
         await asyncio.sleep(0.5)
         for gateway in self.gateways:
             gateway.stopping = True
@@ -593,6 +669,7 @@
         await asyncio.gather(*(asyncio.wait_for(
             one.process.wait(), GRACE_S + 2) for one in self.gateways))
         self.check_upstreams()
+        planned_stops.check_answers(self)
         for gateway in self.gateways:
             for code in gateway.bad_exits:
                 self.add_violation("unexpected exit of a process",
@@ -644,14 +721,14 @@
                 one.process.kill()
 
 
-def run(binary, folder, seed, seconds, gateway_count):
+def run(binary, folder, seed, seconds, gateway_count, faults):
     """Runs one seed; returns whether there were requests and no violation."""
     folder.mkdir(parents=True, exist_ok=True)
     for old in folder.glob("*.log"):
         old.unlink()
     try:
         line = asyncio.run(run_seed(
-            Soak(binary, folder, seed, seconds, gateway_count)))
+            Soak(binary, folder, seed, seconds, gateway_count, faults)))
     except (TimeoutError, asyncio.TimeoutError) as error:
         line = {"seed": seed, "requests": 0,
                 "violations": [{"what": f"timed out: {error}"}]}
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -61,6 +61,16 @@
         raise BrokenConnection from error
 
 
+def event_count(path):
+    """Returns the number of events that a stream's path asks for."""
+    return int(path.rpartition("/")[2])
+
+
+def is_stream(path):
+    """Whether the response to a request with this path is a stream."""
+    return path.startswith(("/stream/", "/long/"))
+
+
 def make_response(status, headers, body):
     """Returns an encoded HTTP response."""
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}",
@@ -239,6 +249,7 @@
         self.random = random.Random(seed)
         self.arrivals = []  # (wall s, request id)
         self.runs = {}  # request id -> number of runs
+        self.broken_off = set()  # ids of requests that it did not finish
         self.faults = {}  # kind -> probability for a request
         self.born = int(time.time() * 1000)
         self.leaving = False  # says so in all responses
@@ -277,18 +288,21 @@
             return
         if self.draws_fault("endless"):
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            self.broken_off.add(request_id)
             await self.respond_without_end(request, writer)
             return
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         if self.draws_fault("break"):
+            self.broken_off.add(request_id)
             raise BrokenConnection
         response_headers = {"Heatherturn-Attempt-Id": request_id,
                             "Heatherturn-Server-Seal": self.name,
                             **self.own_headers()}
         if self.draws_fault("fail"):
             writer.write(make_response(500, response_headers, b"failed"))
-        elif request[1].startswith("/stream/"):
-            await self.stream(headers, response_headers, writer)
+        elif is_stream(request[1]):
+            await self.stream(
+                event_count(request[1]), headers, response_headers, writer)
         else:
             await asyncio.sleep(self.random.uniform(0.0, 0.05))
             text = f"{request_id} {headers.get('heatherturn-tenant')}".encode()
@@ -301,7 +315,7 @@
     async def respond_without_end(self, request, writer):
         """Sends a head, or an event, until the caller closes."""
         lines = b"HTTP/1.1 200 X\r\n"
-        if request[1].startswith("/stream/") and self.random.random() < 0.5:
+        if is_stream(request[1]) and self.random.random() < 0.5:
             lines += b"Content-Type: text/event-stream\r\n\r\ndata: "
         writer.write(lines)
         sent = 0
@@ -312,19 +326,20 @@
         self.read_on += 1
         raise BrokenConnection
 
-    async def stream(self, headers, response_headers, writer):
-        """Streams the events after Last-Event-ID."""
+    async def stream(self, count, headers, response_headers, writer):
+        """Streams the events after Last-Event-ID, of count in all."""
         first = int(headers.get("last-event-id", 0)) + 1
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream",
                  "Transfer-Encoding: chunked",
                  *(f"{name}: {value}"
                    for name, value in response_headers.items())]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(first, EVENTS + 1):
+        for number in range(first, count + 1):
             await asyncio.sleep(EVENT_GAP_S)
             event = f"id: {number}\ndata: {number}\n\n".encode()
             if self.draws_fault("cut"):
                 writer.write(b"%x\r\n%s" % (len(event), event[:4]))
+                self.broken_off.add(response_headers["Heatherturn-Attempt-Id"])
                 raise BrokenConnection
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
