The soak sends prompts with a part that crashes upstreams

What callers saw: requests with one part in their prompts ended one upstream after the other, and most requests beside them were refused (BUDGET, LOST). The soak sent no prompts, and none of its requests ended an upstream.

Change: the fault "crashing_part" adds a sticky stream route and an engine to the service. Six callers send sound prompts; from second 6 on, two to ten prompts a second hold a middle part under which the upstream sends its head, then resets its connections, stops listening, and is back after 1 to 3 s under another id. Its entry goes 1.5 s after the crash. Prompts differ in path, request and last part; key and first part are shared. "cut_peer" disturbs the links that others have opened to a gateway.

Checks: sent later than 3 s after the fifth crash, at most three requests with the part arrive from gateways undisturbed for 3 s. From 6 s after the fifth crash (or the last), sound prompts begin at the first attempt at least half as often as before the first crashing one, with 20 or more of each.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -19,6 +19,7 @@
 import socket
 import time
 
+import crashing_part
 import planned_stops
 import platform_standin as standin
 from planned_stops import DRAIN_MS, GRACE_S
@@ -40,10 +41,12 @@
 LONG_DEADLINE_MS = 10000
 LONG_EVENTS = (12, 50)  # 1 to 4 s
 LONG_CALLER_COUNT = 4  # who only ask for long streams
+REFUSED_PAUSE_S = 0.1  # of callers, while crashes leave few upstreams
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 ROUTES = (("/stream/", "stream", True), ("/once/", "non_idempotent", False),
-          ("/again/", "idempotent", False), ("/long/", "stream", True))
-SHORT_PATHS = tuple(path for path, _, _ in ROUTES if path != "/long/")
+          ("/again/", "idempotent", False), ("/long/", "stream", True),
+          ("/prompt/", "stream", True))
+SHORT_PATHS = ("/stream/", "/once/", "/again/")
 
 
 def deadline_ms(path):
@@ -51,16 +54,17 @@
     return LONG_DEADLINE_MS if path.startswith("/long/") else DEADLINE_MS
 
 
-def make_config(version, keys):
-    """Returns a configuration with these API keys."""
+def make_config(version, keys, service):
+    """Returns a configuration with these API keys and this service."""
     return {
         "Version": version,
         "Routes": [{"Name": path, "Host": "h", "PathPrefix": path,
                     "Kind": kind, "TimeoutMs": deadline_ms(path),
                     "Attempts": 2, "LatencyTargetMs": 300, "GapTargetMs": 250,
-                    "CanResume": resume, "Service": "s"}
+                    "CanResume": resume, "Sticky": path == "/prompt/",
+                    "Service": "s"}
                    for path, kind, resume in ROUTES],
-        "Services": [{"Name": "s"}],
+        "Services": [service],
         "Limits": {"BodyBytes": 100000},
         "Tenants": [{"Name": f"o{key}", "Keys": [key]} for key in keys]}
 
@@ -68,6 +72,7 @@
 FAULTS = ("kill", "stop", "pause", "hang_up", "store_fault", "cut_store",
           "cut_upstream", "upstream_fault", "crash_upstream", "drain",
           "take_out", "revoke", "change", "restore_store", "leave", "roll")
+RARE_FAULTS = ("cut_peer", "crashing_part")  # drawn only if asked for
 
 
 class Gateway:
@@ -78,6 +83,7 @@
         self.log = folder / f"gateway-{number}.log"
         self.proxy = standin.Proxy(store.port)
         self.listen, self.http, self.callers = ports
+        self.peer_proxy = None  # if its links can be cut
         self.seed_port = seed_port
         self.process = None
         self.disturbances = []  # (from, to) in wall seconds
@@ -93,11 +99,13 @@
         if not self.proxy.server:
             await self.proxy.start()
         local = "127.0.0.1"
+        advertised = self.peer_proxy.port if self.peer_proxy else self.listen
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 self.binary, "gateway", f"--id=g{self.number}",
                 f"--failure-domain={DOMAINS[self.number % 2]}",
                 f"--listen={local}:{self.listen}",
+                f"--advertise={local}:{advertised}",
                 f"--http={local}:{self.http}",
                 f"--callers={local}:{self.callers}",
                 f"--objects={local}:{self.proxy.port}",
@@ -121,9 +129,9 @@
         if not planned:
             self.unplanned.append(period)
 
-    def was_undisturbed(self, since, until):
-        """Whether it was undisturbed from PROPAGATION_S before since on."""
-        return not any(start < until and end > since - PROPAGATION_S
+    def was_undisturbed(self, since, until, before_s=PROPAGATION_S):
+        """Whether it was undisturbed from before_s before since on."""
+        return not any(start < until and end > since - before_s
                        for start, end in self.disturbances)
 
     def was_calm(self, since, until):
@@ -185,7 +193,9 @@
 
     def __init__(self, binary, folder, seed, seconds, gateway_count, faults):
         self.random = random.Random(seed)
-        self.fault_kinds = faults
+        self.fault_kinds = [one for one in faults if one != "crashing_part"]
+        self.prompts = (crashing_part.Prompts(seed)
+                        if "crashing_part" in faults else None)
         self.seed, self.seconds = seed, seconds
         self.end = 0.0
         self.store = standin.Store()
@@ -223,7 +233,7 @@
         """Starts the stand-ins, then the gateways, and waits until ready."""
         await self.store.start()
         asyncio.ensure_future(self.store.make_copies())
-        await self.write("config", "main", make_config(1, self.keys))
+        await self.write_config()
         for number, upstream in enumerate(self.upstreams):
             await upstream.start()
             proxy = standin.Proxy(upstream.port)
@@ -232,6 +242,7 @@
             await self.publish_upstream(number, "ready")
         for number in range(self.gateway_count):
             self.gateways.append(self.make_gateway(number))
+            await self.start_peer_proxy(self.gateways[number])
             await self.gateways[number].start()
         end = time.monotonic() + START_TIMEOUT_S
         while not all([await one.is_ready() for one in self.gateways]):
@@ -240,9 +251,16 @@
                     f"gateways not ready within {START_TIMEOUT_S:.0f} s")
             await asyncio.sleep(0.05)
 
+    async def start_peer_proxy(self, gateway):
+        """Starts a proxy for the links to a gateway, if they can be cut."""
+        if "cut_peer" in self.fault_kinds:
+            gateway.peer_proxy = standin.Proxy(gateway.listen)
+            await gateway.peer_proxy.start()
+            gateway.seed_port = self.gateways[0].peer_proxy.port
+
     async def publish_upstream(self, number, state):
         """Writes an upstream's object to the store."""
-        await self.write("servers", f"i-{number}", {
+        await self.write("servers", self.upstreams[number].name, {
             "Service": "s", "Zone": DOMAINS[number % 2], "Slots": 16,
             "Address": f"127.0.0.1:{self.proxies[number].port}",
             "State": state, "ColdMs": 0,
@@ -299,7 +317,8 @@
         except (OSError, asyncio.TimeoutError):
             return None
 
-    async def request(self, path, rng, gateway, reader, writer):
+    async def request(self, path, rng, gateway, reader, writer,
+                      make_headers=lambda request_id: ""):
         """Makes a request; returns whether the connection can be reused."""
         self.requests += 1
         request_id = f"{self.seed}-{self.requests}"
@@ -308,6 +327,8 @@
             path += str(rng.randint(*LONG_EVENTS))
         elif path == "/stream/":
             path += str(standin.EVENTS)
+        elif path == "/prompt/":
+            path += f"{request_id}/{standin.EVENTS}"
         sent = time.time()
         self.attempts[request_id] = (path, None, gateway)
         self.sent[request_id] = (sent, gateway, gateway.incarnation)
@@ -315,11 +336,14 @@
             f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
             f"Heatherturn-Attempt-Id: {request_id}\r\n"
             f"Heatherturn-Deadline-Remaining-Ms: {deadline_ms(path)}\r\n"
+            f"{make_headers(request_id)}"
             f"Authorization: Bearer {key}\r\n\r\nasks").encode())
         headers, body = await self.cuts.watch(
             request_id, self.read_response(request_id, reader, rng),
             self.attempts)
         self.check_response(request_id, key, sent, headers, body)
+        if self.prompts and self.attempts[request_id][1] == 503:
+            await asyncio.sleep(REFUSED_PAUSE_S)
         return headers.get("connection") != "close"
 
     async def read_response(self, request_id, reader, rng):
@@ -330,14 +354,16 @@
         self.attempts[request_id] = (path, status, gateway)
         self.statuses[status] = self.statuses.get(status, 0) + 1
         if headers.get("transfer-encoding") == "chunked":
-            return headers, await self.read_events(reader, rng)
+            return headers, await self.read_events(request_id, reader, rng)
         return headers, await standin.read_body(reader, headers)
 
-    async def read_events(self, reader, rng):
+    async def read_events(self, request_id, reader, rng):
         """Reads a stream; disconnects early with 1% probability per chunk."""
         body = b""
         async for chunk in standin.read_chunks(reader):
             body += chunk
+            if self.prompts:
+                self.prompts.begun.add(request_id)
             if rng.random() < 0.01:
                 raise planned_stops.CallerLeft
         return body
@@ -392,7 +418,7 @@
     async def inject_faults(self):
         """Starts faults, which may overlap, until 4 s before the end."""
         active = set()
-        while time.monotonic() < self.end - 4:
+        while self.fault_kinds and time.monotonic() < self.end - 4:
             kind = self.random.choice(self.fault_kinds)
             self.faults[kind] = self.faults.get(kind, 0) + 1
             active.add(asyncio.ensure_future(getattr(self, kind)()))
@@ -490,6 +516,14 @@
         gateway.add_disturbance(STORE_FAULT_S)
         await self.disturb_proxy(gateway.proxy, 3.0)
 
+    async def cut_peer(self):
+        """Disturbs the links that other gateways have opened to one."""
+        gateway = self.random.choice(self.gateways)
+        period = [time.time(), float("inf")]
+        gateway.disturbances.append(period)
+        await self.disturb_proxy(gateway.peer_proxy, 3.0)
+        period[1] = time.time()
+
     async def cut_upstream(self):
         """Disturbs the path to one upstream."""
         with self.path_fault():
@@ -572,8 +606,15 @@
     async def change(self):
         """Writes a new configuration."""
         self.version += self.random.randrange(1, 4)
-        await self.write(
-            "config", "main", make_config(self.version, self.keys))
+        await self.write_config()
+
+    async def write_config(self):
+        """Writes the configuration to the store."""
+        service = {"Name": "s"}
+        if self.prompts:
+            service["Engine"] = crashing_part.ENGINE
+        await self.write("config", "main",
+                         make_config(self.version, self.keys, service))
 
     # The end
 
@@ -660,6 +701,7 @@
         self.end = time.monotonic() + self.seconds
         await asyncio.gather(
             self.inject_faults(),
+            *([crashing_part.run(self)] if self.prompts else []),
             *(self.run_caller(i)
               for i in range(CALLER_COUNT + LONG_CALLER_COUNT)))
         await asyncio.sleep(0.5)
@@ -670,6 +712,8 @@
             one.process.wait(), GRACE_S + 2) for one in self.gateways))
         self.check_upstreams()
         planned_stops.check_answers(self)
+        if self.prompts:
+            crashing_part.check(self)
         for gateway in self.gateways:
             for code in gateway.bad_exits:
                 self.add_violation("unexpected exit of a process",
@@ -677,7 +721,8 @@
         return {"seed": self.seed, "fleet": "gateways",
                 "seconds": self.seconds, "gateways": self.gateway_count,
                 "requests": self.requests, "statuses": self.statuses,
-                "faults": self.faults, "violations": self.violations}
+                "faults": self.faults, "violations": self.violations,
+                **(self.prompts.counts() if self.prompts else {})}
 
 
 def find_free_ports(count):
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -9,6 +9,8 @@
 import collections
 import json
 import random
+import socket
+import struct
 import time
 import urllib.parse
 
@@ -18,6 +20,7 @@
 NOT_EXECUTED = {"Heatherturn-Not-Executed": "1"}
 COPY_INTERVAL_S = 0.5  # between copies of the store
 COPIES = 20
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ENDLESS_MAX_BYTES = 32 * 1024 * 1024  # a caller must close long before
 ENDLESS_FILLER = b"X-Filler: 0123456789012345678901234567890123\r\n" * 64
 
@@ -68,7 +71,7 @@
 
 def is_stream(path):
     """Whether the response to a request with this path is a stream."""
-    return path.startswith(("/stream/", "/long/"))
+    return path.startswith(("/stream/", "/long/", "/prompt/"))
 
 
 def make_response(status, headers, body):
@@ -254,6 +257,9 @@
         self.born = int(time.time() * 1000)
         self.leaving = False  # says so in all responses
         self.notices = []  # (wall s, request id, "leaving" or quiet s)
+        self.crashing_part = None  # of prompts that end its process
+        self.crash = None  # ends its process and starts it again
+        self.crashed = False
         self.read_on = 0  # endless responses that were read to the end
 
     def rejection_status(self, headers):
@@ -326,6 +332,11 @@
         self.read_on += 1
         raise BrokenConnection
 
+    def crashes_under(self, headers):
+        """Whether a request's prompt has the part that ends the process."""
+        return self.crashing_part is not None and self.crashing_part in \
+            headers.get("heatherturn-prompt-prefix", "").split(",")
+
     async def stream(self, count, headers, response_headers, writer):
         """Streams the events after Last-Event-ID, of count in all."""
         first = int(headers.get("last-event-id", 0)) + 1
@@ -336,6 +347,9 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(first, count + 1):
             await asyncio.sleep(EVENT_GAP_S)
+            if self.crashes_under(headers):
+                self.crash()
+                raise BrokenConnection
             event = f"id: {number}\ndata: {number}\n\n".encode()
             if self.draws_fault("cut"):
                 writer.write(b"%x\r\n%s" % (len(event), event[:4]))
@@ -358,6 +372,9 @@
     def reset(self):
         """Resets all open connections."""
         for writer in list(self.writers):
+            if not writer.transport.is_closing():
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
     async def handle_connection(self, reader, writer):
