--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -8,6 +8,7 @@
 #define BODY_MAX_BYTES 65536
 #define STREAM_EVENTS  3
 #define CRASH_DELAY_S  0.02
+#define MS_PER_S       1000.0
 
 struct fake_platform_upstream {
 	struct fake_platform *fake_platform;
@@ -15,6 +16,8 @@
 	struct httpd *httpd; /* NULL while it has stopped */
 	int port;
 	ev_timer stop_timer;
+	ev_timer silence_timer; /* ends the silence of a slow stream */
+	struct httpd_request *silent; /* whose stream it is; NULL for none */
 };
 
 struct fake_platform {
@@ -116,6 +119,32 @@
 	httpd_stream_end(request);
 }
 
+/* Writes the first event and is silent for some time. */
+static void
+begin_slow_stream(
+    struct fake_platform_upstream *upstream, struct httpd_request *request)
+{
+	static const char event[] = "id: 1\ndata: 1\n\n";
+
+	httpd_stream_write(request, event, strlen(event));
+	upstream->silent = request;
+	ev_timer_set(&upstream->silence_timer, FAKE_SILENCE_MS / MS_PER_S, 0.0);
+	ev_timer_start(upstream->fake_platform->loop, &upstream->silence_timer);
+}
+
+/* Writes the other events of a slow stream. */
+static void
+on_silence_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	static const char rest[] = "id: 2\ndata: 2\n\nid: 3\ndata: 3\n\n";
+	struct fake_platform_upstream *upstream = timer->data;
+	struct httpd_request *request = upstream->silent;
+
+	upstream->silent = NULL;
+	httpd_stream_write(request, rest, strlen(rest));
+	httpd_stream_end(request);
+}
+
 /* Stops the upstream from listening. */
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -204,6 +233,11 @@
 		    step == FAKE_STEP_LEAVING_STREAM ? 4 : 3);
 		write_events(request, step == FAKE_STEP_CUT_STREAM);
 		break;
+	case FAKE_STEP_SLOW_STREAM:
+		headers[2].value = "text/event-stream";
+		httpd_stream_begin(request, 200, headers, 3);
+		begin_slow_stream(upstream, request);
+		break;
 	}
 }
 
@@ -224,17 +258,29 @@
 static void
 on_closed(void *data, struct httpd_request *request, bool complete)
 {
+	struct fake_platform_upstream *upstream = data;
 	struct fake_platform_request *recorded = httpd_request_data(request);
 
+	if (request == upstream->silent) {
+		ev_timer_stop(
+		    upstream->fake_platform->loop, &upstream->silence_timer);
+		upstream->silent = NULL;
+	}
 	if (recorded != NULL && !complete)
 		recorded->closed_early = true;
 }
 
-/* All bytes of a stream are sent; aborts it, as it was not ended. */
+/*
+ * All bytes of a stream are sent; aborts it, as it was not ended, unless more
+ * follows.
+ */
 static void
 on_drained(void *data, struct httpd_request *request)
 {
-	httpd_abort(request);
+	const struct fake_platform_upstream *upstream = data;
+
+	if (request != upstream->silent)
+		httpd_abort(request);
 }
 
 /* Calls to the store have no state. */
@@ -320,6 +366,9 @@
 		upstream->index = i;
 		ev_timer_init(&upstream->stop_timer, on_stop_timer, 0.0, 0.0);
 		upstream->stop_timer.data = upstream;
+		ev_timer_init(
+		    &upstream->silence_timer, on_silence_timer, 0.0, 0.0);
+		upstream->silence_timer.data = upstream;
 		start_upstream(upstream, 0);
 		json_array_append_new(fake_platform->objects[1],
 		    make_upstream_object(i, upstream->port));
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -32,6 +32,7 @@
 	FAKE_STEP_HANG, /* no response */
 	FAKE_STEP_STREAM, /* the events after Last-Event-Id, of three */
 	FAKE_STEP_CUT_STREAM, /* the same, cut off in the second event */
+	FAKE_STEP_SLOW_STREAM, /* the same, silent after the first event */
 	FAKE_STEP_LEAVING, /* 200, complete, and says that it leaves */
 	FAKE_STEP_LEAVING_STREAM, /* FAKE_STEP_STREAM, and says so */
 	FAKE_STEP_LEAVING_NOT_RUN, /* FAKE_STEP_NOT_RUN, and says so */
@@ -39,6 +40,9 @@
 	FAKE_STEP_QUIET, /* FAKE_STEP_NOT_RUN with a Retry-After */
 };
 
+/* How long the stream of FAKE_STEP_SLOW_STREAM is silent. */
+#define FAKE_SILENCE_MS 1700
+
 /* Retry-After of FAKE_STEP_QUIET. */
 #define FAKE_QUIET_S  "0.6"
 #define FAKE_QUIET_MS 600
