A stream that has begun is not lost to one rejection

Callers lost streams in the middle of a 200 while a gateway stopped or the configuration changed, although seconds were left.

Cause: in all three cases seen with logs the gateway itself ended the run, as the upstream had sent nothing for 65% of the time after which callers leave; the next upstream rejected the stream, with 2 to 11 requests as far as was known; the rejection used up the last of the route's two attempts, and the stream was cut 4 to 10 ms after its run. Ruled out: the upstream's leaving, a lost connection, the deadline, the exit. Why the upstreams rejected it was not found out.

A rejection is no run and uses up no attempt of a request that may have run. A silent stream stays at its upstream while all others are cold or full, and one without a run waits for capacity, or pauses 50 ms after a rejection, as long as its caller does. Bounds are the number of tries, the retry budget, the deadline and the time after which callers leave.

Three cases of test_resume failed before.

--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -256,6 +256,7 @@
 			    exchange_retry_window(exchange),
 			    &exchange->context->retry, now);
 		exchange->sends++;
+		exchange->rejections += outcome == SEND_NOT_RUN;
 	}
 	if (outcome != SEND_OPEN)
 		update_health(exchange, upstream, outcome);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -82,6 +82,7 @@
 	size_t tries;
 	char *faulty_upstream; /* reported by another upstream; or NULL */
 	size_t sends; /* tries that sent at least a part of the request */
+	size_t rejections; /* of sends: the upstream did not execute it */
 	bool may_have_run;
 	struct http_call *call; /* NULL while nothing is being sent */
 	struct fleet_upstream *upstream; /* of the current send */
@@ -122,6 +123,7 @@
 void exchange_refuse(
     struct exchange *, enum refusal, int64_t retry_after_ms, const char *why);
 void exchange_send(struct exchange *);
+void exchange_schedule_plan(struct exchange *);
 bool exchange_may_begin(struct exchange *);
 bool exchange_refuse_crashing_part(struct exchange *);
 void exchange_report_survival(struct exchange *);
@@ -130,6 +132,9 @@
 struct retry_window *exchange_retry_window(struct exchange *);
 void exchange_clear_helpers(struct exchange *);
 size_t exchange_sends_max(const struct exchange *);
+size_t exchange_used_attempts(
+    const struct exchange *, size_t sends, bool may_have_run);
+bool exchange_may_wait_to_resume(const struct exchange *);
 bool exchange_may_retry(struct exchange *, size_t sends, bool may_have_run);
 void exchange_end_send(struct exchange *, enum send_outcome);
 void exchange_stop_send(struct exchange *);
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -1,5 +1,6 @@
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
+#include "gateway/exchange_selection.h"
 
 #define LOG_MODULE "retry"
 #include "base/log.h"
@@ -54,6 +55,18 @@
 	return MIN(exchange->route->attempts, EXCHANGE_SENDS_MAX);
 }
 
+/*
+ * Returns how many of the route's attempts this number of sends has used up. A
+ * rejection is no run: it uses up none of a request that may have run, whose
+ * caller can't come back with it as with one that is refused.
+ */
+size_t
+exchange_used_attempts(
+    const struct exchange *exchange, size_t sends, bool may_have_run)
+{
+	return may_have_run ? sends - exchange->rejections : sends;
+}
+
 /*
  * Returns whether the request may be sent again after this number of sends. If
  * it may have been executed, its route must allow that.
@@ -65,7 +78,8 @@
 
 	if (may_have_run && !route_is_repeatable(exchange->route))
 		return false;
-	if (sends >= exchange_sends_max(exchange) ||
+	if (exchange_used_attempts(exchange, sends, may_have_run) >=
+		exchange_sends_max(exchange) ||
 	    exchange->tries >= EXCHANGE_TRIES_MAX ||
 	    exchange_remaining_ms(exchange) < SEND_REMAINING_MIN_MS)
 		return false;
@@ -94,6 +108,17 @@
 	    clock_monotonic(exchange->context->clock));
 }
 
+/* Returns after how much silence callers abandon a stream, in milliseconds. */
+static int64_t
+caller_timeout_ms(const struct exchange *exchange)
+{
+	const struct route *route = exchange->route;
+
+	return MAX(CALLER_TIMEOUT_MIN_MS,
+	    MAX(route->target_ms * CALLER_TIMEOUT_TARGETS,
+		route->gap_target_ms * CALLER_TIMEOUT_GAPS));
+}
+
 /*
  * Returns how long an upstream may be silent, in milliseconds, before the
  * request is sent to another one. It is shorter than the callers' timeout, so
@@ -102,31 +127,48 @@
 static int64_t
 stall_timeout_ms(const struct exchange *exchange)
 {
-	const struct route *route = exchange->route;
-	int64_t caller_timeout_ms = MAX(CALLER_TIMEOUT_MIN_MS,
-	    MAX(route->target_ms * CALLER_TIMEOUT_TARGETS,
-		route->gap_target_ms * CALLER_TIMEOUT_GAPS));
+	return caller_timeout_ms(exchange) * STALL_TIMEOUT_PERCENT / 100;
+}
+
+/*
+ * Returns whether a stream that has begun may wait for an upstream that can go
+ * on with it: as long as its caller does, and has time for the rest.
+ */
+bool
+exchange_may_wait_to_resume(const struct exchange *exchange)
+{
+	struct timespec since = time_is_set(exchange->last_event_at)
+	    ? exchange->last_event_at
+	    : exchange->arrived;
+
+	return exchange->is_event_stream &&
+	    exchange_remaining_ms(exchange) >= SEND_REMAINING_MIN_MS &&
+	    time_diff_ms(clock_monotonic(exchange->context->clock), since) <
+	    caller_timeout_ms(exchange);
+}
 
-	return caller_timeout_ms * STALL_TIMEOUT_PERCENT / 100;
+/* Starts the timeout for an upstream's next data. */
+static void
+start_stall_timer(struct exchange *exchange, int64_t timeout_ms)
+{
+	ev_timer_set(
+	    &exchange->stall_timer, (double)timeout_ms / MS_PER_S, 0.0);
+	ev_timer_start(exchange->context->loop, &exchange->stall_timer);
 }
 
 /* Restarts the timeout for an upstream's next data. */
 void
 exchange_restart_stall_timer(struct exchange *exchange)
 {
-	struct ev_loop *loop = exchange->context->loop;
-
-	ev_timer_stop(loop, &exchange->stall_timer);
-	if (!route_is_repeatable(exchange->route))
-		return;
-	ev_timer_set(&exchange->stall_timer,
-	    (double)stall_timeout_ms(exchange) / MS_PER_S, 0.0);
-	ev_timer_start(loop, &exchange->stall_timer);
+	ev_timer_stop(exchange->context->loop, &exchange->stall_timer);
+	if (route_is_repeatable(exchange->route))
+		start_stall_timer(exchange, stall_timeout_ms(exchange));
 }
 
 /*
  * Cancels the send if the request may be sent to another upstream; otherwise
- * continues to wait, since silence alone is no reason to end the response.
+ * continues to wait, since silence alone is no reason to end the response. One
+ * that has begun stays while each other upstream may reject it.
  */
 void
 exchange_on_stall_timeout(struct ev_loop *loop, ev_timer *timer, int events)
@@ -138,6 +180,10 @@
 		exchange_restart_stall_timer(exchange);
 		return;
 	}
+	if (exchange->streaming && !exchange_has_reliable_upstream(exchange)) {
+		start_stall_timer(exchange, BALANCE_WAIT_INTERVAL_MS);
+		return;
+	}
 	http_call_cancel(exchange->call);
 	exchange_discard_partial(exchange);
 	exchange_end_send(exchange, SEND_LOST);
@@ -166,7 +212,8 @@
 
 /*
  * Continues after a send without a response: sends the request again if that is
- * allowed, otherwise fails it.
+ * allowed, otherwise fails it. A stream that has begun pauses before it is sent
+ * to an upstream that is as likely to reject it.
  */
 void
 exchange_retry_or_fail(
@@ -178,9 +225,13 @@
 	    exchange->caller_headers.request_id, "why", why, "may_have_run",
 	    may_have_run, "sends", (int)exchange->sends);
 	exchange->may_have_run |= may_have_run;
-	if (consume_retry(exchange))
-		exchange_send(exchange);
-	else
+	if (!consume_retry(exchange))
 		exchange_fail(exchange, REFUSAL_NOT_RUN,
 		    exchange_retry_after_ms(exchange), why);
+	else if (outcome == SEND_NOT_RUN &&
+	    exchange_may_wait_to_resume(exchange) &&
+	    !exchange_has_reliable_upstream(exchange))
+		exchange_schedule_plan(exchange);
+	else
+		exchange_send(exchange);
 }
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -77,7 +77,8 @@
 is_last_send(const struct exchange *exchange)
 {
 	return exchange->sends > 0 &&
-	    exchange->sends + 1 >= exchange_sends_max(exchange);
+	    exchange_used_attempts(exchange, exchange->sends + 1,
+		exchange->may_have_run) >= exchange_sends_max(exchange);
 }
 
 /* Fills a balancing candidate with an upstream's load. */
@@ -151,6 +152,24 @@
 	}
 }
 
+/*
+ * Returns whether another upstream is not likely to reject the request, as far
+ * as is known.
+ */
+bool
+exchange_has_reliable_upstream(struct exchange *exchange)
+{
+	struct timespec now = clock_monotonic(exchange->context->clock);
+	struct selection selection;
+	bool found = false;
+
+	selection_collect(exchange, SELECTION_HEALTHY, &selection);
+	for (size_t i = 0; i < selection.count && !found; i++)
+		found = !may_reject(selection.upstreams[i], now);
+	selection_clear(&selection);
+	return found;
+}
+
 /* Returns whether all upstreams have asked for no requests now. */
 bool
 selection_is_quiet(const struct selection *selection)
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -29,6 +29,7 @@
 void selection_clear(struct selection *);
 bool selection_is_quiet(const struct selection *);
 enum stream_class exchange_stream_class(const struct exchange *);
+bool exchange_has_reliable_upstream(struct exchange *);
 bool exchange_may_wait(const struct exchange *, enum balance_verdict);
 enum balance_verdict selection_plan(
     const struct exchange *, const struct selection *, struct balance_plan *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -269,8 +269,8 @@
 }
 
 /* Starts the timer after which the prompt is planned again. */
-static void
-schedule_plan(struct exchange *exchange)
+void
+exchange_schedule_plan(struct exchange *exchange)
 {
 	ev_timer_set(&exchange->wait_timer,
 	    (double)BALANCE_WAIT_INTERVAL_MS / MS_PER_S, 0.0);
@@ -305,7 +305,11 @@
 	if (verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
 		verdict = BALANCE_SERVE;
 	if (exchange->tries == 0 && exchange_may_wait(exchange, verdict)) {
-		schedule_plan(exchange);
+		exchange_schedule_plan(exchange);
+		goto out;
+	}
+	if (verdict != BALANCE_SERVE && exchange_may_wait_to_resume(exchange)) {
+		exchange_schedule_plan(exchange);
 		goto out;
 	}
 	if (verdict != BALANCE_SERVE) {
