--- /dev/null
+++ b/tests/test_load_sync.c
@@ -0,0 +1,223 @@
+/*
+ * Who watches the store among gateways that exchange their load. Guards against
+ * a time in which nobody watches.
+ */
+#include <sodium.h>
+
+#include "base/http_client.h"
+#include "cases.h"
+#include "fake_platform.h"
+#include "gateway/load_sync.h"
+#include "policy/watching.h"
+#include "store/watchers.h"
+
+#define OTHERS	       LOAD_SYNC_WATCHERS
+#define REPORTS_ENOUGH 6
+#define TEST_TIMEOUT_S 20.0
+#define CONFIG	       "{\"Version\":1,\"Routes\":[],\"Services\":[]}"
+
+static const struct load_case {
+	const char *name;
+	int64_t age_ms; /* of the others, all of which rank before */
+	bool others_are_seeds;
+	bool watches; /* the gateway that has run for long */
+} cases[] = {
+    {"while others have just started, a gateway watches", 0, false, true},
+    {"while others do not watch yet, a gateway watches", WATCHING_SETTLE_MS - 1,
+	false, true},
+    {"once enough others watch, a gateway stops", WATCHING_SETTLE_MS, false,
+	false},
+    {"seeds that have just started watch in place of a gateway", 0, true,
+	false},
+};
+
+/* A gateway's modules up to the exchange of its load. */
+struct gateway {
+	struct link_identity identity;
+	struct clock_manual clock; /* of the exchange alone */
+	struct http_client *http;
+	struct mesh *mesh;
+	struct documents *documents;
+	struct object_store *store;
+	struct routing_state *routing_state;
+	struct registry *registry;
+	struct load_sync *load_sync;
+};
+
+/* Counts the reports that a gateway receives. */
+struct counter {
+	struct mesh_handler handler;
+	const char *names[OTHERS];
+	unsigned int reports[OTHERS];
+};
+
+/* Names of all gateways, in no order of rank. */
+static const char *const names[] = {"g-1", "g-2", "g-3", "g-4"};
+
+/* Returns the index of the gateway before which all others rank. */
+static size_t
+find_last_by_rank(void)
+{
+	struct watcher_candidate candidates[G_N_ELEMENTS(names)];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		candidates[i] = (struct watcher_candidate){
+		    .id = names[i], .answers = true};
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (!watchers_is_elected(candidates, G_N_ELEMENTS(names),
+			names[i], LOAD_SYNC_WATCHERS))
+			return i;
+	}
+	g_assert_not_reached();
+}
+
+/* Starts a gateway. */
+static void
+start_gateway(struct gateway *gateway, struct ev_loop *loop,
+    const struct fake_platform *platform,
+    const struct load_sync_settings *settings)
+{
+	const struct mesh_settings mesh = {
+	    .identity = &gateway->identity, .listen = "127.0.0.1:0"};
+
+	gateway->identity = (struct link_identity){.process = settings->self,
+	    .role = ROLE_GATEWAY,
+	    .failure_domain = "z",
+	    .address = "127.0.0.1:1",
+	    .cluster_key = "secret"};
+	clock_manual_init(&gateway->clock, 1000);
+	gateway->http = http_client_new(loop, NULL);
+	gateway->mesh = mesh_new(loop, clock_system(), &mesh, NULL);
+	g_assert_nonnull(gateway->mesh);
+	gateway->documents = documents_new(
+	    loop, clock_system(), gateway->mesh, &gateway->identity);
+	gateway->store = object_store_new(
+	    gateway->http, fake_platform_store_address(platform), NULL);
+	gateway->routing_state = routing_state_new(loop, clock_system(),
+	    gateway->store, gateway->documents, !settings->has_seeds);
+	gateway->registry = registry_new(
+	    loop, gateway->store, gateway->mesh, &gateway->identity);
+	gateway->load_sync = load_sync_new(loop, &gateway->clock.clock,
+	    gateway->mesh, settings, gateway->registry, gateway->routing_state);
+}
+
+/* Stops a gateway. */
+static void
+stop_gateway(struct gateway *gateway)
+{
+	load_sync_free(gateway->load_sync);
+	registry_free(gateway->registry);
+	routing_state_free(gateway->routing_state);
+	object_store_free(gateway->store);
+	documents_free(gateway->documents);
+	mesh_free(gateway->mesh);
+	http_client_free(gateway->http);
+}
+
+/* Counts a report by its sender. */
+static void
+on_message(void *data, struct link *link, const struct message *message)
+{
+	struct counter *counter = data;
+
+	for (size_t i = 0; i < OTHERS; i++)
+		counter->reports[i] += g_strcmp0(link_peer(link)->process,
+					   counter->names[i]) == 0;
+}
+
+static const struct mesh_ops counter_ops = {.message = on_message};
+
+/* Returns whether each sender has reported often enough. */
+static bool
+has_enough_reports(const struct counter *counter)
+{
+	for (size_t i = 0; i < OTHERS; i++) {
+		if (counter->reports[i] < REPORTS_ENOUGH)
+			return false;
+	}
+	return true;
+}
+
+/* Fails a test that does not end in time. */
+static void
+on_timeout(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	g_error("the test did not end in time");
+}
+
+/* Starts the other gateways, which know the address of the first one. */
+static void
+start_others(const struct load_case *c, struct ev_loop *loop,
+    const struct fake_platform *platform, const struct gateway *first,
+    struct gateway others[OTHERS], struct counter *counter)
+{
+	g_autofree char *address = g_strdup_printf(
+	    "127.0.0.1:%d", mesh_port(first->mesh));
+	const char *const seeds[] = {address};
+	size_t count = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		const struct load_sync_settings settings = {
+		    .self = names[i],
+		    .failure_domain = "z",
+		    .is_seed = c->others_are_seeds,
+		    .has_seeds = true,
+		};
+
+		if (i == find_last_by_rank())
+			continue;
+		counter->names[count] = names[i];
+		start_gateway(&others[count], loop, platform, &settings);
+		clock_manual_advance(&others[count].clock, c->age_ms);
+		mesh_set_peers(others[count++].mesh, MESH_SOURCE_SEEDS, seeds,
+		    G_N_ELEMENTS(seeds));
+	}
+}
+
+/* Runs one case. */
+static void
+test_case(gconstpointer data)
+{
+	const struct load_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	const struct load_sync_settings settings = {
+	    .self = names[find_last_by_rank()], .failure_domain = "z"};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct fake_platform *platform = fake_platform_new(loop);
+	struct counter counter = {.handler = {.kinds = MESH_KIND(MESSAGE_LOAD),
+				      .ops = &counter_ops,
+				      .data = &counter}};
+	struct gateway first;
+	struct gateway others[OTHERS];
+	ev_timer timeout;
+
+	ev_timer_init(&timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
+	ev_timer_start(loop, &timeout);
+	fake_platform_set_config(platform, CONFIG);
+	start_gateway(&first, loop, platform, &settings);
+	mesh_add_handler(first.mesh, &counter.handler);
+	start_others(c, loop, platform, &first, others, &counter);
+	while (!has_enough_reports(&counter))
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpint(
+	    routing_state_is_watching(first.routing_state), ==, c->watches);
+	for (size_t i = 0; i < OTHERS; i++) {
+		g_assert_cmpint(
+		    routing_state_is_watching(others[i].routing_state), ==,
+		    !c->watches);
+		stop_gateway(&others[i]);
+	}
+	mesh_remove_handler(first.mesh, &counter.handler);
+	stop_gateway(&first);
+	fake_platform_free(platform);
+	ev_timer_stop(loop, &timeout);
+	ev_loop_destroy(loop);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	ADD_CASES(cases, "/load_sync", test_case);
+	return g_test_run();
+}
