Gateways don't leave watching the store to ones that have just started

During rolling restarts requests reached upstreams 3.4 to 4.3 s after the store had acknowledged that they leave; 3 s are allowed.

Cause: a gateway that starts doesn't watch the store for 5 s, but the others ranked it among the three watchers with its first report and stopped watching for it. Once all three that rank first had restarted within some seconds, nobody watched. Ruled out by reading: old lists at the start (only the list of gateways is read stale, and versions never fall), and the grace period of vanished upstreams (1.4 s).

A report now says that its sender does not watch, whether the store is disconnected from it or it has just started, and a peer that has reported nothing yet does not count as a watcher.

--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -198,6 +198,29 @@
 	    own->prefill_us == reported->prefill_us;
 }
 
+/* Describes this process as far as its watching of the store goes. */
+static struct watching_input
+describe_watching(const struct load_sync *sync)
+{
+	return (struct watching_input){
+	    .age_ms = time_diff_ms(
+		clock_monotonic(sync->clock), sync->started_at),
+	    .is_seed = sync->is_seed,
+	    .has_seeds = sync->has_seeds,
+	    .complete = routing_state_is_complete(sync->routing_state),
+	};
+}
+
+/* Returns whether the peers must not leave watching the store to us. */
+static bool
+cannot_watch(const struct load_sync *sync)
+{
+	const struct watching_input input = describe_watching(sync);
+
+	return !watching_is_possible(&input) ||
+	    routing_state_is_store_disconnected(sync->routing_state);
+}
+
 /* Collects our loads, or those that changed, and what we know of upstreams. */
 static void
 collect_report(struct load_sync *sync, struct report *report, bool changes)
@@ -261,8 +284,7 @@
 	report_init(&report, fleet_count(sync->fleet));
 	collect_report(sync, &report, changes);
 	message.load = (struct message_load){
-	    .store_disconnected = routing_state_is_store_disconnected(
-		sync->routing_state),
+	    .cannot_watch = cannot_watch(sync),
 	    .upstreams = {report.ids, report.rows},
 	    .running = {report.running, report.rows},
 	    .short_streams = {report.streams[STREAM_SHORT], report.rows},
@@ -312,15 +334,9 @@
 static void
 decide_watching(struct load_sync *sync)
 {
-	const struct watching_input input = {
-	    .age_ms = time_diff_ms(
-		clock_monotonic(sync->clock), sync->started_at),
-	    .is_seed = sync->is_seed,
-	    .has_seeds = sync->has_seeds,
-	    .complete = routing_state_is_complete(sync->routing_state),
-	    .elected = !has_enough_watchers(sync),
-	};
+	struct watching_input input = describe_watching(sync);
 
+	input.elected = !has_enough_watchers(sync);
 	routing_state_set_watching(
 	    sync->routing_state, watching_is_needed(&input));
 }
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -7,7 +7,7 @@
 	GHashTable *loads; /* upstream id -> struct upstream_load */
 	GPtrArray *faulty; /* ids of upstreams */
 	struct timespec received_at;
-	bool store_disconnected;
+	bool cannot_watch; /* the store, as last reported */
 };
 
 struct peer_loads {
@@ -93,7 +93,10 @@
 	g_free(peer_load);
 }
 
-/* Returns a peer's load; creates an empty one if needed. */
+/*
+ * Returns a peer's load; creates an empty one if needed. A peer that has not
+ * reported yet may have just started.
+ */
 static struct peer_load *
 get_peer_load(struct peer_loads *peer_loads, const char *process)
 {
@@ -106,6 +109,7 @@
 	peer_load->loads = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
 	peer_load->faulty = g_ptr_array_new_with_free_func(g_free);
+	peer_load->cannot_watch = true;
 	g_hash_table_insert(peer_loads->peers, g_strdup(process), peer_load);
 	return peer_load;
 }
@@ -196,7 +200,7 @@
 	for (size_t i = 0; i < rows; i++)
 		replace_row(peer_loads, peer_load, message, i);
 	peer_load->received_at = now;
-	peer_load->store_disconnected = message->store_disconnected;
+	peer_load->cannot_watch = message->cannot_watch;
 	apply_leaving(peer_loads, process, message, now);
 }
 
@@ -293,7 +297,7 @@
 
 		candidates[(*count)++] = (struct watcher_candidate){
 		    .id = process,
-		    .answers = !peer_load->store_disconnected,
+		    .answers = !peer_load->cannot_watch,
 		};
 	}
 	return candidates;
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -262,7 +262,7 @@
 };
 
 struct message_load {
-	bool store_disconnected; /* last call to the store failed */
+	bool cannot_watch; /* the store: disconnected or just started */
 	struct string_array upstreams; /* as many as in each array below */
 	struct u64_array running; /* requests */
 	struct u64_array short_streams; /* of running, as the next two */
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -90,7 +90,7 @@
 		M(U64, suspect.fingerprint), M(U64, suspect.reporter),
 		M(U32, suspect.deaths), M(U32, suspect.age_ms) } },
 	[MESSAGE_LOAD] = { "load", {
-		M(BOOL, load.store_disconnected), M(STRING_ARRAY, load.upstreams),
+		M(BOOL, load.cannot_watch), M(STRING_ARRAY, load.upstreams),
 		M(U64_ARRAY, load.running),
 		M(U64_ARRAY, load.short_streams),
 		M(U64_ARRAY, load.medium_streams),
--- a/src/policy/watching.c
+++ b/src/policy/watching.c
@@ -1,5 +1,16 @@
 #include "policy/watching.h"
 
+/*
+ * Returns whether the process would watch the store if it were elected; others
+ * must not count on one that has just started.
+ */
+bool
+watching_is_possible(const struct watching_input *input)
+{
+	return input->is_seed || !input->has_seeds ||
+	    input->age_ms >= WATCHING_SETTLE_MS;
+}
+
 /*
  * Returns whether the process should watch the store now, after it has listed
  * each kind once.
@@ -9,5 +20,5 @@
 {
 	if (input->is_seed || !input->has_seeds)
 		return !input->complete || input->elected;
-	return input->age_ms >= WATCHING_SETTLE_MS && input->elected;
+	return watching_is_possible(input) && input->elected;
 }
--- a/src/policy/watching.h
+++ b/src/policy/watching.h
@@ -6,7 +6,8 @@
  * kind of object and watches it, and each of the upstreams that also come back
  * then causes one more call of every process. So a process that knows the
  * address of another one lists each kind once, or gets it from there, and does
- * not watch until it knows enough others to tell who does.
+ * not watch until it knows enough others to tell who does. Until then others
+ * must not leave the watching to it.
  */
 #ifndef POLICY_WATCHING_H
 #define POLICY_WATCHING_H
@@ -25,6 +26,7 @@
 	bool elected; /* by rank among the processes that reach the store */
 };
 
+bool watching_is_possible(const struct watching_input *);
 bool watching_is_needed(const struct watching_input *);
 
 #endif
