An entry exits before the end of its grace time

Callers saw nothing of it at first: an entry that was asked to stop waited for its open requests without any limit, also for one whose body never came. The platform would kill it in the end, and cut whatever else was open.

It is an entry's now, kept with the notice in a struct drain, as in the gateway. The invariant could not fail, since the loop ended only when nothing was open; it now counts the requests that the exit cuts before their final answer.

The test failed before, with the setting accepted and without the limit:

stop requested ... no longer accepting connections open_requests 1 Bail out! FATAL-ERROR: the test did not end in time

Twenty seconds after the signal the entry still ran. Now it exits 0.8 s after it, with a grace time of 1.5 s, and with code 0.

--- a/script/lib/fleet.py
+++ b/script/lib/fleet.py
@@ -21,6 +21,7 @@
 STANDIN = BUILD / "tests" / "standin"
 LOAD = BUILD / "tests" / "load" / "standin-load"
 TOKEN = "operator-token-of-the-scripts"
+STOP_TIMEOUT_S = 60  # from SIGTERM to SIGKILL
 DOMAINS = ("a", "b", "c")
 
 # Current deployments: numbers of model and plain upstreams, model name, path.
@@ -179,7 +180,7 @@
         self.mark_running()
         self.paused = False
 
-    def stop(self, seconds=60):
+    def stop(self, seconds=STOP_TIMEOUT_S):
         """Sends SIGTERM and waits; returns the exit code, None if killed."""
         if self.popen is None:
             return None
@@ -279,6 +280,7 @@
             self.token_file, "--http", self.address(f"{name}-http"),
             "--platform", f"http://{self.address('platform')}",
             *(["--peers", ",".join(peers)] if peers else []),
+            "--grace-s", STOP_TIMEOUT_S,
             *self.options["entry"]])
 
     def start(self):
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -17,6 +17,7 @@
 	int64_t last_stall_ms;
 	struct mesh_handler handler;
 	struct router *router;
+	struct drain drain;
 	GRand *random;
 	GHashTable *exchanges; /* request id -> struct dispatch_exchange */
 	GHashTable *budgets; /* service id -> struct retry_budget */
@@ -224,6 +225,22 @@
 	return documents_config(dispatch->settings.documents);
 }
 
+/* The process was asked to stop: from now on its time is limited. */
+void
+dispatch_start_draining(
+    struct dispatch *dispatch, const struct drain_limits *limits)
+{
+	drain_start(&dispatch->drain, limits,
+	    clock_monotonic(dispatch->settings.clock));
+}
+
+/* Returns how much time the process has. */
+const struct drain *
+dispatch_drain(const struct dispatch *dispatch)
+{
+	return &dispatch->drain;
+}
+
 /* Sets the callback for the demand on services; NULL for none. */
 void
 dispatch_set_demand_callback(
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -18,6 +18,7 @@
 #include "config/config.h"
 #include "peer/documents.h"
 #include "peer/mesh.h"
+#include "policy/drain.h"
 #include "policy/retry.h"
 #include "policy/router.h"
 
@@ -71,6 +72,8 @@
 void dispatch_exchange_detach(struct dispatch_exchange *);
 void dispatch_exchange_add_consumed(struct dispatch_exchange *, size_t bytes);
 int64_t dispatch_recent_stall_ms(const struct dispatch *);
+void dispatch_start_draining(struct dispatch *, const struct drain_limits *);
+const struct drain *dispatch_drain(const struct dispatch *);
 
 struct ev_loop *dispatch_loop(const struct dispatch *);
 struct clock *dispatch_clock(const struct dispatch *);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -26,8 +26,6 @@
 /* How often a draining entry checks whether its requests have ended. */
 #define DRAIN_POLL_MS 50
 
-INVARIANT_DEFINE(no_request_cut_off, "entry_stop_cuts_off_nothing");
-
 struct entry {
 	struct settings settings;
 	struct ev_loop *loop;
@@ -41,8 +39,6 @@
 	struct frontend *frontend;
 	char *operator_token;
 	struct ev_timer drain_poll_timer;
-	struct timespec stop_accepting_at; /* no new connections after this */
-	bool draining;
 	bool stopped_accepting;
 };
 
@@ -90,19 +86,18 @@
 }
 
 /*
- * Stops accepting once the load balancer has had time to notice, and ends the
- * loop once all open requests have ended.
+ * Stops accepting once the load balancer has had time to notice; ends the loop
+ * once all open requests have ended or the grace time ends.
  */
 static void
 on_drain_poll(struct ev_loop *loop, struct ev_timer *timer, int events)
 {
 	struct entry *entry = timer->data;
+	const struct drain *drain = dispatch_drain(entry->dispatch);
+	struct timespec now = clock_monotonic(entry->clock);
 
 	if (!entry->stopped_accepting &&
-	    time_before(
-		clock_monotonic(entry->clock), entry->stop_accepting_at))
-		return;
-	if (!entry->stopped_accepting) {
+	    !time_before(now, drain->accept_until)) {
 		entry->stopped_accepting = true;
 		frontend_stop_accepting(entry->frontend);
 		if (entry->operator_api != NULL)
@@ -110,10 +105,15 @@
 		LOG_INFO("no longer accepting connections", "{s:I}",
 		    "open_requests",
 		    (json_int_t)frontend_open_requests(entry->frontend));
-	} else if (is_idle(entry)) {
+	} else if (entry->stopped_accepting && is_idle(entry)) {
 		/* Connections accepted last have been read by now. */
 		ev_break(loop, EVBREAK_ALL);
 	}
+	if (drain_left_ms(drain, now) > 0)
+		return;
+	LOG_WARN("exiting with open requests", "{s:I}", "open_requests",
+	    (json_int_t)frontend_open_requests(entry->frontend));
+	ev_break(loop, EVBREAK_ALL);
 }
 
 /*
@@ -125,14 +125,16 @@
 start_draining(void *data)
 {
 	struct entry *entry = data;
+	const struct drain_limits limits = {
+	    .notice_ms = entry->settings.drain_notice_ms,
+	    .grace_ms = (int64_t)(entry->settings.grace_s * MS_PER_S),
+	};
 
-	if (entry->draining)
+	if (drain_is_started(dispatch_drain(entry->dispatch)))
 		return;
-	entry->draining = true;
+	dispatch_start_draining(entry->dispatch, &limits);
 	node_start_draining(entry->node);
 	frontend_start_draining(entry->frontend);
-	entry->stop_accepting_at = time_add_ms(
-	    clock_monotonic(entry->clock), entry->settings.drain_notice_ms);
 	ev_timer_init(
 	    &entry->drain_poll_timer, on_drain_poll, 0, DRAIN_POLL_MS / 1e3);
 	entry->drain_poll_timer.data = entry;
@@ -288,7 +290,8 @@
 	LOG_INFO("entry serves", "{s:s, s:i}", "callers",
 	    entry.settings.callers, "port", frontend_port(entry.frontend));
 	node_run(entry.node, entry.loop, start_draining);
-	invariant_check(&no_request_cut_off, is_idle(&entry), NULL, NULL);
+	frontend_free(entry.frontend);
+	entry.frontend = NULL;
 	invariants_log();
 	LOG_INFO("entry stopped", "{}");
 out:
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <sodium.h>
 
+#include "base/invariant.h"
 #include "base/metrics.h"
 #include "entry/generation.h"
 #include "entry/plain_call.h"
@@ -23,8 +24,11 @@
 	struct httpd *httpd;
 	bool draining; /* fails the readiness check, still serves requests */
 	bool closed; /* refuses new requests */
+	bool exiting;
+	size_t cut_off; /* requests without a final answer at the exit */
 };
 
+INVARIANT_DEFINE(no_request_cut_off, "entry_stop_cuts_off_nothing");
 METRIC_DEFINE(requests_received, METRIC_COUNTER, "heatherturn_requests", NULL,
     "requests that callers sent");
 METRIC_DEFINE(requests_failed, METRIC_COUNTER, "heatherturn_refusals", NULL,
@@ -306,8 +310,12 @@
 static void
 on_closed(void *data, struct httpd_request *http, bool complete)
 {
+	struct frontend *frontend = data;
 	struct frontend_request_owner *owner = httpd_request_data(http);
 
+	/* An owner leaves its request with the final answer. */
+	if (frontend->exiting && owner != NULL)
+		frontend->cut_off++;
 	if (owner != NULL)
 		owner->closed(owner, complete);
 }
@@ -344,13 +352,19 @@
 	return frontend;
 }
 
-/* Stops listening and aborts all open requests; NULL is allowed. */
+/*
+ * Stops listening and aborts all open requests, each of which should have its
+ * final answer; NULL is allowed.
+ */
 void
 frontend_free(struct frontend *frontend)
 {
 	if (frontend == NULL)
 		return;
+	frontend->exiting = true;
 	httpd_free(frontend->httpd);
+	invariant_check(
+	    &no_request_cut_off, frontend->cut_off == 0, NULL, NULL);
 	g_free(frontend);
 }
 
