An entry that exits gives open requests their final answer

What callers saw: a connection that closes without a response, or a stream that ends in the middle, when the entry exits at the end of its grace time; nothing told them whether the request had run.

Cause: nothing ended the open requests before the exit closed their connections. Now each exchange has a function for it, called one poll before the exit. What was not sent is refused as 'leaving', with Retry-After-Ms 20, as another entry can serve it at once; what may have run ends as upstream_lost, a call as outcome_unknown, a stream with an error event. Runs are cancelled at their sidecars; a call is not, and neither is a stream that its caller can resume through another entry, which is kept. A request that comes after the listener was closed gets the same Retry-After-Ms.

Eight new cases of test_job failed before, all in the same way:

ERROR:test_job.c:test_script: 'fake.ended' should be TRUE ERROR:test_job.c:test_group_at_exit: 'fake.ended' should be TRUE

The ninth, the kept stream, held before as well.

--- a/src/caller/failure.h
+++ b/src/caller/failure.h
@@ -14,6 +14,8 @@
 
 /* Retry-After if no better estimate is known. */
 #define RETRY_AFTER_DEFAULT_MS 1000
+/* Of an entry that shuts down: another one can serve the request at once. */
+#define RETRY_AFTER_DRAINING_MS 20
 
 enum caller_error {
 	CALLER_ERROR_MALFORMED_JSON, /* body is not JSON */
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -48,14 +48,15 @@
 	exchange->ops->message(exchange, link, message);
 }
 
+typedef void exchange_fn(struct dispatch_exchange *, void *data);
+
 /*
- * Notifies every exchange that a link is lost. An exchange may end in its
- * callback, so the ids are copied first and each is looked up again.
+ * Calls a function for every exchange. An exchange may end in it, so the ids
+ * are copied first and each is looked up again.
  */
 static void
-on_link_lost(void *data, struct link *link, const GError *error)
+for_each_exchange(struct dispatch *dispatch, exchange_fn *visit, void *data)
 {
-	struct dispatch *dispatch = data;
 	g_autofree char **ids = NULL;
 	guint count;
 
@@ -68,11 +69,25 @@
 		    dispatch->exchanges, ids[i]);
 
 		if (exchange != NULL)
-			exchange->ops->lost(exchange, link);
+			visit(exchange, data);
 		g_free(ids[i]);
 	}
 }
 
+/* Notifies an exchange that a link is lost. */
+static void
+notify_lost(struct dispatch_exchange *exchange, void *link)
+{
+	exchange->ops->lost(exchange, link);
+}
+
+/* Notifies every exchange that a link is lost. */
+static void
+on_link_lost(void *data, struct link *link, const GError *error)
+{
+	for_each_exchange(data, notify_lost, link);
+}
+
 static const struct mesh_ops handler_ops = {
     .message = on_message,
     .lost = on_link_lost,
@@ -225,6 +240,23 @@
 	return documents_config(dispatch->settings.documents);
 }
 
+/* Ends one exchange. */
+static void
+end_exchange(struct dispatch_exchange *exchange, void *data)
+{
+	exchange->ops->end(exchange);
+}
+
+/*
+ * The process is about to exit: gives each request its final answer, except
+ * streams that their callers can resume through another entry.
+ */
+void
+dispatch_end_exchanges(struct dispatch *dispatch)
+{
+	for_each_exchange(dispatch, end_exchange, NULL);
+}
+
 /* The process was asked to stop: from now on its time is limited. */
 void
 dispatch_start_draining(
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -32,6 +32,8 @@
 	void (*lost)(struct dispatch_exchange *, struct link *);
 	void (*cancel)(struct dispatch_exchange *, const char *reason);
 	void (*detach)(struct dispatch_exchange *);
+	/* The process exits: gives the final answer; may free it. */
+	void (*end)(struct dispatch_exchange *);
 	void (*consumed)(struct dispatch_exchange *, size_t bytes);
 };
 
@@ -72,6 +74,7 @@
 void dispatch_exchange_detach(struct dispatch_exchange *);
 void dispatch_exchange_add_consumed(struct dispatch_exchange *, size_t bytes);
 int64_t dispatch_recent_stall_ms(const struct dispatch *);
+void dispatch_end_exchanges(struct dispatch *);
 void dispatch_start_draining(struct dispatch *, const struct drain_limits *);
 const struct drain *dispatch_drain(const struct dispatch *);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -40,6 +40,7 @@
 	char *operator_token;
 	struct ev_timer drain_poll_timer;
 	bool stopped_accepting;
+	bool exiting; /* open requests have their final answers */
 };
 
 /* Returns whether the entry can serve: it needs a configuration. */
@@ -111,9 +112,15 @@
 	}
 	if (drain_left_ms(drain, now) > 0)
 		return;
+	if (entry->exiting) {
+		ev_break(loop, EVBREAK_ALL);
+		return;
+	}
+	/* The answers are sent before the next poll. */
+	entry->exiting = true;
 	LOG_WARN("exiting with open requests", "{s:I}", "open_requests",
 	    (json_int_t)frontend_open_requests(entry->frontend));
-	ev_break(loop, EVBREAK_ALL);
+	dispatch_end_exchanges(entry->dispatch);
 }
 
 /*
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -295,7 +295,7 @@
 	make_request_id(request.id);
 	if (frontend->closed) {
 		frontend_respond_error_code(http, request.id,
-		    CALLER_ERROR_DRAINING, RETRY_AFTER_DEFAULT_MS,
+		    CALLER_ERROR_DRAINING, RETRY_AFTER_DRAINING_MS,
 		    "this entry is shutting down");
 		return;
 	}
@@ -314,7 +314,8 @@
 	struct frontend_request_owner *owner = httpd_request_data(http);
 
 	/* An owner leaves its request with the final answer. */
-	if (frontend->exiting && owner != NULL)
+	if (frontend->exiting && owner != NULL &&
+	    (owner->keeps == NULL || !owner->keeps(owner)))
 		frontend->cut_off++;
 	if (owner != NULL)
 		owner->closed(owner, complete);
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -44,6 +44,8 @@
 	void (*closed)(struct frontend_request_owner *, bool complete);
 	/* All bytes written to the stream are sent; may be NULL. */
 	void (*on_writable)(struct frontend_request_owner *);
+	/* Returns whether the caller can resume elsewhere; may be NULL. */
+	bool (*keeps)(void *);
 };
 
 struct frontend_settings {
--- a/src/entry/generation.c
+++ b/src/entry/generation.c
@@ -206,10 +206,20 @@
 	generation_free(generation);
 }
 
+/* Returns whether the caller has begun a stream that it can resume. */
+static bool
+on_keeps(void *data)
+{
+	const struct generation *generation = data;
+
+	return generation->keep_stream && generation->headers_sent;
+}
+
 static const struct job_ops job_ops = {
     .started = on_started,
     .chunk = on_chunk,
     .restart = on_restart,
+    .keeps = on_keeps,
     .finished = on_finished,
     .failed = on_failed,
 };
@@ -253,6 +263,7 @@
 
 	generation->owner.closed = on_closed;
 	generation->owner.on_writable = on_writable;
+	generation->owner.keeps = on_keeps;
 	generation->frontend = frontend;
 	generation->http = request->http;
 	g_strlcpy(generation->id, request->id, sizeof(generation->id));
--- a/src/entry/group_run.c
+++ b/src/entry/group_run.c
@@ -591,11 +591,27 @@
 		run->unreported_bytes = 0;
 }
 
+/* The process exits: fails the run and releases its holds. */
+static void
+group_run_end(struct dispatch_exchange *exchange)
+{
+	struct group_run *run = (struct group_run *)exchange;
+
+	if (run->leader != NULL || run->formation_count > 0)
+		report_failure(run, CALLER_ERROR_UPSTREAM_LOST, 0,
+		    "this entry exits before the answer ends");
+	else
+		report_failure(run, CALLER_ERROR_DRAINING,
+		    RETRY_AFTER_DRAINING_MS, "this entry is shutting down");
+	group_run_cancel(exchange, "entry exits");
+}
+
 static const struct dispatch_exchange_ops group_run_ops = {
     .message = on_message,
     .lost = on_link_lost,
     .cancel = group_run_cancel,
     .detach = group_run_detach,
+    .end = group_run_end,
     .consumed = group_run_consumed,
 };
 
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -45,11 +45,28 @@
 		job->unreported_bytes = 0;
 }
 
+/*
+ * The process exits. A stream that its caller can resume stays at its sidecar,
+ * also while this entry looks for it; so does a call, whose sidecar ends it.
+ */
+static void
+job_end(struct dispatch_exchange *exchange)
+{
+	struct job *job = (struct job *)exchange;
+
+	if (job->ops->keeps != NULL && job->ops->keeps(job->data))
+		return;
+	if (job->spec.work == WORK_GENERATE && job->phase != PHASE_RESUMING)
+		job_send_cancel(job, "entry exits");
+	job_fail_exiting(job);
+}
+
 static const struct dispatch_exchange_ops job_exchange_ops = {
     .message = job_on_message,
     .lost = job_on_link_lost,
     .cancel = job_cancel,
     .detach = job_detach,
+    .end = job_end,
     .consumed = job_consumed,
 };
 
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -58,6 +58,8 @@
 	    size_t length, uint32_t tokens);
 	/* Returns true to discard the chunks so far and retry. */
 	bool (*restart)(void *data);
+	/* Returns whether the caller can resume the stream elsewhere. */
+	bool (*keeps)(void *data);
 	void (*finished)(void *data, const struct message_finish *);
 	void (*failed)(void *data, enum caller_error, int64_t retry_after_ms,
 	    const char *why);
--- a/src/entry/job_state.c
+++ b/src/entry/job_state.c
@@ -246,6 +246,18 @@
 		    "no upstream of this service is in service");
 }
 
+/* Fails a job that can't be completed before this process exits. */
+void
+job_fail_exiting(struct job *job)
+{
+	if (job->attempt_may_have_run || job->earlier_attempt_may_have_run) {
+		job_fail_lost(job, "this entry exits before the answer ends");
+		return;
+	}
+	job->retry_after_ms = RETRY_AFTER_DRAINING_MS;
+	job_fail(job, CALLER_ERROR_DRAINING, "this entry is shutting down");
+}
+
 /* Fails a job at its deadline. */
 void
 job_fail_expired(struct job *job)
--- a/src/entry/job_state.h
+++ b/src/entry/job_state.h
@@ -77,6 +77,7 @@
 void job_fail(struct job *, enum caller_error, const char *why);
 void job_fail_lost(struct job *, const char *why);
 void job_fail_no_upstream(struct job *);
+void job_fail_exiting(struct job *);
 void job_fail_expired(struct job *);
 void job_probe_candidates(struct job *);
 struct job_candidate *job_find_candidate(struct job *, const struct link *);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -32,6 +32,7 @@
 	FINISH_NOT_RUN, /* lost before anything was sent */
 	LINK_LOST, /* of the last submit or resume */
 	WAIT, /* advance time by arg ms */
+	EXIT, /* the entry is about to exit */
 	RESTARTED, /* from now on the sidecar is another incarnation */
 };
 
@@ -121,11 +122,30 @@
     {"a call without a reported outcome is unknown", .call = true,
 	.steps = {{OFFERS}, {WAIT, DEADLINE_MS + 200}},
 	.code = CALLER_ERROR_OUTCOME_UNKNOWN, .submits = 1},
+    {"a job that was not sent is refused at the exit, to be sent elsewhere",
+	.steps = {{EXIT}}, .code = CALLER_ERROR_DRAINING, .retry_after_ms = 20},
+    {"a job that was refused once is refused at the exit",
+	.steps = {{OFFERS}, {REJECT, REJECT_BUSY}, {EXIT}},
+	.code = CALLER_ERROR_DRAINING, .submits = 1, .retry_after_ms = 20},
+    {"a job without a response is lost at the exit",
+	.steps = {{OFFERS}, {EXIT}}, .code = CALLER_ERROR_UPSTREAM_LOST,
+	.submits = 1},
+    {"a job that was lost and sent again is lost at the exit",
+	.steps = {{OFFERS}, {START}, {LINK_LOST}, {EXIT}},
+	.code = CALLER_ERROR_UPSTREAM_LOST, .submits = 1},
+    {"a stream that has begun ends with an error at the exit", .streamed = true,
+	.steps = {{OFFERS}, {START}, {CHUNK, 1}, {EXIT}},
+	.code = CALLER_ERROR_UPSTREAM_LOST, .submits = 1},
+    {"a call that was sent has an unknown outcome at the exit", .call = true,
+	.steps = {{OFFERS}, {START}, {EXIT}},
+	.code = CALLER_ERROR_OUTCOME_UNKNOWN, .submits = 1},
 };
 
 /* State of the fakes; reset by each case. */
 static struct {
 	struct clock_manual clock;
+	struct dispatch *dispatch;
+	bool keeps; /* the caller can resume the stream elsewhere */
 	struct config *config;
 	struct mesh_handler *handler;
 	ev_timer *timers[TIMERS_MAX];
@@ -363,7 +383,14 @@
 	fake.retry_after_ms = retry_after_ms;
 }
 
+static bool
+on_keeps(void *data)
+{
+	return fake.keeps;
+}
+
 static const struct job_ops ops = {
+    .keeps = on_keeps,
     .started = on_started,
     .chunk = on_chunk,
     .restart = on_restart,
@@ -419,6 +446,9 @@
 		clock_manual_advance(&fake.clock, step->arg);
 		fire_timers();
 		return;
+	case EXIT:
+		dispatch_end_exchanges(fake.dispatch);
+		return;
 	case RESTARTED:
 		fake.incarnation++;
 		return;
@@ -494,6 +524,7 @@
 	fake.incarnation = 7;
 	spec.deadline = time_add_ms(fake.clock.monotonic, DEADLINE_MS);
 	dispatch = dispatch_new(&settings);
+	fake.dispatch = dispatch;
 	job_start(dispatch, &spec, &ops, NULL);
 	g_bytes_unref(spec.body);
 	fire_timers();
@@ -591,6 +622,83 @@
 	config_unref(fake.config);
 }
 
+/* A stream that its caller can resume elsewhere is kept at the exit. */
+static void
+test_kept_stream_at_exit(void)
+{
+	struct dispatch_settings settings = {.clock = &fake.clock.clock};
+	static const struct step steps[] = {
+	    {OFFERS, 0}, {START, 0}, {CHUNK, 1}, {EXIT, 0}};
+	g_autoptr(GBytes) body = g_bytes_new_static("", 0);
+	struct dispatch_exchange *exchange;
+	struct job_spec spec = {
+	    .request = "r1",
+	    .organisation = "serra",
+	    .service = "verse",
+	    .work = WORK_GENERATE,
+	    .repeatable = true,
+	    .streamed = true,
+	    .body = body,
+	};
+
+	memset(&fake, 0, sizeof(fake));
+	clock_manual_init(&fake.clock, 1000);
+	fake.config = make_config();
+	fake.streamed = true;
+	fake.keeps = true;
+	spec.deadline = time_add_ms(fake.clock.monotonic, DEADLINE_MS);
+	fake.dispatch = dispatch_new(&settings);
+	exchange = job_start(fake.dispatch, &spec, &ops, NULL);
+	fire_timers();
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
+		run_step(&steps[i]);
+	g_assert_false(fake.ended);
+	g_assert_cmpuint(dispatch_exchange_count(fake.dispatch), ==, 1);
+	dispatch_exchange_detach(exchange);
+	assert_links_unused();
+	dispatch_free(fake.dispatch);
+	config_unref(fake.config);
+}
+
+/* A group that is not sent is refused at the exit; one that is sent is lost. */
+static void
+test_group_at_exit(gconstpointer sent)
+{
+	struct dispatch_settings settings = {.clock = &fake.clock.clock};
+	g_autoptr(GBytes) body = g_bytes_new_static("", 0);
+	struct job_spec spec = {
+	    .request = "r1",
+	    .organisation = "serra",
+	    .service = "verse",
+	    .work = WORK_GENERATE,
+	    .class = WORK_LONG,
+	    .prompt_tokens = ENGINE_TOKENS * 11 / 10,
+	    .output_tokens = 1,
+	    .body = body,
+	};
+
+	memset(&fake, 0, sizeof(fake));
+	clock_manual_init(&fake.clock, 1000);
+	fake.config = make_config();
+	spec.deadline = time_add_ms(fake.clock.monotonic, DEADLINE_MS);
+	fake.dispatch = dispatch_new(&settings);
+	group_run_start(fake.dispatch, &spec, &ops, NULL);
+	for (size_t i = 0; i < fake.sent_count && sent != NULL; i++) {
+		if (fake.sent[i].work == WORK_GENERATE)
+			break;
+		respond(i, NULL);
+	}
+	g_assert_false(fake.ended);
+	dispatch_end_exchanges(fake.dispatch);
+	g_assert_true(fake.ended);
+	g_assert_cmpint(fake.code, ==,
+	    sent != NULL ? CALLER_ERROR_UPSTREAM_LOST : CALLER_ERROR_DRAINING);
+	g_assert_cmpuint(dispatch_exchange_count(fake.dispatch), ==, 0);
+	assert_links_unused();
+	dispatch_free(fake.dispatch);
+	config_unref(fake.config);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -606,5 +714,13 @@
 	g_test_add_func(
 	    "/group/a member that drains before any output is replaced",
 	    test_group_draining_member);
+	g_test_add_func("/job/a stream that can be resumed is kept at the exit",
+	    test_kept_stream_at_exit);
+	g_test_add_data_func("/group/a group without a leader is refused at "
+			     "the exit",
+	    NULL, test_group_at_exit);
+	g_test_add_data_func("/group/a group that was sent to its leader is "
+			     "lost at the exit",
+	    "sent", test_group_at_exit);
 	return g_test_run();
 }
