A stopping entry ends kept connections

What callers saw: a connection that was kept after a response stayed open until the listener was closed, 2 s after the stop by default, and ended only then. Callers that used it again in that time were served by the entry that stops, instead of another one, and some met the close.

Cause: the stop failed the readiness check alone, which new connections heed and kept ones don't. The entry now disables keep-alive at the stop, as the gateway does: idle connections end at once, others with their response, and a new connection is served one request.

The test failed before; the listener was closed when the kept connection ended:

ERROR:test_entry_stop.c:86:test_kept_connection: assertion failed (other >= 0)

--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -378,12 +378,14 @@
 
 /*
  * Fails the readiness check from now on, so that the load balancer sends no new
- * callers. Requests that still arrive are served.
+ * callers, and ends each connection after its response, so that callers of kept
+ * ones go to another entry. Requests that still arrive are served.
  */
 void
 frontend_start_draining(struct frontend *frontend)
 {
 	frontend->draining = true;
+	httpd_disable_keep_alive(frontend->httpd);
 }
 
 /* Stops accepting connections and requests; open requests continue. */
--- a/tests/test_entry_stop.c
+++ b/tests/test_entry_stop.c
@@ -50,6 +50,46 @@
 	close(fd);
 }
 
+/*
+ * Sends a check of liveness on a connection and waits for its response; returns
+ * whether it announces that the connection ends.
+ */
+static bool
+check_liveness(struct stop_fixture *f, int fd)
+{
+	g_autoptr(GString) received = g_string_new(NULL);
+
+	stop_fixture_send(fd, "GET /livez HTTP/1.1\r\nHost: h\r\n\r\n");
+	stop_fixture_read_until(f, fd, received, "ok\n");
+	g_assert_true(g_str_has_prefix(received->str, "HTTP/1.1 200 "));
+	return strstr(received->str, "\r\nConnection: close\r\n") != NULL;
+}
+
+/*
+ * An idle kept connection ends at the stop, not only when the listener is
+ * closed: a new one is still accepted, for one request.
+ */
+static void
+test_kept_connection(void)
+{
+	g_autoptr(GString) received = g_string_new(NULL);
+	struct stop_fixture f = {0};
+	int fd, other;
+
+	set_up(&f, "--drain-notice-ms=1500", "--grace-s=10");
+	fd = stop_fixture_connect(&f, STOP_PORT_CALLERS);
+	g_assert_false(check_liveness(&f, fd));
+	kill(f.process, SIGTERM);
+	stop_fixture_read_until(&f, fd, received, NULL);
+	g_assert_cmpstr(received->str, ==, "");
+	other = stop_fixture_connect(&f, STOP_PORT_CALLERS);
+	g_assert_cmpint(other, >=, 0);
+	g_assert_true(check_liveness(&f, other));
+	close(fd);
+	close(other);
+	stop_fixture_close(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -60,5 +100,9 @@
 	g_test_add_func("/entry_stop/a request whose body never ends does not "
 			"outlast the grace time",
 	    test_body_without_end);
+	g_test_add_func(
+	    "/entry_stop/a kept connection ends at the stop, before "
+	    "the listener is closed",
+	    test_kept_connection);
 	return g_test_run();
 }
