A stopping entry does not begin what its exit would cut

What callers saw: a request that an entry had taken before it stopped listening was sent to an upstream at any later time, also after a wait or a refusal, and was cut by the exit if it lasted longer than the entry.

Cause: nothing asked for the time that is left before a send. Now jobs and groups ask policy/drain, as the gateway does: nothing is begun after the notice, nor what is likely to outlast the process by the durations of its service and class. A request whose deadline is before the exit is always taken, and so is one of unknown duration.

Cases of test_job that failed before:

ERROR:test_job.c:test_script: 'fake.ended' should be TRUE (three cases) ERROR:test_job.c:test_group_after_notice: 'fake.ended' should be TRUE

Three more cases, that the rule does not refuse too much, held before as well.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -9,6 +9,12 @@
 /* A stall excuses late answers for this long after its end. */
 #define STALL_RECENT_MS 1000
 
+/* How long requests of a service last. */
+struct durations {
+	struct duration short_prompts;
+	struct duration long_prompts;
+};
+
 struct dispatch {
 	struct dispatch_settings settings;
 	struct ev_timer stall_timer;
@@ -21,6 +27,7 @@
 	GRand *random;
 	GHashTable *exchanges; /* request id -> struct dispatch_exchange */
 	GHashTable *budgets; /* service id -> struct retry_budget */
+	GHashTable *durations; /* service id -> struct durations */
 	dispatch_demand_fn *on_demand; /* NULL for none */
 	void *on_demand_data;
 };
@@ -147,6 +154,8 @@
 	dispatch->exchanges = g_hash_table_new(g_str_hash, g_str_equal);
 	dispatch->budgets = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
+	dispatch->durations = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, g_free);
 	dispatch->handler = (struct mesh_handler){
 	    .kinds = MESH_KIND(MESSAGE_OFFER) | MESH_KIND(MESSAGE_REJECT) |
 		MESH_KIND(MESSAGE_START) | MESH_KIND(MESSAGE_CHUNK) |
@@ -175,6 +184,7 @@
 	g_rand_free(dispatch->random);
 	g_hash_table_unref(dispatch->exchanges);
 	g_hash_table_unref(dispatch->budgets);
+	g_hash_table_unref(dispatch->durations);
 	g_free(dispatch);
 }
 
@@ -273,6 +283,44 @@
 	return &dispatch->drain;
 }
 
+/* Returns a service's durations for a class; created on first use. */
+struct duration *
+dispatch_duration(
+    struct dispatch *dispatch, const char *service, enum work_class class)
+{
+	struct durations *durations = g_hash_table_lookup(
+	    dispatch->durations, service);
+
+	if (durations == NULL) {
+		durations = g_new0(struct durations, 1);
+		g_hash_table_insert(
+		    dispatch->durations, g_strdup(service), durations);
+	}
+	return class == WORK_LONG ? &durations->long_prompts
+				  : &durations->short_prompts;
+}
+
+/* Returns the time that a request is likely to need, by its kind's durations.
+ */
+static int64_t
+expected_ms(const struct duration *duration, int64_t remaining_ms)
+{
+	return MIN(remaining_ms, duration_likely_ms(duration));
+}
+
+/*
+ * Returns whether a request that has not run may be sent to an upstream, with
+ * the time left until its deadline.
+ */
+bool
+dispatch_may_begin(const struct dispatch *dispatch,
+    const struct duration *duration, int64_t remaining_ms)
+{
+	return drain_may_begin(&dispatch->drain,
+	    expected_ms(duration, remaining_ms),
+	    clock_monotonic(dispatch->settings.clock));
+}
+
 /* Sets the callback for the demand on services; NULL for none. */
 void
 dispatch_set_demand_callback(
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -19,6 +19,7 @@
 #include "peer/documents.h"
 #include "peer/mesh.h"
 #include "policy/drain.h"
+#include "policy/duration.h"
 #include "policy/retry.h"
 #include "policy/router.h"
 
@@ -77,6 +78,10 @@
 void dispatch_end_exchanges(struct dispatch *);
 void dispatch_start_draining(struct dispatch *, const struct drain_limits *);
 const struct drain *dispatch_drain(const struct dispatch *);
+struct duration *dispatch_duration(
+    struct dispatch *, const char *service, enum work_class);
+bool dispatch_may_begin(
+    const struct dispatch *, const struct duration *, int64_t remaining_ms);
 
 struct ev_loop *dispatch_loop(const struct dispatch *);
 struct clock *dispatch_clock(const struct dispatch *);
--- a/src/entry/group_run.c
+++ b/src/entry/group_run.c
@@ -32,6 +32,7 @@
 	char *service;
 	const struct job_ops *ops;
 	void *data;
+	struct timespec started_at;
 	struct member members[GROUP_RUN_CANDIDATES_MAX];
 	size_t member_count;
 	struct group *group; /* NULL while probing */
@@ -177,6 +178,18 @@
 	run->ops->failed(run->data, code, retry_after_ms, why);
 }
 
+/* Fails a run that can't be completed before this process exits. */
+static void
+report_exiting(struct group_run *run)
+{
+	if (run->leader != NULL || run->formation_count > 0)
+		report_failure(run, CALLER_ERROR_UPSTREAM_LOST, 0,
+		    "this entry exits before the answer ends");
+	else
+		report_failure(run, CALLER_ERROR_DRAINING,
+		    RETRY_AFTER_DRAINING_MS, "this entry is shutting down");
+}
+
 /*
  * Returns whether another group may be formed: a member was lost or accepts no
  * new work, before any output was passed on. Takes one retry from the budget.
@@ -385,7 +398,17 @@
 	}
 }
 
-/* Forms the group from the offers received so far. */
+/* Returns how long such runs have lasted. */
+static struct duration *
+run_duration(const struct group_run *run)
+{
+	return dispatch_duration(run->dispatch, run->service, WORK_LONG);
+}
+
+/*
+ * Forms the group from the offers received so far, or ends the run if this
+ * process has too little time left for it.
+ */
 static void
 form_group(struct group_run *run)
 {
@@ -397,6 +420,13 @@
 	};
 	size_t count = 0;
 
+	if (run->formation_count == 0 &&
+	    !dispatch_may_begin(
+		run->dispatch, run_duration(run), remaining_ms(run))) {
+		report_exiting(run);
+		free_run(run);
+		return;
+	}
 	for (size_t i = 0; i < run->member_count; i++) {
 		if (run->members[i].answered)
 			candidates[count++] = run->members[i].candidate;
@@ -467,6 +497,8 @@
 		return;
 	}
 	metric_add(&groups_finished, 1);
+	duration_add(
+	    run_duration(run), time_diff_ms(run_now(run), run->started_at));
 	if (!run->has_ended)
 		run->ops->finished(run->data, finish);
 	run->has_ended = true;
@@ -597,12 +629,7 @@
 {
 	struct group_run *run = (struct group_run *)exchange;
 
-	if (run->leader != NULL || run->formation_count > 0)
-		report_failure(run, CALLER_ERROR_UPSTREAM_LOST, 0,
-		    "this entry exits before the answer ends");
-	else
-		report_failure(run, CALLER_ERROR_DRAINING,
-		    RETRY_AFTER_DRAINING_MS, "this entry is shutting down");
+	report_exiting(run);
 	group_run_cancel(exchange, "entry exits");
 }
 
@@ -683,6 +710,7 @@
 	g_bytes_ref(spec->body);
 	run->ops = ops;
 	run->data = data;
+	run->started_at = run_now(run);
 	dispatch_add_exchange(dispatch, &run->exchange);
 	metric_add(&groups_started, 1);
 	ev_timer_init(&run->timer, on_timer, 0, 0);
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -171,6 +171,7 @@
 {
 	struct job *job = job_new(dispatch, spec, ops, data);
 
+	job->started_at = job_now(job);
 	schedule_start(job, PHASE_PROBING);
 	return &job->exchange;
 }
--- a/src/entry/job_probe.c
+++ b/src/entry/job_probe.c
@@ -103,6 +103,8 @@
 		job_fail_no_upstream(job);
 		return;
 	}
+	if (!job_check_drain(job))
+		return;
 	job->exchange.attempt++;
 	job->exchange.upstream = g_strdup(chosen->upstream);
 	job->address = g_strdup(chosen->address);
@@ -265,7 +267,7 @@
 		job_fail_expired(job);
 		return;
 	}
-	if (!check_quarantine(job))
+	if (!job_check_drain(job) || !check_quarantine(job))
 		return;
 	upstreams = dispatch_eligible_upstreams(
 	    job->dispatch, job->spec.service);
--- a/src/entry/job_response.c
+++ b/src/entry/job_response.c
@@ -191,6 +191,10 @@
 	job_check_final_time(job);
 	retry_budget_add_success(
 	    dispatch_retry_budget(job->dispatch, job->spec.service));
+	if (time_is_set(job->started_at))
+		duration_add(dispatch_duration(job->dispatch, job->spec.service,
+				 job->spec.class),
+		    time_diff_ms(job_now(job), job->started_at));
 	LOG_INFO("request finished", "{s:s, s:s, s:i, s:I, s:I}", "request",
 	    job->exchange.request, "upstream", job->exchange.upstream,
 	    "attempt", (int)job->exchange.attempt, "output_tokens",
--- a/src/entry/job_state.c
+++ b/src/entry/job_state.c
@@ -258,6 +258,23 @@
 	job_fail(job, CALLER_ERROR_DRAINING, "this entry is shutting down");
 }
 
+/*
+ * Returns whether the job may be sent to an upstream, by the time that this
+ * process has left; otherwise fails it.
+ */
+bool
+job_check_drain(struct job *job)
+{
+	const struct duration *duration = dispatch_duration(
+	    job->dispatch, job->spec.service, job->spec.class);
+
+	if (job->earlier_attempt_may_have_run ||
+	    dispatch_may_begin(job->dispatch, duration, job_remaining_ms(job)))
+		return true;
+	job_fail_exiting(job);
+	return false;
+}
+
 /* Fails a job at its deadline. */
 void
 job_fail_expired(struct job *job)
--- a/src/entry/job_state.h
+++ b/src/entry/job_state.h
@@ -36,6 +36,7 @@
 	uint64_t *prefixes;
 	const struct job_ops *ops;
 	void *data;
+	struct timespec started_at; /* unset for a resumed stream */
 
 	enum job_phase phase;
 	struct timespec phase_end;
@@ -77,6 +78,7 @@
 void job_fail(struct job *, enum caller_error, const char *why);
 void job_fail_lost(struct job *, const char *why);
 void job_fail_no_upstream(struct job *);
+bool job_check_drain(struct job *);
 void job_fail_exiting(struct job *);
 void job_fail_expired(struct job *);
 void job_probe_candidates(struct job *);
--- a/src/policy/drain.c
+++ b/src/policy/drain.c
@@ -4,12 +4,6 @@
 
 #include "base/clock.h"
 
-/*
- * Exit this long before the platform kills the process; requests still open are
- * answered until then.
- */
-#define EXIT_RESERVE_MS 700
-
 /* The process was asked to stop; further requests to stop change nothing. */
 void
 drain_start(
@@ -20,7 +14,8 @@
 	*drain = (struct drain){
 	    .started_at = now,
 	    .accept_until = time_add_ms(now, limits->notice_ms),
-	    .exit_at = time_add_ms(now, limits->grace_ms - EXIT_RESERVE_MS),
+	    .exit_at = time_add_ms(
+		now, limits->grace_ms - DRAIN_EXIT_RESERVE_MS),
 	};
 }
 
--- a/src/policy/drain.h
+++ b/src/policy/drain.h
@@ -16,6 +16,12 @@
 #include <stdint.h>
 #include <time.h>
 
+/*
+ * Exit this long before the platform kills the process; requests still open are
+ * answered until then.
+ */
+#define DRAIN_EXIT_RESERVE_MS 700
+
 struct drain_limits {
 	int64_t notice_ms; /* until the load balancer sends no connections */
 	int64_t grace_ms; /* until the platform kills the process */
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -16,6 +16,7 @@
 #define STEPS_MAX     12
 #define UPSTREAMS     3
 #define DEADLINE_MS   10000
+#define EXIT_AFTER_MS 2000
 #define TIMERS_MAX    8
 #define SENT_MAX      64
 #define ENGINE_TOKENS 100000
@@ -32,6 +33,8 @@
 	FINISH_NOT_RUN, /* lost before anything was sent */
 	LINK_LOST, /* of the last submit or resume */
 	WAIT, /* advance time by arg ms */
+	LASTING, /* an earlier request has taken arg ms */
+	STOP, /* the entry stops: notice of arg ms, exit EXIT_AFTER_MS later */
 	EXIT, /* the entry is about to exit */
 	RESTARTED, /* from now on the sidecar is another incarnation */
 };
@@ -122,6 +125,28 @@
     {"a call without a reported outcome is unknown", .call = true,
 	.steps = {{OFFERS}, {WAIT, DEADLINE_MS + 200}},
 	.code = CALLER_ERROR_OUTCOME_UNKNOWN, .submits = 1},
+    {"a job is not begun after the notice",
+	.steps = {{STOP, 50}, {WAIT, 55}, {OFFERS}},
+	.code = CALLER_ERROR_DRAINING, .retry_after_ms = 20},
+    {"a job that an upstream refuses after the notice is sent elsewhere by "
+     "its caller",
+	.steps = {{STOP, 50}, {OFFERS}, {WAIT, 55}, {REJECT, REJECT_BUSY}},
+	.code = CALLER_ERROR_DRAINING, .submits = 1, .retry_after_ms = 20},
+    {"a job that is likely to outlast the entry is not begun",
+	.steps = {{LASTING, 1500}, {STOP, 50}, {OFFERS}},
+	.code = CALLER_ERROR_DRAINING, .retry_after_ms = 20},
+    {"a job that is likely to end before the exit is begun",
+	.steps = {{LASTING, 1000}, {STOP, 50}, {OFFERS}, {START}, {CHUNK, 1},
+	    {FINISH, FINISH_OK}},
+	.code = -1, .submits = 1},
+    {"a job whose deadline is before the exit is begun",
+	.steps = {{LASTING, 90000}, {STOP, DEADLINE_MS}, {OFFERS}, {START},
+	    {CHUNK, 1}, {FINISH, FINISH_OK}},
+	.code = -1, .submits = 1},
+    {"without a stop a job is begun, whatever it lasts",
+	.steps = {{LASTING, 90000}, {OFFERS}, {START}, {CHUNK, 1},
+	    {FINISH, FINISH_OK}},
+	.code = -1, .submits = 1},
     {"a job that was not sent is refused at the exit, to be sent elsewhere",
 	.steps = {{EXIT}}, .code = CALLER_ERROR_DRAINING, .retry_after_ms = 20},
     {"a job that was refused once is refused at the exit",
@@ -446,6 +471,19 @@
 		clock_manual_advance(&fake.clock, step->arg);
 		fire_timers();
 		return;
+	case LASTING:
+		duration_add(
+		    dispatch_duration(fake.dispatch, "verse", WORK_SHORT),
+		    step->arg);
+		return;
+	case STOP:
+		dispatch_start_draining(fake.dispatch,
+		    &(struct drain_limits){
+			.notice_ms = step->arg,
+			.grace_ms = step->arg + EXIT_AFTER_MS +
+			    DRAIN_EXIT_RESERVE_MS,
+		    });
+		return;
 	case EXIT:
 		dispatch_end_exchanges(fake.dispatch);
 		return;
@@ -660,6 +698,43 @@
 	config_unref(fake.config);
 }
 
+/* A group that would be formed after the notice is refused. */
+static void
+test_group_after_notice(void)
+{
+	struct dispatch_settings settings = {.clock = &fake.clock.clock};
+	static const struct step stop = {STOP, 50};
+	g_autoptr(GBytes) body = g_bytes_new_static("", 0);
+	struct job_spec spec = {
+	    .request = "r1",
+	    .organisation = "serra",
+	    .service = "verse",
+	    .work = WORK_GENERATE,
+	    .class = WORK_LONG,
+	    .prompt_tokens = ENGINE_TOKENS * 11 / 10,
+	    .output_tokens = 1,
+	    .body = body,
+	};
+
+	memset(&fake, 0, sizeof(fake));
+	clock_manual_init(&fake.clock, 1000);
+	fake.config = make_config();
+	spec.deadline = time_add_ms(fake.clock.monotonic, DEADLINE_MS);
+	fake.dispatch = dispatch_new(&settings);
+	group_run_start(fake.dispatch, &spec, &ops, NULL);
+	run_step(&stop);
+	clock_manual_advance(&fake.clock, 55);
+	for (size_t i = 0; i < UPSTREAMS; i++)
+		respond(i, NULL);
+	g_assert_true(fake.ended);
+	g_assert_cmpint(fake.code, ==, CALLER_ERROR_DRAINING);
+	g_assert_cmpint(fake.retry_after_ms, ==, 20);
+	g_assert_cmpuint(dispatch_exchange_count(fake.dispatch), ==, 0);
+	assert_links_unused();
+	dispatch_free(fake.dispatch);
+	config_unref(fake.config);
+}
+
 /* A group that is not sent is refused at the exit; one that is sent is lost. */
 static void
 test_group_at_exit(gconstpointer sent)
@@ -716,6 +791,8 @@
 	    test_group_draining_member);
 	g_test_add_func("/job/a stream that can be resumed is kept at the exit",
 	    test_kept_stream_at_exit);
+	g_test_add_func("/group/a group is not formed after the notice",
+	    test_group_after_notice);
 	g_test_add_data_func("/group/a group without a leader is refused at "
 			     "the exit",
 	    NULL, test_group_at_exit);
