A stopping entry does not repeat what its exit would cut

What callers saw: a request whose upstream was lost was sent to another one, however little time the entry had left; the exit then cut the second attempt, which had taken a place from others.

Cause: a restart asked for the retry budget alone. It now asks policy/drain first, as the gateway does: also after the notice, since no other process can take the request over, but not if it would outlast this one. Groups ask before they are formed again.

Cases that failed before:

ERROR:test_job.c:test_script: 'fake.ended' should be TRUE (two cases) ERROR:test_job.c:test_group_lost_at_exit: assertion failed (fake.sent[i].kind != MESSAGE_PROBE): (4 != 4)

The case of a repeat after the notice with time left held before as well.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -321,6 +321,16 @@
 	    clock_monotonic(dispatch->settings.clock));
 }
 
+/* The same for a request that an upstream may have run. */
+bool
+dispatch_may_repeat(const struct dispatch *dispatch,
+    const struct duration *duration, int64_t remaining_ms)
+{
+	return drain_may_repeat(&dispatch->drain,
+	    expected_ms(duration, remaining_ms),
+	    clock_monotonic(dispatch->settings.clock));
+}
+
 /* Sets the callback for the demand on services; NULL for none. */
 void
 dispatch_set_demand_callback(
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -82,6 +82,8 @@
     struct dispatch *, const char *service, enum work_class);
 bool dispatch_may_begin(
     const struct dispatch *, const struct duration *, int64_t remaining_ms);
+bool dispatch_may_repeat(
+    const struct dispatch *, const struct duration *, int64_t remaining_ms);
 
 struct ev_loop *dispatch_loop(const struct dispatch *);
 struct clock *dispatch_clock(const struct dispatch *);
--- a/src/entry/group_run.c
+++ b/src/entry/group_run.c
@@ -178,11 +178,36 @@
 	run->ops->failed(run->data, code, retry_after_ms, why);
 }
 
+/* Returns how long such runs have lasted. */
+static struct duration *
+run_duration(const struct group_run *run)
+{
+	return dispatch_duration(run->dispatch, run->service, WORK_LONG);
+}
+
+/* Returns whether a group may have run for this prompt. */
+static bool
+may_have_run(const struct group_run *run)
+{
+	return run->leader != NULL || run->formation_count > 0;
+}
+
+/* Returns whether a group may be formed, by the time this process has left. */
+static bool
+has_time_left(const struct group_run *run)
+{
+	const struct duration *duration = run_duration(run);
+
+	return may_have_run(run)
+	    ? dispatch_may_repeat(run->dispatch, duration, remaining_ms(run))
+	    : dispatch_may_begin(run->dispatch, duration, remaining_ms(run));
+}
+
 /* Fails a run that can't be completed before this process exits. */
 static void
 report_exiting(struct group_run *run)
 {
-	if (run->leader != NULL || run->formation_count > 0)
+	if (may_have_run(run))
 		report_failure(run, CALLER_ERROR_UPSTREAM_LOST, 0,
 		    "this entry exits before the answer ends");
 	else
@@ -200,7 +225,7 @@
 	if (run->has_ended || run->sequence > 0 ||
 	    action->reason != REJECT_DOWN ||
 	    run->formation_count + 1 >= FORMATIONS_MAX ||
-	    remaining_ms(run) == 0)
+	    remaining_ms(run) == 0 || !has_time_left(run))
 		return false;
 	return retry_budget_take(
 	    dispatch_retry_budget(run->dispatch, run->service));
@@ -241,6 +266,8 @@
 	else if (ran)
 		report_failure(run, CALLER_ERROR_UPSTREAM_LOST,
 		    action->retry_after_ms, "an engine of the group was lost");
+	else if (!has_time_left(run))
+		report_exiting(run);
 	else
 		report_failure(run, CALLER_ERROR_BUSY,
 		    MAX(action->retry_after_ms, RETRY_AFTER_DEFAULT_MS),
@@ -398,13 +425,6 @@
 	}
 }
 
-/* Returns how long such runs have lasted. */
-static struct duration *
-run_duration(const struct group_run *run)
-{
-	return dispatch_duration(run->dispatch, run->service, WORK_LONG);
-}
-
 /*
  * Forms the group from the offers received so far, or ends the run if this
  * process has too little time left for it.
@@ -420,9 +440,7 @@
 	};
 	size_t count = 0;
 
-	if (run->formation_count == 0 &&
-	    !dispatch_may_begin(
-		run->dispatch, run_duration(run), remaining_ms(run))) {
+	if (!has_time_left(run)) {
 		report_exiting(run);
 		free_run(run);
 		return;
--- a/src/entry/job_response.c
+++ b/src/entry/job_response.c
@@ -43,6 +43,8 @@
 		job_fail_lost(job, why);
 		return;
 	}
+	if (!job_check_drain(job))
+		return;
 	if (!retry_budget_take(
 		dispatch_retry_budget(job->dispatch, job->spec.service))) {
 		metric_add(&retries_denied, 1);
--- a/src/entry/job_state.c
+++ b/src/entry/job_state.c
@@ -268,8 +268,11 @@
 	const struct duration *duration = dispatch_duration(
 	    job->dispatch, job->spec.service, job->spec.class);
 
-	if (job->earlier_attempt_may_have_run ||
-	    dispatch_may_begin(job->dispatch, duration, job_remaining_ms(job)))
+	int64_t left_ms = job_remaining_ms(job);
+
+	if (job->earlier_attempt_may_have_run
+		? dispatch_may_repeat(job->dispatch, duration, left_ms)
+		: dispatch_may_begin(job->dispatch, duration, left_ms))
 		return true;
 	job_fail_exiting(job);
 	return false;
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -147,6 +147,19 @@
 	.steps = {{LASTING, 90000}, {OFFERS}, {START}, {CHUNK, 1},
 	    {FINISH, FINISH_OK}},
 	.code = -1, .submits = 1},
+    {"a job that is lost after the notice is sent again",
+	.steps = {{STOP, 50}, {OFFERS}, {START}, {WAIT, 60},
+	    {FINISH, FINISH_LOST}, {OFFERS}, {START}, {CHUNK, 1},
+	    {FINISH, FINISH_OK}},
+	.code = -1, .submits = 2},
+    {"a job that is lost is not sent again if it would outlast the entry",
+	.steps = {{LASTING, 1000}, {STOP, 50}, {OFFERS}, {START}, {WAIT, 1000},
+	    {FINISH, FINISH_LOST}},
+	.code = CALLER_ERROR_UPSTREAM_LOST, .submits = 1},
+    {"a job that is lost is not sent again at the exit",
+	.steps = {{STOP, 50}, {OFFERS}, {START}, {WAIT, 50 + EXIT_AFTER_MS},
+	    {FINISH, FINISH_LOST}},
+	.code = CALLER_ERROR_UPSTREAM_LOST, .submits = 1},
     {"a job that was not sent is refused at the exit, to be sent elsewhere",
 	.steps = {{EXIT}}, .code = CALLER_ERROR_DRAINING, .retry_after_ms = 20},
     {"a job that was refused once is refused at the exit",
@@ -735,6 +748,46 @@
 	config_unref(fake.config);
 }
 
+/* A group whose leader is lost at the exit is not formed again. */
+static void
+test_group_lost_at_exit(void)
+{
+	struct dispatch_settings settings = {.clock = &fake.clock.clock};
+	static const struct step stop = {STOP, 50};
+	g_autoptr(GBytes) body = g_bytes_new_static("", 0);
+	struct job_spec spec = {
+	    .request = "r1",
+	    .organisation = "serra",
+	    .service = "verse",
+	    .work = WORK_GENERATE,
+	    .class = WORK_LONG,
+	    .prompt_tokens = ENGINE_TOKENS * 11 / 10,
+	    .output_tokens = 1,
+	    .body = body,
+	};
+
+	memset(&fake, 0, sizeof(fake));
+	clock_manual_init(&fake.clock, 1000);
+	fake.config = make_config();
+	spec.deadline = time_add_ms(fake.clock.monotonic, DEADLINE_MS);
+	fake.dispatch = dispatch_new(&settings);
+	group_run_start(fake.dispatch, &spec, &ops, NULL);
+	for (size_t i = 0; i < UPSTREAMS; i++)
+		respond(i, NULL);
+	run_step(&stop);
+	clock_manual_advance(&fake.clock, 50 + EXIT_AFTER_MS);
+	for (size_t i = UPSTREAMS; i < fake.sent_count; i++) {
+		g_assert_cmpuint(fake.sent[i].kind, !=, MESSAGE_PROBE);
+		respond(i, (struct link *)&addresses[0]);
+	}
+	g_assert_true(fake.ended);
+	g_assert_cmpint(fake.code, ==, CALLER_ERROR_UPSTREAM_LOST);
+	g_assert_cmpuint(dispatch_exchange_count(fake.dispatch), ==, 0);
+	assert_links_unused();
+	dispatch_free(fake.dispatch);
+	config_unref(fake.config);
+}
+
 /* A group that is not sent is refused at the exit; one that is sent is lost. */
 static void
 test_group_at_exit(gconstpointer sent)
@@ -793,6 +846,8 @@
 	    test_kept_stream_at_exit);
 	g_test_add_func("/group/a group is not formed after the notice",
 	    test_group_after_notice);
+	g_test_add_func("/group/a group is not formed again at the exit",
+	    test_group_lost_at_exit);
 	g_test_add_data_func("/group/a group without a leader is refused at "
 			     "the exit",
 	    NULL, test_group_at_exit);
