An entry that exits answers calls whose claim is being made

What callers saw: a call with an Idempotency-Key whose claim was still being made at the end of the entry's grace time got no response.

Cause: such a call has no exchange yet, so the exit's final answers passed it by.

The test failed before:

ERROR:test_claims.c:test_stop_claiming: assertion failed (fixture.outcomes[CLAIM_NOT_RUN] == 2): (0 == 2)

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -121,6 +121,8 @@
 	LOG_WARN("exiting with open requests", "{s:I}", "open_requests",
 	    (json_int_t)frontend_open_requests(entry->frontend));
 	dispatch_end_exchanges(entry->dispatch);
+	if (entry->claims != NULL)
+		claims_stop_claiming(entry->claims);
 }
 
 /*
--- a/src/store/claims.c
+++ b/src/store/claims.c
@@ -430,6 +430,27 @@
 	settle(claim, CLAIM_STATE_RELEASED, claim->attempt.version);
 }
 
+/*
+ * The process is about to exit: ends the claims that are being made as not run.
+ * What they may have stored is released in the background.
+ */
+void
+claims_stop_claiming(struct claims *claims)
+{
+	const struct claim_response response = {
+	    .outcome = CLAIM_NOT_RUN,
+	    .retry_after_ms = RUNNING_RETRY_MIN_MS,
+	};
+	struct claim *claim, *next;
+
+	TAILQ_FOREACH_SAFE (claim, &claims->list, entry, next) {
+		if (claim->phase != PHASE_CLAIMING)
+			continue;
+		claim->callback(claim->data, claim, &response);
+		settle(claim, CLAIM_STATE_RELEASED, 0);
+	}
+}
+
 /* Returns the number of claims that are being made or settled. */
 size_t
 claims_pending(const struct claims *claims)
--- a/src/store/claims.h
+++ b/src/store/claims.h
@@ -73,6 +73,7 @@
 void claims_abandon(struct claim *);
 void claims_finish(struct claim *, const struct claim_result *);
 void claims_release(struct claim *);
+void claims_stop_claiming(struct claims *);
 size_t claims_pending(const struct claims *);
 void claims_tick(struct claims *);
 
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -256,6 +256,29 @@
 	return (enum claim_outcome)outcome;
 }
 
+/*
+ * Claims that are being made as the process exits end as not run, each once,
+ * and another entry can claim their keys.
+ */
+static void
+test_stop_claiming(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, 1);
+	fake_store_set_faults(
+	    fixture.store, &(struct fake_faults){.latency_max_ms = 5});
+	start_attempt(&fixture, 1, 0);
+	start_attempt(&fixture, 1, 1);
+	claims_stop_claiming(fixture.entries[1]);
+	g_assert_cmpuint(fixture.outcomes[CLAIM_NOT_RUN], ==, 2);
+	wait_until_settled(&fixture);
+	g_assert_cmpuint(fixture.outcomes[CLAIM_NOT_RUN], ==, 2);
+	g_assert_cmpint(claim_again(&fixture, 0), ==, CLAIM_CLAIMED);
+	g_assert_cmpint(claim_again(&fixture, 1), ==, CLAIM_CLAIMED);
+	tear_down(&fixture);
+}
+
 static const struct faults_case {
 	const char *name;
 	struct fake_faults faults;
@@ -530,6 +553,9 @@
 	ADD(write_cases, "write", test_write);
 	ADD(read_cases, "read", test_read);
 	ADD(faults_cases, "faults", test_faults);
+	g_test_add_func("/claims/claims that are being made at the exit end "
+			"as not run",
+	    test_stop_claiming);
 	g_test_add_func("/claims/a damaged record never crashes the decoder",
 	    test_record_fuzz);
 	g_test_add_func(
