A notice that is longer than the grace time ends with the exit

What callers saw, with such settings: the process listened until it exited, and connections it had not read yet were reset.

Cause: the end of the notice and the exit were computed each for itself. The notice is now bounded by the exit, and the exit is never before the stop. Such settings are not refused: a gateway's notice is our own and its grace time the platform's, and a refusal would keep the whole fleet from starting.

Cases of test_drain that failed before:

assertion failed (time_diff_ms(drain.accept_until, now) == c->accept_ms): (9000 == 7300), (7900 == 7300) and (2000 == 0)

--- a/src/policy/drain.c
+++ b/src/policy/drain.c
@@ -4,18 +4,22 @@
 
 #include "base/clock.h"
 
-/* The process was asked to stop; further requests to stop change nothing. */
+/*
+ * The process was asked to stop; further requests to stop change nothing. A
+ * notice that is longer than the time until the exit ends with it.
+ */
 void
 drain_start(
     struct drain *drain, const struct drain_limits *limits, struct timespec now)
 {
+	int64_t exit_ms = MAX(limits->grace_ms - DRAIN_EXIT_RESERVE_MS, 0);
+
 	if (drain_is_started(drain))
 		return;
 	*drain = (struct drain){
 	    .started_at = now,
-	    .accept_until = time_add_ms(now, limits->notice_ms),
-	    .exit_at = time_add_ms(
-		now, limits->grace_ms - DRAIN_EXIT_RESERVE_MS),
+	    .accept_until = time_add_ms(now, MIN(limits->notice_ms, exit_ms)),
+	    .exit_at = time_add_ms(now, exit_ms),
 	};
 }
 
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -148,6 +148,35 @@
 	fixture_tear_down(&f);
 }
 
+static const struct limits_case {
+	const char *name;
+	struct drain_limits limits;
+	int64_t accept_ms; /* after the stop */
+	int64_t exit_ms;
+} limits_cases[] = {
+    {"the exit is before the grace time ends", {3000, 8000}, 3000, 7300},
+    {"a notice longer than the grace time ends with the exit", {9000, 8000},
+	7300, 7300},
+    {"a notice that ends in the last moment ends with the exit", {7900, 8000},
+	7300, 7300},
+    {"a grace time that is too short for anything is over at once", {2000, 500},
+	0, 0},
+};
+
+/* Nothing is accepted that the process is not there to answer. */
+static void
+test_limits(gconstpointer data)
+{
+	const struct limits_case *c = &limits_cases[GPOINTER_TO_SIZE(data)];
+	const struct timespec now = {.tv_sec = 1000};
+	struct drain drain = {0};
+
+	drain_start(&drain, &c->limits, now);
+	g_assert_cmpint(
+	    time_diff_ms(drain.accept_until, now), ==, c->accept_ms);
+	g_assert_cmpint(time_diff_ms(drain.exit_at, now), ==, c->exit_ms);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,5 +187,6 @@
 			"notice",
 	    test_retry);
 	ADD_CASES(repeat_cases, "/drain", test_repeat);
+	ADD_CASES(limits_cases, "/drain/limits", test_limits);
 	return g_test_run();
 }
