The sidecar's reasons not to accept work have a name of their own

struct drain of sidecar/drain.h becomes struct drain_reasons, so that the sidecar can use policy/drain.h, whose struct has the same name. No change of behaviour.

--- a/src/sidecar/drain.c
+++ b/src/sidecar/drain_reasons.c
@@ -1,4 +1,4 @@
-#include "sidecar/drain.h"
+#include "sidecar/drain_reasons.h"
 
 #include "base/invariant.h"
 #include "base/metrics.h"
@@ -14,9 +14,9 @@
 
 /* Initialises without a reason. */
 void
-drain_init(struct drain *drain, struct runs *runs)
+drain_reasons_init(struct drain_reasons *reasons, struct runs *runs)
 {
-	*drain = (struct drain){.runs = runs};
+	*reasons = (struct drain_reasons){.runs = runs};
 }
 
 /* Returns a reason's name in the log. */
@@ -40,28 +40,29 @@
 
 /* Sets or clears a reason, and starts or ends draining with it. */
 void
-drain_set(struct drain *drain, enum drain_reason reason, bool on)
+drain_reasons_set(
+    struct drain_reasons *reasons, enum drain_reason reason, bool on)
 {
-	unsigned int before = drain->reasons;
+	unsigned int before = reasons->set;
 
 	if (on)
-		drain->reasons |= reason;
+		reasons->set |= reason;
 	else
-		drain->reasons &= ~(unsigned int)reason;
-	if (drain->reasons == before)
+		reasons->set &= ~(unsigned int)reason;
+	if (reasons->set == before)
 		return;
-	metric_set(&metric_draining, drain->reasons != 0);
+	metric_set(&metric_draining, reasons->set != 0);
 	LOG_INFO("drain", "{s:s, s:b, s:b}", "reason", reason_name(reason),
-	    "on", on, "takes_work", drain->reasons == 0);
-	if ((before != 0) != (drain->reasons != 0))
-		runs_set_draining(drain->runs, drain->reasons != 0);
+	    "on", on, "takes_work", reasons->set == 0);
+	if ((before != 0) != (reasons->set != 0))
+		runs_set_draining(reasons->runs, reasons->set != 0);
 }
 
 /* Returns whether a reason is set. */
 bool
-drain_has_reason(const struct drain *drain, enum drain_reason reason)
+drain_reasons_has(const struct drain_reasons *reasons, enum drain_reason reason)
 {
-	return (drain->reasons & reason) != 0;
+	return (reasons->set & reason) != 0;
 }
 
 /*
@@ -85,7 +86,7 @@
  * leaving nor its failure domain is taken out of service.
  */
 void
-drain_check_start_allowed(const struct config *config, const char *upstream_id)
+drain_reasons_check_start(const struct config *config, const char *upstream_id)
 {
 	const Heatherturn__V1__Upstream *upstream = config_find_upstream(
 	    config, upstream_id);
--- a/src/sidecar/drain.h
+++ b/src/sidecar/drain_reasons.h
@@ -3,8 +3,8 @@
  * rejects the queued requests and lets running ones finish; once the last is
  * cleared, new work is accepted again.
  */
-#ifndef SIDECAR_DRAIN_H
-#define SIDECAR_DRAIN_H
+#ifndef SIDECAR_DRAIN_REASONS_H
+#define SIDECAR_DRAIN_REASONS_H
 
 #include <stdbool.h>
 
@@ -19,14 +19,14 @@
 	DRAIN_STOPPING = 1 << 4, /* the process is shutting down */
 };
 
-struct drain {
+struct drain_reasons {
 	struct runs *runs;
-	unsigned int reasons; /* set of enum drain_reason */
+	unsigned int set; /* set of enum drain_reason */
 };
 
-void drain_init(struct drain *, struct runs *);
-void drain_set(struct drain *, enum drain_reason, bool on);
-bool drain_has_reason(const struct drain *, enum drain_reason);
-void drain_check_start_allowed(const struct config *, const char *upstream);
+void drain_reasons_init(struct drain_reasons *, struct runs *);
+void drain_reasons_set(struct drain_reasons *, enum drain_reason, bool on);
+bool drain_reasons_has(const struct drain_reasons *, enum drain_reason);
+void drain_reasons_check_start(const struct config *, const char *upstream);
 
 #endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -12,7 +12,7 @@
 #include "base/settings.h"
 #include "commands.h"
 #include "node/node.h"
-#include "sidecar/drain.h"
+#include "sidecar/drain_reasons.h"
 #include "sidecar/health.h"
 #include "sidecar/reconciler.h"
 #include "sidecar/runs.h"
@@ -53,7 +53,7 @@
 	uint64_t fencing;
 	struct weights *weights; /* NULL if no platform is configured */
 	struct mesh_handler handler;
-	struct drain drain;
+	struct drain_reasons drain_reasons;
 	ev_timer wake_timer;
 	ev_prepare loop_prepare;
 	ev_check loop_check;
@@ -108,7 +108,7 @@
 {
 	const struct sidecar *sidecar = data;
 
-	drain_check_start_allowed(
+	drain_reasons_check_start(
 	    documents_config(node_documents(sidecar->node)),
 	    sidecar->settings.upstream);
 }
@@ -208,9 +208,10 @@
 
 	if (config_version(config) == 0)
 		return;
-	drain_set(&sidecar->drain, DRAIN_UNCONFIGURED, false);
+	drain_reasons_set(&sidecar->drain_reasons, DRAIN_UNCONFIGURED, false);
 	if (upstream == NULL) {
-		drain_set(&sidecar->drain, DRAIN_BY_CONFIG, true);
+		drain_reasons_set(
+		    &sidecar->drain_reasons, DRAIN_BY_CONFIG, true);
 		return;
 	}
 	capacity = (struct runs_capacity){.slots = upstream->slots,
@@ -218,7 +219,7 @@
 	    .memory_tokens = upstream->memory_tokens,
 	    .prefill_tokens_per_s = upstream->prefill_tokens_per_s};
 	runs_configure(sidecar->runs, &capacity);
-	drain_set(&sidecar->drain, DRAIN_BY_CONFIG,
+	drain_reasons_set(&sidecar->drain_reasons, DRAIN_BY_CONFIG,
 	    !config_upstream_accepts_work(config, upstream));
 }
 
@@ -243,7 +244,8 @@
 		if (strcmp(one->upstream, self) != 0)
 			continue;
 		reconciler_assign(sidecar->reconciler, one);
-		drain_set(&sidecar->drain, DRAIN_BY_PLACEMENT, one->leaving);
+		drain_reasons_set(
+		    &sidecar->drain_reasons, DRAIN_BY_PLACEMENT, one->leaving);
 	}
 	heatherturn__v1__placement_document__free_unpacked(document, NULL);
 }
@@ -314,7 +316,8 @@
 static void
 drain_for_load(void *data, bool on)
 {
-	drain_set(&((struct sidecar *)data)->drain, DRAIN_LOADING, on);
+	drain_reasons_set(
+	    &((struct sidecar *)data)->drain_reasons, DRAIN_LOADING, on);
 }
 
 /* Returns whether the engine has neither runs nor blocks. */
@@ -342,7 +345,7 @@
 {
 	const struct sidecar *sidecar = data;
 
-	return !drain_has_reason(&sidecar->drain, DRAIN_STOPPING) &&
+	return !drain_reasons_has(&sidecar->drain_reasons, DRAIN_STOPPING) &&
 	    health_is_up(sidecar->health) && health_has_listed(sidecar->health);
 }
 
@@ -375,19 +378,20 @@
 
 /*
  * Starts the shutdown: node_start_draining() marks this process as draining on
- * its links, drain_set() makes the runs reject queued and new requests, and
- * the stop timer ends the loop once the running ones have their final answers.
+ * its links, drain_reasons_set() makes the runs reject queued and new requests,
+ * and the stop timer ends the loop once the running ones have their final
+ * answers.
  */
 static void
 start_draining(void *data)
 {
 	struct sidecar *sidecar = data;
 
-	if (drain_has_reason(&sidecar->drain, DRAIN_STOPPING))
+	if (drain_reasons_has(&sidecar->drain_reasons, DRAIN_STOPPING))
 		return;
 	node_start_draining(sidecar->node);
 	sidecar->stop_since = clock_monotonic(sidecar->clock);
-	drain_set(&sidecar->drain, DRAIN_STOPPING, true);
+	drain_reasons_set(&sidecar->drain_reasons, DRAIN_STOPPING, true);
 	ev_timer_start(sidecar->loop, &sidecar->stop_timer);
 }
 
@@ -416,7 +420,7 @@
 
 	admission_limits_init(&with.limits);
 	sidecar->runs = runs_new(&with, &runs_callbacks, sidecar);
-	drain_init(&sidecar->drain, sidecar->runs);
+	drain_reasons_init(&sidecar->drain_reasons, sidecar->runs);
 }
 
 /* Registers the callbacks with the mesh, the documents and the loop. */
@@ -451,7 +455,7 @@
 	sidecar->sleep_started_at = clock_monotonic(sidecar->clock);
 	ev_prepare_start(sidecar->loop, &sidecar->loop_prepare);
 	ev_check_start(sidecar->loop, &sidecar->loop_check);
-	drain_set(&sidecar->drain, DRAIN_UNCONFIGURED, true);
+	drain_reasons_set(&sidecar->drain_reasons, DRAIN_UNCONFIGURED, true);
 }
 
 /* Creates all modules; on false error is set. */
