A sidecar exits before the end of its grace time

What callers saw: nothing at first. A sidecar that was asked to stop waited for its runs up to their deadlines, up to an hour; a platform that kills it sooner cuts them in the middle, and with them what was about to end.

It is a setting of all roles now, and the sidecar keeps its times in a struct drain, as the gateway and the entry do.

--- a/script/lib/fleet.py
+++ b/script/lib/fleet.py
@@ -265,7 +265,8 @@
             self.address(f"sidecar-{name}"), "--http",
             self.address(f"sidecar-{name}-http"), "--platform",
             f"http://{self.address('platform')}", "--peers",
-            self.address("entry0"), *self.options["sidecar"]])
+            self.address("entry0"), "--grace-s", STOP_TIMEOUT_S,
+            *self.options["sidecar"]])
 
     def start_entry(self, name):
         """Starts one entry."""
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -46,6 +46,7 @@
 	char *tls_key_file;
 	bool fatal_invariants;
 	int64_t drain_notice_ms;
+	double grace_s; /* from SIGTERM to SIGKILL */
 
 	/* Entries only, or entries and gateways. */
 	char *callers;
@@ -57,7 +58,6 @@
 
 	/* Gateways only. */
 	char *objects; /* the platform's object store */
-	double grace_s; /* from SIGTERM to SIGKILL */
 	double retry_ratio;
 	double retry_window_s;
 	double retry_slack; /* beyond the ratio, over all gateways */
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -12,6 +12,7 @@
 #include "base/settings.h"
 #include "commands.h"
 #include "node/node.h"
+#include "policy/drain.h"
 #include "sidecar/drain_reasons.h"
 #include "sidecar/health.h"
 #include "sidecar/reconciler.h"
@@ -59,7 +60,7 @@
 	ev_check loop_check;
 	struct timespec sleep_started_at;
 	ev_timer stop_timer;
-	struct timespec stop_since;
+	struct drain drain;
 };
 
 /* Sends a message on the link of a peer. */
@@ -352,27 +353,47 @@
 static const struct node_ops node_callbacks = {.ready = is_ready};
 
 /*
- * During shutdown: ends the loop once each request has its final answer and all
- * of it is written to the sockets, but not before the entries had time to
- * notice the drain.
+ * Returns whether the shutdown is complete: the entries had time to notice the
+ * drain, each request has its final answer, and all of it is written to the
+ * sockets.
+ */
+static bool
+is_drained(const struct sidecar *sidecar, struct timespec now)
+{
+	struct timespec stop_waiting = time_add_ms(
+	    sidecar->drain.accept_until, STOP_DELETION_TIMEOUT_MS);
+	struct runs_stats stats;
+
+	runs_stats(sidecar->runs, &stats);
+	if (time_before(now, sidecar->drain.accept_until) ||
+	    stats.queued + stats.running + stats.unanswered > 0 ||
+	    mesh_queued_bytes(node_mesh(sidecar->node)) > 0)
+		return false;
+	return stats.deletions + stats.blocks == 0 ||
+	    !time_before(now, stop_waiting);
+}
+
+/*
+ * During shutdown: ends the loop once the shutdown is complete or the grace
+ * time ends.
  */
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct sidecar *sidecar = w->data;
 	struct timespec now = clock_monotonic(sidecar->clock);
-	int64_t waited_ms = time_diff_ms(now, sidecar->stop_since);
 	struct runs_stats stats;
 
-	runs_stats(sidecar->runs, &stats);
-	if (waited_ms < sidecar->settings.drain_notice_ms ||
-	    stats.queued + stats.running + stats.unanswered > 0 ||
-	    mesh_queued_bytes(node_mesh(sidecar->node)) > 0)
+	if (is_drained(sidecar, now)) {
+		ev_break(loop, EVBREAK_ALL);
 		return;
-	if (stats.deletions + stats.blocks > 0 &&
-	    waited_ms <
-		sidecar->settings.drain_notice_ms + STOP_DELETION_TIMEOUT_MS)
+	}
+	if (drain_left_ms(&sidecar->drain, now) > 0)
 		return;
+	runs_stats(sidecar->runs, &stats);
+	LOG_WARN("exiting with open requests", "{s:I, s:I}", "running",
+	    (json_int_t)stats.running, "unanswered",
+	    (json_int_t)stats.unanswered);
 	ev_break(loop, EVBREAK_ALL);
 }
 
@@ -386,11 +407,15 @@
 start_draining(void *data)
 {
 	struct sidecar *sidecar = data;
+	const struct drain_limits limits = {
+	    .notice_ms = sidecar->settings.drain_notice_ms,
+	    .grace_ms = (int64_t)(sidecar->settings.grace_s * MS_PER_S),
+	};
 
-	if (drain_reasons_has(&sidecar->drain_reasons, DRAIN_STOPPING))
+	if (drain_is_started(&sidecar->drain))
 		return;
+	drain_start(&sidecar->drain, &limits, clock_monotonic(sidecar->clock));
 	node_start_draining(sidecar->node);
-	sidecar->stop_since = clock_monotonic(sidecar->clock);
 	drain_reasons_set(&sidecar->drain_reasons, DRAIN_STOPPING, true);
 	ev_timer_start(sidecar->loop, &sidecar->stop_timer);
 }
