The router drops the records of upstreams that are gone

Seen: an entry's memory grew with each upstream that had ever been listed; after a rollout or a change of host the ids are new, and the old records stayed until the process ended. Cause: records were created on first use and never removed. router_record_done() also created one for an upstream it had none of. A list of candidates has one service's upstreams only, so absence from one list is no proof.

--- a/src/policy/router.c
+++ b/src/policy/router.c
@@ -12,6 +12,7 @@
 	uint32_t load; /* as last reported; lags behind */
 	uint32_t failures; /* consecutive */
 	struct timespec not_before; /* end of the back-off */
+	struct timespec listed_at; /* last time it was a possible choice */
 };
 
 struct router {
@@ -20,6 +21,7 @@
 	GHashTable
 	    *upstream_records; /* struct upstream_record, by upstream id */
 	uint32_t next_index; /* for round robin */
+	struct timespec sweep_at; /* when records may next be dropped */
 };
 
 static const char *const policy_names[] = {
@@ -93,6 +95,31 @@
 	return record;
 }
 
+/* Returns whether an upstream's record is of no use any more. */
+static gboolean
+is_stale(void *key, void *value, void *data)
+{
+	const struct upstream_record *record = value;
+	const struct timespec *now = data;
+
+	return record->outstanding == 0 &&
+	    !time_before(*now,
+		time_add_ms(record->listed_at, ROUTER_RECORD_LIFETIME_MS));
+}
+
+/*
+ * Drops stale records, once per ROUTER_RECORD_LIFETIME_MS. A service's list
+ * does not show which of the other upstreams are gone, hence the lifetime.
+ */
+static void
+drop_stale_records(struct router *router, struct timespec now)
+{
+	if (time_before(now, router->sweep_at))
+		return;
+	g_hash_table_foreach_remove(router->upstream_records, is_stale, &now);
+	router->sweep_at = time_add_ms(now, ROUTER_RECORD_LIFETIME_MS);
+}
+
 /*
  * Fills available with the indexes of the upstreams that may be tried now: not
  * tried yet and not in back-off. If all of them are in back-off it is ignored,
@@ -105,10 +132,11 @@
 	size_t found = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		if (upstreams[i].tried)
-			continue;
-		if (time_before(
-			now, record_of(router, upstreams[i].id)->not_before))
+		struct upstream_record *record = record_of(
+		    router, upstreams[i].id);
+
+		record->listed_at = now;
+		if (upstreams[i].tried || time_before(now, record->not_before))
 			continue;
 		available[found++] = i;
 	}
@@ -232,6 +260,7 @@
 	size_t available_count = list_available(
 	    router, upstreams, count, now, available);
 
+	drop_stale_records(router, now);
 	if (available_count == 0)
 		return 0;
 	switch (router->policy) {
@@ -295,9 +324,10 @@
 void
 router_record_done(struct router *router, const char *upstream)
 {
-	struct upstream_record *record = record_of(router, upstream);
+	struct upstream_record *record = g_hash_table_lookup(
+	    router->upstream_records, upstream);
 
-	if (record->outstanding > 0)
+	if (record != NULL && record->outstanding > 0)
 		record->outstanding--;
 }
 
@@ -334,4 +364,12 @@
 	if (record->failures < UINT32_MAX)
 		record->failures++;
 	record->not_before = time_add_ms(now, wait);
+	record->listed_at = now;
+}
+
+/* Returns the number of upstreams of which there is a record. */
+size_t
+router_record_count(const struct router *router)
+{
+	return g_hash_table_size(router->upstream_records);
 }
--- a/src/policy/router.h
+++ b/src/policy/router.h
@@ -30,6 +30,11 @@
  * then by load.
  */
 #define ROUTER_WAIT_SLACK_MS 4
+/*
+ * The record of an upstream that was not a possible choice for this long, and
+ * has no requests outstanding, is dropped within as much again.
+ */
+#define ROUTER_RECORD_LIFETIME_MS (10 * 60 * 1000)
 
 enum router_policy {
 	ROUTER_OFFERS, /* probes candidates for offers; the default */
@@ -71,5 +76,6 @@
 void router_record_answer(struct router *, const char *upstream);
 void router_record_failure(
     struct router *, const char *upstream, struct timespec now);
+size_t router_record_count(const struct router *);
 
 #endif
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -144,6 +144,38 @@
 	router_free(least_outstanding);
 }
 
+/*
+ * The records of upstreams that are gone are dropped, except of those with
+ * requests outstanding; those of the others are kept.
+ */
+static void
+test_gone_upstreams(void)
+{
+	struct router_upstream upstreams[UPSTREAMS];
+	struct timespec now = time_from_ms(1000);
+	size_t chosen[ROUTER_CANDIDATES];
+	struct router *router = router_new(ROUTER_LEAST_OUTSTANDING, 1);
+
+	fill_upstreams(upstreams);
+	router_choose_candidates(router, 0, upstreams, UPSTREAMS, now, chosen);
+	router_record_sent(router, "u0");
+	router_record_sent(router, "u5");
+	router_record_failure(router, "u4", now);
+	for (int i = 0; i < 3; i++) {
+		now = time_add_ms(now, ROUTER_RECORD_LIFETIME_MS);
+		router_choose_candidates(router, 0, upstreams, 2, now, chosen);
+		g_assert_cmpuint(chosen[0], ==, 1);
+	}
+	g_assert_cmpuint(router_record_count(router), ==, 3);
+	router_record_done(router, "u5");
+	now = time_add_ms(now, ROUTER_RECORD_LIFETIME_MS);
+	router_choose_candidates(router, 0, upstreams, 2, now, chosen);
+	g_assert_cmpuint(router_record_count(router), ==, 2);
+	router_record_done(router, "u5");
+	g_assert_cmpuint(router_record_count(router), ==, 2);
+	router_free(router);
+}
+
 /* Retries are limited to the initial budget and a share of successes. */
 static void
 test_retry_budget(void)
@@ -179,6 +211,9 @@
 	g_test_add_func(
 	    "/router/the baselines are round robin and least outstanding",
 	    test_baselines);
+	g_test_add_func("/router/the records of upstreams that are gone are "
+			"dropped",
+	    test_gone_upstreams);
 	g_test_add_func("/retry/retries are limited to an initial budget and a "
 			"share of successes",
 	    test_retry_budget);
