A change that the store rejects ends with the store's reason

Seen: an operator whose change the platform rejected, limited or answered with something else was told "the platform is unavailable", with 503 and a Retry-After that could not help. Cause: the writer mapped each store error but conflict and unknown outcome to the same message and code. Evidence: cases of tests/test_store.c failed before the change, among them test_failure: assertion failed (change->why == c->why): ("the platform is unavailable; nothing was stored" == "the configuration is above the platform's limit (fake); nothing was stored") and the same message for a call over the rate limit Change: a rate limit is named, still 503 with Retry-After; a value that the store finds too large is 413 and a response that is not of the API 500, both without Retry-After and with the store's message. Result: tests/test_store and tests/test_operator_api pass.

--- a/src/store/config_writer.c
+++ b/src/store/config_writer.c
@@ -89,27 +89,52 @@
 	free_write(write);
 }
 
-/*
- * Ends a write that the store did not complete: unavailable, or outcome unknown
- * if it may have been stored.
- */
+/* Ends a write that may have been stored or not. */
+static void
+finish_unknown(struct config_write *write, int64_t retry_after_ms)
+{
+	finish_failed(write,
+	    g_error_new_literal(CONFIG_WRITE_ERROR,
+		CONFIG_WRITE_ERROR_OUTCOME_UNKNOWN,
+		"the platform's response was lost and the stored configuration "
+		"could not be checked; the change may or may not have been "
+		"stored"),
+	    retry_after_ms > 0 ? retry_after_ms : RETRY_AFTER_MS);
+}
+
+/* Ends a write of which nothing was stored, with the store's reason. */
 static void
-finish_unavailable(struct config_write *write, int64_t retry_after_ms)
+finish_rejected(struct config_write *write, const struct store_result *result)
 {
+	int64_t retry_after_ms = result->retry_after_ms > 0
+	    ? result->retry_after_ms
+	    : RETRY_AFTER_MS;
+	const char *why = result->error->message;
 	GError *error;
 
-	if (write->write_uncertain)
-		error = g_error_new_literal(CONFIG_WRITE_ERROR,
-		    CONFIG_WRITE_ERROR_OUTCOME_UNKNOWN,
-		    "the platform's response was lost and the stored "
-		    "configuration could not be checked; the change may or "
-		    "may not have been stored");
-	else
+	if (result->error->code == STORE_ERROR_UNAVAILABLE)
 		error = g_error_new_literal(CONFIG_WRITE_ERROR,
 		    CONFIG_WRITE_ERROR_UNAVAILABLE,
 		    "the platform is unavailable; nothing was stored");
-	finish_failed(
-	    write, error, retry_after_ms > 0 ? retry_after_ms : RETRY_AFTER_MS);
+	else if (result->error->code == STORE_ERROR_RATE_LIMITED)
+		error = g_error_new_literal(CONFIG_WRITE_ERROR,
+		    CONFIG_WRITE_ERROR_UNAVAILABLE,
+		    "the platform limits the rate of calls; nothing was "
+		    "stored");
+	else if (result->error->code == STORE_ERROR_TOO_LARGE)
+		error = g_error_new(CONFIG_WRITE_ERROR,
+		    CONFIG_WRITE_ERROR_TOO_LARGE,
+		    "the configuration is above the platform's limit (%s); "
+		    "nothing was stored",
+		    why);
+	else
+		error = g_error_new(CONFIG_WRITE_ERROR,
+		    CONFIG_WRITE_ERROR_MALFORMED,
+		    "the platform's response was not understood (%s); nothing "
+		    "was stored",
+		    why);
+	finish_failed(write, error,
+	    error->code == CONFIG_WRITE_ERROR_UNAVAILABLE ? retry_after_ms : 0);
 }
 
 /*
@@ -145,7 +170,7 @@
 	write->next_at = time_add_ms(
 	    clock_monotonic(writer->clock), MAX(wait_ms, retry_after_ms));
 	if (time_before(write->timeout_at, write->next_at)) {
-		finish_unavailable(write, retry_after_ms);
+		finish_unknown(write, retry_after_ms);
 		return;
 	}
 	write->waiting = true;
@@ -302,7 +327,7 @@
 		if (write->write_uncertain)
 			retry_read(write, result->retry_after_ms);
 		else
-			finish_unavailable(write, result->retry_after_ms);
+			finish_rejected(write, result);
 		break;
 	}
 }
@@ -330,7 +355,7 @@
 	else if (write->write_uncertain &&
 	    result->version - write->base_version >=
 		CONFIG_RECENT_OPERATIONS_MAX)
-		finish_unavailable(write, 0);
+		finish_unknown(write, 0);
 	else
 		change_and_put(write, document, result->version);
 }
@@ -350,7 +375,7 @@
 		if (write->write_uncertain)
 			retry_read(write, result->retry_after_ms);
 		else
-			finish_unavailable(write, result->retry_after_ms);
+			finish_rejected(write, result);
 		return;
 	}
 	document = heatherturn__v1__config_document__unpack(NULL,
--- a/src/store/config_writer.h
+++ b/src/store/config_writer.h
@@ -26,7 +26,7 @@
 	CONFIG_WRITE_ERROR_CONFLICT, /* with too many others; nothing stored */
 	CONFIG_WRITE_ERROR_UNAVAILABLE, /* nothing was stored */
 	CONFIG_WRITE_ERROR_OUTCOME_UNKNOWN, /* it may have been stored */
-	CONFIG_WRITE_ERROR_MALFORMED, /* the stored object can't be decoded */
+	CONFIG_WRITE_ERROR_MALFORMED, /* object or response not understood */
 };
 
 struct config_writer;
--- a/tests/fake_store.c
+++ b/tests/fake_store.c
@@ -97,7 +97,12 @@
 	    now, draw_ms(fake, faults->latency_max_ms));
 	call->response_at = time_add_ms(
 	    call->effect_at, draw_ms(fake, faults->latency_max_ms));
-	if (chance(fake, faults->unavailable_percent)) {
+	if (call->request.verb == STORE_GET && faults->get_error != 0) {
+		call->forced_error = faults->get_error;
+	} else if (call->request.verb == STORE_PUT && faults->put_error != 0) {
+		call->forced_error = faults->put_error;
+		call->has_effect = false;
+	} else if (chance(fake, faults->unavailable_percent)) {
 		call->forced_error = STORE_ERROR_UNAVAILABLE;
 		call->has_effect = false;
 	} else if (chance(fake, faults->rate_limited_percent)) {
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -15,6 +15,8 @@
 	int request_lost_percent; /* no response, no effect */
 	int unavailable_percent; /* STORE_ERROR_UNAVAILABLE, no effect */
 	int rate_limited_percent; /* STORE_ERROR_RATE_LIMITED, no effect */
+	int get_error; /* enum store_error of each get; 0 for none */
+	int put_error; /* enum store_error of each put, no effect */
 	int latency_max_ms;
 	int effect_delay_max_ms;
 };
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -154,6 +154,8 @@
 	bool done;
 	int code; /* -1 for stored */
 	uint64_t version;
+	char *why; /* the error's message, to be freed; NULL if stored */
+	int64_t retry_after_ms;
 };
 
 struct writer_fixture {
@@ -209,6 +211,8 @@
 	change->done = true;
 	change->code = error != NULL ? error->code : -1;
 	change->version = version;
+	change->why = error != NULL ? g_strdup(error->message) : NULL;
+	change->retry_after_ms = retry_after_ms;
 }
 
 static const struct config_write_ops change_ops = {
@@ -271,6 +275,8 @@
 	documents_free(writer_fixture->documents);
 	mesh_free(writer_fixture->mesh);
 	store_free(writer_fixture->store);
+	for (int i = 0; i < WRITES; i++)
+		g_free(writer_fixture->changes[i].why);
 	g_rand_free(writer_fixture->random);
 	ev_loop_destroy(writer_fixture->loop);
 }
@@ -355,6 +361,59 @@
 	g_assert_cmpuint(outcomes[CONFIG_WRITE_ERROR_MALFORMED + 1], ==, 0);
 }
 
+static const struct failure_case {
+	const char *name;
+	struct fake_faults faults;
+	enum config_write_error code;
+	int64_t retry_after_ms;
+	const char *why;
+} failure_cases[] = {
+    {"a store that is away is named as unavailable",
+	{.get_error = STORE_ERROR_UNAVAILABLE}, CONFIG_WRITE_ERROR_UNAVAILABLE,
+	1000, "the platform is unavailable; nothing was stored"},
+    {"a read over the rate limit is named as such",
+	{.get_error = STORE_ERROR_RATE_LIMITED}, CONFIG_WRITE_ERROR_UNAVAILABLE,
+	1000, "the platform limits the rate of calls; nothing was stored"},
+    {"a write over the rate limit is named as such",
+	{.put_error = STORE_ERROR_RATE_LIMITED}, CONFIG_WRITE_ERROR_UNAVAILABLE,
+	1000, "the platform limits the rate of calls; nothing was stored"},
+    {"a write that the store finds too large is not an outage",
+	{.put_error = STORE_ERROR_TOO_LARGE}, CONFIG_WRITE_ERROR_TOO_LARGE, 0,
+	"the configuration is above the platform's limit (fake); nothing was "
+	"stored"},
+    {"a read whose response is not of the API is not an outage",
+	{.get_error = STORE_ERROR_MALFORMED}, CONFIG_WRITE_ERROR_MALFORMED, 0,
+	"the platform's response was not understood (fake); nothing was "
+	"stored"},
+    {"a write that the store rejects otherwise is not an outage",
+	{.put_error = STORE_ERROR_MALFORMED}, CONFIG_WRITE_ERROR_MALFORMED, 0,
+	"the platform's response was not understood (fake); nothing was "
+	"stored"},
+};
+
+/* A change that the store rejects ends with the store's reason. */
+static void
+test_failure(gconstpointer data)
+{
+	const struct failure_case *c = data;
+	struct writer_fixture writer_fixture;
+	struct change *change = &writer_fixture.changes[0];
+
+	set_up(&writer_fixture, 1);
+	g_strlcpy(change->id, "o-1", sizeof(change->id));
+	fake_store_set_faults(writer_fixture.store, &c->faults);
+	config_write_start(writer_fixture.writers[0], &change_ops, change);
+	for (int i = 0; i < 4; i++) {
+		clock_manual_advance(&writer_fixture.clock, STEP_MS);
+		fake_store_run(writer_fixture.store);
+	}
+	g_assert_true(change->done);
+	g_assert_cmpstr(change->why, ==, c->why);
+	g_assert_cmpint(change->code, ==, c->code);
+	g_assert_cmpint(change->retry_after_ms, ==, c->retry_after_ms);
+	tear_down(&writer_fixture);
+}
+
 /* After a deletion, versions of the configuration continue to increase. */
 static void
 test_deleted(void)
@@ -399,6 +458,7 @@
 	invariant_set_fatal(true);
 	ADD(response_cases, "response", test_response);
 	ADD(faults_cases, "changes", test_changes);
+	ADD(failure_cases, "failures", test_failure);
 	g_test_add_func("/store/versions continue to increase after a deletion",
 	    test_deleted);
 	return g_test_run();
