A configuration that went back is an explicit case of the writer

Suspected: the difference between the stored version and the one that was changed wraps if the object was deleted or went back. Found: no fault in what callers see. The wrapped difference is above the limit of recent operations, and the write ends as of unknown outcome, which is true: it may have been stored and lost since.

--- a/src/store/config_writer.c
+++ b/src/store/config_writer.c
@@ -338,7 +338,7 @@
  * uncertain write is sent again: should the first one arrive late, one of the
  * two fails. At a later version the first one can no longer succeed, and the
  * change is applied to the new document. If so many others wrote since that our
- * id may have been dropped, the outcome stays unknown.
+ * id may have been dropped, or the object went back, the outcome stays unknown.
  */
 static void
 handle_document(struct config_write *write,
@@ -353,8 +353,9 @@
 	    result->version == write->base_version)
 		put_object(write);
 	else if (write->write_uncertain &&
-	    result->version - write->base_version >=
-		CONFIG_RECENT_OPERATIONS_MAX)
+	    (result->version < write->base_version ||
+		result->version - write->base_version >=
+		    CONFIG_RECENT_OPERATIONS_MAX))
 		finish_unknown(write, 0);
 	else
 		change_and_put(write, document, result->version);
