The time to the first token is counted once for a request

Seen: heatherturn_first_token_ms counted a request again when its attempt was lost after the first chunk and another began, so that its count was above the number of answers and its upper values stood for retries. A stream resumed from its beginning was counted too, under "short" and from the time of the resume. Cause: the first chunk was known by its sequence number, which begins at 1 again with each attempt. What is counted stays the first chunk of all attempts.

--- a/src/entry/generation.c
+++ b/src/entry/generation.c
@@ -25,6 +25,7 @@
 	bool keep_stream; /* can be resumed after a disconnect */
 	bool headers_sent; /* of a streamed answer */
 	bool long_prompt;
+	bool first_token_counted;
 	GString *text; /* of an answer that is not streamed, else NULL */
 	GString *scratch;
 	size_t unconsumed_bytes; /* written, but not sent to the caller */
@@ -84,14 +85,17 @@
 	    generation->http, 200, headers, G_N_ELEMENTS(headers));
 }
 
-/* Records the time to the first token in its histogram. */
+/* Records the time to the first token in its histogram, once per request. */
 static void
-record_first_token(const struct generation *generation)
+record_first_token(struct generation *generation)
 {
 	struct clock *clock = dispatch_clock(
 	    frontend_dispatch(generation->frontend));
 	int64_t ms = time_diff_ms(clock_monotonic(clock), generation->arrived);
 
+	if (generation->first_token_counted)
+		return;
+	generation->first_token_counted = true;
 	metric_observe(
 	    generation->long_prompt ? &first_token_long : &first_token_short,
 	    ms);
@@ -122,8 +126,7 @@
 	struct completion_metadata metadata = make_metadata(generation);
 	char event[128];
 
-	if (sequence == 1)
-		record_first_token(generation);
+	record_first_token(generation);
 	if (!generation->stream) {
 		g_string_append_len(
 		    generation->text, (const char *)bytes, (gssize)length);
@@ -505,6 +508,7 @@
 	generation->chat = chat != NULL && strcmp(chat, "true") == 0;
 	generation->stream = true;
 	generation->stream_usage = true;
+	generation->first_token_counted = true;
 	httpd_request_set_data(request->http, generation);
 	generation->exchange = job_resume(frontend_dispatch(frontend), &spec,
 	    &position, &job_ops, generation);
