--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -193,6 +193,7 @@
 	    {"Heatherturn-Tenant", "forged"},
 	    {"Heatherturn-Helpers", "127.0.0.1:9"},
 	    {"Heatherturn-Expect-Instance", "forged"},
+	    {"Heatherturn-Request-Urgency", "0"},
 	    {"X-Own", "kept"},
 	    {"Connection", "X-Hop"},
 	    {"X-Hop", "dropped"},
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -134,6 +134,8 @@
 	g_assert_null(fake_platform_request_header(arrival, "Authorization"));
 	g_assert_null(
 	    fake_platform_request_header(arrival, "Heatherturn-Helpers"));
+	g_assert_null(fake_platform_request_header(
+	    arrival, "Heatherturn-Request-Urgency"));
 	g_assert_cmpstr(
 	    fake_platform_request_header(arrival, "Heatherturn-Tenant"), ==,
 	    "o");
