All spellings of the IPv6 wildcard need an address to advertise

Cause: the wildcard was looked for as the texts "0.0.0.0:" and "[::]:". Evidence: cases of tests/test_settings.c failed before the change, for [::0], [0:0:0:0:0:0:0:0], [::0.0.0.0] and [::ffff:0.0.0.0]: test_listen: assertion failed (load(&settings, ROLE_ENTRY, arguments, &error) == !c->wildcard): (1 == 0) Change: the parsed address is compared, and 0.0.0.0 mapped into IPv6 counts too.

--- a/src/base/address.c
+++ b/src/base/address.c
@@ -50,10 +50,25 @@
 	return true;
 }
 
-/* Returns whether an address is a wildcard: 0.0.0.0 or [::]. */
+/*
+ * Returns whether an address is a wildcard: 0.0.0.0, or [::] in any spelling,
+ * also with 0.0.0.0 mapped into it.
+ */
 bool
 address_is_any(const char *text)
 {
-	return g_str_has_prefix(text, "0.0.0.0:") ||
-	    g_str_has_prefix(text, "[::]:");
+	g_autofree char *host = NULL;
+	struct in6_addr binary;
+	struct in_addr ipv4;
+
+	if (!address_parse(text, &host, NULL))
+		return false;
+	if (inet_pton(AF_INET, host, &ipv4) == 1)
+		return ipv4.s_addr == htonl(INADDR_ANY);
+	if (inet_pton(AF_INET6, host, &binary) != 1)
+		return false;
+	memcpy(&ipv4, binary.s6_addr + sizeof(binary) - sizeof(ipv4),
+	    sizeof(ipv4));
+	return IN6_IS_ADDR_UNSPECIFIED(&binary) ||
+	    (IN6_IS_ADDR_V4MAPPED(&binary) && ipv4.s_addr == htonl(INADDR_ANY));
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -117,6 +117,42 @@
 	settings_clear(&settings);
 }
 
+static const struct listen_case {
+	const char *name;
+	const char *argument;
+	bool wildcard; /* needs --advertise */
+} listen_cases[] = {
+    {"0.0.0.0 can't be advertised", "--listen=0.0.0.0:7", true},
+    {"the IPv6 wildcard can't be advertised", "--listen=[::]:7", true},
+    {"nor the IPv6 wildcard with a zero", "--listen=[::0]:7", true},
+    {"nor the IPv6 wildcard in full", "--listen=[0:0:0:0:0:0:0:0]:7", true},
+    {"nor the IPv6 wildcard with an IPv4 ending", "--listen=[::0.0.0.0]:7",
+	true},
+    {"nor 0.0.0.0 mapped into IPv6", "--listen=[::ffff:0.0.0.0]:7", true},
+    {"the IPv6 loopback address can be advertised", "--listen=[::1]:7", false},
+    {"a mapped address can be advertised", "--listen=[::ffff:127.0.0.1]:7",
+	false},
+    {"an address that ends in zeros can be advertised", "--listen=[2001::]:7",
+	false},
+};
+
+/* A listener on all addresses needs one to advertise. */
+static void
+test_listen(gconstpointer data)
+{
+	const struct listen_case *c = data;
+	const char *const arguments[ARGUMENTS_MAX] = {"--id=e",
+	    "--failure-domain=d", "--callers=127.0.0.1:8", c->argument};
+	struct settings settings;
+	g_autoptr(GError) error = NULL;
+
+	g_assert_cmpint(
+	    load(&settings, ROLE_ENTRY, arguments, &error), ==, !c->wildcard);
+	if (c->wildcard)
+		g_assert_error(error, SETTINGS_ERROR, SETTINGS_ERROR_MISSING);
+	settings_clear(&settings);
+}
+
 /* Flags override environment variables, which override defaults. */
 static void
 test_precedence(void)
@@ -177,6 +213,12 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(listen_cases); i++) {
+		g_autofree char *path = g_strconcat(
+		    "/settings/listen/", listen_cases[i].name, NULL);
+
+		g_test_add_data_func(path, &listen_cases[i], test_listen);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++) {
 		g_autofree char *path = g_strconcat(
 		    "/settings/fault/", fault_cases[i].name, NULL);
