ctl status refuses a kind

Seen: "ctl status service" showed the status of the whole configuration, as if the kind had chosen something. Cause: each verb without an id took an optional kind, and only list uses it. What follows status is not expected there, as a usage error.

--- a/src/operator/ctl.c
+++ b/src/operator/ctl.c
@@ -101,9 +101,12 @@
 parse_arguments(struct ctl *ctl, const struct ctl_verb *verb, int *argc,
     char ***argv, GError **error)
 {
-	const char *kind = verb->takes_id ? "failure-domain"
-					  : next_argument(argc, argv);
+	const char *kind = NULL;
 
+	if (verb->takes_id)
+		kind = "failure-domain";
+	else if (verb->takes_kind || verb->may_take_kind)
+		kind = next_argument(argc, argv);
 	if (kind != NULL) {
 		ctl->kind = object_kind_find_by_name(kind);
 		if (ctl->kind == NULL) {
--- a/src/operator/ctl.h
+++ b/src/operator/ctl.h
@@ -58,6 +58,7 @@
 	const char *name;
 	bool takes_kind; /* followed by a kind and an id */
 	bool takes_id; /* followed by the id of a failure domain */
+	bool may_take_kind; /* followed by a kind, or not */
 	json_t *(*run)(struct ctl *, struct ctl_client *, GError **);
 	const char *done_text; /* past participle printed after a change; NULL
 				  for reads */
--- a/src/operator/ctl_verbs.c
+++ b/src/operator/ctl_verbs.c
@@ -130,14 +130,14 @@
 }
 
 static const struct ctl_verb verbs[] = {
-    {"create", true, false, run_create, "created"},
-    {"get", true, false, run_get, NULL},
-    {"list", false, false, run_list, NULL},
-    {"update", true, false, run_update, "updated"},
-    {"delete", true, false, run_delete, "deleted"},
-    {"take-out", false, true, run_take_out, "taken out"},
-    {"bring-back", false, true, run_bring_back, "brought back"},
-    {"status", false, false, run_status, NULL},
+    {"create", true, false, false, run_create, "created"},
+    {"get", true, false, false, run_get, NULL},
+    {"list", false, false, true, run_list, NULL},
+    {"update", true, false, false, run_update, "updated"},
+    {"delete", true, false, false, run_delete, "deleted"},
+    {"take-out", false, true, false, run_take_out, "taken out"},
+    {"bring-back", false, true, false, run_bring_back, "brought back"},
+    {"status", false, false, false, run_status, NULL},
 };
 
 /* Prints a value as indented JSON. */
