A failed poll of the host list has a log line

Seen: a watcher whose polls of the host list failed, by no response, another status or an invalid list, logged nothing; the list grew old without a trace. Cause: the poll's end returned without a line in each of these cases, and the reason from the parser was not asked for. A list that is unchanged or comes too early is not parsed, as before.

--- a/src/store/hosts.c
+++ b/src/store/hosts.c
@@ -11,6 +11,7 @@
 #include "base/log.h"
 
 #define HOSTS_MAX_BYTES (1024 * 1024)
+#define HTTP_OK		200
 
 struct subscriber {
 	hosts_changed_fn *callback;
@@ -26,6 +27,7 @@
 	char *url;
 	struct http_call *call; /* NULL if no poll is in progress */
 	struct ev_timer timer;
+	unsigned int failed_polls; /* consecutive */
 	GPtrArray *list; /* struct host */
 	TAILQ_HEAD(subscriber_list, subscriber) subscribers;
 };
@@ -170,6 +172,54 @@
 	return known_ms > now_ms || now_ms - known_ms >= min_interval_ms;
 }
 
+/*
+ * Returns whether a poll's result has a list that is to be published. Sets an
+ * error if the poll has failed.
+ */
+static bool
+has_new_list(
+    struct hosts *hosts, const struct http_result *result, GError **error)
+{
+	uint64_t now_ms = (uint64_t)time_to_ms(clock_wall(hosts->clock));
+	uint64_t known_ms = documents_version(hosts->documents, DOCUMENT_HOSTS);
+	GPtrArray *list;
+
+	if (result->error != NULL) {
+		g_propagate_error(error, g_error_copy(result->error));
+		return false;
+	}
+	if (result->status != HTTP_OK) {
+		g_set_error(error, HOSTS_ERROR, HOSTS_ERROR_STATUS,
+		    "the platform responded with HTTP status %d",
+		    result->status);
+		return false;
+	}
+	if (is_unchanged(hosts, result->body) ||
+	    !hosts_may_update(known_ms, now_ms, result->body->len))
+		return false;
+	list = hosts_parse(result->body->data, result->body->len, error);
+	if (list == NULL)
+		return false;
+	g_ptr_array_unref(list);
+	return true;
+}
+
+/* Logs the first failed poll of a row, and the end of the row. */
+static void
+log_poll(struct hosts *hosts, const GError *error)
+{
+	if (error != NULL) {
+		if (hosts->failed_polls++ == 0)
+			LOG_WARN("host list not polled", "{s:s}", "why",
+			    error->message);
+		return;
+	}
+	if (hosts->failed_polls > 0)
+		LOG_INFO("host list polled again", "{s:I}", "failed_polls",
+		    (json_int_t)hosts->failed_polls);
+	hosts->failed_polls = 0;
+}
+
 /* Handles the result of a poll; publishes a changed list as a document. */
 static void
 on_poll_done(
@@ -178,18 +228,13 @@
 	struct hosts *hosts = data;
 	uint64_t now_ms = (uint64_t)time_to_ms(clock_wall(hosts->clock));
 	uint64_t known_ms = documents_version(hosts->documents, DOCUMENT_HOSTS);
-	GPtrArray *list;
+	g_autoptr(GError) error = NULL;
+	bool is_new = has_new_list(hosts, result, &error);
 
 	hosts->call = NULL;
-	if (result->error != NULL || result->status != 200)
-		return;
-	if (is_unchanged(hosts, result->body) ||
-	    !hosts_may_update(known_ms, now_ms, result->body->len))
+	log_poll(hosts, error);
+	if (!is_new)
 		return;
-	list = hosts_parse(result->body->data, result->body->len, NULL);
-	if (list == NULL)
-		return;
-	g_ptr_array_unref(list);
 	documents_update(hosts->documents, DOCUMENT_HOSTS,
 	    MAX(now_ms, known_ms + 1), result->body->data, result->body->len);
 }
--- a/src/store/hosts.h
+++ b/src/store/hosts.h
@@ -27,6 +27,7 @@
 
 enum hosts_error {
 	HOSTS_ERROR_MALFORMED,
+	HOSTS_ERROR_STATUS, /* not 200 */
 };
 
 struct host {
