--- a/tests/endless_server.c
+++ b/tests/endless_server.c
@@ -13,6 +13,9 @@
 	"Heatherturn-Server-Seal: seal\r\nContent-Type: " \
 	"text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 
+/* Bytes that are sent at once, if the peer takes them. */
+#define SEND_BYTES ((size_t)64 * 1024)
+
 /* Bytes that are sent once, then over and over. */
 static const struct endless_bytes {
 	const char *start;
@@ -33,8 +36,8 @@
 
 struct endless_server {
 	struct ev_loop *loop;
-	enum endless_kind kind;
-	char *request_id;
+	GString *start;
+	GString *repeated;
 	int port;
 	ev_io listener;
 	ev_io connection; /* the latest */
@@ -66,9 +69,9 @@
 		close_connection(server);
 		return;
 	}
-	while (server->unsent->len < sizeof(input))
-		g_string_append(
-		    server->unsent, bytes_of[server->kind].repeated);
+	while (server->unsent->len < SEND_BYTES)
+		g_string_append_len(server->unsent, server->repeated->str,
+		    (gssize)server->repeated->len);
 	sent = send(io->fd, server->unsent->str, server->unsent->len,
 	    MSG_NOSIGNAL | MSG_DONTWAIT);
 	if (sent > 0) {
@@ -90,11 +93,9 @@
 	g_assert_cmpint(fd, >=, 0);
 	close_connection(server);
 	server->closed = false;
-	g_string_printf(server->unsent, "HTTP/1.1 %s\r\n%s%s%s%s",
-	    server->kind == ENDLESS_INTERIM_RESPONSES ? "103 Early Hints"
-						      : "200 OK",
-	    "Heatherturn-Attempt-Id: ", server->request_id, "\r\n",
-	    bytes_of[server->kind].start);
+	g_string_assign(server->unsent, "");
+	g_string_append_len(
+	    server->unsent, server->start->str, (gssize)server->start->len);
 	ev_io_init(&server->connection, on_writable, fd, EV_WRITE);
 	server->connection.data = server;
 	ev_io_start(loop, &server->connection);
@@ -104,6 +105,21 @@
 struct endless_server *
 endless_server_new(
     struct ev_loop *loop, enum endless_kind kind, const char *request_id)
+{
+	g_autoptr(GString) start = g_string_new(NULL);
+	g_autoptr(GString) repeated = g_string_new(bytes_of[kind].repeated);
+
+	g_string_printf(start, "HTTP/1.1 %s\r\n%s%s%s%s",
+	    kind == ENDLESS_INTERIM_RESPONSES ? "103 Early Hints" : "200 OK",
+	    "Heatherturn-Attempt-Id: ", request_id, "\r\n",
+	    bytes_of[kind].start);
+	return endless_server_new_bytes(loop, start, repeated);
+}
+
+/* Listens on a free port; responses are the first bytes, then the others. */
+struct endless_server *
+endless_server_new_bytes(
+    struct ev_loop *loop, const GString *start, const GString *repeated)
 {
 	struct endless_server *server = g_new0(struct endless_server, 1);
 	struct sockaddr_in address = {
@@ -114,8 +130,9 @@
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	server->loop = loop;
-	server->kind = kind;
-	server->request_id = g_strdup(request_id);
+	server->start = g_string_new_len(start->str, (gssize)start->len);
+	server->repeated = g_string_new_len(
+	    repeated->str, (gssize)repeated->len);
 	server->unsent = g_string_new(NULL);
 	g_assert_cmpint(
 	    bind(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
@@ -138,7 +155,8 @@
 	ev_io_stop(server->loop, &server->listener);
 	close(server->listener.fd);
 	g_string_free(server->unsent, TRUE);
-	g_free(server->request_id);
+	g_string_free(server->start, TRUE);
+	g_string_free(server->repeated, TRUE);
 	g_free(server);
 }
 
--- a/tests/endless_server.h
+++ b/tests/endless_server.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 
 #include <ev.h>
+#include <glib.h>
 
 /* What has no end. */
 enum endless_kind {
@@ -26,6 +27,8 @@
 
 struct endless_server *endless_server_new(
     struct ev_loop *, enum endless_kind, const char *request_id);
+struct endless_server *endless_server_new_bytes(
+    struct ev_loop *, const GString *start, const GString *repeated);
 void endless_server_free(struct endless_server *);
 int endless_server_port(const struct endless_server *);
 size_t endless_server_bytes(const struct endless_server *);
