--- a/src/entry/generation.c
+++ b/src/entry/generation.c
@@ -7,6 +7,7 @@
 
 #include "base/metrics.h"
 #include "caller/completion.h"
+#include "entry/event_id.h"
 #include "entry/group_run.h"
 
 #define LOG_MODULE "generate"
@@ -107,16 +108,6 @@
 {
 }
 
-/* Formats an event id: UPSTREAM.ATTEMPT.SEQUENCE, used to resume. */
-static void
-format_event_id(const struct generation *generation, uint64_t sequence,
-    char *out, size_t size)
-{
-	snprintf(out, size, "%s.%" PRIu32 ".%" PRIu64,
-	    generation->exchange->upstream, generation->exchange->attempt,
-	    sequence);
-}
-
 /* Forwards a chunk of the answer as an event, or collects it. */
 static void
 on_chunk(void *data, uint64_t sequence, const uint8_t *bytes, size_t length,
@@ -134,7 +125,12 @@
 		return;
 	}
 	start_stream(generation);
-	format_event_id(generation, sequence, event, sizeof(event));
+	event_id_format(event, sizeof(event),
+	    &(struct job_stream_position){
+		.upstream = generation->exchange->upstream,
+		.attempt = generation->exchange->attempt,
+		.sequence = sequence,
+	    });
 	g_string_truncate(generation->scratch, 0);
 	completion_write_event(
 	    generation->scratch, &metadata, event, (const char *)bytes, length);
@@ -441,35 +437,6 @@
 	completion_free(completion);
 }
 
-/*
- * Parses an event id. It is read from its end, since the upstream's id may
- * contain dots.
- */
-static bool
-parse_event_id(const char *event, char *upstream, size_t size,
-    struct job_stream_position *position)
-{
-	g_auto(GStrv) parts = g_strsplit(event, ".", -1);
-	guint count = g_strv_length(parts);
-	guint64 attempt;
-	guint64 sequence;
-
-	if (count < 3)
-		return false;
-	if (!g_ascii_string_to_unsigned(
-		parts[count - 1], 10, 0, G_MAXUINT64, &sequence, NULL) ||
-	    !g_ascii_string_to_unsigned(
-		parts[count - 2], 10, 1, G_MAXUINT32, &attempt, NULL))
-		return false;
-	g_strlcpy(upstream, event, size);
-	*strrchr(upstream, '.') = '\0';
-	*strrchr(upstream, '.') = '\0';
-	position->upstream = upstream;
-	position->attempt = (uint32_t)attempt;
-	position->sequence = sequence;
-	return true;
-}
-
 /*
  * Resumes the stream with the given request id after the event that the
  * Last-Event-ID header names. Any entry may have started the stream.
@@ -497,7 +464,7 @@
 
 	if (strlen(stream) != REQUEST_ID_SIZE - 1 || event == NULL ||
 	    strlen(event) >= sizeof(upstream) ||
-	    !parse_event_id(event, upstream, sizeof(upstream), &position)) {
+	    !event_id_parse(event, upstream, sizeof(upstream), &position)) {
 		frontend_respond_error_code(request->http, request->id,
 		    CALLER_ERROR_INVALID_VALUE, 0,
 		    "stream id or 'Last-Event-ID' missing or malformed");
