Gateways don't count on one that stops to watch the store

It says now that it can't watch from the stop on, and watches until the others have taken over. The new case of test_load_sync fails without the change.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -164,6 +164,7 @@
 		return;
 	drain_start(drain, &limits, clock_monotonic(gateway->clock));
 	node_start_draining(gateway->node);
+	load_sync_start_draining(gateway->load_sync);
 	httpd_disable_keep_alive(gateway->callers);
 	ev_timer_init(
 	    &gateway->drain_poll_timer, on_drain_poll, 0, DRAIN_POLL_MS / 1e3);
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -15,6 +15,7 @@
 	char *failure_domain;
 	bool is_seed;
 	bool has_seeds;
+	bool draining;
 	struct timespec started_at;
 	struct routing_state *routing_state;
 	struct fleet *fleet;
@@ -198,6 +199,16 @@
 	    own->prefill_us == reported->prefill_us;
 }
 
+/*
+ * This process stops: its peers no longer count on it to watch the store, which
+ * it does until they have taken over.
+ */
+void
+load_sync_start_draining(struct load_sync *sync)
+{
+	sync->draining = true;
+}
+
 /* Describes this process as far as its watching of the store goes. */
 static struct watching_input
 describe_watching(const struct load_sync *sync)
@@ -217,7 +228,7 @@
 {
 	const struct watching_input input = describe_watching(sync);
 
-	return !watching_is_possible(&input) ||
+	return sync->draining || !watching_is_possible(&input) ||
 	    routing_state_is_store_disconnected(sync->routing_state);
 }
 
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -60,6 +60,7 @@
     const struct load_sync_settings *, const struct registry *,
     struct routing_state *);
 void load_sync_free(struct load_sync *);
+void load_sync_start_draining(struct load_sync *);
 void load_sync_send_prompt(struct load_sync *, const struct load_sync_prompt *);
 
 #endif
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -20,15 +20,20 @@
 	const char *name;
 	int64_t age_ms; /* of the others, all of which rank before */
 	bool others_are_seeds;
+	bool others_stop; /* they were asked to stop */
 	bool watches; /* the gateway that has run for long */
+	bool others_watch;
 } cases[] = {
-    {"while others have just started, a gateway watches", 0, false, true},
+    {"while others have just started, a gateway watches", 0, false, false, true,
+	false},
     {"while others do not watch yet, a gateway watches", WATCHING_SETTLE_MS - 1,
-	false, true},
+	false, false, true, false},
     {"once enough others watch, a gateway stops", WATCHING_SETTLE_MS, false,
-	false},
-    {"seeds that have just started watch in place of a gateway", 0, true,
-	false},
+	false, false, true},
+    {"seeds that have just started watch in place of a gateway", 0, true, false,
+	false, true},
+    {"a gateway takes over from others that stop", WATCHING_SETTLE_MS, false,
+	true, true, true},
 };
 
 /* A gateway's modules up to the exchange of its load. */
@@ -169,6 +174,8 @@
 		counter->names[count] = names[i];
 		start_gateway(&others[count], loop, platform, &settings);
 		clock_manual_advance(&others[count].clock, c->age_ms);
+		if (c->others_stop)
+			load_sync_start_draining(others[count].load_sync);
 		mesh_set_peers(others[count++].mesh, MESH_SOURCE_SEEDS, seeds,
 		    G_N_ELEMENTS(seeds));
 	}
@@ -203,7 +210,7 @@
 	for (size_t i = 0; i < OTHERS; i++) {
 		g_assert_cmpint(
 		    routing_state_is_watching(others[i].routing_state), ==,
-		    !c->watches);
+		    c->others_watch);
 		stop_gateway(&others[i]);
 	}
 	mesh_remove_handler(first.mesh, &counter.handler);
