--- a/completions/heatherturn.bash
+++ b/completions/heatherturn.bash
@@ -7,6 +7,10 @@
 		COMPREPLY=($(compgen -W "entry gateway sidecar ctl check explain" -- "$word"))
 		return
 	fi
+	if [ "${COMP_WORDS[1]}:$COMP_CWORD" = explain:2 ] && [[ $word == -* ]]; then
+		COMPREPLY=($(compgen -W "--summary --upstream --help" -- "$word"))
+		return
+	fi
 	[ "${COMP_WORDS[1]}" = ctl ] || return
 	case "${COMP_WORDS[3]}" in
 	organisation) flags+=" --display-name --weight --api-key-sha256 --services --max-prompt-tokens" ;;
--- a/src/main.c
+++ b/src/main.c
@@ -20,7 +20,8 @@
 	"run beside one upstream and serve its requests"},
     {"ctl", command_ctl, "call the operator API"},
     {"check", command_check, "print the effective settings and their errors"},
-    {"explain", command_explain, "print one request's timeline from log files"},
+    {"explain", command_explain,
+	"print one request's timeline, or a summary, from log files"},
 };
 
 /* Prints the list of subcommands. */
