A timeline reads log lines with a prefix

Cause: the whole line was parsed as JSON. It is now parsed from its first brace, as the summary does.

The new case failed before (timeline_add_line: 0 == 1). A line with the id and without a brace is still counted as unreadable, which a case shows too.

--- a/src/operator/timeline.c
+++ b/src/operator/timeline.c
@@ -75,11 +75,13 @@
 /*
  * Adds a log line if it belongs to the timeline, and returns whether it does. A
  * line that can't be parsed, such as one truncated when a process was killed,
- * is counted and skipped.
+ * is counted and skipped. What stands before the first brace is passed over,
+ * since collectors of logs put the time and the process there.
  */
 bool
 timeline_add_line(struct timeline *timeline, const char *text)
 {
+	const char *begin = strchr(text, '{');
 	json_t *json;
 	struct timeline_line *line;
 	const char *value;
@@ -87,7 +89,7 @@
 
 	if (strstr(text, timeline->id) == NULL)
 		return false;
-	json = json_loads(text, 0, NULL);
+	json = begin == NULL ? NULL : json_loads(begin, 0, NULL);
 	value = json_string_value(json_object_get(json, timeline->member));
 	time = json_string_value(json_object_get(json, "time"));
 	if (json != NULL && g_strcmp0(value, timeline->id) != 0) {
--- a/tests/test_timeline.c
+++ b/tests/test_timeline.c
@@ -28,6 +28,10 @@
     {"{\"time\":\"2026-12-04T00:00:01Z\",\"request\":\"abc\",\"te", false},
     {"{\"time\":\"yesterday\",\"request\":\"abc\"}", false},
     {"not a JSON line\n", false},
+    {"17.8 e1 " LINE(
+	 "2.500000", "e1", "\"text\":\"ended\",\"request\":\"abc\""),
+	true},
+    {"abc without a brace\n", false},
 };
 
 /* Lines are selected, sorted and formatted. */
@@ -40,14 +44,15 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(line_cases); i++)
 		g_assert_cmpint(timeline_add_line(timeline, line_cases[i].line),
 		    ==, line_cases[i].matches);
-	g_assert_cmpuint(timeline_line_count(timeline), ==, 2);
-	g_assert_cmpuint(timeline_unreadable_count(timeline), ==, 2);
+	g_assert_cmpuint(timeline_line_count(timeline), ==, 3);
+	g_assert_cmpuint(timeline_unreadable_count(timeline), ==, 3);
 	timeline_write(timeline, text);
 	g_assert_cmpstr(text->str, ==,
 	    "request abc, from 2026-12-04 00:00:01.000000 UTC\n"
 	    "    +0.000 ms  entry e1: upstream chosen, upstream u1\n"
 	    "              candidates 1: upstream u1 wait_ms 3\n"
-	    " +1000.500 ms  entry s1: started\n");
+	    " +1000.500 ms  entry s1: started\n"
+	    " +1500.000 ms  entry e1: ended\n");
 	timeline_free(timeline);
 }
 
