--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -189,9 +189,7 @@
 		exchange->may_have_run |= exchange->call != NULL;
 		exchange_stop_send(exchange);
 		exchange_discard_partial(exchange);
-		exchange_fail(exchange, REFUSAL_QUARANTINED, 0,
-		    "upstreams crashed when they began to answer requests with "
-		    "a part of this prompt");
+		exchange_refuse_crashing_part(exchange);
 	}
 }
 
