A cancel that overtakes a shard keeps the shard from running

No caller saw it: entries send cancels for jobs only and end a group's shards by releasing its hold. But a cancel says of itself that it cancels the attempt with its shards, and that held only for shards that were there.

Cause: the sidecar keeps a cancel that finds no run under the request's key, and looks a shard's submit up under the shard's key, so that a shard that came after its cancel ran until its hold expired.

Change: a cancel that finds no run is kept under both keys. The key is written by one function for submits and cancels.

--- a/src/sidecar/run.h
+++ b/src/sidecar/run.h
@@ -100,6 +100,8 @@
 void runs_submit(
     struct runs *, void *peer, const struct message *, int64_t age_ms);
 
+void runs_write_key(
+    char key[REQUEST_ID_SIZE], const char *request, enum work_kind);
 struct run *run_new(struct runs *, void *peer, const struct message *message,
     int64_t remaining_ms);
 void run_admit(struct run *, uint32_t deaths);
--- a/src/sidecar/run_messages.c
+++ b/src/sidecar/run_messages.c
@@ -17,6 +17,18 @@
 	return run;
 }
 
+/* Keeps an attempt that has not arrived yet from running. */
+static void
+record_cancelled(
+    struct runs *runs, const struct message *message, enum work_kind work)
+{
+	char key[REQUEST_ID_SIZE];
+
+	runs_write_key(key, message->request, work);
+	attempt_table_record(runs->attempts, key, message->attempt,
+	    runs_now(runs), runs_now(runs));
+}
+
 /* Cancels an attempt and earlier ones of the request, with their shards. */
 static void
 on_cancel(struct runs *runs, const struct message *message)
@@ -33,10 +45,10 @@
 			admission_cancel(
 			    runs->admission, run->job, runs_now(runs));
 	}
-	/* A cancel that arrives before its submit keeps it from running. */
-	if (!found)
-		attempt_table_record(runs->attempts, message->request,
-		    message->attempt, runs_now(runs), runs_now(runs));
+	if (found)
+		return;
+	record_cancelled(runs, message, WORK_GENERATE);
+	record_cancelled(runs, message, WORK_SHARD);
 }
 
 /* Enlarges the flow control window of a run. */
--- a/src/sidecar/run_submit.c
+++ b/src/sidecar/run_submit.c
@@ -84,15 +84,16 @@
 }
 
 /*
- * Writes the key of a submit: the request id, and for a shard the id with its
- * first character replaced, as a shard and a run of one request may both be
- * here.
+ * Writes the key of a request's run: the request id, and for a shard the id
+ * with its first character replaced, as a shard and a run of one request may
+ * both be here.
  */
-static void
-write_key(char key[REQUEST_ID_SIZE], const struct message *message)
+void
+runs_write_key(
+    char key[REQUEST_ID_SIZE], const char *request, enum work_kind work)
 {
-	g_strlcpy(key, message->request, REQUEST_ID_SIZE);
-	if (message->submit.work == WORK_SHARD)
+	g_strlcpy(key, request, REQUEST_ID_SIZE);
+	if (work == WORK_SHARD)
 		key[0] = 's';
 }
 
@@ -110,7 +111,7 @@
 	run->state = RUN_QUEUED;
 	run->deadline = time_add_ms(runs_now(runs), remaining_ms);
 	g_strlcpy(run->request, message->request, sizeof(run->request));
-	write_key(run->key, message);
+	runs_write_key(run->key, run->request, run->work);
 	unowned_runs_format_id(run->id, run->key, run->attempt,
 	    message->submit.organisation,
 	    time_to_ms(clock_wall(runs->clock)) + remaining_ms);
@@ -188,7 +189,8 @@
 	char key[REQUEST_ID_SIZE];
 	enum attempt_verdict verdict;
 
-	write_key(key, message);
+	runs_write_key(
+	    key, message->request, (enum work_kind)message->submit.work);
 	verdict = attempt_table_record(runs->attempts, key, message->attempt,
 	    time_add_ms(runs_now(runs), remaining_ms), runs_now(runs));
 	if (verdict == ATTEMPT_DUPLICATE) {
