A submit after its rejected resume is answered beside an earlier attempt

Entries saw: no final answer to a submit that came after a resume of the same attempt had been rejected, while an earlier attempt of the request was still kept. Their deadline was the only end.

Cause: a submit whose attempt is recorded already was left without an answer if the table had any run of the request, and took that run for its own.

Evidence: the new case "a submit after its rejected resume is answered although an earlier attempt is here" had no answer to the submit before this change.

Change: only a run of the same attempt answers for the submit.

--- a/src/sidecar/run_submit.c
+++ b/src/sidecar/run_submit.c
@@ -167,7 +167,9 @@
 answer_duplicate(struct runs *runs, void *peer, const struct message *message,
     const char *key)
 {
-	if (g_hash_table_lookup(runs->table, key) != NULL)
+	const struct run *run = g_hash_table_lookup(runs->table, key);
+
+	if (run != NULL && run->attempt == message->attempt)
 		return;
 	if (attempt_table_is_not_run(runs->attempts, key)) {
 		runs_reply_reject(runs, peer, message, REJECT_CANCELLED, 0,
--- a/tests/test_runs.c
+++ b/tests/test_runs.c
@@ -100,6 +100,10 @@
     {"a submit after its rejected resume never runs", false,
 	"resume r1 1 0;submit r1 1",
 	"A REJECT r1/1 unknown;A REJECT r1/1 cancelled"},
+    {"a submit after its rejected resume is answered although an earlier "
+     "attempt is here",
+	false, "submit r1 1;resume r1 2 0;submit r1 2",
+	"run r1-1;A START r1/1;A REJECT r1/2 unknown;A REJECT r1/2 cancelled"},
     {"a run of an earlier process is resumed by its entry", false,
 	"listed r1 1 20000;resume r1 1 2;event r1-1 c;end r1-1 ok",
 	"A START r1/1;resume r1-1;A CHUNK r1/1 #3 c;A FINISH r1/1 ok"},
