A cancel that overtakes its submit holds beside an earlier attempt

Nobody waited for the run: an attempt whose cancel came before its submit was sent to the engine and held memory there until its end or deadline, if an earlier attempt of the request was still kept at the sidecar. A cancel and its submit change order where a link was replaced between them.

Cause: a cancel was kept for later submits only if it found no run at all, and an earlier attempt, even an ended one, counted as found.

Evidence: the new case "a cancel that arrives before its submit prevents the run although an earlier attempt is here" ran the cancelled attempt ("run r1-2") before this change.

Change: a cancel is always kept.

--- a/src/sidecar/run_messages.c
+++ b/src/sidecar/run_messages.c
@@ -34,19 +34,13 @@
 on_cancel(struct runs *runs, const struct message *message)
 {
 	struct run *run, *next;
-	bool found = false;
 
 	TAILQ_FOREACH_SAFE (run, &runs->list, entry, next) {
-		if (strcmp(run->request, message->request) != 0 ||
-		    run->attempt > message->attempt)
-			continue;
-		found = true;
-		if (run->job != 0)
+		if (strcmp(run->request, message->request) == 0 &&
+		    run->attempt <= message->attempt && run->job != 0)
 			admission_cancel(
 			    runs->admission, run->job, runs_now(runs));
 	}
-	if (found)
-		return;
 	record_cancelled(runs, message, WORK_GENERATE);
 	record_cancelled(runs, message, WORK_SHARD);
 }
--- a/tests/test_runs.c
+++ b/tests/test_runs.c
@@ -79,6 +79,11 @@
     {"a cancel that arrives before its shard prevents the shard", false,
 	"hold r1 100 1000;cancel r1 1;shard r1 1",
 	"A HELD granted;A REJECT r1/1 cancelled"},
+    {"a cancel that arrives before its submit prevents the run although an "
+     "earlier attempt is here",
+	false, "submit r1 1;cancel r1 2;deleted r1-1;submit r1 2",
+	"run r1-1;A START r1/1;drop r1-1;A FINISH r1/1 cancelled;"
+	"delete r1-1;A REJECT r1/2 cancelled"},
     {"a deletion is retried until the engine confirms it", false,
 	"submit r1 1;cancel r1 1;delete-failed r1-1;wait 500;deleted r1-1;wait "
 	"1000",
