The soak counts memory left at engines before its restarts too

What it missed: memory that a sidecar leaves at its engine for as long as it runs. The next process finds a block without an owner and deletes it, and the soak counted only after all sidecars had been restarted.

--- a/script/lib/fleet.py
+++ b/script/lib/fleet.py
@@ -395,6 +395,10 @@
             "/standin/records"
         return http_json("GET", self.address(name), path)[1]
 
+    def list_held(self, name, kind):
+        """Returns an engine's list of runs or of blocks, "runs" or "kv"."""
+        return http_json("GET", self.address(name), f"/v1/{kind}")[1]
+
     def inject_fault(self, name, value):
         """Injects a fault into a stand-in; returns the status."""
         path = "/v1/standin/fault" if name.startswith("m") else \
