A prompt part that has survived before is refused after six deaths, not three

Two crashing parts that stand beside the same sound one charge it with the deaths of both: two each were enough to refuse the sound one, if nothing with it had survived for a second, and all requests with it were cancelled. What is known of a part's survival now goes to the peers with each charge, so that gateways that have just started weigh it the same. Two cases of test_part_quarantine failed before; the case of an old survival now needs six deaths, and one more says that five don't do.

--- a/src/gateway/crash_sync.c
+++ b/src/gateway/crash_sync.c
@@ -154,27 +154,38 @@
 		sync->refused_callback(sync->refused_callback_data, part);
 }
 
-/* Adds an event and queues it, or what refutes it, for the peers. */
+/* Queues the last survival of a part for the peers, if one is known. */
 static void
-add_event(
-    struct crash_sync *sync, const struct part_event *event, const char *source)
+queue_survival(struct crash_sync *sync, uint64_t part)
 {
 	struct part_event survival;
 
+	if (part_quarantine_survival(sync->quarantine, part, &survival))
+		queue_event(sync, &survival);
+}
+
+/*
+ * Adds an event and queues it for the peers. To a charge belongs what is known
+ * of the part's survival, which refutes it or makes it weigh less.
+ */
+static void
+add_event(
+    struct crash_sync *sync, const struct part_event *event, const char *source)
+{
 	switch (part_quarantine_add(
 	    sync->quarantine, event, clock_monotonic(sync->clock))) {
 	case PART_KNOWN:
 		break;
 	case PART_REFUTED:
-		if (part_quarantine_survival(
-			sync->quarantine, event->part, &survival))
-			queue_event(sync, &survival);
+		queue_survival(sync, event->part);
 		break;
 	case PART_NEW:
-		if (event->kind != PART_SURVIVED)
-			metric_add(&charges_count, 1);
 		log_event(sync, event, source);
 		queue_event(sync, event);
+		if (event->kind == PART_SURVIVED)
+			break;
+		metric_add(&charges_count, 1);
+		queue_survival(sync, event->part);
 		break;
 	}
 }
--- a/src/policy/part_quarantine.c
+++ b/src/policy/part_quarantine.c
@@ -9,6 +9,8 @@
 #define WEIGHT_WAITING 1
 #define WEIGHT_BEGUN   2
 #define WEIGHT_REFUSED 6
+/* Of a part with which a request has survived before. */
+#define WEIGHT_REFUSED_SURVIVED (2 * WEIGHT_REFUSED)
 /* Maximum number of charges of a part; the oldest is dropped. */
 #define CHARGES_MAX 32
 /*
@@ -193,10 +195,14 @@
 static enum part_effect
 add_survival(struct part *part, struct timespec began_at, struct timespec now)
 {
+	bool is_first = !time_is_set(part->survived_at);
+
 	if (!time_before(part->survived_at, began_at))
 		return PART_KNOWN;
 	part->survived_at = began_at;
-	return drop_charges(part, now) ? PART_NEW : PART_KNOWN;
+	return drop_charges(part, now) || (is_first && count_charges(part) > 0)
+	    ? PART_NEW
+	    : PART_KNOWN;
 }
 
 /* Returns the charge with a death; NULL if there is none. */
@@ -275,6 +281,15 @@
 	return weight;
 }
 
+/* Returns whether charges of this weight are enough to refuse the part. */
+static bool
+is_enough(const struct part *part, unsigned int weight)
+{
+	return weight >= (time_is_set(part->survived_at)
+				 ? WEIGHT_REFUSED_SURVIVED
+				 : WEIGHT_REFUSED);
+}
+
 /* Returns whether a part is likelier to crash upstreams than another one. */
 static bool
 is_likelier(const struct part *part, const struct part *other)
@@ -304,8 +319,7 @@
 	struct part *part, *found = NULL;
 
 	TAILQ_FOREACH (part, &quarantine->parts, entry) {
-		if (!part->refused &&
-		    weigh(part, explained) >= WEIGHT_REFUSED &&
+		if (!part->refused && is_enough(part, weigh(part, explained)) &&
 		    (found == NULL || is_likelier(part, found)))
 			found = part;
 	}
@@ -333,7 +347,7 @@
 		drop_charges(part, now);
 		if (!part->refused)
 			continue;
-		if (weigh(part, none) >= WEIGHT_REFUSED) {
+		if (is_enough(part, weigh(part, none))) {
 			explain_deaths(part, explained);
 			continue;
 		}
--- a/src/policy/part_quarantine.h
+++ b/src/policy/part_quarantine.h
@@ -11,7 +11,8 @@
  * requests are charged with its death that had not survived their first events
  * there: doubly where the response had begun, since a crash at the first output
  * leaves just that. A part is refused once its charges weigh as much as three
- * begun responses.
+ * begun responses, or as six if a request with it has survived before: several
+ * crashing parts may stand beside the same sound one.
  *
  * Sound parts are charged too, by chance or because they stand beside the one
  * that crashes. Requests with them that survive clear them: a charge does not
