A response that has begun is not cancelled with its prompt's part

Such a response crashes its upstream at once or never, so the cut saves none, and cuts sound ones should a part be refused by mistake. Only what has not begun is cancelled. test_crash_parts failed before: the begun request's connection was closed.

--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -173,7 +173,8 @@
 
 /*
  * Cancels the sends with a part that is refused from now on, before their
- * upstreams crash too. Those whose responses have survived go on.
+ * upstreams crash too. Those whose responses have begun go on: they survive, or
+ * it is too late.
  */
 void
 exchange_on_part_refused(void *data, uint64_t part)
@@ -183,7 +184,7 @@
 
 	TAILQ_FOREACH (exchange, &context->exchanges, entry) {
 		if (exchange->upstream == NULL || !has_part(exchange, part) ||
-		    exchange->send_events >= PART_QUARANTINE_SURVIVED_EVENTS)
+		    time_is_set(exchange->begun_at))
 			continue;
 		/* Without a call, memory is being reserved and nothing sent. */
 		exchange->may_have_run |= exchange->call != NULL;
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -199,6 +199,10 @@
 		ev_timer_start(
 		    upstream->fake_platform->loop, &upstream->stop_timer);
 		break;
+	case FAKE_STEP_BEGIN:
+		headers[2].value = "text/event-stream";
+		httpd_stream_begin(request, 200, headers, 3);
+		break;
 	case FAKE_STEP_CRASH:
 		headers[2].value = "text/event-stream";
 		httpd_stream_begin(request, 200, headers, 3);
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -36,6 +36,7 @@
 	FAKE_STEP_LEAVING, /* 200, complete, and says that it leaves */
 	FAKE_STEP_LEAVING_STREAM, /* FAKE_STEP_STREAM, and says so */
 	FAKE_STEP_LEAVING_NOT_RUN, /* FAKE_STEP_NOT_RUN, and says so */
+	FAKE_STEP_BEGIN, /* begins a stream, then FAKE_STEP_HANG */
 	FAKE_STEP_CRASH, /* begins a stream, then FAKE_STEP_STOP */
 	FAKE_STEP_QUIET, /* FAKE_STEP_NOT_RUN with a Retry-After */
 };
--- a/tests/test_crash_parts.c
+++ b/tests/test_crash_parts.c
@@ -61,13 +61,14 @@
 
 /*
  * A request that an upstream has not answered yet is cancelled there once a
- * part of its prompt is refused, and its caller is told; a sound one goes on.
+ * part of its prompt is refused, and its caller is told. A sound one goes on,
+ * and so does one whose response has begun: it is too late for its upstream.
  */
 static void
 test_cancelled(void)
 {
 	static const enum fake_platform_step steps[] = {
-	    FAKE_STEP_HANG, FAKE_STEP_HANG};
+	    FAKE_STEP_HANG, FAKE_STEP_BEGIN, FAKE_STEP_HANG};
 	struct fixture f = {0};
 	/* The hash of "bad". */
 	const uint64_t part = UINT64_C(0xf7c170336e83ce9a);
@@ -79,15 +80,19 @@
 	fixture_call(&f, "/fragile/sound", FIXTURE_KEY);
 	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 1);
 	f.parts = "f1:40,bad:100,e1:5";
+	fixture_call(&f, "/fragile/begun", FIXTURE_KEY);
+	RUN_UNTIL(&f, f.status == 200);
+	f.parts = "f1:40,bad:100,e2:5";
 	fixture_call(&f, "/fragile/bad", FIXTURE_KEY);
-	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 2);
+	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 3);
 	for (uint64_t death = 1; death <= CRASHES; death++)
 		crash_sync_report_death(
 		    f.exchange_context.crash_sync, death, &part, 1, true);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, 502);
-	RUN_UNTIL(&f, fake_platform_request(f.fake_platform, 1)->closed_early);
+	RUN_UNTIL(&f, fake_platform_request(f.fake_platform, 2)->closed_early);
 	g_assert_false(fake_platform_request(f.fake_platform, 0)->closed_early);
+	g_assert_false(fake_platform_request(f.fake_platform, 1)->closed_early);
 	fixture_tear_down(&f);
 }
 
