--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -387,7 +387,8 @@
 
 	g_assert_cmpuint(f->body->len, <=, events * length);
 	for (size_t i = 0; i < f->body->len; i++)
-		g_assert_cmpint(f->body->data[i], ==, LONG_EVENT[i % length]);
+		g_assert_cmpuint(
+		    f->body->data[i], ==, (guint8)LONG_EVENT[i % length]);
 }
 
 /* The upstream ends its response while the gateway waits for the caller. */
