--- a/src/gateway/crash_sync.c
+++ b/src/gateway/crash_sync.c
@@ -15,6 +15,8 @@
 #define FLUSH_MS 20
 /* Interval of the comparison with a random peer. */
 #define COMPARE_MS 500
+/* Arrays of a message, one member of each event in each. */
+#define EVENT_COLUMNS 5
 /* Maximum number of events in one message. */
 #define EVENTS_MAX 512
 
@@ -42,14 +44,18 @@
 METRIC_DEFINE(charges_count, METRIC_COUNTER, "heatherturn_prompt_part_charges",
     NULL, "Upstream deaths charged to prompt parts, by any gateway.");
 
-/* Encodes some events and the digest; the arrays are valid for the callback. */
+/*
+ * Makes a message of some events and the digest, and passes it to the callback;
+ * its arrays are valid for the call.
+ */
 static void
-encode(struct crash_sync *sync, const struct part_event *events, size_t count,
-    enum sync_request request, void (*send)(void *, struct message *),
-    void *data)
+send_events(struct crash_sync *sync, const struct part_event *events,
+    size_t count, enum sync_request request,
+    void (*send)(void *, struct message *), void *data)
 {
 	struct timespec now = clock_monotonic(sync->clock);
-	g_autofree uint64_t *columns = g_new(uint64_t, 5 * count + 1);
+	g_autofree uint64_t *columns = g_new(
+	    uint64_t, EVENT_COLUMNS * count + 1);
 	struct message message = {
 	    .kind = MESSAGE_CRASHES,
 	    .crashes =
@@ -105,7 +111,7 @@
 					       sync->pending->data;
 
 	for (size_t at = 0; at < sync->pending->len; at += EVENTS_MAX)
-		encode(sync, pending + at,
+		send_events(sync, pending + at,
 		    MIN(sync->pending->len - at, EVENTS_MAX), SYNC_NONE,
 		    send_to_some, sync);
 	g_array_set_size(sync->pending, 0);
@@ -217,11 +223,12 @@
 	    clock_monotonic(sync->clock), collect_charge, charges);
 	events = (const struct part_event *)(void *)charges->data;
 	for (size_t at = 0; at < charges->len; at += EVENTS_MAX)
-		encode(sync, events + at, MIN(charges->len - at, EVENTS_MAX),
+		send_events(sync, events + at,
+		    MIN(charges->len - at, EVENTS_MAX),
 		    at + EVENTS_MAX < charges->len ? SYNC_NONE : request,
 		    send_on_link, link);
 	if (charges->len == 0 && request != SYNC_NONE)
-		encode(sync, NULL, 0, request, send_on_link, link);
+		send_events(sync, NULL, 0, request, send_on_link, link);
 }
 
 /* Adds a peer's events; sends it what it lacks if it asked for that. */
@@ -285,7 +292,7 @@
 	    part_quarantine_digest(
 		sync->quarantine, clock_monotonic(sync->clock)) == 0)
 		return;
-	encode(sync, NULL, 0, SYNC_ASK, send_on_link,
+	send_events(sync, NULL, 0, SYNC_ASK, send_on_link,
 	    mesh_get_link(sync->mesh,
 		peers[g_rand_int_range(sync->random, 0, (gint32)count)]));
 }
