Log which rates upstreams name

Server-Limit of any response is parsed, orders' responses included, and a change of what an upstream names is one log line, with its source; a value that is no number is a warning. Nothing acts on it yet.

--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -38,12 +38,40 @@
 	    (json_int_t)wait_ms);
 }
 
+/*
+ * Returns whether the current response is the upstream's own, so that what it
+ * does not say counts too.
+ */
+static bool
+is_own_response(
+    const struct exchange *exchange, const struct fleet_upstream *upstream)
+{
+	const struct response_headers *response = &exchange->response;
+
+	return upstream == exchange->upstream &&
+	    (response->not_run ||
+		(response->request_id_matches && response->has_server_seal));
+}
+
 /* Applies what an upstream says of itself in the headers of a response. */
 void
 exchange_apply_notice(struct exchange *exchange,
     struct fleet_upstream *upstream, const struct upstream_notice *notice)
 {
 	struct timespec now = clock_monotonic(exchange->context->clock);
+	bool changed = false;
+
+	if (notice->names_rate)
+		changed = named_rate_on_named(
+		    &upstream->named_rate, notice->rate_per_s, now);
+	else if (notice->invalid_rate != NULL)
+		LOG_WARN("upstream named a rate that is no number",
+		    "{s:s, s:s}", "upstream", upstream->id, "value",
+		    notice->invalid_rate);
+	else if (is_own_response(exchange, upstream))
+		changed = named_rate_on_missing(
+		    &upstream->named_rate, exchange->sent_at, now);
+	fleet_upstream_on_rate(upstream, changed, "response");
 
 	if (notice->leaving)
 		fleet_upstream_on_leaving(upstream, "response", now);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -98,6 +98,7 @@
 	unsigned int reservation_refusals;
 	uint32_t *stream_count; /* of its stream class; or NULL */
 	enum send_outcome send_outcome;
+	struct timespec sent_at; /* start of this send */
 	struct timespec begun_at; /* response of this send; or unset */
 	uint32_t send_events; /* received in this send */
 	bool disconnected; /* the connection broke during the send */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -32,6 +32,7 @@
 	exchange->upstream = upstream;
 	exchange->send_outcome = SEND_OPEN;
 	exchange->send_error = NULL;
+	exchange->sent_at = now;
 	exchange->begun_at = (struct timespec){0};
 	exchange->send_events = 0;
 	exchange->disconnected = false;
--- a/src/gateway/reservations.c
+++ b/src/gateway/reservations.c
@@ -149,7 +149,8 @@
 	if (result->status == STATUS_MISDIRECTED)
 		return;
 	headers_parse_notice(call, result->status, &notice);
-	if (notice.leaving || notice.quiet_ms > 0)
+	if (notice.leaving || notice.quiet_ms > 0 || notice.names_rate ||
+	    notice.invalid_rate != NULL)
 		reservations->notice(reservations->data,
 		    (size_t)(reservation - reservations->items), &notice);
 }
--- /dev/null
+++ b/src/policy/named_rate.h
@@ -0,0 +1,41 @@
+/*
+ * The rate of requests that an upstream names in its responses: as many a
+ * second as it takes from all processes together, for as long as it says so.
+ *
+ * Load pattern: an upstream in need names a rate far below what it gets. Each
+ * process sees only the responses to its own requests, and responses on
+ * different connections overtake each other. The latest observation of any
+ * process therefore holds, and a response without a rate ends it only if its
+ * request was sent a while after the rate was last named.
+ */
+#ifndef POLICY_NAMED_RATE_H
+#define POLICY_NAMED_RATE_H
+
+#include <stdbool.h>
+#include <time.h>
+
+/*
+ * A response without a rate ends the rate if its request was sent this long
+ * after it was last named: not each response may name it.
+ */
+#define NAMED_RATE_KEEP_MS 500
+/*
+ * An upstream that takes no requests at all still gets this many a second, or
+ * nobody would learn that it takes them again.
+ */
+#define NAMED_RATE_MIN_PER_S 0.1
+
+/* Zero-initialised: an upstream that names no rate. */
+struct named_rate {
+	bool named;
+	double per_s; /* if named */
+	struct timespec seen_at; /* by any process; unset for never */
+};
+
+bool named_rate_on_named(
+    struct named_rate *, double per_s, struct timespec seen_at);
+bool named_rate_on_missing(
+    struct named_rate *, struct timespec sent_at, struct timespec now);
+bool named_rate_on_report(struct named_rate *, const struct named_rate *report);
+
+#endif
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -9,6 +9,7 @@
 struct departed {
 	struct departure departure;
 	struct quiet quiet;
+	struct named_rate named_rate;
 };
 
 /* Frees an upstream that is not, or no longer, part of a fleet. */
@@ -66,8 +67,9 @@
 static void
 remove_upstream(struct fleet *fleet, struct fleet_upstream *upstream)
 {
-	const struct departed departed = {
-	    .departure = upstream->departure, .quiet = upstream->quiet};
+	const struct departed departed = {.departure = upstream->departure,
+	    .quiet = upstream->quiet,
+	    .named_rate = upstream->named_rate};
 
 	if (upstream->departure.state == DEPARTURE_REMOVED)
 		g_hash_table_replace(fleet->departed, g_strdup(upstream->id),
@@ -105,6 +107,7 @@
 	if (departed != NULL) {
 		upstream->departure = departed->departure;
 		upstream->quiet = departed->quiet;
+		upstream->named_rate = departed->named_rate;
 		g_hash_table_remove(fleet->departed, report->id);
 	}
 	g_hash_table_insert(fleet->by_id, upstream->id, upstream);
@@ -121,6 +124,7 @@
 	upstream->faulty_until = (struct timespec){0};
 	upstream->error_share = 0.0;
 	upstream->quiet = (struct quiet){0};
+	upstream->named_rate = (struct named_rate){0};
 }
 
 /* Replaces a string if it differs. */
@@ -307,6 +311,21 @@
 	    "for_ms", (json_int_t)quiet_left_ms(&upstream->quiet, now));
 }
 
+/* Logs what is known of the rate that an upstream names, if it changed. */
+void
+fleet_upstream_on_rate(
+    struct fleet_upstream *upstream, bool changed, const char *source)
+{
+	const struct named_rate *rate = &upstream->named_rate;
+
+	if (!changed)
+		return;
+	LOG_INFO(rate->named ? "upstream named a rate"
+			     : "upstream no longer names a rate",
+	    "{s:s, s:f, s:s}", "upstream", upstream->id, "per_s", rate->per_s,
+	    "source", source);
+}
+
 /* Finds an upstream by its id; NULL if there is none. */
 struct fleet_upstream *
 fleet_find(const struct fleet *fleet, const char *id)
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -17,6 +17,7 @@
 #include "policy/balance.h"
 #include "policy/cold_rate.h"
 #include "policy/departure.h"
+#include "policy/named_rate.h"
 #include "policy/quiet.h"
 #include "policy/takeouts.h"
 
@@ -70,6 +71,7 @@
 	double error_share; /* moving average of failed responses, 0 to 1 */
 	struct timespec faulty_until; /* reported by another upstream */
 	struct quiet quiet; /* it asked for no requests */
+	struct named_rate named_rate; /* requests that it takes a second */
 	struct timespec announced_at; /* this process was told that it leaves */
 	uint32_t peer_fault_reports; /* peers that report it as faulty */
 
@@ -133,6 +135,8 @@
     const struct fleet_upstream *, struct timespec now);
 void fleet_upstream_on_quiet(
     struct fleet_upstream *, int64_t quiet_ms, struct timespec now);
+void fleet_upstream_on_rate(
+    struct fleet_upstream *, bool changed, const char *source);
 struct fleet_upstream *fleet_find(const struct fleet *, const char *id);
 size_t fleet_count(const struct fleet *);
 bool fleet_upstream_is_eligible(
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -28,6 +28,8 @@
 	struct fake_platform_upstream upstreams[FAKE_PLATFORM_UPSTREAMS];
 	enum fake_platform_step steps[FAKE_PLATFORM_STEPS_MAX];
 	size_t step_count;
+	bool repeats_step; /* the last one */
+	const char *rate; /* that complete responses name; NULL for none */
 	GPtrArray *requests; /* of struct fake_platform_request */
 };
 
@@ -166,10 +168,12 @@
 	    {"Heatherturn-Attempt-Id", id},
 	    {"Heatherturn-Server-Seal", "seal"},
 	    {"Content-Type", "text/plain"},
-	    {"Server-Leaving", "1"},
+	    {"Server-Limit", upstream->fake_platform->rate},
 	};
-	static const struct http_header not_run = {
-	    "Heatherturn-Not-Executed", "1"};
+	const struct http_header not_run[] = {{"Heatherturn-Not-Executed", "1"},
+	    {"Server-Limit", upstream->fake_platform->rate}};
+	/* Headers that all complete responses have. */
+	size_t count = upstream->fake_platform->rate == NULL ? 3 : 4;
 	static const struct http_header leaving[] = {
 	    {"Heatherturn-Not-Executed", "1"}, {"Server-Leaving", "1"}};
 	static const struct http_header quiet[] = {
@@ -177,13 +181,13 @@
 
 	switch (step) {
 	case FAKE_STEP_OK:
-		httpd_respond(request, 200, headers, 3, "whole", 5);
+		httpd_respond(request, 200, headers, count, "whole", 5);
 		break;
 	case FAKE_STEP_ERROR:
-		httpd_respond(request, 500, headers, 3, "failed", 6);
+		httpd_respond(request, 500, headers, count, "failed", 6);
 		break;
 	case FAKE_STEP_NOT_RUN:
-		httpd_respond(request, 503, &not_run, 1, "", 0);
+		httpd_respond(request, 503, not_run, count - 2, "", 0);
 		break;
 	case FAKE_STEP_WRONG_INSTANCE:
 		httpd_respond(request, 421, NULL, 0, "", 0);
@@ -221,6 +225,7 @@
 	case FAKE_STEP_HANG:
 		break;
 	case FAKE_STEP_LEAVING:
+		headers[3] = leaving[1];
 		httpd_respond(request, 200, headers, 4, "whole", 5);
 		break;
 	case FAKE_STEP_LEAVING_NOT_RUN:
@@ -233,8 +238,10 @@
 	case FAKE_STEP_LEAVING_STREAM:
 	case FAKE_STEP_CUT_STREAM:
 		headers[2].value = "text/event-stream";
+		if (step == FAKE_STEP_LEAVING_STREAM)
+			headers[3] = leaving[1];
 		httpd_stream_begin(request, 200, headers,
-		    step == FAKE_STEP_LEAVING_STREAM ? 4 : 3);
+		    step == FAKE_STEP_LEAVING_STREAM ? 4 : count);
 		write_events(request, step == FAKE_STEP_CUT_STREAM);
 		break;
 	case FAKE_STEP_SLOW_STREAM:
@@ -254,6 +261,8 @@
 	size_t at = fake_platform->requests->len;
 
 	record_request(upstream, request);
+	if (fake_platform->repeats_step)
+		at = MIN(at, fake_platform->step_count - 1);
 	g_assert_cmpuint(at, <, fake_platform->step_count);
 	run_step(upstream, request, fake_platform->steps[at]);
 }
@@ -436,6 +445,22 @@
 	fake_platform->step_count = count;
 }
 
+/* Sets how the upstreams handle all requests. */
+void
+fake_platform_repeat_step(
+    struct fake_platform *fake_platform, enum fake_platform_step step)
+{
+	fake_platform_set_steps(fake_platform, &step, 1);
+	fake_platform->repeats_step = true;
+}
+
+/* Sets the rate that complete responses and rejections name, or NULL. */
+void
+fake_platform_name_rate(struct fake_platform *fake_platform, const char *value)
+{
+	fake_platform->rate = value;
+}
+
 /* Returns the number of requests that all upstreams received. */
 size_t
 fake_platform_request_count(const struct fake_platform *fake_platform)
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -66,6 +66,8 @@
 void fake_platform_set_config(struct fake_platform *, const char *spec);
 void fake_platform_set_steps(
     struct fake_platform *, const enum fake_platform_step *, size_t);
+void fake_platform_repeat_step(struct fake_platform *, enum fake_platform_step);
+void fake_platform_name_rate(struct fake_platform *, const char *value);
 size_t fake_platform_request_count(const struct fake_platform *);
 const struct fake_platform_request *fake_platform_request(
     const struct fake_platform *, size_t);
--- /dev/null
+++ b/tests/test_named_rate.c
@@ -0,0 +1,110 @@
+/*
+ * The rate that an upstream names: which observation of it holds, and which
+ * values are taken.
+ */
+#include "base/clock.h"
+#include "cases.h"
+#include "policy/named_rate.h"
+
+#define STEPS_MAX 6
+
+/* What a process observes. */
+enum observed {
+	END, /* of the steps */
+	NAMED, /* a response with a rate */
+	MISSING, /* a response without one, to a request sent at sent_ms */
+	REPORT, /* a peer's report of a rate */
+	REPORT_ENDED, /* a peer's report that there is none */
+};
+
+struct step {
+	enum observed observed;
+	int64_t at_ms; /* when it was observed */
+	double per_s;
+	int64_t sent_ms;
+	bool changed; /* expected */
+};
+
+static const struct rate_case {
+	const char *name;
+	struct step steps[STEPS_MAX];
+	double per_s; /* at the end; 0 for none */
+} cases[] = {
+    {"a rate holds until a later one",
+	{{NAMED, 1000, 2.0, 0, true}, {NAMED, 1500, 2.0, 0, false},
+	    {NAMED, 2000, 0.7, 0, true}},
+	0.7},
+    {"a response without a rate ends it",
+	{{NAMED, 1000, 2.0, 0, true}, {MISSING, 2100, 0, 2000, true}}, 0.0},
+    {"the response to a request from before the rate does not end it",
+	{{NAMED, 1000, 2.0, 0, true}, {MISSING, 2100, 0, 900, false}}, 2.0},
+    {"a response that overtakes one with the rate does not end it",
+	{{NAMED, 1000, 2.0, 0, true}, {MISSING, 1400, 0, 1300, false},
+	    {NAMED, 1410, 2.0, 0, false}},
+	2.0},
+    {"a peer's later observation replaces ours",
+	{{NAMED, 1000, 2.0, 0, true}, {REPORT, 1200, 3.0, 0, true}}, 3.0},
+    {"a peer's earlier observation does not",
+	{{NAMED, 1000, 2.0, 0, true}, {REPORT, 900, 3.0, 0, false},
+	    {REPORT_ENDED, 950, 0, 0, false}},
+	2.0},
+    {"a peer reports the end of a rate",
+	{{NAMED, 1000, 2.0, 0, true}, {REPORT_ENDED, 1200, 0, 0, true}}, 0.0},
+    {"a rate that is named again after its end holds",
+	{{NAMED, 1000, 2.0, 0, true}, {MISSING, 2100, 0, 2000, true},
+	    {REPORT, 1900, 2.0, 0, false}, {NAMED, 2200, 2.0, 0, true}},
+	2.0},
+    {"a rate of 0 still lets requests find out that it has ended",
+	{{NAMED, 1000, 0.0, 0, true}}, NAMED_RATE_MIN_PER_S},
+};
+
+/* Returns a time of the test's clock. */
+static struct timespec
+at(int64_t ms)
+{
+	return time_add_ms((struct timespec){0}, ms);
+}
+
+/* Applies one step and returns whether it is a change. */
+static bool
+apply(struct named_rate *rate, const struct step *step)
+{
+	const struct named_rate report = {
+	    .named = step->observed == REPORT,
+	    .per_s = step->per_s,
+	    .seen_at = at(step->at_ms),
+	};
+
+	switch (step->observed) {
+	case NAMED:
+		return named_rate_on_named(rate, step->per_s, at(step->at_ms));
+	case MISSING:
+		return named_rate_on_missing(
+		    rate, at(step->sent_ms), at(step->at_ms));
+	default:
+		return named_rate_on_report(rate, &report);
+	}
+}
+
+/* Runs one case. */
+static void
+test_case(gconstpointer data)
+{
+	const struct rate_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	struct named_rate rate = {0};
+
+	for (size_t i = 0; i < STEPS_MAX && c->steps[i].observed != END; i++)
+		g_assert_cmpint(
+		    apply(&rate, &c->steps[i]), ==, c->steps[i].changed);
+	g_assert_cmpint(rate.named, ==, c->per_s > 0.0);
+	if (rate.named)
+		g_assert_cmpfloat(rate.per_s, ==, c->per_s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_CASES(cases, "/named_rate", test_case);
+	return g_test_run();
+}
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -165,6 +165,58 @@
 	fixture_tear_down(&f);
 }
 
+/* What a response names as its upstream's rate. */
+static const struct value_case {
+	const char *name;
+	const char *value; /* NULL for none */
+	double per_s; /* taken from it; 0 for none */
+} value_cases[] = {
+    {"a rate is a decimal number", "1.4", 1.4},
+    {"a rate may be below one a second", "0.25", 0.25},
+    {"a rate may be a whole number", "20", 20.0},
+    {"a rate may have an exponent", "2e1", 20.0},
+    {"an enormous rate is no rate to keep", "1e300", 1e6},
+    {"a response without a rate names none", NULL, 0.0},
+    {"an empty rate is ignored", "", 0.0},
+    {"a rate that is no number is ignored", "many", 0.0},
+    {"a rate with text behind it is ignored", "1.4/s", 0.0},
+    {"a negative rate is ignored", "-3", 0.0},
+    {"a rate that is not finite is ignored", "inf", 0.0},
+    {"a rate too large for a number is ignored", "1e999", 0.0},
+    {"a rate that is not a number is ignored", "nan", 0.0},
+    {"a hexadecimal rate is ignored", "0x10", 0.0},
+    {"a list of rates is ignored", "1,2", 0.0},
+};
+
+/* Runs one case with a response's headers, and with a rejection's. */
+static void
+test_value(gconstpointer data)
+{
+	const struct value_case *c = &value_cases[GPOINTER_TO_SIZE(data)];
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_OK, FAKE_STEP_STREAM, FAKE_STEP_NOT_RUN};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		struct fixture f = {0};
+		const struct fleet_upstream *upstream;
+
+		fixture_set_up(&f);
+		fake_platform_repeat_step(f.fake_platform, steps[i]);
+		fake_platform_name_rate(f.fake_platform, c->value);
+		fixture_wait_for_routing_state(&f);
+		prefer_first(&f);
+		request(&f, "/stream/x");
+		upstream = fleet_find(
+		    routing_state_fleet(f.exchange_context.routing_state),
+		    "i-0");
+		g_assert_cmpint(upstream->named_rate.named, ==, c->per_s > 0.0);
+		if (c->per_s > 0.0)
+			g_assert_cmpfloat(
+			    upstream->named_rate.per_s, ==, c->per_s);
+		fixture_tear_down(&f);
+	}
+}
+
 /* A response that never ends. */
 static const struct endless_case {
 	const char *name;
@@ -239,6 +291,7 @@
 	g_test_add_func("/upstream_notices/a request is rejected at once if "
 			"all upstreams asked for quiet",
 	    test_all_quiet);
+	ADD_CASES(value_cases, "/upstream_notices/rate", test_value);
 	ADD_CASES(endless_cases, "/upstream_notices/endless", test_endless);
 	return g_test_run();
 }
