Keep the rate that an upstream names, all gateways together

What callers saw: nothing; upstreams that named 1 to 1.8 requests a second got 20 to 28 in 4 s, where 11 to 16 are allowed.

Cause: nobody read the header. Evidence: the requests to both upstreams go on unchanged from the second in which they name their rates, from all five gateways.

Change: policy/named_rate is what an upstream names, by the latest observation of any gateway. policy/shared_rate holds a rate for all: the coordinator of an upstream, chosen by rank among the gateways that are alive, grants permits for single requests, and gateway/rate_sync asks it. The whole rate belongs only to a coordinator on which more than half of the gateways agree; others have the part of those that do, so all stay below 1.5 times the rate, also in a partition. Without an answer nothing is sent. Upstreams that name a rate take whole prompts, no parts; orders that can't wait are counted. Where no upstream takes more, callers are refused at once, each with a time of its own to come back (policy/return_slots).

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -66,6 +66,8 @@
 	    context->crash_sync, exchange_on_part_refused, context);
 	context->durations = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
+	context->return_slots = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /* Frees the shared state; no exchange may be open. */
@@ -76,8 +78,11 @@
 		g_hash_table_unref(context->retry_windows);
 	if (context->durations != NULL)
 		g_hash_table_unref(context->durations);
+	if (context->return_slots != NULL)
+		g_hash_table_unref(context->return_slots);
 	context->retry_windows = NULL;
 	context->durations = NULL;
+	context->return_slots = NULL;
 }
 
 /* Returns the durations of a route's requests; creates them if needed. */
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -18,10 +18,12 @@
 #include "base/list.h"
 #include "gateway/crash_sync.h"
 #include "gateway/load_sync.h"
+#include "gateway/rate_sync.h"
 #include "gateway/registry.h"
 #include "gateway/routing_state.h"
 #include "policy/drain.h"
 #include "policy/retry_window.h"
+#include "policy/return_slots.h"
 
 struct exchange;
 
@@ -35,6 +37,7 @@
 	const char *address; /* of this gateway, for its peers */
 	struct load_sync *load_sync;
 	struct crash_sync *crash_sync;
+	struct rate_sync *rate_sync;
 	struct mesh *mesh; /* shares which requests crash upstreams */
 	GRand *random;
 	struct retry_window_limits retry; /* slack for all gateways */
@@ -43,6 +46,7 @@
 	int64_t hold_ms; /* reservation lifetime between renewals */
 	GHashTable *retry_windows; /* service -> struct retry_window */
 	GHashTable *durations; /* route -> struct duration */
+	GHashTable *return_slots; /* service -> struct return_slots */
 	struct drain drain;
 	TAILQ_HEAD(exchange_list, exchange) exchanges; /* open ones */
 	bool exiting; /* open requests are cut */
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -268,6 +268,8 @@
 	if (upstream == NULL)
 		return;
 	ev_timer_stop(exchange->context->loop, &exchange->stall_timer);
+	permit_cancel(exchange->permit);
+	exchange->permit = NULL;
 	exchange_clear_prefill(exchange);
 	exchange_clear_helpers(exchange);
 	if (outcome == SEND_LOST && exchange->disconnected) {
@@ -277,7 +279,7 @@
 	exchange->upstream = NULL;
 	exchange->call = NULL;
 	exchange->send_outcome = outcome;
-	if (outcome != SEND_NOT_SENT) {
+	if (outcome != SEND_NOT_SENT && outcome != SEND_NO_PERMIT) {
 		if (exchange->sends == 0)
 			retry_window_count_request(
 			    exchange_retry_window(exchange),
@@ -285,7 +287,7 @@
 		exchange->sends++;
 		exchange->rejections += outcome == SEND_NOT_RUN;
 	}
-	if (outcome != SEND_OPEN)
+	if (outcome != SEND_OPEN && outcome != SEND_NO_PERMIT)
 		update_health(exchange, upstream, outcome);
 	upstream->own.context_tokens -= exchange->context_tokens;
 	if (exchange->stream_count != NULL)
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -43,6 +43,7 @@
 	SEND_OPEN,
 	SEND_ANSWERED, /* the response is or was forwarded to the caller */
 	SEND_NOT_SENT, /* no byte of the request was sent */
+	SEND_NO_PERMIT, /* the rate that the upstream names is used up */
 	SEND_NOT_RUN, /* the upstream says that it did not execute it */
 	SEND_FAILED, /* the upstream responded with an error of its own */
 	SEND_LOST, /* disconnected or cancelled: may have been executed */
@@ -94,6 +95,7 @@
 	ev_timer prefill_timer; /* expires when the next part should be done */
 	struct send_helper helpers[BALANCE_HELPERS_MAX];
 	size_t helper_count;
+	struct permit *permit; /* that is waited for; or NULL */
 	struct reservations *reservations; /* reserved KV cache; or NULL */
 	unsigned int reservation_refusals;
 	uint32_t *stream_count; /* of its stream class; or NULL */
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -102,16 +102,44 @@
 	return candidate;
 }
 
-/* Counts an upstream that has asked for quiet. */
-static void
-count_quiet(struct selection *selection, const struct fleet_upstream *upstream,
+/*
+ * Returns the time for which an upstream takes no requests: it has asked for
+ * none, or the rate that it names is used up.
+ */
+static int64_t
+deferred_ms(const struct exchange *exchange, struct fleet_upstream *upstream,
     struct timespec now)
 {
-	int64_t left_ms = quiet_left_ms(&upstream->quiet, now);
+	return MAX(quiet_left_ms(&upstream->quiet, now),
+	    rate_sync_wait_ms(exchange->context->rate_sync, upstream));
+}
+
+/* Counts an upstream that takes no requests for some time. */
+static void
+count_deferred(struct selection *selection, int64_t left_ms)
+{
+	if (selection->deferred == 0 || left_ms < selection->deferred_ms)
+		selection->deferred_ms = left_ms;
+	selection->deferred++;
+}
+
+/* Adds a candidate; those that name a rate are kept behind the others. */
+static void
+add_candidate(struct exchange *exchange, struct selection *selection,
+    struct fleet_upstream *upstream)
+{
+	size_t at = selection->count++;
+	size_t first_rated = at - selection->rated;
 
-	if (selection->quiet == 0 || left_ms < selection->quiet_left_ms)
-		selection->quiet_left_ms = left_ms;
-	selection->quiet++;
+	if (rate_sync_needs_permit(upstream)) {
+		selection->rated++;
+	} else {
+		selection->candidates[at] = selection->candidates[first_rated];
+		selection->upstreams[at] = selection->upstreams[first_rated];
+		at = first_rated;
+	}
+	selection->candidates[at] = make_candidate(exchange, upstream);
+	selection->upstreams[at] = upstream;
 }
 
 /* Collects the candidates for a request; clear them with selection_clear. */
@@ -126,6 +154,7 @@
 	bool reliable_only = filter == SELECTION_RELIABLE &&
 	    is_last_send(exchange);
 	struct fleet_upstream *upstream;
+	int64_t left_ms;
 
 	*selection = (struct selection){
 	    .candidates = g_new(struct balance_candidate, max),
@@ -136,8 +165,11 @@
 		    !fleet_upstream_is_eligible(fleet, upstream, now))
 			continue;
 		selection->eligible++;
-		if (quiet_is_wanted(&upstream->quiet, now)) {
-			count_quiet(selection, upstream, now);
+		if (rate_sync_needs_permit(upstream))
+			selection->rate_per_s += upstream->named_rate.per_s;
+		left_ms = deferred_ms(exchange, upstream, now);
+		if (left_ms > 0) {
+			count_deferred(selection, left_ms);
 			continue;
 		}
 		if (was_tried(exchange, upstream->id) ||
@@ -146,9 +178,7 @@
 			fleet_upstream_is_avoided(upstream, now)) ||
 		    (reliable_only && may_reject(upstream, now)))
 			continue;
-		selection->candidates[selection->count] = make_candidate(
-		    exchange, upstream);
-		selection->upstreams[selection->count++] = upstream;
+		add_candidate(exchange, selection, upstream);
 	}
 }
 
@@ -170,11 +200,27 @@
 	return found;
 }
 
-/* Returns whether all upstreams have asked for no requests now. */
+/* Returns whether no upstream takes requests now. */
 bool
-selection_is_quiet(const struct selection *selection)
+selection_is_deferred(const struct selection *selection)
 {
-	return selection->quiet > 0 && selection->quiet == selection->eligible;
+	return selection->deferred > 0 &&
+	    selection->deferred == selection->eligible;
+}
+
+/* Returns the slots of a service's rejected callers; creates them if needed. */
+static struct return_slots *
+service_slots(const struct exchange *exchange)
+{
+	GHashTable *services = exchange->context->return_slots;
+	const char *service = exchange->profile->name;
+	struct return_slots *slots = g_hash_table_lookup(services, service);
+
+	if (slots == NULL) {
+		slots = g_new0(struct return_slots, 1);
+		g_hash_table_insert(services, g_strdup(service), slots);
+	}
+	return slots;
 }
 
 /*
@@ -185,14 +231,19 @@
 int64_t
 exchange_retry_after_ms(struct exchange *exchange)
 {
-	struct selection selection;
+	struct exchange_context *context = exchange->context;
 	int64_t left_ms = EXCHANGE_RETRY_AFTER_MS;
+	struct selection selection;
 
 	selection_collect(exchange, SELECTION_ANY, &selection);
-	if (selection_is_quiet(&selection))
-		left_ms = selection.quiet_left_ms;
+	if (selection_is_deferred(&selection))
+		left_ms = selection.deferred_ms;
+	if (selection_is_deferred(&selection) && selection.rate_per_s > 0.0)
+		left_ms = return_slots_take(service_slots(exchange), left_ms,
+		    selection.rate_per_s / registry_count(context->registry),
+		    clock_monotonic(context->clock));
 	selection_clear(&selection);
-	return quiet_retry_after_ms(left_ms, exchange->context->random);
+	return quiet_retry_after_ms(left_ms, context->random);
 }
 
 /* Returns the stream class for the route's gap target. */
@@ -226,20 +277,57 @@
 	    exchange->caller_headers.has_prompt;
 }
 
+/*
+ * Plans a prompt where some upstreams name a rate. These take whole prompts
+ * only: each part of one would count as a request.
+ */
+static enum balance_verdict
+plan_with_rated(const struct exchange *exchange,
+    const struct selection *selection, struct balance_plan *out)
+{
+	const struct engine_profile *engine = &exchange->profile->engine;
+	struct balance_prompt prompt = make_balance_prompt(exchange);
+	size_t others = selection->count - selection->rated;
+	struct balance_plan whole;
+	enum balance_verdict verdict;
+	enum balance_verdict whole_verdict;
+
+	verdict = balance_plan_prompt(
+	    engine, selection->candidates, others, &prompt, out);
+	if (verdict == BALANCE_SERVE)
+		return verdict;
+	prompt.undivided = true;
+	whole_verdict = balance_plan_prompt(engine,
+	    selection->candidates + others, selection->rated, &prompt, &whole);
+	if (whole_verdict != BALANCE_SERVE && others > 0)
+		return verdict;
+	whole.first += others;
+	*out = whole;
+	return whole_verdict;
+}
+
 /* Plans which upstreams serve the request, or returns why none does. */
 enum balance_verdict
 selection_plan(const struct exchange *exchange,
     const struct selection *selection, struct balance_plan *out)
 {
 	const struct balance_prompt prompt = make_balance_prompt(exchange);
+	enum balance_verdict verdict;
 	ssize_t at;
 
-	if (has_predictable_prompt(exchange))
-		return balance_plan_prompt(&exchange->profile->engine,
-		    selection->candidates, selection->count, &prompt, out);
-	at = balance_choose(selection->candidates, selection->count);
-	*out = (struct balance_plan){.first = at < 0 ? 0 : (size_t)at};
-	return at < 0 ? BALANCE_NO_ENGINE : BALANCE_SERVE;
+	if (!has_predictable_prompt(exchange)) {
+		at = balance_choose(selection->candidates, selection->count);
+		*out = (struct balance_plan){.first = at < 0 ? 0 : (size_t)at};
+		return at < 0 ? BALANCE_NO_ENGINE : BALANCE_SERVE;
+	}
+	if (selection->rated > 0 &&
+	    balance_is_divisible(&exchange->profile->engine, &prompt))
+		return plan_with_rated(exchange, selection, out);
+	verdict = balance_plan_prompt(&exchange->profile->engine,
+	    selection->candidates, selection->count, &prompt, out);
+	if (selection->rated > 0 && out->helper_count > 0)
+		return plan_with_rated(exchange, selection, out);
+	return verdict;
 }
 
 /* Returns whether a request that no upstream can take now may wait. */
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -7,14 +7,19 @@
 
 #include "gateway/exchange_internal.h"
 
-/* The candidates for a request; upstreams has the upstream of each. */
+/*
+ * The candidates for a request; upstreams has the upstream of each. Those that
+ * name a rate come last: they help with no prompt of another upstream.
+ */
 struct selection {
 	struct balance_candidate *candidates;
 	struct fleet_upstream **upstreams;
 	size_t count;
+	size_t rated; /* of these, that name a rate */
 	size_t eligible; /* upstreams of the service that accept new requests */
-	size_t quiet; /* of these, that have asked for none now */
-	int64_t quiet_left_ms; /* until the first of those accepts requests */
+	size_t deferred; /* of these, that take none for some time */
+	int64_t deferred_ms; /* until the first of those takes one */
+	double rate_per_s; /* sum of the rates that the eligible ones name */
 };
 
 /* Filters for upstreams, strictest first; each also applies those below it. */
@@ -27,7 +32,7 @@
 void selection_collect(
     struct exchange *, enum selection_filter, struct selection *);
 void selection_clear(struct selection *);
-bool selection_is_quiet(const struct selection *);
+bool selection_is_deferred(const struct selection *);
 enum stream_class exchange_stream_class(const struct exchange *);
 bool exchange_has_reliable_upstream(struct exchange *);
 bool exchange_may_wait(const struct exchange *, enum balance_verdict);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -214,11 +214,59 @@
 		return false;
 	exchange->reservations = reservations_new(exchange->context->loop,
 	    exchange->context->http, exchange->caller_headers.request_id,
-	    exchange->context->hold_ms, requests, count, on_reserved,
-	    on_helper_notice, exchange);
+	    exchange->context->rate_sync, exchange->context->hold_ms, requests,
+	    count, on_reserved, on_helper_notice, exchange);
 	return true;
 }
 
+/* Reserves memory if that is needed, then sends the request. */
+static void
+begin_send(struct exchange *exchange)
+{
+	if (!reserve_memory(exchange))
+		start_call(exchange);
+}
+
+/*
+ * Sends the request if the upstream's coordinator grants it a permit; otherwise
+ * looks for another upstream.
+ */
+static void
+on_permit(void *data, bool granted)
+{
+	struct exchange *exchange = data;
+
+	exchange->permit = NULL;
+	if (granted) {
+		begin_send(exchange);
+		return;
+	}
+	exchange_end_send(exchange, SEND_NO_PERMIT);
+	g_free(exchange->tried[--exchange->tries]);
+	exchange_send(exchange);
+}
+
+/* Sends the request if its upstream names no rate or has a permit left. */
+static void
+obtain_permit(struct exchange *exchange)
+{
+	struct rate_sync *rate_sync = exchange->context->rate_sync;
+	const char *request = exchange->caller_headers.request_id;
+
+	switch (rate_sync_take(rate_sync, exchange->upstream, request)) {
+	case PERMIT_REMOTE:
+		exchange->permit = rate_sync_ask(rate_sync, exchange->upstream,
+		    request, on_permit, exchange);
+		break;
+	case PERMIT_GRANTED:
+		on_permit(exchange, true);
+		break;
+	case PERMIT_DENIED:
+		on_permit(exchange, false);
+		break;
+	}
+}
+
 /* Logs a prompt that is rejected because of its cost or memory. */
 static void
 log_rejected_prompt(const struct exchange *exchange,
@@ -253,8 +301,8 @@
 	default:
 		exchange_fail(exchange, REFUSAL_NO_UPSTREAM,
 		    exchange_retry_after_ms(exchange),
-		    selection_is_quiet(selection)
-			? "all upstreams have asked for no requests now"
+		    selection_is_deferred(selection)
+			? "no upstream takes more requests now"
 			: selection->eligible > 0
 			? "no upstream has capacity now"
 			: "no upstream accepts new requests now");
@@ -320,8 +368,9 @@
 	count_send(exchange, &selection, &chosen);
 	log_send(exchange, &selection, &chosen);
 	exchange_set_helpers(exchange, &selection, &chosen);
-	if (!reserve_memory(exchange))
-		start_call(exchange);
+	selection_clear(&selection);
+	obtain_permit(exchange);
+	return;
 out:
 	selection_clear(&selection);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -47,6 +47,7 @@
 	struct registry *registry;
 	struct load_sync *load_sync;
 	struct crash_sync *crash_sync;
+	struct rate_sync *rate_sync;
 	struct exchange_context exchange_context;
 	struct httpd *callers;
 	struct ev_timer start_timer;
@@ -187,6 +188,7 @@
 	    .address = node_identity(gateway->node)->address,
 	    .load_sync = gateway->load_sync,
 	    .crash_sync = gateway->crash_sync,
+	    .rate_sync = gateway->rate_sync,
 	    .mesh = node_mesh(gateway->node),
 	    .random = gateway->random,
 	    .retry =
@@ -295,6 +297,9 @@
 	    gateway->routing_state);
 	gateway->crash_sync = crash_sync_new(gateway->loop, gateway->clock,
 	    node_mesh(gateway->node), gateway->random);
+	gateway->rate_sync = rate_sync_new(gateway->loop, gateway->clock,
+	    node_mesh(gateway->node), gateway->load_sync, gateway->registry,
+	    routing_state_fleet(gateway->routing_state));
 	init_exchange_context(gateway);
 	return open_callers(gateway, error);
 }
@@ -308,6 +313,7 @@
 	gateway->exchange_context.exiting = true;
 	httpd_free(gateway->callers);
 	exchange_context_clear(&gateway->exchange_context);
+	rate_sync_free(gateway->rate_sync);
 	crash_sync_free(gateway->crash_sync);
 	load_sync_free(gateway->load_sync);
 	registry_free(gateway->registry);
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -21,6 +21,9 @@
 	struct fleet *fleet;
 	struct mesh_handler handler;
 	struct peer_loads *peers;
+	GHashTable *addresses; /* name -> address, of peers with links */
+	GArray *members; /* of struct rate_member: this process and the peers */
+	uint64_t members_generation; /* of the peers, when they were listed */
 	size_t reported_peers; /* number at the last full report */
 	uint64_t broadcasts; /* so far */
 	unsigned int change_rounds; /* since the last full report */
@@ -74,8 +77,11 @@
 	const char *origin = is_load ? message->load.origin
 				     : message->prefill.origin;
 
-	if (origin == NULL || origin[0] == '\0')
+	if (origin == NULL || origin[0] == '\0') {
 		origin = link_peer(link)->process;
+		g_hash_table_replace(sync->addresses, g_strdup(origin),
+		    g_strdup(mesh_link_address(link)));
+	}
 	if (is_load ? message->load.relay : message->prefill.relay)
 		relay_message(sync, origin, message);
 	if (message->kind == MESSAGE_LOAD)
@@ -128,6 +134,11 @@
 	char **leaving;
 	uint64_t *leaving_starts;
 	size_t leaving_count;
+	char **rated;
+	uint64_t *rated_starts;
+	uint64_t *rates;
+	uint64_t *rate_ages_ms;
+	size_t rated_count;
 };
 
 /* Allocates the arrays of a report. */
@@ -142,6 +153,10 @@
 	    .faulty = g_new(char *, max + 1),
 	    .leaving = g_new(char *, max + 1),
 	    .leaving_starts = g_new(uint64_t, max + 1),
+	    .rated = g_new(char *, max + 1),
+	    .rated_starts = g_new(uint64_t, max + 1),
+	    .rates = g_new(uint64_t, max + 1),
+	    .rate_ages_ms = g_new(uint64_t, max + 1),
 	};
 	for (size_t i = 0; i < STREAM_CLASSES; i++)
 		report->streams[i] = g_new(uint64_t, max + 1);
@@ -160,6 +175,10 @@
 	g_free(report->faulty);
 	g_free(report->leaving);
 	g_free(report->leaving_starts);
+	g_free(report->rated);
+	g_free(report->rated_starts);
+	g_free(report->rates);
+	g_free(report->rate_ages_ms);
 }
 
 /* Adds our load on an upstream to a report. */
@@ -177,6 +196,21 @@
 	upstream->reported = upstream->own;
 }
 
+/* Adds the rate that an upstream names, or that it no longer does. */
+static void
+add_rate(struct report *report, const struct fleet_upstream *upstream,
+    struct timespec now)
+{
+	const struct named_rate *rate = &upstream->named_rate;
+	size_t row = report->rated_count++;
+
+	report->rated[row] = upstream->id;
+	report->rated_starts[row] = (uint64_t)upstream->start_wall_ms;
+	report->rates[row] = rate->named ? message_encode_rate(rate->per_s) : 0;
+	report->rate_ages_ms[row] = (uint64_t)MAX(
+	    time_diff_ms(now, rate->seen_at), 0);
+}
+
 /* Returns whether there is no load. */
 static bool
 is_idle(const struct upstream_load *load)
@@ -209,6 +243,66 @@
 	sync->draining = true;
 }
 
+/* Returns whether this process may coordinate shared rates. */
+static bool
+may_coordinate(const struct load_sync *sync)
+{
+	return !sync->draining &&
+	    time_diff_ms(clock_monotonic(sync->clock), sync->started_at) >=
+	    LOAD_SYNC_SETTLE_MS;
+}
+
+/*
+ * Returns this process, which comes first, and the peers that are alive. Valid
+ * until the loop runs again.
+ */
+const struct rate_member *
+load_sync_members(struct load_sync *sync, size_t *count)
+{
+	struct rate_member self = {
+	    .id = sync->self, .may_coordinate = may_coordinate(sync)};
+	uint64_t generation = peer_loads_generation(sync->peers);
+	struct rate_member *members;
+
+	if (sync->members->len == 0 || generation != sync->members_generation) {
+		sync->members_generation = generation;
+		g_array_set_size(sync->members, 0);
+		g_array_append_val(sync->members, self);
+		peer_loads_add_members(sync->peers, sync->members);
+	}
+	members = (struct rate_member *)(void *)sync->members->data;
+	members[0] = self;
+	*count = sync->members->len;
+	return members;
+}
+
+/* Returns the view of those that may coordinate shared rates. */
+static uint64_t
+own_view(struct load_sync *sync)
+{
+	size_t count;
+	const struct rate_member *members = load_sync_members(sync, &count);
+
+	return shared_rate_view(members, count);
+}
+
+/* Returns the name of this process among the gateways. */
+const char *
+load_sync_self(const struct load_sync *sync)
+{
+	return sync->self;
+}
+
+/* Returns the address of another gateway by its name; NULL if not known. */
+const char *
+load_sync_address(const struct load_sync *sync, const char *name)
+{
+	const char *address = registry_address(sync->registry, name);
+
+	return address != NULL ? address
+			       : g_hash_table_lookup(sync->addresses, name);
+}
+
 /* Describes this process as far as its watching of the store goes. */
 static struct watching_input
 describe_watching(const struct load_sync *sync)
@@ -247,6 +341,9 @@
 			    (uint64_t)upstream->start_wall_ms;
 			report->leaving[report->leaving_count++] = upstream->id;
 		}
+		if ((!changes && upstream->named_rate.named) ||
+		    fleet_upstream_announces_rate(upstream, now))
+			add_rate(report, upstream, now);
 		if (changes ? !is_reported(upstream) : !is_idle(&upstream->own))
 			add_row(report, upstream);
 	}
@@ -257,7 +354,7 @@
 may_skip(struct load_sync *sync, const struct report *report)
 {
 	bool empty = report->rows == 0 && report->faulty_count == 0 &&
-	    report->leaving_count == 0;
+	    report->leaving_count == 0 && report->rated_count == 0;
 
 	if (empty && sync->idle_rounds > 0 &&
 	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
@@ -307,6 +404,12 @@
 	    .leaving = {report.leaving, report.leaving_count},
 	    .leaving_starts = {report.leaving_starts, report.leaving_count},
 	    .changes = changes,
+	    .may_coordinate = may_coordinate(sync),
+	    .view = own_view(sync),
+	    .rated = {report.rated, report.rated_count},
+	    .rated_starts = {report.rated_starts, report.rated_count},
+	    .rates = {report.rates, report.rated_count},
+	    .rate_ages_ms = {report.rate_ages_ms, report.rated_count},
 	};
 	if (!may_skip(sync, &report))
 		broadcast(sync, &message);
@@ -388,6 +491,9 @@
 	sync->routing_state = routing_state;
 	sync->fleet = routing_state_fleet(routing_state);
 	sync->peers = peer_loads_new(sync->fleet);
+	sync->addresses = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, g_free);
+	sync->members = g_array_new(FALSE, FALSE, sizeof(struct rate_member));
 	sync->handler = (struct mesh_handler){
 	    .kinds = MESH_KIND(MESSAGE_LOAD) | MESH_KIND(MESSAGE_PREFILL),
 	    .ops = &load_sync_ops,
@@ -410,6 +516,8 @@
 	ev_timer_stop(sync->loop, &sync->timer);
 	mesh_remove_handler(sync->mesh, &sync->handler);
 	peer_loads_free(sync->peers);
+	g_hash_table_unref(sync->addresses);
+	g_array_unref(sync->members);
 	g_free(sync->self);
 	g_free(sync->failure_domain);
 	g_free(sync);
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -16,6 +16,7 @@
 #include "gateway/registry.h"
 #include "gateway/routing_state.h"
 #include "peer/mesh.h"
+#include "policy/shared_rate.h"
 
 /* Interval between rounds, and what each peer adds to it. */
 #define LOAD_SYNC_ROUND_MS	100
@@ -37,6 +38,12 @@
  */
 #define LOAD_SYNC_WATCHERS 3
 
+/*
+ * A gateway coordinates no shared rate before all others have read its address
+ * from the list.
+ */
+#define LOAD_SYNC_SETTLE_MS (REGISTRY_READ_MS + 2000)
+
 struct load_sync;
 
 /* A prompt that was sent; the first upstream decodes its stream. */
@@ -61,6 +68,9 @@
     struct routing_state *);
 void load_sync_free(struct load_sync *);
 void load_sync_start_draining(struct load_sync *);
+const char *load_sync_self(const struct load_sync *);
+const char *load_sync_address(const struct load_sync *, const char *name);
+const struct rate_member *load_sync_members(struct load_sync *, size_t *count);
 void load_sync_send_prompt(struct load_sync *, const struct load_sync_prompt *);
 
 #endif
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -8,11 +8,14 @@
 	GPtrArray *faulty; /* ids of upstreams */
 	struct timespec received_at;
 	bool cannot_watch; /* the store, as last reported */
+	bool may_coordinate; /* shared rates, as last reported */
+	uint64_t view; /* of the gateways that may */
 };
 
 struct peer_loads {
 	struct fleet *fleet;
 	GHashTable *peers; /* process -> struct peer_load */
+	uint64_t generation; /* changes with the peers and their views */
 };
 
 /* Adds one peer's fault reports to the upstreams, or removes them. */
@@ -111,6 +114,7 @@
 	peer_load->faulty = g_ptr_array_new_with_free_func(g_free);
 	peer_load->cannot_watch = true;
 	g_hash_table_insert(peer_loads->peers, g_strdup(process), peer_load);
+	peer_loads->generation++;
 	return peer_load;
 }
 
@@ -132,6 +136,35 @@
 	}
 }
 
+/* Applies the rates that upstreams have named to a peer. */
+static void
+apply_rates(const struct peer_loads *peer_loads, const char *process,
+    const struct message_load *message, struct timespec now)
+{
+	size_t count = MIN(
+	    MIN(message->rated.count, message->rated_starts.count),
+	    MIN(message->rates.count, message->rate_ages_ms.count));
+
+	for (size_t i = 0; i < count; i++) {
+		struct fleet_upstream *upstream = fleet_find(
+		    peer_loads->fleet, message->rated.items[i]);
+		const struct named_rate report = {
+		    .named = message->rates.items[i] > 0,
+		    .per_s = message_decode_rate(message->rates.items[i]),
+		    .seen_at = time_add_ms(
+			now, -(int64_t)message->rate_ages_ms.items[i]),
+		};
+
+		if (upstream != NULL &&
+		    upstream->start_wall_ms ==
+			(int64_t)message->rated_starts.items[i])
+			fleet_upstream_on_rate(upstream,
+			    named_rate_on_report(
+				&upstream->named_rate, &report),
+			    process);
+	}
+}
+
 /* Returns the number of complete rows of a report. */
 static size_t
 count_rows(const struct message_load *message)
@@ -201,7 +234,13 @@
 		replace_row(peer_loads, peer_load, message, i);
 	peer_load->received_at = now;
 	peer_load->cannot_watch = message->cannot_watch;
+	if (peer_load->may_coordinate != message->may_coordinate ||
+	    peer_load->view != message->view)
+		peer_loads->generation++;
+	peer_load->may_coordinate = message->may_coordinate;
+	peer_load->view = message->view;
 	apply_leaving(peer_loads, process, message, now);
+	apply_rates(peer_loads, process, message, now);
 }
 
 /* Returns a peer's load on one upstream; creates an empty one if needed. */
@@ -273,6 +312,7 @@
 			continue;
 		remove_peer_load(peer_loads, peer_load);
 		g_hash_table_iter_remove(&iter);
+		peer_loads->generation++;
 	}
 }
 
@@ -303,6 +343,37 @@
 	return candidates;
 }
 
+/* Returns a number that changes with the peers and their views. */
+uint64_t
+peer_loads_generation(const struct peer_loads *peer_loads)
+{
+	return peer_loads->generation;
+}
+
+/*
+ * Appends the peers to an array of struct rate_member, whose ids are valid
+ * until the generation changes.
+ */
+void
+peer_loads_add_members(const struct peer_loads *peer_loads, GArray *members)
+{
+	GHashTableIter iter;
+	void *process;
+	void *value;
+
+	g_hash_table_iter_init(&iter, peer_loads->peers);
+	while (g_hash_table_iter_next(&iter, &process, &value)) {
+		const struct peer_load *peer_load = value;
+		const struct rate_member member = {
+		    .id = process,
+		    .may_coordinate = peer_load->may_coordinate,
+		    .view = peer_load->view,
+		};
+
+		g_array_append_val(members, member);
+	}
+}
+
 /* Returns an empty set for a fleet, which must outlive it. */
 struct peer_loads *
 peer_loads_new(struct fleet *fleet)
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -11,6 +11,7 @@
 #include <time.h>
 
 #include "peer/message.h"
+#include "policy/shared_rate.h"
 #include "routing/fleet.h"
 #include "store/watchers.h"
 
@@ -28,5 +29,7 @@
     struct peer_loads *, int64_t silence_ms, struct timespec now);
 struct watcher_candidate *peer_loads_watcher_candidates(
     const struct peer_loads *, size_t *count);
+uint64_t peer_loads_generation(const struct peer_loads *);
+void peer_loads_add_members(const struct peer_loads *, GArray *members);
 
 #endif
--- a/src/gateway/reservations.c
+++ b/src/gateway/reservations.c
@@ -27,6 +27,7 @@
 	char *address;
 	uint64_t tokens;
 	struct http_call *call; /* pending order */
+	unsigned int renewals; /* that were due since the last order */
 	bool granted;
 	bool refused; /* by the engine: nothing to release */
 };
@@ -34,6 +35,7 @@
 struct reservations {
 	struct ev_loop *loop;
 	struct http_client *http;
+	struct rate_sync *rate_sync;
 	int64_t hold_ms;
 	reservations_fn *done; /* NULL once called */
 	reservations_notice_fn *notice;
@@ -48,6 +50,7 @@
 /* A release, which continues after its reservations are freed. */
 struct release {
 	struct http_client *http;
+	struct rate_sync *rate_sync;
 	char *id;
 	char *address;
 	unsigned int tries;
@@ -109,6 +112,7 @@
 	char *body = order_encode_release(release->id);
 
 	release->tries++;
+	rate_sync_charge(release->rate_sync, release->address);
 	send_order(release->http, release->address, body, &ops, release);
 	free(body);
 }
@@ -120,6 +124,7 @@
 	struct release *release = g_new0(struct release, 1);
 
 	release->http = reservation->reservations->http;
+	release->rate_sync = reservation->reservations->rate_sync;
 	release->id = g_strdup(reservation->id);
 	release->address = g_strdup(reservation->address);
 	send_release(release);
@@ -194,11 +199,30 @@
 	char *body = order_encode_reserve(
 	    reservation->id, reservation->tokens, reservations->hold_ms);
 
+	reservation->renewals = 0;
+	rate_sync_charge(reservations->rate_sync, reservation->address);
 	reservation->call = send_order(
 	    reservations->http, reservation->address, body, &ops, reservation);
 	free(body);
 }
 
+/*
+ * Returns whether a reservation is to be renewed now: each time, or as late as
+ * possible where the engine names a rate, since orders count as requests.
+ */
+static bool
+is_renewal_due(struct reservation *reservation)
+{
+	const struct reservations *reservations = reservation->reservations;
+	int64_t age_ms = (int64_t)++reservation->renewals *
+	    RESERVATIONS_RENEW_MS;
+
+	return !rate_sync_is_named(
+		   reservations->rate_sync, reservation->address) ||
+	    age_ms + RESERVATIONS_RENEW_MS + RESERVATIONS_ORDER_TIMEOUT_MS >
+	    reservations->hold_ms;
+}
+
 /* Renews the granted reservations. */
 static void
 on_renew_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -206,9 +230,11 @@
 	struct reservations *reservations = timer->data;
 
 	for (size_t i = 0; i < reservations->count; i++) {
-		if (reservations->items[i].granted &&
-		    reservations->items[i].call == NULL)
-			reserve(&reservations->items[i]);
+		struct reservation *reservation = &reservations->items[i];
+
+		if (reservation->granted && reservation->call == NULL &&
+		    is_renewal_due(reservation))
+			reserve(reservation);
 	}
 }
 
@@ -218,7 +244,7 @@
  */
 struct reservations *
 reservations_new(struct ev_loop *loop, struct http_client *http,
-    const char *request, int64_t hold_ms,
+    const char *request, struct rate_sync *rate_sync, int64_t hold_ms,
     const struct reservation_request *wishes, size_t count,
     reservations_fn *done, reservations_notice_fn *notice, void *data)
 {
@@ -226,6 +252,7 @@
 
 	reservations->loop = loop;
 	reservations->http = http;
+	reservations->rate_sync = rate_sync;
 	reservations->hold_ms = hold_ms;
 	reservations->done = done;
 	reservations->notice = notice;
--- a/src/gateway/reservations.h
+++ b/src/gateway/reservations.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "base/http_client.h"
+#include "gateway/rate_sync.h"
 #include "platform/headers.h"
 
 /* Timeout of an order; engines answer within milliseconds. */
@@ -44,8 +45,9 @@
     void *data, size_t index, const struct upstream_notice *);
 
 struct reservations *reservations_new(struct ev_loop *, struct http_client *,
-    const char *request, int64_t hold_ms, const struct reservation_request *,
-    size_t count, reservations_fn *, reservations_notice_fn *, void *data);
+    const char *request, struct rate_sync *, int64_t hold_ms,
+    const struct reservation_request *, size_t count, reservations_fn *,
+    reservations_notice_fn *, void *data);
 void reservations_free(struct reservations *);
 const char *reservations_id(const struct reservations *, size_t index);
 
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -6,9 +6,25 @@
 
 /* Maximum elements of an array field. */
 #define LIST_MAX_ITEMS 4096
+/* Seconds to which rates refer, which are whole numbers. */
+#define RATE_S 1e6
 
 G_DEFINE_QUARK(message_error, message_error)
 
+/* Returns a rate in requests per second as messages carry it. */
+uint64_t
+message_encode_rate(double per_s)
+{
+	return (uint64_t)(per_s * RATE_S + 0.5);
+}
+
+/* Returns the requests per second of a rate in a message. */
+double
+message_decode_rate(uint64_t rate)
+{
+	return (double)rate / RATE_S;
+}
+
 /* Writes packed bytes to a GByteArray, for msgpack. */
 static int
 write_bytes(void *data, const char *bytes, size_t length)
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -51,6 +51,8 @@
 	MESSAGE_LOAD, /* the sender's requests at each upstream */
 	MESSAGE_PREFILL, /* a prompt that the sender has just sent */
 	MESSAGE_CRASHES, /* prompt parts with which upstreams died or not */
+	MESSAGE_PERMIT_ASK, /* for a request to an upstream that names a rate */
+	MESSAGE_PERMIT, /* the answer to it */
 	MESSAGE_KINDS,
 };
 
@@ -276,6 +278,12 @@
 	bool changes; /* upstreams not listed are as in the last message */
 	bool relay; /* to be passed on in the receiver's failure domain */
 	char *origin; /* process whose message a relay passes on; or empty */
+	bool may_coordinate; /* shared rates */
+	uint64_t view; /* of those that may, see policy/shared_rate.h */
+	struct string_array rated; /* upstreams whose named rates follow */
+	struct u64_array rated_starts; /* wall ms of their starts, or 0 */
+	struct u64_array rates; /* per 1,000,000 s; 0: no longer named */
+	struct u64_array rate_ages_ms; /* since they were observed */
 };
 
 struct message_prefill {
@@ -297,6 +305,18 @@
 	uint32_t request; /* whether to send more if the digest differs */
 };
 
+struct message_permit_ask {
+	char *upstream;
+	uint64_t start; /* wall ms of its start, or 0 */
+	uint64_t rate; /* that it names, per 1,000,000 s */
+	uint64_t rate_age_ms; /* since it was observed */
+};
+
+struct message_permit {
+	bool granted;
+	uint64_t wait_ms; /* if not, until the next one is free */
+};
+
 struct message {
 	uint32_t kind; /* enum message_kind */
 	char request[REQUEST_ID_SIZE]; /* empty for none */
@@ -327,6 +347,8 @@
 		struct message_load load;
 		struct message_prefill prefill;
 		struct message_crashes crashes;
+		struct message_permit_ask permit_ask;
+		struct message_permit permit;
 	};
 };
 
@@ -337,6 +359,8 @@
 const char *work_kind_name(uint32_t kind);
 const char *work_class_name(uint32_t class);
 GByteArray *message_encode(const struct message *, GError **);
+uint64_t message_encode_rate(double per_s);
+double message_decode_rate(uint64_t rate);
 struct message *message_decode(const uint8_t *, size_t, GError **);
 void message_free(struct message *);
 
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -99,8 +99,11 @@
 		M(U64_ARRAY, load.prefill_us),
 		M(STRING_ARRAY, load.faulty), M(STRING_ARRAY, load.leaving),
 		M(U64_ARRAY, load.leaving_starts), M(BOOL, load.changes),
-		M(BOOL, load.relay), M(STRING, load.origin) },
-		.optional_count = 6 },
+		M(BOOL, load.relay), M(STRING, load.origin),
+		M(BOOL, load.may_coordinate), M(U64, load.view),
+		M(STRING_ARRAY, load.rated), M(U64_ARRAY, load.rated_starts),
+		M(U64_ARRAY, load.rates), M(U64_ARRAY, load.rate_ages_ms) },
+		.optional_count = 12 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
@@ -110,6 +113,11 @@
 		M(U64_ARRAY, crashes.parts), M(U64_ARRAY, crashes.kinds),
 		M(U64_ARRAY, crashes.depths), M(U64_ARRAY, crashes.deaths), M(U64_ARRAY, crashes.ages_ms),
 		M(U64, crashes.digest), M(U32, crashes.request) } },
+	[MESSAGE_PERMIT_ASK] = { "permit_ask", {
+		M(STRING, permit_ask.upstream), M(U64, permit_ask.start),
+		M(U64, permit_ask.rate), M(U64, permit_ask.rate_age_ms) } },
+	[MESSAGE_PERMIT] = { "permit", {
+		M(BOOL, permit.granted), M(U64, permit.wait_ms) } },
 };
 
 #undef M
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -368,6 +368,8 @@
 
 	if (prompt->engines_max > 0)
 		max = MIN(max, prompt->engines_max);
+	if (prompt->undivided)
+		max = 1;
 	for (size_t parts = 1; parts <= max; parts++) {
 		double expected_ms;
 		double cost;
@@ -462,6 +464,16 @@
 	return total / (double)count;
 }
 
+/* Returns whether a prompt may be divided among several engines. */
+bool
+balance_is_divisible(
+    const struct engine_profile *profile, const struct balance_prompt *prompt)
+{
+	return prompt->class != STREAM_SHORT ||
+	    engine_profile_prefill_ms(profile, prompt->tokens) >
+	    BALANCE_UNDIVIDED_MS;
+}
+
 /*
  * Plans which engines prefill a prompt and which one decodes the answer. If it
  * is not served now, the verdict says why and plan->wait_ms when it may be.
@@ -478,7 +490,7 @@
 	*plan = (struct balance_plan){0};
 	if (count == 0)
 		return BALANCE_NO_ENGINE;
-	if (prompt->class == STREAM_SHORT && prefill_ms <= BALANCE_UNDIVIDED_MS)
+	if (!balance_is_divisible(profile, prompt))
 		plan_short_stream(profile, candidates, count, prefill_ms, plan);
 	else
 		cost = plan_divided(
@@ -490,8 +502,9 @@
 		return BALANCE_TOO_COSTLY;
 	if (divide_memory(profile, candidates, prompt, plan))
 		return BALANCE_SERVE;
-	return plan_for_memory(
-		   profile, candidates, count, prefill_ms, prompt, plan)
+	return !prompt->undivided &&
+		plan_for_memory(
+		    profile, candidates, count, prefill_ms, prompt, plan)
 	    ? BALANCE_SERVE
 	    : BALANCE_NO_MEMORY;
 }
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -142,6 +142,7 @@
 	double target_ms; /* target time to the first token */
 	double waited_ms; /* time since it arrived */
 	size_t engines_max; /* unless memory needs more; 0: no limit */
+	bool undivided; /* one engine prefills it, or none */
 };
 
 /* Whether a prompt is served now, and the reason if not. */
@@ -166,6 +167,8 @@
 };
 
 enum stream_class balance_stream_class(double gap_target_ms);
+bool balance_is_divisible(
+    const struct engine_profile *, const struct balance_prompt *);
 ssize_t balance_choose(const struct balance_candidate *, size_t count);
 bool balance_prompt_may_wait(
     const struct balance_prompt *, enum balance_verdict);
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -125,6 +125,7 @@
 	upstream->error_share = 0.0;
 	upstream->quiet = (struct quiet){0};
 	upstream->named_rate = (struct named_rate){0};
+	upstream->no_permit_until = (struct timespec){0};
 }
 
 /* Replaces a string if it differs. */
@@ -311,6 +312,16 @@
 	    "for_ms", (json_int_t)quiet_left_ms(&upstream->quiet, now));
 }
 
+/* Returns whether peers are told of a change of an upstream's rate. */
+bool
+fleet_upstream_announces_rate(
+    const struct fleet_upstream *upstream, struct timespec now)
+{
+	return time_is_set(upstream->rate_changed_at) &&
+	    time_diff_ms(now, upstream->rate_changed_at) <
+	    FLEET_ANNOUNCE_RATE_MS;
+}
+
 /* Logs what is known of the rate that an upstream names, if it changed. */
 void
 fleet_upstream_on_rate(
@@ -320,6 +331,7 @@
 
 	if (!changed)
 		return;
+	upstream->rate_changed_at = rate->seen_at;
 	LOG_INFO(rate->named ? "upstream named a rate"
 			     : "upstream no longer names a rate",
 	    "{s:s, s:f, s:s}", "upstream", upstream->id, "per_s", rate->per_s,
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -19,6 +19,7 @@
 #include "policy/departure.h"
 #include "policy/named_rate.h"
 #include "policy/quiet.h"
+#include "policy/shared_rate.h"
 #include "policy/takeouts.h"
 
 /* One upstream as reported by the platform's list. */
@@ -72,6 +73,9 @@
 	struct timespec faulty_until; /* reported by another upstream */
 	struct quiet quiet; /* it asked for no requests */
 	struct named_rate named_rate; /* requests that it takes a second */
+	struct timespec rate_changed_at; /* unset: never */
+	struct shared_rate shared_rate; /* of these, granted by this process */
+	struct timespec no_permit_until; /* by its coordinator */
 	struct timespec announced_at; /* this process was told that it leaves */
 	uint32_t peer_fault_reports; /* peers that report it as faulty */
 
@@ -120,6 +124,9 @@
 #define FLEET_RETURNED_COLD_MS 4000
 /* How long peers are told of an upstream that says that it leaves. */
 #define FLEET_ANNOUNCE_MS 3000
+/* How long peers are told that an upstream has begun or ceased to name a rate.
+ */
+#define FLEET_ANNOUNCE_RATE_MS 1000
 
 struct fleet *fleet_new(void);
 void fleet_free(struct fleet *);
@@ -135,6 +142,8 @@
     const struct fleet_upstream *, struct timespec now);
 void fleet_upstream_on_quiet(
     struct fleet_upstream *, int64_t quiet_ms, struct timespec now);
+bool fleet_upstream_announces_rate(
+    const struct fleet_upstream *, struct timespec now);
 void fleet_upstream_on_rate(
     struct fleet_upstream *, bool changed, const char *source);
 struct fleet_upstream *fleet_find(const struct fleet *, const char *id);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -120,6 +120,10 @@
 	    f->exchange_context.routing_state);
 	f->exchange_context.crash_sync = crash_sync_new(
 	    f->loop, clock_system(), f->mesh, f->exchange_context.random);
+	f->exchange_context.rate_sync = rate_sync_new(f->loop, clock_system(),
+	    f->mesh, f->exchange_context.load_sync,
+	    f->exchange_context.registry,
+	    routing_state_fleet(f->exchange_context.routing_state));
 	exchange_context_init(&f->exchange_context);
 	f->callers = httpd_new(f->loop, &settings, &caller_ops, f, NULL);
 	g_assert_nonnull(f->callers);
@@ -131,6 +135,7 @@
 {
 	httpd_free(f->callers);
 	exchange_context_clear(&f->exchange_context);
+	rate_sync_free(f->exchange_context.rate_sync);
 	crash_sync_free(f->exchange_context.crash_sync);
 	load_sync_free(f->exchange_context.load_sync);
 	registry_free(f->exchange_context.registry);
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -152,11 +152,43 @@
 	fixture_tear_down(&f);
 }
 
+/* Requests go on as before once a response no longer names a rate. */
+static void
+test_end(void)
+{
+	struct fixture f = {0};
+	struct fleet_upstream *upstream;
+
+	fixture_set_up(&f);
+	fake_platform_repeat_step(f.fake_platform, FAKE_STEP_OK);
+	fake_platform_name_rate(f.fake_platform, RATE);
+	fixture_wait_for_routing_state(&f);
+	while (!all_name_a_rate(&f))
+		request(&f, "/again/x");
+	request(&f, "/again/x");
+	g_assert_cmpint(f.status, ==, 503);
+	fake_platform_name_rate(f.fake_platform, NULL);
+	TAILQ_FOREACH (upstream,
+	    &routing_state_fleet(f.exchange_context.routing_state)->upstreams,
+	    entry) {
+		upstream->named_rate.seen_at = time_add_ms(
+		    upstream->named_rate.seen_at, -2 * NAMED_RATE_KEEP_MS);
+		upstream->shared_rate.tokens = 1.0;
+	}
+	for (int i = 0; i < REQUESTS; i++) {
+		request(&f, "/again/x");
+		g_assert_cmpint(f.status, ==, 200);
+	}
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
 	ADD_CASES(cases, "/rate_limit", test_way);
+	g_test_add_func(
+	    "/rate_limit/ends when it is no longer named", test_end);
 	return g_test_run();
 }
--- a/tests/test_reservations.c
+++ b/tests/test_reservations.c
@@ -144,8 +144,8 @@
 		requests[i] = (struct reservation_request){
 		    .address = addresses[i], .tokens = 1000 * (i + 1)};
 	}
-	return reservations_new(f->loop, f->http, "r1", 3000, requests, ENGINES,
-	    on_result, on_notice, f);
+	return reservations_new(f->loop, f->http, "r1", NULL, 3000, requests,
+	    ENGINES, on_result, on_notice, f);
 }
 
 /* Stops the engines and frees the fixture. */
