--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -260,6 +260,7 @@
 	const char *address = node_identity(gateway->node)->address;
 	struct load_sync_settings self = {
 	    .self = settings->id,
+	    .address = address,
 	    .failure_domain = settings->failure_domain,
 	};
 
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -12,6 +12,7 @@
 	struct mesh *mesh;
 	const struct registry *registry;
 	char *self; /* name of this process */
+	char *address;
 	char *failure_domain;
 	bool is_seed;
 	bool has_seeds;
@@ -21,7 +22,7 @@
 	struct fleet *fleet;
 	struct mesh_handler handler;
 	struct peer_loads *peers;
-	GHashTable *addresses; /* name -> address, of peers with links */
+	GHashTable *addresses; /* name -> address, as the peers report them */
 	GArray *members; /* of struct rate_member: this process and the peers */
 	uint64_t members_generation; /* of the peers, when they were listed */
 	size_t reported_peers; /* number at the last full report */
@@ -77,14 +78,15 @@
 	const char *origin = is_load ? message->load.origin
 				     : message->prefill.origin;
 
-	if (origin == NULL || origin[0] == '\0') {
+	if (origin == NULL || origin[0] == '\0')
 		origin = link_peer(link)->process;
-		g_hash_table_replace(sync->addresses, g_strdup(origin),
-		    g_strdup(mesh_link_address(link)));
-	}
 	if (is_load ? message->load.relay : message->prefill.relay)
 		relay_message(sync, origin, message);
-	if (message->kind == MESSAGE_LOAD)
+	if (is_load && message->load.address != NULL &&
+	    message->load.address[0] != '\0')
+		g_hash_table_replace(sync->addresses, g_strdup(origin),
+		    g_strdup(message->load.address));
+	if (is_load)
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
 	else if (message->kind == MESSAGE_PREFILL)
@@ -243,13 +245,19 @@
 	sync->draining = true;
 }
 
+/* Returns whether the peers know this process. */
+static bool
+is_settled(const struct load_sync *sync)
+{
+	return time_diff_ms(clock_monotonic(sync->clock), sync->started_at) >=
+	    LOAD_SYNC_SETTLE_MS;
+}
+
 /* Returns whether this process may coordinate shared rates. */
 static bool
 may_coordinate(const struct load_sync *sync)
 {
-	return !sync->draining &&
-	    time_diff_ms(clock_monotonic(sync->clock), sync->started_at) >=
-	    LOAD_SYNC_SETTLE_MS;
+	return !sync->draining && is_settled(sync);
 }
 
 /*
@@ -297,10 +305,7 @@
 const char *
 load_sync_address(const struct load_sync *sync, const char *name)
 {
-	const char *address = registry_address(sync->registry, name);
-
-	return address != NULL ? address
-			       : g_hash_table_lookup(sync->addresses, name);
+	return g_hash_table_lookup(sync->addresses, name);
 }
 
 /* Describes this process as far as its watching of the store goes. */
@@ -410,8 +415,9 @@
 	    .rated_starts = {report.rated_starts, report.rated_count},
 	    .rates = {report.rates, report.rated_count},
 	    .rate_ages_ms = {report.rate_ages_ms, report.rated_count},
+	    .address = changes && is_settled(sync) ? NULL : sync->address,
 	};
-	if (!may_skip(sync, &report))
+	if (!may_skip(sync, &report) || !changes)
 		broadcast(sync, &message);
 	report_clear(&report);
 }
@@ -484,6 +490,7 @@
 	sync->mesh = mesh;
 	sync->registry = registry;
 	sync->self = g_strdup(settings->self);
+	sync->address = g_strdup(settings->address);
 	sync->failure_domain = g_strdup(settings->failure_domain);
 	sync->is_seed = settings->is_seed;
 	sync->has_seeds = settings->has_seeds;
@@ -519,6 +526,7 @@
 	g_hash_table_unref(sync->addresses);
 	g_array_unref(sync->members);
 	g_free(sync->self);
+	g_free(sync->address);
 	g_free(sync->failure_domain);
 	g_free(sync);
 }
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -39,10 +39,10 @@
 #define LOAD_SYNC_WATCHERS 3
 
 /*
- * A gateway coordinates no shared rate before all others have read its address
- * from the list.
+ * A gateway coordinates no shared rate before all others know its address, and
+ * it knows them.
  */
-#define LOAD_SYNC_SETTLE_MS (REGISTRY_READ_MS + 2000)
+#define LOAD_SYNC_SETTLE_MS 5000
 
 struct load_sync;
 
@@ -58,6 +58,7 @@
 /* Who this process is among the gateways. */
 struct load_sync_settings {
 	const char *self; /* its name */
+	const char *address; /* of its peer links */
 	const char *failure_domain;
 	bool is_seed; /* its address is in the settings of all */
 	bool has_seeds; /* the address of another gateway is in its settings */
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -14,7 +14,6 @@
 	struct mesh *mesh;
 	const struct link_identity *self;
 	GHashTable *domains; /* address -> failure domain, of gateways */
-	GHashTable *by_name; /* name -> address, of the others ever listed */
 	struct object_store_call *call;
 	ev_timer timer;
 	GPtrArray *addresses; /* of other gateways, from the current read */
@@ -170,8 +169,6 @@
 	if (strcmp(name, self->process) == 0)
 		return;
 	g_ptr_array_add(registry->addresses, g_strdup(address));
-	g_hash_table_replace(
-	    registry->by_name, g_strdup(name), g_strdup(address));
 	if (failure_domain != NULL)
 		g_hash_table_replace(registry->domains, g_strdup(address),
 		    g_strdup(failure_domain));
@@ -277,8 +274,6 @@
 	registry->self = self;
 	registry->domains = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
-	registry->by_name = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, g_free);
 	ev_timer_init(&registry->timer, on_read_timer, 0.0, 0.0);
 	registry->timer.data = registry;
 	registry->observer = (struct object_store_observer){
@@ -306,7 +301,6 @@
 		g_ptr_array_unref(registry->kept);
 	g_free(registry->page_token);
 	g_hash_table_unref(registry->domains);
-	g_hash_table_unref(registry->by_name);
 	g_free(registry);
 }
 
@@ -319,13 +313,6 @@
 	return registry->count;
 }
 
-/* Returns the address of another gateway; NULL if it is not known. */
-const char *
-registry_address(const struct registry *registry, const char *name)
-{
-	return g_hash_table_lookup(registry->by_name, name);
-}
-
 /* Returns the failure domain of a gateway; NULL if it is not known. */
 const char *
 registry_failure_domain(const struct registry *registry, const char *address)
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -41,7 +41,6 @@
 void registry_free(struct registry *);
 uint32_t registry_count(const struct registry *);
 const char *const *registry_others(const struct registry *, size_t *count);
-const char *registry_address(const struct registry *, const char *name);
 const char *registry_failure_domain(
     const struct registry *, const char *address);
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -284,6 +284,7 @@
 	struct u64_array rated_starts; /* wall ms of their starts, or 0 */
 	struct u64_array rates; /* per 1,000,000 s; 0: no longer named */
 	struct u64_array rate_ages_ms; /* since they were observed */
+	char *address; /* of the process; empty in most reports of changes */
 };
 
 struct message_prefill {
