Count gateways that are not listed yet where shared limits are divided

The cold rate and the retries' slack are divided by the number of gateways in the store's list, which each reads every 10 s. A gateway that has just started counts all, and the others do not count it until they read the list: for up to 10 s the shares of a cold upstream add up to 52 requests a second where it bears 44 (five gateways and a new one). Gateways that report their load count too now; reports come ten times a second.

Both new cases fail without the change (52 > 44; 1 gateway counted of 4). The cold rate keeps its shares: a trial of permits for it was not made, since a share of 44 a second is seldom the limit there.

--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -44,7 +44,7 @@
 {
 	struct retry_window_limits limits = context->retry;
 
-	limits.slack /= registry_count(context->registry);
+	limits.slack /= load_sync_count(context->load_sync);
 	return limits;
 }
 
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -44,7 +44,7 @@
 	struct cold_rate_sharers sharers = {
 	    .upstream = upstream->id,
 	    .self = context->address,
-	    .count_min = registry_count(context->registry),
+	    .count_min = load_sync_count(context->load_sync),
 	};
 	double capacity_per_s;
 
@@ -240,7 +240,7 @@
 		left_ms = selection.deferred_ms;
 	if (selection_is_deferred(&selection) && selection.rate_per_s > 0.0)
 		left_ms = return_slots_take(service_slots(exchange), left_ms,
-		    selection.rate_per_s / registry_count(context->registry),
+		    selection.rate_per_s / load_sync_count(context->load_sync),
 		    clock_monotonic(context->clock));
 	selection_clear(&selection);
 	return quiet_retry_after_ms(left_ms, context->random);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -299,7 +299,7 @@
 	gateway->crash_sync = crash_sync_new(gateway->loop, gateway->clock,
 	    node_mesh(gateway->node), gateway->random);
 	gateway->rate_sync = rate_sync_new(gateway->loop, gateway->clock,
-	    node_mesh(gateway->node), gateway->load_sync, gateway->registry,
+	    node_mesh(gateway->node), gateway->load_sync,
 	    routing_state_fleet(gateway->routing_state));
 	init_exchange_context(gateway);
 	return open_callers(gateway, error);
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -284,6 +284,20 @@
 	return members;
 }
 
+/*
+ * Returns the number of gateways among which shared limits are divided: those
+ * in the list, or those that report if they are more, since one that has just
+ * started is in the list only from the next read on.
+ */
+uint32_t
+load_sync_count(struct load_sync *sync)
+{
+	size_t alive;
+
+	load_sync_members(sync, &alive);
+	return MAX(registry_count(sync->registry), (uint32_t)alive);
+}
+
 /* Returns the view of those that may coordinate shared rates. */
 static uint64_t
 own_view(struct load_sync *sync)
--- a/src/gateway/rate_sync.c
+++ b/src/gateway/rate_sync.c
@@ -35,7 +35,6 @@
 	struct clock *clock;
 	struct mesh *mesh;
 	struct load_sync *load_sync;
-	const struct registry *registry;
 	struct fleet *fleet;
 	struct mesh_handler handler;
 	struct permit_list permits; /* that are waited for */
@@ -68,7 +67,7 @@
 		{
 		    .per_s = upstream->named_rate.per_s,
 		    .share = shared_rate_share(
-			members, count, self, registry_count(sync->registry)),
+			members, count, self, load_sync_count(sync->load_sync)),
 		    .view = shared_rate_view(members, count),
 		    .phase = shared_rate_phase(upstream->id, self),
 		},
@@ -397,8 +396,7 @@
 /* Starts to share rates with the peers; all must outlive it. */
 struct rate_sync *
 rate_sync_new(struct ev_loop *loop, struct clock *clock, struct mesh *mesh,
-    struct load_sync *load_sync, const struct registry *registry,
-    struct fleet *fleet)
+    struct load_sync *load_sync, struct fleet *fleet)
 {
 	struct rate_sync *sync = g_new0(struct rate_sync, 1);
 
@@ -406,7 +404,6 @@
 	sync->clock = clock;
 	sync->mesh = mesh;
 	sync->load_sync = load_sync;
-	sync->registry = registry;
 	sync->fleet = fleet;
 	TAILQ_INIT(&sync->permits);
 	sync->handler = (struct mesh_handler){
--- a/src/gateway/rate_sync.h
+++ b/src/gateway/rate_sync.h
@@ -13,7 +13,6 @@
 
 #include "base/clock.h"
 #include "gateway/load_sync.h"
-#include "gateway/registry.h"
 #include "peer/mesh.h"
 #include "routing/fleet.h"
 
@@ -36,7 +35,7 @@
 typedef void permit_fn(void *data, bool granted);
 
 struct rate_sync *rate_sync_new(struct ev_loop *, struct clock *, struct mesh *,
-    struct load_sync *, const struct registry *, struct fleet *);
+    struct load_sync *, struct fleet *);
 void rate_sync_free(struct rate_sync *);
 int64_t rate_sync_wait_ms(struct rate_sync *, struct fleet_upstream *);
 bool rate_sync_needs_permit(const struct fleet_upstream *);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -122,7 +122,6 @@
 	    f->loop, clock_system(), f->mesh, f->exchange_context.random);
 	f->exchange_context.rate_sync = rate_sync_new(f->loop, clock_system(),
 	    f->mesh, f->exchange_context.load_sync,
-	    f->exchange_context.registry,
 	    routing_state_fleet(f->exchange_context.routing_state));
 	exchange_context_init(&f->exchange_context);
 	f->callers = httpd_new(f->loop, &settings, &caller_ops, f, NULL);
--- a/tests/test_cold_rate.c
+++ b/tests/test_cold_rate.c
@@ -121,6 +121,39 @@
 	g_assert_cmpuint(cold_rate_share(44.0, &sharers), ==, 5);
 }
 
+/* The shares hold while only a new process itself knows that it is there. */
+static void
+test_new_process(void)
+{
+	enum {
+		OLD = 5
+	};
+	char *names[OLD + 1];
+	uint32_t total = 0;
+
+	for (size_t i = 0; i <= OLD; i++)
+		names[i] = g_strdup_printf("10.0.0.%zu:7", i);
+	for (size_t i = 0; i <= OLD; i++) {
+		const char *others[OLD];
+		struct cold_rate_sharers sharers = {
+		    .upstream = "i-1",
+		    .self = names[i],
+		    .others = others,
+		    /* The others have heard of it, but not its address. */
+		    .count_min = OLD + 1,
+		};
+
+		for (size_t j = 0; j <= OLD; j++) {
+			if (j != i && (i == OLD || j != OLD))
+				others[sharers.other_count++] = names[j];
+		}
+		total += cold_rate_share(44.0, &sharers);
+	}
+	g_assert_cmpuint(total, <=, 44);
+	for (size_t i = 0; i <= OLD; i++)
+		g_free(names[i]);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -129,5 +162,8 @@
 	g_test_add_func("/cold_rate/while not all gateways are known, none "
 			"takes a part of the remainder",
 	    test_unknown_gateways);
+	g_test_add_func("/cold_rate/the shares hold with a process that is not "
+			"listed yet",
+	    test_new_process);
 	return g_test_run();
 }
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -220,11 +220,54 @@
 	ev_loop_destroy(loop);
 }
 
+/*
+ * Limits that all share are divided among those that report too: gateways that
+ * have started since the list was read.
+ */
+static void
+test_count(void)
+{
+	static const struct load_case c = {
+	    "", WATCHING_SETTLE_MS, false, false, false, true};
+	const struct load_sync_settings settings = {
+	    .self = names[find_last_by_rank()], .failure_domain = "z"};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct fake_platform *platform = fake_platform_new(loop);
+	struct counter counter = {.handler = {.kinds = MESH_KIND(MESSAGE_LOAD),
+				      .ops = &counter_ops,
+				      .data = &counter}};
+	struct gateway first;
+	struct gateway others[OTHERS];
+	ev_timer timeout;
+
+	ev_timer_init(&timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
+	ev_timer_start(loop, &timeout);
+	fake_platform_set_config(platform, CONFIG);
+	start_gateway(&first, loop, platform, &settings);
+	mesh_add_handler(first.mesh, &counter.handler);
+	start_others(&c, loop, platform, &first, others, &counter);
+	/* The stand-in's list stays empty. */
+	while (!has_enough_reports(&counter) ||
+	    registry_count(first.registry) >= OTHERS)
+		ev_run(loop, EVRUN_ONCE);
+	g_assert_cmpuint(load_sync_count(first.load_sync), ==, OTHERS + 1);
+	for (size_t i = 0; i < OTHERS; i++)
+		stop_gateway(&others[i]);
+	mesh_remove_handler(first.mesh, &counter.handler);
+	stop_gateway(&first);
+	fake_platform_free(platform);
+	ev_timer_stop(loop, &timeout);
+	ev_loop_destroy(loop);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
 	ADD_CASES(cases, "/load_sync", test_case);
+	g_test_add_func("/load_sync/gateways that are not in the list yet "
+			"count where limits are divided",
+	    test_count);
 	return g_test_run();
 }
