A stop that is requested while the settings are read does not kill the process

Signals were blocked in node_new, after the settings had been read; each role blocks them first now.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -279,6 +279,7 @@
 	g_autoptr(GError) error = NULL;
 	enum exit_code code = EXIT_CODE_OK;
 
+	node_block_signals();
 	if (!settings_load_or_report(
 		&entry.settings, ROLE_ENTRY, argc, argv, &code))
 		return code;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -334,6 +334,7 @@
 	g_autoptr(GError) error = NULL;
 	enum exit_code code = EXIT_CODE_OK;
 
+	node_block_signals();
 	if (!settings_load_or_report(
 		&gateway.settings, ROLE_GATEWAY, argc, argv, &code))
 		return code;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -164,6 +164,16 @@
 	sigprocmask(how, &signals, NULL);
 }
 
+/*
+ * Blocks the signals for stop and reload until the loop runs. To be called
+ * before the settings are read: a stop may be requested at any moment.
+ */
+void
+node_block_signals(void)
+{
+	mask_signals(SIG_BLOCK);
+}
+
 /* Raises the descriptor limit to the hard limit. */
 static void
 raise_descriptor_limit(void)
@@ -189,7 +199,7 @@
 {
 	struct node *node = g_new0(struct node, 1);
 
-	mask_signals(SIG_BLOCK);
+	node_block_signals();
 	node->ops = ops;
 	node->data = data;
 	raise_descriptor_limit();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -31,6 +31,7 @@
 	void (*reload)(void *data);
 };
 
+void node_block_signals(void);
 struct node *node_new(struct ev_loop *, struct clock *, const struct settings *,
     const struct node_ops *, void *data, GError **);
 void node_free(struct node *);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -566,6 +566,7 @@
 	g_autoptr(GError) error = NULL;
 	enum exit_code code = EXIT_CODE_OK;
 
+	node_block_signals();
 	if (!settings_load_or_report(
 		&sidecar.settings, ROLE_SIDECAR, argc, argv, &code))
 		return code;
--- a/tests/stop_fixture.c
+++ b/tests/stop_fixture.c
@@ -155,11 +155,11 @@
 
 /*
  * Starts this test's program again as a role, with its addresses and the
- * further arguments, up to a NULL; returns once a port of it is open.
+ * further arguments, up to a NULL.
  */
 void
-stop_fixture_start(struct stop_fixture *f, const char *role,
-    const char *const *arguments, enum stop_port port)
+stop_fixture_spawn(
+    struct stop_fixture *f, const char *role, const char *const *arguments)
 {
 	g_autoptr(GPtrArray) argv = g_ptr_array_new_with_free_func(g_free);
 
@@ -181,6 +181,14 @@
 	ev_child_init(&f->exit, on_exit_of_process, f->process, 0);
 	f->exit.data = f;
 	ev_child_start(f->loop, &f->exit);
+}
+
+/* The same; returns once a port of it is open. */
+void
+stop_fixture_start(struct stop_fixture *f, const char *role,
+    const char *const *arguments, enum stop_port port)
+{
+	stop_fixture_spawn(f, role, arguments);
 	stop_fixture_wait_for_port(f, port, true);
 }
 
--- a/tests/stop_fixture.h
+++ b/tests/stop_fixture.h
@@ -36,6 +36,8 @@
 	} while (0)
 
 void stop_fixture_open(struct stop_fixture *);
+void stop_fixture_spawn(
+    struct stop_fixture *, const char *role, const char *const *arguments);
 void stop_fixture_start(struct stop_fixture *, const char *role,
     const char *const *arguments, enum stop_port);
 void stop_fixture_close(struct stop_fixture *);
