--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -148,19 +148,13 @@
 	for (size_t i = 0; i < count; i++) {
 		struct fleet_upstream *upstream = fleet_find(
 		    peer_loads->fleet, message->rated.items[i]);
-		const struct named_rate report = {
-		    .named = message->rates.items[i] > 0,
-		    .per_s = message_decode_rate(message->rates.items[i]),
-		    .seen_at = time_add_ms(
-			now, -(int64_t)message->rate_ages_ms.items[i]),
-		};
-
 		if (upstream != NULL &&
 		    upstream->start_wall_ms ==
 			(int64_t)message->rated_starts.items[i])
 			fleet_upstream_on_rate(upstream,
-			    named_rate_on_report(
-				&upstream->named_rate, &report),
+			    named_rate_on_report(&upstream->named_rate,
+				message_decode_rate(message->rates.items[i]),
+				message->rate_ages_ms.items[i], now),
 			    process);
 	}
 }
--- a/src/gateway/rate_sync.c
+++ b/src/gateway/rate_sync.c
@@ -358,11 +358,6 @@
 	struct timespec now = clock_monotonic(sync->clock);
 	struct fleet_upstream *upstream = fleet_find(
 	    sync->fleet, ask->upstream);
-	const struct named_rate report = {
-	    .named = true,
-	    .per_s = message_decode_rate(ask->rate),
-	    .seen_at = time_add_ms(now, -(int64_t)ask->rate_age_ms),
-	};
 
 	if (upstream == NULL ||
 	    upstream->start_wall_ms != (int64_t)ask->start) {
@@ -372,7 +367,8 @@
 		return;
 	}
 	fleet_upstream_on_rate(upstream,
-	    named_rate_on_report(&upstream->named_rate, &report),
+	    named_rate_on_report(&upstream->named_rate,
+		message_decode_rate(ask->rate), ask->rate_age_ms, now),
 	    link_peer(link)->process);
 	if (message->sequence != 0)
 		answer(sync, link, message, upstream);
--- a/src/policy/named_rate.h
+++ b/src/policy/named_rate.h
@@ -12,6 +12,7 @@
 #define POLICY_NAMED_RATE_H
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <time.h>
 
 /*
@@ -24,6 +25,8 @@
  * nobody would learn that it takes them again.
  */
 #define NAMED_RATE_MIN_PER_S 0.1
+/* An older observation by a peer is taken for one of this age. */
+#define NAMED_RATE_AGE_MAX_MS (INT64_C(3600) * 1000)
 
 /* Zero-initialised: an upstream that names no rate. */
 struct named_rate {
@@ -36,6 +39,7 @@
     struct named_rate *, double per_s, struct timespec seen_at);
 bool named_rate_on_missing(
     struct named_rate *, struct timespec sent_at, struct timespec now);
-bool named_rate_on_report(struct named_rate *, const struct named_rate *report);
+bool named_rate_on_report(
+    struct named_rate *, double per_s, uint64_t age_ms, struct timespec now);
 
 #endif
