A refused prompt part is probed once, by one gateway

What callers saw: a sound part that was refused by mistake stayed refused for ten minutes. One minute after the last death the part's coordinator, the gateway that most gateways agree on, sends one request with it. If it survives the part is accepted again at all gateways; if its upstream dies, the late charge tells all of them that the part has been probed, so a part that crashes costs one more upstream in its ten minutes.

The cases did not compile before; without the change the request of the first minute is refused as those before it.

--- a/src/gateway/crash_sync.c
+++ b/src/gateway/crash_sync.c
@@ -401,3 +401,38 @@
 		    part_quarantine_left_ms(sync->quarantine, parts[i], now));
 	return left_ms;
 }
+
+/*
+ * Finds the one refused part of a request whose probe is due; false if there is
+ * none, or another refused part beside it, so that the probe would tell
+ * nothing.
+ */
+bool
+crash_sync_find_probe(
+    struct crash_sync *sync, const uint64_t *parts, size_t count, uint64_t *out)
+{
+	struct timespec now = clock_monotonic(sync->clock);
+	size_t refused = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		if (part_quarantine_left_ms(sync->quarantine, parts[i], now) ==
+		    0)
+			continue;
+		refused++;
+		*out = parts[i];
+	}
+	return refused == 1 &&
+	    part_quarantine_is_probe_due(sync->quarantine, *out, now);
+}
+
+/* A request with a refused part is sent as its probe. */
+void
+crash_sync_begin_probe(struct crash_sync *sync, uint64_t part)
+{
+	char text[17];
+
+	snprintf(text, sizeof(text), "%" PRIx64, part);
+	LOG_INFO("prompt part probed", "{s:s}", "part", text);
+	part_quarantine_on_probe(
+	    sync->quarantine, part, clock_monotonic(sync->clock));
+}
--- a/src/gateway/crash_sync.h
+++ b/src/gateway/crash_sync.h
@@ -31,6 +31,9 @@
     const uint64_t *parts, size_t count, bool begun);
 void crash_sync_report_survival(struct crash_sync *, const uint64_t *parts,
     size_t count, struct timespec began_at);
+bool crash_sync_find_probe(
+    struct crash_sync *, const uint64_t *parts, size_t count, uint64_t *out);
+void crash_sync_begin_probe(struct crash_sync *, uint64_t part);
 int64_t crash_sync_refused_ms(
     struct crash_sync *, const uint64_t *parts, size_t count);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -318,6 +318,32 @@
 	return length == 0 ? hash : XXH3_64bits_withSeed(body, length, hash);
 }
 
+/*
+ * Returns whether the request is sent as the probe of a refused part of its
+ * prompt, which one gateway sends for all, once.
+ */
+static bool
+becomes_probe(struct exchange *exchange)
+{
+	struct exchange_context *context = exchange->context;
+	char key[17];
+	uint64_t part;
+
+	if (exchange->is_probe)
+		return exchange->sends == 0;
+	if (exchange->sends > 0 ||
+	    !crash_sync_find_probe(context->crash_sync,
+		exchange->caller_headers.parts,
+		exchange->caller_headers.part_count, &part))
+		return false;
+	snprintf(key, sizeof(key), "%" PRIx64, part);
+	if (!rate_sync_is_coordinator(context->rate_sync, key))
+		return false;
+	crash_sync_begin_probe(context->crash_sync, part);
+	exchange->is_probe = true;
+	return true;
+}
+
 /* Refuses a request with a prompt part that crashes upstreams. */
 bool
 exchange_refuse_crashing_part(struct exchange *exchange)
@@ -326,7 +352,7 @@
 	    exchange->caller_headers.parts,
 	    exchange->caller_headers.part_count);
 
-	if (left_ms == 0)
+	if (left_ms == 0 || becomes_probe(exchange))
 		return false;
 	exchange_fail(exchange, REFUSAL_QUARANTINED, left_ms,
 	    "upstreams crashed when they began to answer requests with a part "
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -85,6 +85,7 @@
 	size_t sends; /* tries that sent at least a part of the request */
 	size_t rejections; /* of sends: the upstream did not execute it */
 	bool may_have_run;
+	bool is_probe; /* tests whether a refused part of its prompt crashes */
 	struct http_call *call; /* NULL while nothing is being sent */
 	struct fleet_upstream *upstream; /* of the current send */
 	uint64_t context_tokens; /* added to the load of that upstream */
--- a/src/gateway/rate_sync.c
+++ b/src/gateway/rate_sync.c
@@ -74,6 +74,24 @@
 	};
 }
 
+/*
+ * Returns whether this process alone may do what is to be done once by all
+ * gateways: it coordinates the key, and most of them agree on that.
+ */
+bool
+rate_sync_is_coordinator(struct rate_sync *sync, const char *key)
+{
+	size_t count;
+	const char *self = load_sync_self(sync->load_sync);
+	const struct rate_member *members = load_sync_members(
+	    sync->load_sync, &count);
+	const char *coordinator = shared_rate_coordinator(key, members, count);
+
+	return g_strcmp0(coordinator, self) == 0 &&
+	    shared_rate_share(
+		members, count, self, load_sync_count(sync->load_sync)) >= 1.0;
+}
+
 /* Returns whether requests to an upstream need a permit. */
 bool
 rate_sync_needs_permit(const struct fleet_upstream *upstream)
--- a/src/policy/part_quarantine.c
+++ b/src/policy/part_quarantine.c
@@ -31,6 +31,7 @@
 	bool refused;
 	GArray *charges; /* of struct charge; NULL for none */
 	struct timespec survived_at; /* latest begin of a survivor; or unset */
+	struct timespec probed_at; /* by this process; or unset */
 	TAILQ_ENTRY(part) entry;
 };
 
@@ -129,6 +130,49 @@
 	    PART_QUARANTINE_MS - time_diff_ms(now, last_charge(part)), 0);
 }
 
+/*
+ * Returns whether the last charge came so late after the one before it that it
+ * is a probe's.
+ */
+static bool
+was_probed(const struct part *part)
+{
+	struct timespec last = last_charge(part);
+	size_t late = 0;
+
+	for (size_t i = 0; i < count_charges(part); i++)
+		late += time_diff_ms(last, charge_at(part, i)->at) <
+		    PART_QUARANTINE_PROBE_MS;
+	return late == 1 && count_charges(part) > 1;
+}
+
+/* Returns whether a request with a refused part should be sent as a probe. */
+bool
+part_quarantine_is_probe_due(const struct part_quarantine *quarantine,
+    uint64_t part_id, struct timespec now)
+{
+	const struct part *part = g_hash_table_lookup(
+	    quarantine->by_id, &part_id);
+
+	if (part_quarantine_left_ms(quarantine, part_id, now) == 0 ||
+	    time_diff_ms(now, last_charge(part)) < PART_QUARANTINE_PROBE_MS ||
+	    was_probed(part))
+		return false;
+	return !time_is_set(part->probed_at) ||
+	    time_diff_ms(now, part->probed_at) >= PART_QUARANTINE_MS;
+}
+
+/* A probe with a part begins. */
+void
+part_quarantine_on_probe(
+    struct part_quarantine *quarantine, uint64_t part_id, struct timespec now)
+{
+	struct part *part = g_hash_table_lookup(quarantine->by_id, &part_id);
+
+	if (part != NULL)
+		part->probed_at = now;
+}
+
 /* Removes parts above the limit; refused ones stay while there are others. */
 static void
 evict(struct part_quarantine *quarantine, struct timespec now)
--- a/src/policy/part_quarantine.h
+++ b/src/policy/part_quarantine.h
@@ -22,6 +22,12 @@
  * that stands deepest in the prompt, since it is shared by the fewest requests.
  * The deaths that are charged to it no longer count for others.
  *
+ * A part may be refused by mistake, because nothing with it happened to
+ * survive. So once, PART_QUARANTINE_PROBE_MS after the last charge, one request
+ * with it is sent as a probe. If it survives, the part is accepted again; if
+ * its upstream dies, the late charge tells all gateways that the part has been
+ * probed.
+ *
  * A death has an id made of the upstream and its start, so that what several
  * gateways report of it counts once.
  */
@@ -37,6 +43,8 @@
 #define PART_QUARANTINE_SURVIVED_EVENTS 2
 /* A part is refused until this long after its last charge. */
 #define PART_QUARANTINE_MS (10 * 60 * 1000)
+/* Time after the last charge from which a refused part is probed. */
+#define PART_QUARANTINE_PROBE_MS (60 * 1000)
 /* Maximum number of parts; the one that was used least recently is dropped. */
 #define PART_QUARANTINE_PARTS_MAX 4096
 
@@ -76,6 +84,10 @@
     const struct part_quarantine *, uint64_t part, struct part_event *out);
 int64_t part_quarantine_left_ms(
     const struct part_quarantine *, uint64_t part, struct timespec now);
+bool part_quarantine_is_probe_due(
+    const struct part_quarantine *, uint64_t part, struct timespec now);
+void part_quarantine_on_probe(
+    struct part_quarantine *, uint64_t part, struct timespec now);
 uint64_t part_quarantine_digest(
     const struct part_quarantine *, struct timespec now);
 void part_quarantine_for_each_charge(const struct part_quarantine *,
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -83,6 +83,8 @@
 	const struct mesh_settings mesh = {
 	    .identity = &f->identity, .listen = "127.0.0.1:0"};
 
+	if (f->clock == NULL)
+		f->clock = clock_system();
 	f->loop = ev_loop_new(EVFLAG_AUTO);
 	ev_timer_init(&f->timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
 	ev_timer_start(f->loop, &f->timeout);
@@ -115,11 +117,11 @@
 	    f->loop, clock_system(), f->store, f->documents, true);
 	f->exchange_context.registry = registry_new(
 	    f->loop, f->store, f->mesh, &f->identity);
-	f->exchange_context.load_sync = load_sync_new(f->loop, clock_system(),
+	f->exchange_context.load_sync = load_sync_new(f->loop, f->clock,
 	    f->mesh, &self, f->exchange_context.registry,
 	    f->exchange_context.routing_state);
 	f->exchange_context.crash_sync = crash_sync_new(
-	    f->loop, clock_system(), f->mesh, f->exchange_context.random);
+	    f->loop, f->clock, f->mesh, f->exchange_context.random);
 	f->exchange_context.rate_sync = rate_sync_new(f->loop, clock_system(),
 	    f->mesh, f->exchange_context.load_sync,
 	    routing_state_fleet(f->exchange_context.routing_state));
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -27,6 +27,7 @@
 	bool done;
 	bool aborted;
 	char *retry_after;
+	struct clock *clock; /* of the state shared with peers; NULL: system */
 	const char *tokens; /* token count sent; NULL for none */
 	const char *parts; /* prompt parts sent; NULL for none */
 };
--- a/tests/test_crash_parts.c
+++ b/tests/test_crash_parts.c
@@ -8,10 +8,22 @@
 
 #include "cases.h"
 #include "gateway_fixture.h"
+#include "policy/part_quarantine.h"
 
 #define CRASHES	      3
 #define SETTLE_ROUNDS 20
 
+static const struct probe_case {
+	const char *name;
+	enum fake_platform_step step; /* of the probe and what follows */
+	int then; /* status of a request after the probe */
+	size_t requests; /* that upstreams get in all */
+} probe_cases[] = {
+    {"a part whose probe survives is accepted again", FAKE_STEP_STREAM, 200, 2},
+    {"a part whose probe crashes an upstream is not probed again",
+	FAKE_STEP_CRASH, 503, 1},
+};
+
 /* Sends a request whose path and last part no other has. */
 static void
 call(struct fixture *f, const char *shared_parts, int number)
@@ -96,6 +108,45 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * A minute after a part was refused one request with it is sent. If it
+ * survives, the part is accepted again; if not, none is sent after it.
+ */
+static void
+test_probe(gconstpointer data)
+{
+	const struct probe_case *c = &probe_cases[GPOINTER_TO_SIZE(data)];
+	const uint64_t part = UINT64_C(0xf7c170336e83ce9a);
+	struct clock_manual clock;
+	struct fixture f = {.clock = &clock.clock};
+
+	clock_manual_init(&clock, MS_PER_S);
+	fixture_set_up(&f);
+	fake_platform_repeat_step(f.fake_platform, c->step);
+	fixture_wait_for_routing_state(&f);
+	/* Until it knows that there are no other gateways. */
+	RUN_UNTIL(&f, registry_count(f.exchange_context.registry) == 1);
+	clock_manual_advance(&clock, LOAD_SYNC_SETTLE_MS);
+	for (uint64_t death = 1; death <= CRASHES; death++)
+		crash_sync_report_death(
+		    f.exchange_context.crash_sync, death, &part, 1, true);
+	clock_manual_advance(&clock, PART_QUARANTINE_PROBE_MS - 1);
+	call(&f, "f1:40,bad:100", 0);
+	g_assert_cmpint(f.status, ==, 503);
+	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 0);
+	clock_manual_advance(&clock, 1);
+	call(&f, "f1:40,bad:100", 1);
+	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 1);
+	for (int i = 0; i < SETTLE_ROUNDS; i++)
+		ev_run(f.loop, EVRUN_ONCE);
+	clock_manual_advance(&clock, 2 * PART_QUARANTINE_PROBE_MS);
+	call(&f, "f1:40,bad:100", 2);
+	g_assert_cmpint(f.status, ==, c->then);
+	g_assert_cmpuint(
+	    fake_platform_request_count(f.fake_platform), ==, c->requests);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -107,5 +158,6 @@
 	g_test_add_func("/crash parts/a request at an upstream is cancelled "
 			"once a part of it is refused",
 	    test_cancelled);
+	ADD_CASES(probe_cases, "/crash parts", test_probe);
 	return g_test_run();
 }
--- a/tests/test_part_quarantine.c
+++ b/tests/test_part_quarantine.c
@@ -131,6 +131,59 @@
 	part_quarantine_free(quarantine);
 }
 
+/* When a refused part is probed, after three deaths at 0, 5 and 9 ms. */
+static const struct probe_case {
+	const char *name;
+	int64_t now_ms;
+	int64_t probed_ms; /* by this process; 0 for never */
+	int64_t death_ms; /* of one more upstream; 0 for none */
+	bool due;
+} probe_cases[] = {
+    {"no part is probed at once", 1000, 0, 0, false},
+    {"a part is probed a minute after the last death",
+	PART_QUARANTINE_PROBE_MS + 9, 0, 0, true},
+    {"a part is probed once", 2 * PART_QUARANTINE_PROBE_MS,
+	PART_QUARANTINE_PROBE_MS + 9, 0, false},
+    {"a part is not probed after another gateway's probe has failed",
+	4 * PART_QUARANTINE_PROBE_MS, 0, PART_QUARANTINE_PROBE_MS + 50, false},
+    {"one more death of the first moment does not count as a probe's",
+	PART_QUARANTINE_PROBE_MS + 50, 0, 50, true},
+    {"a part that is accepted again is not probed", PART_QUARANTINE_MS + 9, 0,
+	0, false},
+};
+
+/* Runs one case. */
+static void
+test_probe(gconstpointer data)
+{
+	const struct probe_case *c = &probe_cases[GPOINTER_TO_SIZE(data)];
+	struct part_quarantine *quarantine = part_quarantine_new();
+	struct timespec now = time_from_ms(START_MS + c->now_ms);
+	const int64_t deaths_ms[] = {0, 5, 9, c->death_ms};
+	bool refused[PARTS + 1] = {false};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(deaths_ms); i++) {
+		const struct part_event event = {
+		    .kind = PART_CHARGED_BEGUN,
+		    .part = 1,
+		    .death = i + 1,
+		    .at = time_from_ms(START_MS + deaths_ms[i]),
+		};
+
+		if (i < 3 || c->death_ms > 0)
+			part_quarantine_add(quarantine, &event, event.at);
+	}
+	part_quarantine_update(quarantine,
+	    time_from_ms(START_MS + MAX(c->death_ms, 9)), on_refused, refused);
+	if (c->probed_ms > 0)
+		part_quarantine_on_probe(
+		    quarantine, 1, time_from_ms(START_MS + c->probed_ms));
+	g_assert_cmpint(
+	    part_quarantine_is_probe_due(quarantine, 1, now), ==, c->due);
+	g_assert_false(part_quarantine_is_probe_due(quarantine, 2, now));
+	part_quarantine_free(quarantine);
+}
+
 /* Nothing to do. */
 static void
 ignore_refused(void *data, uint64_t part, bool refused)
@@ -169,6 +222,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/part quarantine", test_case);
+	ADD_CASES(probe_cases, "/part quarantine/probe", test_probe);
 	g_test_add_func(
 	    "/part quarantine/a refused part is kept when the table "
 	    "is full",
