An upstream that names its rate on a part of its responses keeps it

The rate was taken for ended by the first response without it whose request had been sent half a second after it was last named. Gateways tell the upstream's coordinator now what each response says; it takes the rate for ended after a run of responses without it that would come by chance in one of 200 cases. The price: a rate that has really ended is known as such after 1.2 s at 1.4 a second (0.7 before), 2.3 s at 0.5.

--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -59,20 +59,14 @@
     struct fleet_upstream *upstream, const struct upstream_notice *notice)
 {
 	struct timespec now = clock_monotonic(exchange->context->clock);
-	bool changed = false;
 
-	if (notice->names_rate)
-		changed = named_rate_on_named(
-		    &upstream->named_rate, notice->rate_per_s, now);
-	else if (notice->invalid_rate != NULL)
+	if (notice->invalid_rate != NULL)
 		LOG_WARN("upstream named a rate that is no number",
 		    "{s:s, s:s}", "upstream", upstream->id, "value",
 		    notice->invalid_rate);
-	else if (is_own_response(exchange, upstream))
-		changed = named_rate_on_missing(
-		    &upstream->named_rate, exchange->sent_at, now);
-	fleet_upstream_on_rate(upstream, changed, "response");
-
+	else if (notice->names_rate || is_own_response(exchange, upstream))
+		rate_sync_observe(exchange->context->rate_sync, upstream,
+		    notice->names_rate, notice->rate_per_s, exchange->sent_at);
 	if (notice->leaving)
 		fleet_upstream_on_leaving(upstream, "response", now);
 	if (notice->quiet_ms > 0)
--- a/src/gateway/rate_sync.c
+++ b/src/gateway/rate_sync.c
@@ -92,6 +92,56 @@
 		members, count, self, load_sync_count(sync->load_sync)) >= 1.0;
 }
 
+/* Tells an upstream's coordinator what a response has named. */
+static void
+send_observation(struct rate_sync *sync, const struct fleet_upstream *upstream,
+    const char *coordinator, bool named, int64_t sent_age_ms)
+{
+	const char *address = load_sync_address(sync->load_sync, coordinator);
+	struct message message = {
+	    .kind = MESSAGE_RATE,
+	    .rate =
+		{
+		    .upstream = upstream->id,
+		    .start = (uint64_t)upstream->start_wall_ms,
+		    .named = named,
+		    .rate = message_encode_rate(upstream->named_rate.per_s),
+		    .sent_age_ms = (uint64_t)MAX(sent_age_ms, 0),
+		},
+	};
+
+	if (address != NULL)
+		mesh_send(sync->mesh, address, &message);
+}
+
+/*
+ * Applies what a response to a request that was sent at sent_at says of its
+ * upstream's rate: that it is per_s, or nothing. Whether nothing means that the
+ * rate has ended is decided by the upstream's coordinator.
+ */
+void
+rate_sync_observe(struct rate_sync *sync, struct fleet_upstream *upstream,
+    bool named, double per_s, struct timespec sent_at)
+{
+	struct timespec now = clock_monotonic(sync->clock);
+	struct coordination coordination;
+	bool changed = false;
+
+	if (!named && !upstream->named_rate.named)
+		return;
+	coordination = find_coordinator(sync, upstream);
+	if (named)
+		changed = named_rate_on_named(
+		    &upstream->named_rate, per_s, now);
+	else if (coordination.is_self)
+		changed = named_rate_on_missing(
+		    &upstream->named_rate, sent_at, now);
+	fleet_upstream_on_rate(upstream, changed, "response");
+	if (!coordination.is_self)
+		send_observation(sync, upstream, coordination.coordinator,
+		    named, time_diff_ms(now, sent_at));
+}
+
 /* Returns whether requests to an upstream need a permit. */
 bool
 rate_sync_needs_permit(const struct fleet_upstream *upstream)
@@ -409,12 +459,42 @@
 	}
 }
 
+/* Handles what a response has named to a peer, as the coordinator. */
+static void
+on_observation(
+    struct rate_sync *sync, struct link *link, const struct message_rate *rate)
+{
+	struct timespec now = clock_monotonic(sync->clock);
+	int64_t age_ms = (int64_t)MIN(
+	    rate->sent_age_ms, (uint64_t)NAMED_RATE_AGE_MAX_MS);
+	struct fleet_upstream *upstream = fleet_find(
+	    sync->fleet, rate->upstream);
+	bool changed = false;
+
+	if (upstream == NULL ||
+	    upstream->start_wall_ms != (int64_t)rate->start) {
+		LOG_DEBUG("told of the rate of an unknown upstream",
+		    "{s:s, s:s}", "upstream", rate->upstream, "peer",
+		    link_peer(link)->process);
+		return;
+	}
+	if (rate->named)
+		changed = named_rate_on_named(&upstream->named_rate,
+		    message_decode_rate(rate->rate), now);
+	else if (find_coordinator(sync, upstream).is_self)
+		changed = named_rate_on_missing(
+		    &upstream->named_rate, time_add_ms(now, -age_ms), now);
+	fleet_upstream_on_rate(upstream, changed, link_peer(link)->process);
+}
+
 /* Handles a peer's message. */
 static void
 on_message(void *data, struct link *link, const struct message *message)
 {
 	if (message->kind == MESSAGE_PERMIT_ASK)
 		on_ask(data, link, message);
+	else if (message->kind == MESSAGE_RATE)
+		on_observation(data, link, &message->rate);
 	else
 		on_permit(data, message);
 }
@@ -435,7 +515,8 @@
 	sync->fleet = fleet;
 	TAILQ_INIT(&sync->permits);
 	sync->handler = (struct mesh_handler){
-	    .kinds = MESH_KIND(MESSAGE_PERMIT_ASK) | MESH_KIND(MESSAGE_PERMIT),
+	    .kinds = MESH_KIND(MESSAGE_PERMIT_ASK) | MESH_KIND(MESSAGE_PERMIT) |
+		MESH_KIND(MESSAGE_RATE),
 	    .ops = &rate_sync_ops,
 	    .data = sync,
 	};
--- a/src/gateway/rate_sync.h
+++ b/src/gateway/rate_sync.h
@@ -39,6 +39,8 @@
 struct rate_sync *rate_sync_new(struct ev_loop *, struct clock *, struct mesh *,
     struct load_sync *, struct fleet *);
 void rate_sync_free(struct rate_sync *);
+void rate_sync_observe(struct rate_sync *, struct fleet_upstream *, bool named,
+    double per_s, struct timespec sent_at);
 int64_t rate_sync_wait_ms(struct rate_sync *, struct fleet_upstream *);
 bool rate_sync_needs_permit(const struct fleet_upstream *);
 enum permit_result rate_sync_take(
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -53,6 +53,7 @@
 	MESSAGE_CRASHES, /* prompt parts with which upstreams died or not */
 	MESSAGE_PERMIT_ASK, /* for a request to an upstream that names a rate */
 	MESSAGE_PERMIT, /* the answer to it */
+	MESSAGE_RATE, /* whether a response of such an upstream named it */
 	MESSAGE_KINDS,
 };
 
@@ -318,6 +319,14 @@
 	uint64_t wait_ms; /* if not, until the next one is free */
 };
 
+struct message_rate {
+	char *upstream;
+	uint64_t start; /* wall ms of its start, or 0 */
+	bool named;
+	uint64_t rate; /* if named, per 1,000,000 s */
+	uint64_t sent_age_ms; /* since the request was sent */
+};
+
 struct message {
 	uint32_t kind; /* enum message_kind */
 	char request[REQUEST_ID_SIZE]; /* empty for none */
@@ -350,6 +359,7 @@
 		struct message_crashes crashes;
 		struct message_permit_ask permit_ask;
 		struct message_permit permit;
+		struct message_rate rate;
 	};
 };
 
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -119,6 +119,10 @@
 		M(U64, permit_ask.rate), M(U64, permit_ask.rate_age_ms) } },
 	[MESSAGE_PERMIT] = { "permit", {
 		M(BOOL, permit.granted), M(U64, permit.wait_ms) } },
+	[MESSAGE_RATE] = { "rate", {
+		M(STRING, rate.upstream), M(U64, rate.start),
+		M(BOOL, rate.named), M(U64, rate.rate),
+		M(U64, rate.sent_age_ms) } },
 };
 
 #undef M
--- a/src/policy/named_rate.c
+++ b/src/policy/named_rate.c
@@ -1,5 +1,7 @@
 #include "policy/named_rate.h"
 
+#include <math.h>
+
 #include <glib.h>
 
 #include "base/clock.h"
@@ -16,15 +18,17 @@
 	if (time_is_set(rate->seen_at) &&
 	    !time_before(rate->seen_at, observed->seen_at))
 		return false;
-	*rate = *observed;
+	rate->named = observed->named;
+	rate->per_s = observed->per_s;
+	rate->seen_at = observed->seen_at;
+	rate->misses = 0;
 	return rate->named != before.named ||
 	    (rate->named && rate->per_s != before.per_s);
 }
 
-/* A response names a rate. Returns whether that is a change. */
-bool
-named_rate_on_named(
-    struct named_rate *rate, double per_s, struct timespec seen_at)
+/* Sets a rate that was named, unless there is a later observation. */
+static bool
+apply_named(struct named_rate *rate, double per_s, struct timespec seen_at)
 {
 	const struct named_rate observed = {
 	    .named = true,
@@ -35,19 +39,45 @@
 	return apply(rate, &observed);
 }
 
+/* Adds a response that names the rate, and those before that did not. */
+static void
+update_share(struct named_rate *rate)
+{
+	if (rate->naming_share == 0.0)
+		rate->naming_share = NAMED_RATE_FIRST_SHARE;
+	rate->naming_share *= pow(
+	    1.0 - NAMED_RATE_SHARE_WEIGHT, (double)rate->misses);
+	rate->naming_share += NAMED_RATE_SHARE_WEIGHT *
+	    (1.0 - rate->naming_share);
+}
+
+/* A response names a rate. Returns whether that is a change. */
+bool
+named_rate_on_named(
+    struct named_rate *rate, double per_s, struct timespec seen_at)
+{
+	update_share(rate);
+	return apply_named(rate, per_s, seen_at);
+}
+
 /*
  * A response to a request that was sent at sent_at names no rate. Returns
- * whether that ends the rate.
+ * whether that ends the rate. Only for the coordinator, which is told of all
+ * responses.
  */
 bool
 named_rate_on_missing(
     struct named_rate *rate, struct timespec sent_at, struct timespec now)
 {
+	const struct named_rate ended = {.seen_at = now};
+
 	if (!rate->named ||
-	    time_diff_ms(sent_at, rate->seen_at) < NAMED_RATE_KEEP_MS)
+	    time_diff_ms(sent_at, rate->seen_at) < NAMED_RATE_KEEP_MS ||
+	    ++rate->misses < NAMED_RATE_MISSES_MIN ||
+	    pow(1.0 - rate->naming_share, (double)rate->misses) >
+		NAMED_RATE_MISSES_CHANCE)
 		return false;
-	*rate = (struct named_rate){.seen_at = now};
-	return true;
+	return apply(rate, &ended);
 }
 
 /*
@@ -61,6 +91,6 @@
 	int64_t age = (int64_t)MIN(age_ms, (uint64_t)NAMED_RATE_AGE_MAX_MS);
 	const struct named_rate ended = {.seen_at = time_add_ms(now, -age)};
 
-	return per_s > 0.0 ? named_rate_on_named(rate, per_s, ended.seen_at)
+	return per_s > 0.0 ? apply_named(rate, per_s, ended.seen_at)
 			   : apply(rate, &ended);
 }
