--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -134,7 +134,7 @@
 
 	if (rate_sync_needs_permit(upstream)) {
 		selection->rated++;
-	} else {
+	} else if (selection->rated > 0) {
 		selection->candidates[at] = selection->candidates[first_rated];
 		selection->upstreams[at] = selection->upstreams[first_rated];
 		at = first_rated;
