--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "base/metrics.h"
+#include "gateway/coordination.h"
 #include "gateway/exchange_internal.h"
 #include "policy/duration.h"
 #include "policy/quarantine.h"
@@ -337,7 +338,7 @@
 		exchange->caller_headers.part_count, &part))
 		return false;
 	snprintf(key, sizeof(key), "%" PRIx64, part);
-	if (!rate_sync_is_coordinator(context->rate_sync, key))
+	if (!coordination_is_own(context->load_sync, key))
 		return false;
 	crash_sync_begin_probe(context->crash_sync, part);
 	exchange->is_probe = true;
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -1,7 +1,6 @@
 #include "gateway/load_sync.h"
 
-#include <string.h>
-
+#include "gateway/load_report.h"
 #include "gateway/peer_loads.h"
 #include "policy/fanout.h"
 #include "policy/watching.h"
@@ -123,118 +122,6 @@
 	}
 }
 
-/* Rows of a report; the arrays have room for all upstreams. */
-struct report {
-	char **ids;
-	uint64_t *running;
-	uint64_t *streams[STREAM_CLASSES];
-	uint64_t *context_tokens;
-	uint64_t *prefill_us;
-	size_t rows;
-	char **faulty;
-	size_t faulty_count;
-	char **leaving;
-	uint64_t *leaving_starts;
-	size_t leaving_count;
-	char **rated;
-	uint64_t *rated_starts;
-	uint64_t *rates;
-	uint64_t *rate_ages_ms;
-	size_t rated_count;
-};
-
-/* Allocates the arrays of a report. */
-static void
-report_init(struct report *report, size_t max)
-{
-	*report = (struct report){
-	    .ids = g_new(char *, max + 1),
-	    .running = g_new(uint64_t, max + 1),
-	    .context_tokens = g_new(uint64_t, max + 1),
-	    .prefill_us = g_new(uint64_t, max + 1),
-	    .faulty = g_new(char *, max + 1),
-	    .leaving = g_new(char *, max + 1),
-	    .leaving_starts = g_new(uint64_t, max + 1),
-	    .rated = g_new(char *, max + 1),
-	    .rated_starts = g_new(uint64_t, max + 1),
-	    .rates = g_new(uint64_t, max + 1),
-	    .rate_ages_ms = g_new(uint64_t, max + 1),
-	};
-	for (size_t i = 0; i < STREAM_CLASSES; i++)
-		report->streams[i] = g_new(uint64_t, max + 1);
-}
-
-/* Frees the arrays of a report. */
-static void
-report_clear(struct report *report)
-{
-	g_free(report->ids);
-	g_free(report->running);
-	for (size_t i = 0; i < STREAM_CLASSES; i++)
-		g_free(report->streams[i]);
-	g_free(report->context_tokens);
-	g_free(report->prefill_us);
-	g_free(report->faulty);
-	g_free(report->leaving);
-	g_free(report->leaving_starts);
-	g_free(report->rated);
-	g_free(report->rated_starts);
-	g_free(report->rates);
-	g_free(report->rate_ages_ms);
-}
-
-/* Adds our load on an upstream to a report. */
-static void
-add_row(struct report *report, struct fleet_upstream *upstream)
-{
-	size_t row = report->rows++;
-
-	report->ids[row] = upstream->id;
-	report->running[row] = upstream->own.running;
-	for (size_t i = 0; i < STREAM_CLASSES; i++)
-		report->streams[i][row] = upstream->own.streams[i];
-	report->context_tokens[row] = upstream->own.context_tokens;
-	report->prefill_us[row] = upstream->own.prefill_us;
-	upstream->reported = upstream->own;
-}
-
-/* Adds the rate that an upstream names, or that it no longer does. */
-static void
-add_rate(struct report *report, const struct fleet_upstream *upstream,
-    struct timespec now)
-{
-	const struct named_rate *rate = &upstream->named_rate;
-	size_t row = report->rated_count++;
-
-	report->rated[row] = upstream->id;
-	report->rated_starts[row] = (uint64_t)upstream->start_wall_ms;
-	report->rates[row] = rate->named ? message_encode_rate(rate->per_s) : 0;
-	report->rate_ages_ms[row] = (uint64_t)MAX(
-	    time_diff_ms(now, rate->seen_at), 0);
-}
-
-/* Returns whether there is no load. */
-static bool
-is_idle(const struct upstream_load *load)
-{
-	return load->running == 0 && load->prefill_us == 0 &&
-	    load->context_tokens == 0;
-}
-
-/* Returns whether the peers know our load on an upstream. */
-static bool
-is_reported(const struct fleet_upstream *upstream)
-{
-	const struct upstream_load *own = &upstream->own;
-	const struct upstream_load *reported = &upstream->reported;
-
-	return own->running == reported->running &&
-	    memcmp(own->streams, reported->streams, sizeof(own->streams)) ==
-	    0 &&
-	    own->context_tokens == reported->context_tokens &&
-	    own->prefill_us == reported->prefill_us;
-}
-
 /*
  * This process stops: its peers no longer count on it to watch the store, which
  * it does until they have taken over.
@@ -347,7 +234,7 @@
 
 /* Collects our loads, or those that changed, and what we know of upstreams. */
 static void
-collect_report(struct load_sync *sync, struct report *report, bool changes)
+collect_report(struct load_sync *sync, struct load_report *report, bool changes)
 {
 	struct timespec now = clock_monotonic(sync->clock);
 	struct fleet_upstream *upstream;
@@ -362,15 +249,16 @@
 		}
 		if ((!changes && upstream->named_rate.named) ||
 		    fleet_upstream_announces_rate(upstream, now))
-			add_rate(report, upstream, now);
-		if (changes ? !is_reported(upstream) : !is_idle(&upstream->own))
-			add_row(report, upstream);
+			load_report_add_rate(report, upstream, now);
+		if (changes ? !load_report_is_known(upstream)
+			    : !load_report_is_idle(&upstream->own))
+			load_report_add_load(report, upstream);
 	}
 }
 
 /* Returns whether a round can be skipped because there is nothing to report. */
 static bool
-may_skip(struct load_sync *sync, const struct report *report)
+may_skip(struct load_sync *sync, const struct load_report *report)
 {
 	bool empty = report->rows == 0 && report->faulty_count == 0 &&
 	    report->leaving_count == 0 && report->rated_count == 0;
@@ -406,9 +294,9 @@
 {
 	struct message message = {.kind = MESSAGE_LOAD};
 	bool changes = reports_changes(sync);
-	struct report report;
+	struct load_report report;
 
-	report_init(&report, fleet_count(sync->fleet));
+	load_report_init(&report, fleet_count(sync->fleet));
 	collect_report(sync, &report, changes);
 	message.load = (struct message_load){
 	    .cannot_watch = cannot_watch(sync),
@@ -433,7 +321,7 @@
 	};
 	if (!may_skip(sync, &report) || !changes)
 		broadcast(sync, &message);
-	report_clear(&report);
+	load_report_clear(&report);
 }
 
 /*
--- a/src/gateway/rate_sync.c
+++ b/src/gateway/rate_sync.c
@@ -4,6 +4,7 @@
 
 #include "base/list.h"
 #include "base/metrics.h"
+#include "gateway/coordination.h"
 
 #define LOG_MODULE "rate"
 #include "base/log.h"
@@ -41,57 +42,6 @@
 	uint64_t last_id;
 };
 
-/* The coordinator of an upstream's rate, and what this process may grant. */
-struct coordination {
-	const char *coordinator; /* name; NULL if each process is its own */
-	bool is_self;
-	struct rate_part part;
-};
-
-/* Finds the coordinator of an upstream's rate among the live gateways. */
-static struct coordination
-find_coordinator(
-    const struct rate_sync *sync, const struct fleet_upstream *upstream)
-{
-	size_t count;
-	const char *self = load_sync_self(sync->load_sync);
-	const struct rate_member *members = load_sync_members(
-	    sync->load_sync, &count);
-	const char *coordinator = shared_rate_coordinator(
-	    upstream->id, members, count);
-
-	return (struct coordination){
-	    .coordinator = coordinator,
-	    .is_self = coordinator == NULL || strcmp(coordinator, self) == 0,
-	    .part =
-		{
-		    .per_s = upstream->named_rate.per_s,
-		    .share = shared_rate_share(
-			members, count, self, load_sync_count(sync->load_sync)),
-		    .view = shared_rate_view(members, count),
-		    .phase = shared_rate_phase(upstream->id, self),
-		},
-	};
-}
-
-/*
- * Returns whether this process alone may do what is to be done once by all
- * gateways: it coordinates the key, and most of them agree on that.
- */
-bool
-rate_sync_is_coordinator(struct rate_sync *sync, const char *key)
-{
-	size_t count;
-	const char *self = load_sync_self(sync->load_sync);
-	const struct rate_member *members = load_sync_members(
-	    sync->load_sync, &count);
-	const char *coordinator = shared_rate_coordinator(key, members, count);
-
-	return g_strcmp0(coordinator, self) == 0 &&
-	    shared_rate_share(
-		members, count, self, load_sync_count(sync->load_sync)) >= 1.0;
-}
-
 /* Tells an upstream's coordinator what a response has named. */
 static void
 send_observation(struct rate_sync *sync, const struct fleet_upstream *upstream,
@@ -129,7 +79,7 @@
 
 	if (!named && !upstream->named_rate.named)
 		return;
-	coordination = find_coordinator(sync, upstream);
+	coordination = coordination_find(sync->load_sync, upstream);
 	if (named)
 		changed = named_rate_on_named(
 		    &upstream->named_rate, per_s, now);
@@ -161,7 +111,7 @@
 
 	if (!upstream->named_rate.named)
 		return 0;
-	coordination = find_coordinator(sync, upstream);
+	coordination = coordination_find(sync->load_sync, upstream);
 	if (coordination.is_self)
 		return shared_rate_wait_ms(
 		    &upstream->shared_rate, &coordination.part, now);
@@ -233,7 +183,8 @@
 {
 	upstream->no_permit_until = time_add_ms(clock_monotonic(sync->clock),
 	    CLAMP(wait_ms, 1, RATE_SYNC_WAIT_MAX_MS));
-	upstream->no_permit_view = find_coordinator(sync, upstream).part.view;
+	upstream->no_permit_view = coordination_find(sync->load_sync, upstream)
+				       .part.view;
 }
 
 /* Ends the wait for a permit with its result. */
@@ -309,7 +260,7 @@
 
 	if (!rate_sync_needs_permit(upstream))
 		return PERMIT_GRANTED;
-	coordination = find_coordinator(sync, upstream);
+	coordination = coordination_find(sync->load_sync, upstream);
 	if (!coordination.is_self)
 		return PERMIT_REMOTE;
 	return decide(sync, request, NULL, upstream, &coordination) == 0
@@ -325,7 +276,8 @@
 rate_sync_ask(struct rate_sync *sync, struct fleet_upstream *upstream,
     const char *request, permit_fn *done, void *data)
 {
-	struct coordination coordination = find_coordinator(sync, upstream);
+	struct coordination coordination = coordination_find(
+	    sync->load_sync, upstream);
 	struct permit *permit = g_new0(struct permit, 1);
 	bool sent;
 
@@ -376,7 +328,8 @@
 static void
 charge(struct rate_sync *sync, struct fleet_upstream *upstream, bool is_own)
 {
-	struct coordination coordination = find_coordinator(sync, upstream);
+	struct coordination coordination = coordination_find(
+	    sync->load_sync, upstream);
 
 	if (coordination.is_self)
 		shared_rate_charge(&upstream->shared_rate, &coordination.part,
@@ -405,7 +358,8 @@
 {
 	struct message reply = {
 	    .kind = MESSAGE_PERMIT, .sequence = ask->sequence};
-	struct coordination coordination = find_coordinator(sync, upstream);
+	struct coordination coordination = coordination_find(
+	    sync->load_sync, upstream);
 	int64_t wait_ms = RATE_SYNC_RETRY_MS;
 
 	if (!upstream->named_rate.named)
@@ -481,7 +435,7 @@
 	if (rate->named)
 		changed = named_rate_on_named(&upstream->named_rate,
 		    message_decode_rate(rate->rate), now);
-	else if (find_coordinator(sync, upstream).is_self)
+	else if (coordination_find(sync->load_sync, upstream).is_self)
 		changed = named_rate_on_missing(
 		    &upstream->named_rate, time_add_ms(now, -age_ms), now);
 	fleet_upstream_on_rate(upstream, changed, link_peer(link)->process);
--- a/src/gateway/rate_sync.h
+++ b/src/gateway/rate_sync.h
@@ -48,7 +48,6 @@
 struct permit *rate_sync_ask(struct rate_sync *, struct fleet_upstream *,
     const char *request, permit_fn *, void *data);
 void permit_cancel(struct permit *);
-bool rate_sync_is_coordinator(struct rate_sync *, const char *key);
 void rate_sync_charge(struct rate_sync *, const char *address);
 bool rate_sync_is_named(const struct rate_sync *, const char *address);
 
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -121,43 +121,69 @@
 	}
 }
 
+/* The gateway that has run for long, and the others. */
+struct test {
+	struct ev_loop *loop;
+	ev_timer timeout;
+	struct fake_platform *platform;
+	struct counter counter;
+	struct peer_gateway first;
+	struct peer_gateway others[OTHERS];
+};
+
+/* Starts all gateways of a case. */
+static void
+set_up(struct test *t, const struct load_case *c)
+{
+	const struct load_sync_settings settings = {
+	    .self = names[find_last_by_rank()], .failure_domain = "z"};
+
+	t->loop = ev_loop_new(EVFLAG_AUTO);
+	t->platform = fake_platform_new(t->loop);
+	t->counter.handler = (struct mesh_handler){
+	    .kinds = MESH_KIND(MESSAGE_LOAD),
+	    .ops = &counter_ops,
+	    .data = &t->counter,
+	};
+	ev_timer_init(&t->timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
+	ev_timer_start(t->loop, &t->timeout);
+	fake_platform_set_config(t->platform, CONFIG);
+	peer_gateway_start(&t->first, t->loop, t->platform, &settings);
+	mesh_add_handler(t->first.mesh, &t->counter.handler);
+	start_others(
+	    c, t->loop, t->platform, &t->first, t->others, &t->counter);
+}
+
+/* Stops all. */
+static void
+tear_down(struct test *t)
+{
+	for (size_t i = 0; i < OTHERS; i++)
+		peer_gateway_stop(&t->others[i]);
+	mesh_remove_handler(t->first.mesh, &t->counter.handler);
+	peer_gateway_stop(&t->first);
+	fake_platform_free(t->platform);
+	ev_timer_stop(t->loop, &t->timeout);
+	ev_loop_destroy(t->loop);
+}
+
 /* Runs one case. */
 static void
 test_case(gconstpointer data)
 {
 	const struct load_case *c = &cases[GPOINTER_TO_SIZE(data)];
-	const struct load_sync_settings settings = {
-	    .self = names[find_last_by_rank()], .failure_domain = "z"};
-	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct fake_platform *platform = fake_platform_new(loop);
-	struct counter counter = {.handler = {.kinds = MESH_KIND(MESSAGE_LOAD),
-				      .ops = &counter_ops,
-				      .data = &counter}};
-	struct peer_gateway first;
-	struct peer_gateway others[OTHERS];
-	ev_timer timeout;
+	struct test t = {0};
 
-	ev_timer_init(&timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
-	ev_timer_start(loop, &timeout);
-	fake_platform_set_config(platform, CONFIG);
-	peer_gateway_start(&first, loop, platform, &settings);
-	mesh_add_handler(first.mesh, &counter.handler);
-	start_others(c, loop, platform, &first, others, &counter);
-	while (!has_enough_reports(&counter))
-		ev_run(loop, EVRUN_ONCE);
+	set_up(&t, c);
+	while (!has_enough_reports(&t.counter))
+		ev_run(t.loop, EVRUN_ONCE);
 	g_assert_cmpint(
-	    routing_state_is_watching(first.routing_state), ==, c->watches);
-	for (size_t i = 0; i < OTHERS; i++) {
+	    routing_state_is_watching(t.first.routing_state), ==, c->watches);
+	for (size_t i = 0; i < OTHERS; i++)
 		g_assert_cmpint(
-		    routing_state_is_watching(others[i].routing_state), ==,
+		    routing_state_is_watching(t.others[i].routing_state), ==,
 		    c->others_watch);
-		peer_gateway_stop(&others[i]);
-	}
-	mesh_remove_handler(first.mesh, &counter.handler);
-	peer_gateway_stop(&first);
-	fake_platform_free(platform);
-	ev_timer_stop(loop, &timeout);
-	ev_loop_destroy(loop);
+	tear_down(&t);
 }
 
 /*
@@ -168,36 +194,16 @@
 test_count(void)
 {
 	static const struct load_case c = {
-	    "", WATCHING_SETTLE_MS, false, false, false, true};
-	const struct load_sync_settings settings = {
-	    .self = names[find_last_by_rank()], .failure_domain = "z"};
-	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct fake_platform *platform = fake_platform_new(loop);
-	struct counter counter = {.handler = {.kinds = MESH_KIND(MESSAGE_LOAD),
-				      .ops = &counter_ops,
-				      .data = &counter}};
-	struct peer_gateway first;
-	struct peer_gateway others[OTHERS];
-	ev_timer timeout;
+	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
+	struct test t = {0};
 
-	ev_timer_init(&timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
-	ev_timer_start(loop, &timeout);
-	fake_platform_set_config(platform, CONFIG);
-	peer_gateway_start(&first, loop, platform, &settings);
-	mesh_add_handler(first.mesh, &counter.handler);
-	start_others(&c, loop, platform, &first, others, &counter);
+	set_up(&t, &c);
 	/* The stand-in's list stays empty. */
-	while (!has_enough_reports(&counter) ||
-	    registry_count(first.registry) >= OTHERS)
-		ev_run(loop, EVRUN_ONCE);
-	g_assert_cmpuint(load_sync_count(first.load_sync), ==, OTHERS + 1);
-	for (size_t i = 0; i < OTHERS; i++)
-		peer_gateway_stop(&others[i]);
-	mesh_remove_handler(first.mesh, &counter.handler);
-	peer_gateway_stop(&first);
-	fake_platform_free(platform);
-	ev_timer_stop(loop, &timeout);
-	ev_loop_destroy(loop);
+	while (!has_enough_reports(&t.counter) ||
+	    registry_count(t.first.registry) >= OTHERS)
+		ev_run(t.loop, EVRUN_ONCE);
+	g_assert_cmpuint(load_sync_count(t.first.load_sync), ==, OTHERS + 1);
+	tear_down(&t);
 }
 
 int
