--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -129,7 +129,7 @@
         self.history = []  # (revision, kind, object, whether deleted)
         self.compacted_revision = 0  # history up to here was dropped
         self.state = "up"  # or busy, silent, slow
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # replaced at each change
         self.era = 1  # rises with each restore
         self.copies = collections.deque(maxlen=COPIES)
 
@@ -156,8 +156,7 @@
         self.compacted_revision = min(self.compacted_revision, self.revision)
         self.copies.clear()
         self.era += 1
-        async with self.changed:
-            self.changed.notify_all()
+        self.wake_watches()
 
     async def put(self, kind, name, spec):
         """Creates or replaces an object and notifies the watches."""
@@ -177,8 +176,12 @@
     async def record_change(self, kind, obj, removed):
         """Adds a change to the history and notifies the watches."""
         self.history.append((self.revision, kind, obj, removed))
-        async with self.changed:
-            self.changed.notify_all()
+        self.wake_watches()
+
+    def wake_watches(self):
+        """Wakes the watches that wait for a change."""
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def compact(self):
         """Drops the history: watches from older revisions get 410."""
@@ -206,8 +209,7 @@
             if events or remaining_s <= 0:
                 return {"events": events, "StoreRevision": self.revision}
             try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), remaining_s)
+                await asyncio.wait_for(self.changed.wait(), remaining_s)
             except asyncio.TimeoutError:
                 pass
 
