named_rate: a rate that peers repeat in their reports can end

What callers saw: upstreams that had named a rate kept it for good where several gateways run, and callers were refused though all upstreams took them.

Cause: load reports repeat a known rate with its age, each gateway adds the time of the way, and each so much later observation reset the count of responses without it.

--- a/src/policy/named_rate.c
+++ b/src/policy/named_rate.c
@@ -82,7 +82,9 @@
 
 /*
  * Another process reports a rate, or with a rate of 0 that none is named, and
- * how long ago it has observed that. Returns whether that is a change.
+ * how long ago it has observed that. Returns whether that is a change. A known
+ * rate that is repeated is no observation: each process on its way adds to the
+ * time, so that it would seem to be named again and again.
  */
 bool
 named_rate_on_report(
@@ -91,6 +93,9 @@
 	int64_t age = (int64_t)MIN(age_ms, (uint64_t)NAMED_RATE_AGE_MAX_MS);
 	const struct named_rate ended = {.seen_at = time_add_ms(now, -age)};
 
-	return per_s > 0.0 ? apply_named(rate, per_s, ended.seen_at)
-			   : apply(rate, &ended);
+	if (per_s <= 0.0)
+		return apply(rate, &ended);
+	if (rate->named && rate->per_s == MAX(per_s, NAMED_RATE_MIN_PER_S))
+		return false;
+	return apply_named(rate, per_s, ended.seen_at);
 }
