--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -253,57 +253,6 @@
 	ev_timer_start(exchange->context->loop, &exchange->deadline_timer);
 }
 
-/* Finds the organisation of the request's API key; false if it is refused. */
-static bool
-authenticate(struct exchange *exchange)
-{
-	if (exchange->route->public || exchange->table->organisations->len == 0)
-		return true;
-	if (exchange->caller_headers.key != NULL)
-		exchange->organisation = routing_table_find_organisation(
-		    exchange->table, exchange->caller_headers.key);
-	if (exchange->organisation != NULL)
-		return true;
-	exchange_refuse(
-	    exchange, REFUSAL_NO_KEY, 0, "the request has no valid API key");
-	return false;
-}
-
-/* Finds the route and picks the service; false if the request is refused. */
-static bool
-find_route(struct exchange *exchange)
-{
-	g_autofree char *path = g_strdup(httpd_request_target(exchange->http));
-	const char *service;
-
-	path[strcspn(path, "?")] = '\0';
-	if (exchange->caller_headers.request_id == NULL ||
-	    exchange->caller_headers.host == NULL) {
-		exchange_refuse(exchange, REFUSAL_BAD_REQUEST, 0,
-		    "the request has no id or no host");
-		return false;
-	}
-	exchange->route = routing_table_find_route(
-	    exchange->table, exchange->caller_headers.host, path);
-	if (exchange->route == NULL) {
-		exchange_refuse(exchange, REFUSAL_NO_ROUTE, 0,
-		    "no route matches the host and path");
-		return false;
-	}
-	if (!authenticate(exchange))
-		return false;
-	service = route_pick_service(
-	    exchange->route, g_rand_int(exchange->context->random));
-	exchange->profile = service == NULL
-	    ? NULL
-	    : routing_table_find_service(exchange->table, service);
-	if (exchange->profile != NULL)
-		return true;
-	exchange_refuse(exchange, REFUSAL_NO_UPSTREAM, MS_PER_S,
-	    "the route has no configured service");
-	return false;
-}
-
 /* Returns a hash that identifies a request, the same each time it is sent. */
 static uint64_t
 fingerprint(const struct exchange *exchange)
@@ -398,6 +347,8 @@
 void
 exchange_start(struct exchange_context *context, struct httpd_request *http)
 {
+	const struct routing_table *table = routing_state_table(
+	    context->routing_state);
 	struct exchange *exchange = g_new0(struct exchange, 1);
 
 	context->open++;
@@ -420,15 +371,14 @@
 	exchange->has_last_event = exchange->caller_headers.has_last_event;
 	exchange->last_event = exchange->caller_headers.last_event;
 	log_drain(exchange);
-	if (routing_state_table(context->routing_state) == NULL) {
+	if (table == NULL) {
 		exchange_refuse(exchange, REFUSAL_NOT_READY,
 		    NOT_READY_RETRY_AFTER_MS,
 		    "the gateway has not received its routes yet");
 		return;
 	}
-	exchange->table = routing_table_ref(
-	    routing_state_table(context->routing_state));
-	if (!find_route(exchange) || is_quarantined(exchange))
+	exchange->routes_version = table->version;
+	if (!exchange_find_route(exchange, table) || is_quarantined(exchange))
 		return;
 	set_deadline(exchange);
 	exchange_send(exchange);
@@ -474,7 +424,7 @@
 	if (exchange->headers != NULL)
 		g_array_unref(exchange->headers);
 	event_splitter_clear(&exchange->splitter);
-	routing_table_unref(exchange->table);
+	exchange_release_route(exchange);
 	context->open--;
 	TAILQ_REMOVE(&context->exchanges, exchange, entry);
 	g_free(exchange);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -73,10 +73,10 @@
 	ev_timer wait_timer; /* delays the next attempt to place the prompt */
 	struct caller_headers caller_headers;
 	uint64_t fingerprint; /* hash of organisation, target and body */
-	struct routing_table *table; /* snapshot that it was routed with */
-	const struct route *route;
-	const struct organisation *organisation; /* NULL on public routes */
-	const struct service_profile *profile;
+	uint64_t routes_version; /* that it was routed with */
+	struct route *route; /* references, like the next two; or NULL */
+	struct organisation *organisation; /* NULL on public routes */
+	struct service_profile *profile;
 
 	/* Sends. */
 	char *tried[EXCHANGE_TRIES_MAX]; /* upstream ids */
@@ -126,6 +126,8 @@
 
 void exchange_refuse(
     struct exchange *, enum refusal, int64_t retry_after_ms, const char *why);
+bool exchange_find_route(struct exchange *, const struct routing_table *);
+void exchange_release_route(struct exchange *);
 void exchange_send(struct exchange *);
 void exchange_schedule_plan(struct exchange *);
 bool exchange_may_begin(struct exchange *);
--- /dev/null
+++ b/src/gateway/exchange_route.c
@@ -0,0 +1,82 @@
+/*
+ * The route, organisation and service of a request. The request keeps its own
+ * references, so that it ends with those that it began with while the routing
+ * table changes.
+ */
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/httpd.h"
+#include "gateway/exchange_internal.h"
+
+/* Finds the organisation of the request's API key; false if it is refused. */
+static bool
+authenticate(struct exchange *exchange, const struct routing_table *table)
+{
+	struct organisation *organisation = NULL;
+
+	if (exchange->route->public || table->organisation_count == 0)
+		return true;
+	if (exchange->caller_headers.key != NULL)
+		organisation = routing_table_find_organisation(
+		    table, exchange->caller_headers.key);
+	if (organisation != NULL) {
+		exchange->organisation = organisation_ref(organisation);
+		return true;
+	}
+	exchange_refuse(
+	    exchange, REFUSAL_NO_KEY, 0, "the request has no valid API key");
+	return false;
+}
+
+/*
+ * Finds the route and picks the service, and takes references to them; false if
+ * the request is refused.
+ */
+bool
+exchange_find_route(
+    struct exchange *exchange, const struct routing_table *table)
+{
+	g_autofree char *path = g_strdup(httpd_request_target(exchange->http));
+	struct service_profile *profile = NULL;
+	struct route *route;
+	const char *service;
+
+	path[strcspn(path, "?")] = '\0';
+	if (exchange->caller_headers.request_id == NULL ||
+	    exchange->caller_headers.host == NULL) {
+		exchange_refuse(exchange, REFUSAL_BAD_REQUEST, 0,
+		    "the request has no id or no host");
+		return false;
+	}
+	route = routing_table_find_route(
+	    table, exchange->caller_headers.host, path);
+	if (route == NULL) {
+		exchange_refuse(exchange, REFUSAL_NO_ROUTE, 0,
+		    "no route matches the host and path");
+		return false;
+	}
+	exchange->route = route_ref(route);
+	if (!authenticate(exchange, table))
+		return false;
+	service = route_pick_service(
+	    route, g_rand_int(exchange->context->random));
+	if (service != NULL)
+		profile = routing_table_find_service(table, service);
+	if (profile != NULL) {
+		exchange->profile = service_profile_ref(profile);
+		return true;
+	}
+	exchange_refuse(exchange, REFUSAL_NO_UPSTREAM, MS_PER_S,
+	    "the route has no configured service");
+	return false;
+}
+
+/* Returns the references to the route, organisation and service. */
+void
+exchange_release_route(struct exchange *exchange)
+{
+	route_unref(exchange->route);
+	organisation_unref(exchange->organisation);
+	service_profile_unref(exchange->profile);
+}
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -101,7 +101,7 @@
 	    (int)chosen->running, "backlog_ms", (int)chosen->backlog_ms,
 	    "expected_ms", (int)plan->first_token_ms, "left_ms",
 	    (json_int_t)exchange_remaining_ms(exchange), "routes_version",
-	    (json_int_t)exchange->table->version, "list_version",
+	    (json_int_t)exchange->routes_version, "list_version",
 	    (json_int_t)fleet->version);
 }
 
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -1,6 +1,10 @@
 #include "gateway/routing_state.h"
 
+#include <string.h>
+
 #include "base/metrics.h"
+#include "gateway/routing_update.h"
+#include "platform/config_items.h"
 #include "platform/decode.h"
 #include "platform/object_watch.h"
 
@@ -20,7 +24,7 @@
 	struct shared_kind routes;
 	struct shared_kind upstreams;
 	struct shared_kind takeouts;
-	struct routing_table *table; /* NULL until the first one */
+	struct routing_update *update; /* of the routing table */
 	struct timespec table_applied_at; /* when this process applied it */
 	struct fleet *fleet;
 	bool takeouts_known;
@@ -91,47 +95,94 @@
 	    kind->watch, base, version, text, length);
 }
 
-/* Replaces the routing table unless the new one is older. */
+/*
+ * Announces the configuration that is in force now. Peers of a build that knows
+ * no items request it as the store's object.
+ */
 static void
-set_table(struct routing_state *routing_state, struct routing_table *table,
-    uint64_t revision)
+on_routes_applied(void *data, uint64_t version)
 {
-	if (routing_state->table != NULL &&
-	    table->version < routing_state->table->version) {
-		LOG_WARN("ignored routes older than those in force",
-		    "{s:I, s:I}", "version", (json_int_t)table->version,
-		    "in_force", (json_int_t)routing_state->table->version);
-		routing_table_unref(table);
-		return;
-	}
-	routing_table_unref(routing_state->table);
-	routing_state->table = table;
+	struct routing_state *routing_state = data;
+	uint64_t routes = routing_update_table(routing_state->update)->version;
+
 	routing_state->table_applied_at = clock_monotonic(routing_state->clock);
-	metric_set(&routes_version, (int64_t)table->version);
-	LOG_INFO("routes in force", "{s:I, s:I}", "version",
-	    (json_int_t)table->version, "revision", (json_int_t)revision);
+	metric_set(&routes_version, (int64_t)routes);
+	LOG_INFO("routes in force", "{s:I, s:I}", "version", (json_int_t)routes,
+	    "revision", (json_int_t)version);
+	object_watch_advance(routing_state->routes.watch, version);
+	documents_record(routing_state->documents, DOCUMENT_ROUTES, version);
+	announce(&routing_state->routes, version);
+	notify_complete(routing_state);
 }
 
-/* Applies newer routes, from the store or from a peer. */
+/* Requests what a change that failed half-way needs to be repeated. */
+static void
+on_routes_failed(void *data, uint64_t version, bool had_all)
+{
+	const struct routing_state *routing_state = data;
+
+	documents_request_whole(
+	    routing_state->documents, DOCUMENT_ROUTING_ITEMS);
+	if (had_all)
+		documents_reject(
+		    routing_state->documents, DOCUMENT_ROUTING_ITEMS, version);
+}
+
+static const struct routing_update_ops update_ops = {
+    .applied = on_routes_applied,
+    .failed = on_routes_failed,
+};
+
+/* Takes the configuration's object from the store, or from a peer. */
 static void
 on_routes(void *data, uint64_t version, const struct object_changes *changes)
 {
 	const struct shared_kind *kind = data;
-	g_autoptr(GError) error = NULL;
-	struct routing_table *table;
+	struct routing_update *update = kind->routing_state->update;
 
 	if (changes->put_count == 0 && changes->removed_count == 0) {
-		announce(kind, version);
+		routing_update_raise_version(update, version);
 		return;
 	}
-	table = decode_routes(changes, &error);
-	if (table != NULL)
-		set_table(kind->routing_state, table, version);
-	else
-		LOG_WARN("ignored invalid routes", "{s:s, s:I}", "why",
-		    error->message, "revision", (json_int_t)version);
-	announce(kind, version);
-	notify_complete(kind->routing_state);
+	for (size_t i = 0; i < changes->put_count; i++) {
+		if (strcmp(object_name(changes->put[i]), CONFIG_ITEMS_OBJECT) !=
+		    0)
+			continue;
+		routing_update_add_object(update, changes->put[i], version);
+		return;
+	}
+	LOG_WARN("ignored invalid routes", "{s:s, s:I}", "why",
+	    "no configuration object found", "revision", (json_int_t)version);
+}
+
+/* Encodes the configuration for a peer that knows no items. */
+static GString *
+encode_routes(void *data, uint64_t have, uint64_t *base)
+{
+	const struct shared_kind *kind = data;
+
+	*base = 0;
+	return routing_update_encode_object(kind->routing_state->update);
+}
+
+/* Encodes the items that a peer lacks. */
+static GString *
+encode_items(void *data, uint64_t have, uint64_t *base)
+{
+	const struct routing_state *routing_state = data;
+
+	return routing_update_encode(routing_state->update, have, base);
+}
+
+/* Applies the items that a peer sent. */
+static bool
+apply_items(void *data, uint64_t base, uint64_t version, const uint8_t *text,
+    size_t length)
+{
+	const struct routing_state *routing_state = data;
+
+	return routing_update_add_items(
+	    routing_state->update, base, version, text, length);
 }
 
 /* Applies a newer list of upstreams. */
@@ -211,8 +262,15 @@
 	routing_state->documents = documents;
 	routing_state->fleet = fleet_new();
 	routing_state->watching = watching;
+	routing_state->update = routing_update_new(
+	    loop, clock, &update_ops, routing_state);
 	start_watch(routing_state, &routing_state->routes, loop, store,
-	    DECODE_KIND_ROUTES, DOCUMENT_ROUTES, on_routes);
+	    DECODE_KIND_ROUTES, DOCUMENT_ROUTING_ITEMS, on_routes);
+	object_watch_drop_texts(routing_state->routes.watch);
+	documents_set_codec(documents, DOCUMENT_ROUTES, encode_routes,
+	    apply_objects, &routing_state->routes);
+	documents_set_codec(documents, DOCUMENT_ROUTING_ITEMS, encode_items,
+	    apply_items, routing_state);
 	start_watch(routing_state, &routing_state->upstreams, loop, store,
 	    DECODE_KIND_UPSTREAMS, DOCUMENT_UPSTREAMS, on_upstreams);
 	start_watch(routing_state, &routing_state->takeouts, loop, store,
@@ -233,7 +291,7 @@
 	object_watch_free(routing_state->routes.watch);
 	object_watch_free(routing_state->upstreams.watch);
 	object_watch_free(routing_state->takeouts.watch);
-	routing_table_unref(routing_state->table);
+	routing_update_free(routing_state->update);
 	fleet_free(routing_state->fleet);
 	g_free(routing_state);
 }
@@ -273,15 +331,15 @@
 bool
 routing_state_is_complete(const struct routing_state *routing_state)
 {
-	return routing_state->table != NULL && routing_state->takeouts_known &&
-	    routing_state->fleet->version > 0;
+	return routing_state_table(routing_state) != NULL &&
+	    routing_state->takeouts_known && routing_state->fleet->version > 0;
 }
 
 /* Returns the current routing table; NULL before the first. */
 struct routing_table *
 routing_state_table(const struct routing_state *routing_state)
 {
-	return routing_state->table;
+	return routing_update_table(routing_state->update);
 }
 
 /* Returns the upstreams, which live as long as the routing state. */
--- /dev/null
+++ b/src/gateway/routing_update.c
@@ -0,0 +1,353 @@
+#include "gateway/routing_update.h"
+
+#include "base/metrics.h"
+#include "platform/config_change.h"
+#include "platform/config_items.h"
+
+#define LOG_MODULE "routing_update"
+#include "base/log.h"
+
+/* Elements between two checks of the time; each takes some microseconds. */
+#define STEP_ELEMENTS 8
+
+struct routing_update {
+	struct ev_loop *loop;
+	struct clock *clock;
+	const struct routing_update_ops *ops;
+	void *data;
+	ev_timer timer; /* starts the next slice */
+	struct config_items *items;
+	struct routing_table *table; /* in force; NULL before the first */
+	struct config_change *running; /* NULL for none */
+	struct config_change *waiting; /* the newest; NULL for none */
+	bool settling; /* what the last change replaced is being released */
+	uint64_t refused_version; /* the last that could not be begun */
+	struct timespec started; /* of the running change */
+	bool applied; /* a change whose cost was not logged yet */
+	int64_t longest_slice_us; /* of the running change */
+	unsigned int slices; /* the same */
+};
+
+METRIC_DEFINE(applied_count, METRIC_COUNTER,
+    "heatherturn_configuration_changes", NULL,
+    "Changes of the configuration that were applied.");
+METRIC_DEFINE(failed_count, METRIC_COUNTER,
+    "heatherturn_configuration_changes_ignored", NULL,
+    "Changes of the configuration that could not be used.");
+METRIC_DEFINE(merged_count, METRIC_COUNTER,
+    "heatherturn_configuration_changes_merged", NULL,
+    "Changes of the configuration that a newer one replaced before they were "
+    "applied.");
+METRIC_DEFINE(slice_gauge, METRIC_GAUGE, "heatherturn_configuration_slice_us",
+    NULL,
+    "Longest time without other work in the last change of the configuration.");
+
+static void on_slice_timer(struct ev_loop *, ev_timer *, int events);
+
+/* Creates an empty table, which comes into force with the next change. */
+static void
+reset_items(struct routing_update *update)
+{
+	struct routing_table *table = update->items == NULL
+	    ? NULL
+	    : config_items_table(update->items);
+
+	config_items_free(update->items);
+	if (table != update->table)
+		routing_table_free(table);
+	update->items = config_items_new(routing_table_new());
+}
+
+/* Creates the updates of a table that does not exist yet. */
+struct routing_update *
+routing_update_new(struct ev_loop *loop, struct clock *clock,
+    const struct routing_update_ops *ops, void *data)
+{
+	struct routing_update *update = g_new0(struct routing_update, 1);
+
+	update->loop = loop;
+	update->clock = clock;
+	update->ops = ops;
+	update->data = data;
+	ev_timer_init(&update->timer, on_slice_timer, 0.0, 0.0);
+	update->timer.data = update;
+	reset_items(update);
+	return update;
+}
+
+/* Frees the updates and the table; NULL is allowed. */
+void
+routing_update_free(struct routing_update *update)
+{
+	if (update == NULL)
+		return;
+	ev_timer_stop(update->loop, &update->timer);
+	config_change_free(update->running);
+	config_change_free(update->waiting);
+	if (config_items_table(update->items) != update->table)
+		routing_table_free(config_items_table(update->items));
+	config_items_free(update->items);
+	routing_table_free(update->table);
+	g_free(update);
+}
+
+/* Returns the table in force; NULL before the first. */
+struct routing_table *
+routing_update_table(const struct routing_update *update)
+{
+	return update->table;
+}
+
+/* Returns the version of the configuration in force; 0 for none. */
+static uint64_t
+version_in_force(const struct routing_update *update)
+{
+	return update->table == NULL ? 0 : update->table->version;
+}
+
+/* Logs and counts a change that can't be used. */
+static void
+log_ignored(
+    const struct routing_update *update, uint64_t version, const GError *error)
+{
+	metric_add(&failed_count, 1);
+	LOG_WARN("configuration change ignored", "{s:s, s:I, s:I}", "why",
+	    error->message, "revision", (json_int_t)version, "in_force",
+	    (json_int_t)version_in_force(update));
+}
+
+/* Makes the running change visible. */
+static void
+commit(struct routing_update *update)
+{
+	struct routing_table *table = config_items_table(update->items);
+	uint64_t version = config_change_version(update->running);
+
+	config_change_commit(update->running);
+	config_change_free(update->running);
+	update->running = NULL;
+	if (update->table != table) {
+		routing_table_free(update->table);
+		update->table = table;
+	}
+	update->settling = true;
+	update->applied = true;
+	metric_add(&applied_count, 1);
+	update->ops->applied(update->data, version);
+}
+
+/* Gives up the running change: the table in force stays, the items do not. */
+static void
+fail(struct routing_update *update, const GError *error)
+{
+	uint64_t version = config_change_version(update->running);
+	bool had_all = config_change_is_object(update->running) ||
+	    config_change_base(update->running) == 0;
+
+	log_ignored(update, version, error);
+	config_change_free(update->running);
+	update->running = NULL;
+	reset_items(update);
+	update->ops->failed(update->data, version, had_all);
+}
+
+/* Starts the waiting change, if any. */
+static void
+start_waiting(struct routing_update *update)
+{
+	g_autoptr(GError) error = NULL;
+	struct config_change *change = g_steal_pointer(&update->waiting);
+
+	if (change == NULL ||
+	    config_change_version(change) <=
+		config_items_version(update->items)) {
+		config_change_free(change);
+		return;
+	}
+	update->started = clock_monotonic(update->clock);
+	update->longest_slice_us = 0;
+	update->slices = 0;
+	if (config_change_begin(change, update->items, update->table, &error)) {
+		update->running = change;
+		return;
+	}
+	update->refused_version = config_change_version(change);
+	log_ignored(update, update->refused_version, error);
+	config_change_free(change);
+}
+
+/* Does a small part of what is to be done. */
+static void
+step(struct routing_update *update)
+{
+	g_autoptr(GError) error = NULL;
+
+	if (update->settling) {
+		update->settling = !routing_table_settle(
+		    config_items_table(update->items), STEP_ELEMENTS);
+		return;
+	}
+	if (update->running == NULL) {
+		start_waiting(update);
+		return;
+	}
+	switch (config_change_step(update->running, STEP_ELEMENTS, &error)) {
+	case CONFIG_CHANGE_RUNNING:
+		break;
+	case CONFIG_CHANGE_READY:
+		commit(update);
+		break;
+	case CONFIG_CHANGE_FAILED:
+		fail(update, error);
+		break;
+	}
+}
+
+/* Returns whether a change is being applied or waits. */
+bool
+routing_update_is_busy(const struct routing_update *update)
+{
+	return update->running != NULL || update->waiting != NULL ||
+	    update->settling;
+}
+
+/* Logs the cost of a change once nothing of it is left to do. */
+static void
+log_cost(const struct routing_update *update)
+{
+	metric_set(&slice_gauge, update->longest_slice_us);
+	LOG_INFO("configuration change applied", "{s:I, s:i, s:I, s:I}",
+	    "version", (json_int_t)version_in_force(update), "slices",
+	    (int)update->slices, "longest_slice_us",
+	    (json_int_t)update->longest_slice_us, "took_ms",
+	    (json_int_t)time_diff_ms(
+		clock_monotonic(update->clock), update->started));
+}
+
+/* Works for one slice and schedules the next one if there is more to do. */
+static void
+run_slice(struct routing_update *update)
+{
+	struct timespec start = clock_monotonic(update->clock);
+	int64_t spent_us = 0;
+
+	if (ev_is_active(&update->timer))
+		return;
+	while (routing_update_is_busy(update) &&
+	    spent_us < ROUTING_UPDATE_SLICE_US) {
+		step(update);
+		spent_us = time_diff_us(clock_monotonic(update->clock), start);
+	}
+	update->slices++;
+	update->longest_slice_us = MAX(update->longest_slice_us, spent_us);
+	if (!routing_update_is_busy(update)) {
+		if (update->applied)
+			log_cost(update);
+		update->applied = false;
+		return;
+	}
+	ev_timer_set(&update->timer, 0.0, 0.0);
+	ev_timer_start(update->loop, &update->timer);
+}
+
+/* Runs the next slice. */
+static void
+on_slice_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	run_slice(timer->data);
+}
+
+/* Adds a change; the newest one waits while another is being applied. */
+static void
+add(struct routing_update *update, struct config_change *change)
+{
+	if (update->waiting != NULL) {
+		metric_add(&merged_count, 1);
+		if (config_change_version(change) <=
+		    config_change_version(update->waiting)) {
+			config_change_free(change);
+			return;
+		}
+		config_change_free(update->waiting);
+	}
+	update->waiting = change;
+	run_slice(update);
+}
+
+/*
+ * Adds the configuration's object, as the store has it in this version. One
+ * that can't be used is logged, and the configuration in force stays.
+ */
+void
+routing_update_add_object(
+    struct routing_update *update, json_t *object, uint64_t version)
+{
+	g_autoptr(GError) error = NULL;
+	struct config_change *change = config_change_new_object(
+	    object, version, &error);
+
+	if (change == NULL)
+		log_ignored(update, version, error);
+	else
+		add(update, change);
+}
+
+/*
+ * Adds the items that another process has sent. Returns false if it is known
+ * at once that they can't be used; a later failure is reported.
+ */
+bool
+routing_update_add_items(struct routing_update *update, uint64_t base,
+    uint64_t version, const uint8_t *text, size_t length)
+{
+	g_autoptr(GError) error = NULL;
+	struct config_change *change;
+
+	if (version <= config_items_version(update->items))
+		return false;
+	change = config_change_new_items(base, version, text, length, &error);
+	if (change == NULL) {
+		log_ignored(update, version, error);
+		return false;
+	}
+	add(update, change);
+	return update->refused_version != version;
+}
+
+/*
+ * Records that the store has no newer configuration in this version, so that
+ * other processes see that this one is up to date.
+ */
+void
+routing_update_raise_version(struct routing_update *update, uint64_t version)
+{
+	if (routing_update_is_busy(update) || update->table == NULL ||
+	    config_items_version(update->items) == 0 ||
+	    version <= config_items_version(update->items))
+		return;
+	config_items_begin(update->items, version);
+	config_items_commit(update->items, version, update->table->version);
+	update->ops->applied(update->data, version);
+}
+
+/*
+ * Encodes the items that changed after a version, see object_set_encode(). NULL
+ * while a change is being applied or before the first one.
+ */
+GString *
+routing_update_encode(
+    const struct routing_update *update, uint64_t since, uint64_t *base)
+{
+	if (update->running != NULL || config_items_version(update->items) == 0)
+		return NULL;
+	return config_items_encode(update->items, since, base);
+}
+
+/* Encodes the configuration as the store's object; NULL as above. */
+GString *
+routing_update_encode_object(const struct routing_update *update)
+{
+	if (update->running != NULL || config_items_version(update->items) == 0)
+		return NULL;
+	return config_items_encode_object(update->items);
+}
--- /dev/null
+++ b/src/gateway/routing_update.h
@@ -0,0 +1,53 @@
+/*
+ * Applies changes of the configuration to the routing table in short slices
+ * between two iterations of the event loop. A change becomes visible in one
+ * step, at its end. While one is being applied, the newest of those that arrive
+ * waits, which includes what the others would have changed.
+ */
+#ifndef GATEWAY_ROUTING_UPDATE_H
+#define GATEWAY_ROUTING_UPDATE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "routing/routing_table.h"
+
+/*
+ * Longest time that a slice may take. Streams' events are to be passed on
+ * within 120 ms on hosts with 0.09 of a core, which get about 9 ms of CPU time
+ * in 100 ms.
+ */
+#define ROUTING_UPDATE_SLICE_US 2000
+
+struct routing_update;
+
+struct routing_update_ops {
+	/* A version is in force here. */
+	void (*applied)(void *data, uint64_t version);
+	/*
+	 * A version that was accepted before could not be applied. All items
+	 * are needed, unless it had all.
+	 */
+	void (*failed)(void *data, uint64_t version, bool had_all);
+};
+
+struct routing_update *routing_update_new(struct ev_loop *, struct clock *,
+    const struct routing_update_ops *, void *data);
+void routing_update_free(struct routing_update *);
+struct routing_table *routing_update_table(const struct routing_update *);
+void routing_update_add_object(
+    struct routing_update *, json_t *object, uint64_t version);
+bool routing_update_add_items(struct routing_update *, uint64_t base,
+    uint64_t version, const uint8_t *text, size_t);
+void routing_update_raise_version(struct routing_update *, uint64_t version);
+bool routing_update_is_busy(const struct routing_update *);
+GString *routing_update_encode(
+    const struct routing_update *, uint64_t since, uint64_t *base);
+GString *routing_update_encode_object(const struct routing_update *);
+
+#endif
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -18,6 +18,7 @@
     DOCUMENT_ROUTES,
     DOCUMENT_UPSTREAMS,
     DOCUMENT_TAKEOUTS,
+    DOCUMENT_ROUTING_ITEMS,
 };
 #define DOCUMENTS    G_N_ELEMENTS(document_names)
 #define CONFIG_INDEX 0
@@ -36,6 +37,7 @@
 	documents_encode_fn *encode; /* NULL for none */
 	documents_apply_fn *apply;
 	void *data;
+	bool needs_whole; /* changes to what is here can't be used */
 };
 
 struct documents {
@@ -124,6 +126,8 @@
 		},
 	};
 
+	if (documents->codecs[action->document].needs_whole)
+		message.pull.have = 0;
 	send_to_target(documents, action, &message);
 }
 
@@ -146,6 +150,8 @@
 	if (codec->encode != NULL) {
 		text = codec->encode(
 		    codec->data, action->have, &message.document.base);
+		if (text == NULL)
+			return;
 		message.document.data.data = (uint8_t *)text->str;
 		message.document.data.length = text->len;
 	} else {
@@ -296,6 +302,7 @@
 		return;
 	}
 	if (sent->version <= gossip_version(documents->spread, index) ||
+	    (codec->needs_whole && sent->base > 0) ||
 	    codec->apply(codec->data, sent->base, sent->version,
 		sent->data.data, sent->data.length))
 		return;
@@ -306,19 +313,29 @@
 	gossip_reject_document(documents->spread, index, sent->version);
 }
 
-/* Handles the versions of a peer's documents. */
+/*
+ * Handles the versions of a peer's documents. From a peer that has the routes
+ * as items, the routes are not requested as a whole too.
+ */
 static void
 handle_digest(struct documents *documents, struct link *link,
     const struct message_digest *digest, struct gossip_actions *actions)
 {
 	uint64_t versions[GOSSIP_DOCUMENTS_MAX] = {0};
+	size_t routes = find_index(DOCUMENT_ROUTES);
+	size_t items = find_index(DOCUMENT_ROUTING_ITEMS);
+	bool has_items = false;
 
 	for (size_t i = 0; i < digest->names.count; i++) {
 		size_t index = find_index(digest->names.items[i]);
 
 		if (index < DOCUMENTS && i < digest->versions.count)
 			versions[index] = digest->versions.items[i];
+		if (index == items)
+			has_items = true;
 	}
+	if (has_items)
+		versions[routes] = gossip_version(documents->spread, routes);
 	gossip_on_digest(documents->spread, link, versions, digest->reply,
 	    clock_monotonic(documents->clock), actions);
 }
@@ -463,9 +480,51 @@
 	size_t index = find_index(name);
 
 	g_return_if_fail(index < DOCUMENTS);
+	documents->codecs[index].needs_whole = false;
 	announce_version(documents, index, version);
 }
 
+/*
+ * Records a newer version of a document without an announcement, for one whose
+ * peers learn of it by that of another document.
+ */
+void
+documents_record(
+    struct documents *documents, const char *name, uint64_t version)
+{
+	struct gossip_actions unused = {0};
+	size_t index = find_index(name);
+
+	g_return_if_fail(index < DOCUMENTS);
+	gossip_accept_document(documents->spread, index, version,
+	    clock_monotonic(documents->clock), &unused);
+}
+
+/*
+ * Requests all of a document with the next pulls, until a version of it is
+ * announced here.
+ */
+void
+documents_request_whole(struct documents *documents, const char *name)
+{
+	size_t index = find_index(name);
+
+	g_return_if_fail(index < DOCUMENTS);
+	documents->codecs[index].needs_whole = true;
+}
+
+/* Requests this version of a document and earlier ones no more. */
+void
+documents_reject(
+    struct documents *documents, const char *name, uint64_t version)
+{
+	size_t index = find_index(name);
+
+	g_return_if_fail(index < DOCUMENTS);
+	metric_add(&refused_count, 1);
+	gossip_reject_document(documents->spread, index, version);
+}
+
 /* Returns the version in force here, 0 for none. */
 uint64_t
 documents_version(const struct documents *documents, const char *name)
--- a/src/peer/documents.h
+++ b/src/peer/documents.h
@@ -27,8 +27,10 @@
  * store's revision. Each has a codec, which encodes and applies the changes
  * since a version, so that peers are sent only what they lack.
  */
-#define DOCUMENT_ROUTES	   "routes"
-#define DOCUMENT_UPSTREAMS "upstreams"
+#define DOCUMENT_ROUTES "routes"
+/* The same as items; used in place of `routes` between peers that know it. */
+#define DOCUMENT_ROUTING_ITEMS "routing_items"
+#define DOCUMENT_UPSTREAMS     "upstreams"
 /* Failure domains that are taken out of service. */
 #define DOCUMENT_TAKEOUTS "takeouts"
 
@@ -39,7 +41,8 @@
     void *data, uint64_t version, const uint8_t *, size_t);
 /*
  * Encodes the changes since version have and sets *base to the version that
- * they apply to, 0 for the whole document. The caller frees the text.
+ * they apply to, 0 for the whole document. The caller frees the text. NULL if
+ * it can't be sent now.
  */
 typedef GString *documents_encode_fn(void *data, uint64_t have, uint64_t *base);
 /*
@@ -60,6 +63,9 @@
 void documents_set_codec(struct documents *, const char *name,
     documents_encode_fn *, documents_apply_fn *, void *data);
 void documents_announce(struct documents *, const char *name, uint64_t version);
+void documents_record(struct documents *, const char *name, uint64_t version);
+void documents_request_whole(struct documents *, const char *name);
+void documents_reject(struct documents *, const char *name, uint64_t version);
 uint64_t documents_version(const struct documents *, const char *name);
 const uint8_t *documents_get(
     const struct documents *, const char *name, size_t *length);
--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -2,210 +2,416 @@
 
 #include <string.h>
 
-/* Frees a route with its services and names. */
-static void
-route_free(void *data)
-{
-	struct route *route = data;
+struct slot;
+
+/* Entries of one kind by their keys. */
+struct slot_map {
+	GHashTable *slots; /* key -> struct slot */
+	void *(*ref)(void *value);
+	void (*unref)(void *value);
+};
+
+/*
+ * One entry: the value in force and, while a change is being prepared or its
+ * old values are being released, the next one. NULL stands for no value.
+ */
+struct slot {
+	char *key;
+	struct slot_map *map;
+	void *current;
+	void *next;
+	uint64_t generation; /* in which next comes into force; 0: none */
+};
+
+/* Prefixes of one length among a host's routes. */
+struct prefix_length {
+	size_t length; /* bytes */
+	size_t count;
+};
 
-	for (size_t i = 0; i < route->share_count; i++)
-		g_free(route->shares[i].service);
-	g_free(route->shares);
-	g_free(route->name);
-	g_free(route->host);
-	g_free(route->prefix);
-	g_free(route);
+struct routing_table_content {
+	struct slot_map routes; /* by host and prefix, see route_key() */
+	struct slot_map services;
+	struct slot_map keys; /* API key -> struct organisation */
+	GHashTable *hosts; /* name -> GArray of struct prefix_length, longest
+			      first */
+	GPtrArray *staged; /* slots with a next value */
+	uint64_t generation; /* rises with each switch */
+	struct caller_limits limits; /* from the next switch on */
+	size_t organisation_count; /* the same */
+};
+
+/* References by untyped pointers, for struct slot_map. */
+static void *
+ref_route(void *route)
+{
+	return route_ref(route);
 }
 
-/* Frees a service's profile and its name. */
 static void
-service_free(void *data)
+unref_route(void *route)
 {
-	struct service_profile *service = data;
+	route_unref(route);
+}
 
-	g_free(service->name);
-	g_free(service);
+static void *
+ref_service(void *service)
+{
+	return service_profile_ref(service);
 }
 
-/* Frees an organisation and its name. */
 static void
-organisation_free(void *data)
+unref_service(void *service)
 {
-	struct organisation *organisation = data;
+	service_profile_unref(service);
+}
 
-	g_free(organisation->name);
-	g_free(organisation);
+static void *
+ref_organisation(void *organisation)
+{
+	return organisation_ref(organisation);
 }
 
-/* Frees the array of a host's routes, and the routes. */
 static void
-routes_free(void *data)
+unref_organisation(void *organisation)
 {
-	g_ptr_array_unref(data);
+	organisation_unref(organisation);
 }
 
-/* Returns an empty table with one reference. */
-struct routing_table *
-routing_table_new(void)
+/* Frees a slot with its values. */
+static void
+slot_free(void *data)
 {
-	struct routing_table *table = g_new0(struct routing_table, 1);
+	struct slot *slot = data;
 
-	table->references = 1;
-	table->hosts = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, routes_free);
-	table->services = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, service_free);
-	table->keys = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, NULL);
-	table->organisations = g_ptr_array_new_with_free_func(
-	    organisation_free);
-	return table;
+	slot->map->unref(slot->current);
+	slot->map->unref(slot->next);
+	g_free(slot->key);
+	g_free(slot);
+}
+
+/* Creates an empty map. */
+static struct slot_map
+slot_map_new(void *(*ref)(void *), void (*unref)(void *))
+{
+	return (struct slot_map){
+	    .slots = g_hash_table_new_full(
+		g_str_hash, g_str_equal, NULL, slot_free),
+	    .ref = ref,
+	    .unref = unref,
+	};
 }
 
-/* Takes a reference, to be returned with routing_table_unref. */
+/* Returns an empty table. */
 struct routing_table *
-routing_table_ref(struct routing_table *table)
+routing_table_new(void)
 {
-	table->references++;
+	struct routing_table *table = g_new0(struct routing_table, 1);
+	struct routing_table_content *content = g_new0(
+	    struct routing_table_content, 1);
+
+	content->routes = slot_map_new(ref_route, unref_route);
+	content->services = slot_map_new(ref_service, unref_service);
+	content->keys = slot_map_new(ref_organisation, unref_organisation);
+	content->hosts = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
+	content->staged = g_ptr_array_new();
+	content->generation = 1;
+	table->content = content;
 	return table;
 }
 
-/* Drops a reference; the last one frees the table. NULL is allowed. */
+/* Frees a table and its references; NULL is allowed. */
 void
-routing_table_unref(struct routing_table *table)
+routing_table_free(struct routing_table *table)
 {
-	if (table == NULL || --table->references > 0)
+	if (table == NULL)
 		return;
-	g_hash_table_unref(table->hosts);
-	g_hash_table_unref(table->services);
-	g_hash_table_unref(table->keys);
-	g_ptr_array_unref(table->organisations);
+	g_ptr_array_unref(table->content->staged);
+	g_hash_table_unref(table->content->routes.slots);
+	g_hash_table_unref(table->content->services.slots);
+	g_hash_table_unref(table->content->keys.slots);
+	g_hash_table_unref(table->content->hosts);
+	g_free(table->content);
 	g_free(table);
 }
 
+/* Returns the key of a route. No host contains a line break. */
+static char *
+route_key(const struct route *route)
+{
+	return g_strconcat(route->host, "\n", route->prefix, NULL);
+}
+
+/* Returns the value of a slot that is in force; NULL for none. */
+static void *
+visible_value(const struct routing_table *table, const struct slot *slot)
+{
+	if (slot == NULL)
+		return NULL;
+	if (slot->generation > 0 &&
+	    slot->generation <= table->content->generation)
+		return slot->next;
+	return slot->current;
+}
+
+/* Returns the value that a slot has after the next switch; NULL for none. */
+static void *
+staged_value(const struct slot *slot)
+{
+	if (slot == NULL)
+		return NULL;
+	return slot->generation > 0 ? slot->next : slot->current;
+}
+
 /*
- * Adds a route, which the table then owns. A host's routes are sorted by the
- * length of their prefixes, longest first.
+ * Sets the value that a key has after the next switch, NULL for none. The slot
+ * takes a reference. Returns whether the slot was created.
  */
-void
-routing_table_add_route(struct routing_table *table, struct route *route)
+static bool
+stage(struct routing_table *table, struct slot_map *map, const char *key,
+    void *value)
 {
-	GPtrArray *routes = g_hash_table_lookup(table->hosts, route->host);
-	size_t length = strlen(route->prefix);
-	guint at = 0;
+	struct slot *slot = g_hash_table_lookup(map->slots, key);
+	bool is_new = slot == NULL;
 
-	if (routes == NULL) {
-		routes = g_ptr_array_new_with_free_func(route_free);
-		g_hash_table_insert(
-		    table->hosts, g_strdup(route->host), routes);
+	if (is_new) {
+		slot = g_new0(struct slot, 1);
+		slot->key = g_strdup(key);
+		slot->map = map;
+		g_hash_table_insert(map->slots, slot->key, slot);
 	}
-	while (at < routes->len) {
-		const struct route *other = routes->pdata[at];
+	if (slot->generation == 0)
+		g_ptr_array_add(table->content->staged, slot);
+	if (value != NULL)
+		map->ref(value);
+	map->unref(slot->next);
+	slot->next = value;
+	slot->generation = table->content->generation + 1;
+	return is_new;
+}
+
+/* Removes the value of a key from the next switch on, if it is this one. */
+static void
+stage_removal(struct routing_table *table, struct slot_map *map,
+    const char *key, const void *value)
+{
+	const struct slot *slot = g_hash_table_lookup(map->slots, key);
+
+	if (slot != NULL && staged_value(slot) == value)
+		stage(table, map, key, NULL);
+}
 
-		if (strlen(other->prefix) < length)
-			break;
+/* Returns the index of the first length of a host that is not above this. */
+static guint
+find_length(const GArray *lengths, size_t length)
+{
+	guint at = 0;
+
+	while (at < lengths->len &&
+	    g_array_index(lengths, struct prefix_length, at).length > length)
 		at++;
+	return at;
+}
+
+/* Counts a prefix of a host's routes. */
+static void
+add_length(
+    struct routing_table_content *content, const char *host, size_t length)
+{
+	GArray *lengths = g_hash_table_lookup(content->hosts, host);
+	struct prefix_length new = {.length = length};
+	guint at;
+
+	if (lengths == NULL) {
+		lengths = g_array_new(
+		    FALSE, FALSE, sizeof(struct prefix_length));
+		g_hash_table_insert(content->hosts, g_strdup(host), lengths);
 	}
-	g_ptr_array_insert(routes, (gint)at, route);
+	at = find_length(lengths, length);
+	if (at == lengths->len ||
+	    g_array_index(lengths, struct prefix_length, at).length != length)
+		g_array_insert_val(lengths, at, new);
+	g_array_index(lengths, struct prefix_length, at).count++;
+}
+
+/* Counts a prefix of a host's routes no more, by the key of its route. */
+static void
+remove_length(struct routing_table_content *content, const char *key)
+{
+	const char *prefix = strchr(key, '\n') + 1;
+	g_autofree char *host = g_strndup(key, (gsize)(prefix - 1 - key));
+	GArray *lengths = g_hash_table_lookup(content->hosts, host);
+	guint at = find_length(lengths, strlen(prefix));
+
+	if (--g_array_index(lengths, struct prefix_length, at).count == 0)
+		g_array_remove_index(lengths, at);
+	if (lengths->len == 0)
+		g_hash_table_remove(content->hosts, host);
+}
+
+/*
+ * Adds a route from the next switch on, in place of the one with the same host
+ * and prefix. The table takes a reference, as the next functions do.
+ */
+void
+routing_table_put_route(struct routing_table *table, struct route *route)
+{
+	g_autofree char *key = route_key(route);
+
+	if (stage(table, &table->content->routes, key, route))
+		add_length(table->content, route->host, strlen(route->prefix));
 }
 
-/* Adds a service's profile, which the table then owns. */
+/* Removes a route from the next switch on, unless another one replaced it. */
 void
-routing_table_add_service(
+routing_table_remove_route(struct routing_table *table, struct route *route)
+{
+	g_autofree char *key = route_key(route);
+
+	stage_removal(table, &table->content->routes, key, route);
+}
+
+/* Adds a service, in place of the one with the same name. */
+void
+routing_table_put_service(
     struct routing_table *table, struct service_profile *service)
 {
-	g_hash_table_replace(table->services, service->name, service);
+	stage(table, &table->content->services, service->name, service);
 }
 
-/* Adds an organisation without API keys; the table owns it. */
-struct organisation *
-routing_table_add_organisation(struct routing_table *table, const char *name)
+/* Removes a service, unless another one replaced it. */
+void
+routing_table_remove_service(
+    struct routing_table *table, struct service_profile *service)
 {
-	struct organisation *organisation = g_new0(struct organisation, 1);
+	stage_removal(table, &table->content->services, service->name, service);
+}
 
-	organisation->name = g_strdup(name);
-	g_ptr_array_add(table->organisations, organisation);
-	return organisation;
+/*
+ * Adds an organisation with its API keys, which then belong to it even if they
+ * belong to another organisation now.
+ */
+void
+routing_table_put_organisation(
+    struct routing_table *table, struct organisation *organisation)
+{
+	table->content->organisation_count++;
+	for (guint i = 0; i < organisation->keys->len; i++)
+		stage(table, &table->content->keys,
+		    organisation->keys->pdata[i], organisation);
 }
 
-/* Assigns an API key to an organisation of this table. */
+/*
+ * Removes an organisation and those of its API keys that no other organisation
+ * has taken over.
+ */
 void
-routing_table_add_key(struct routing_table *table, const char *key,
-    struct organisation *organisation)
+routing_table_remove_organisation(
+    struct routing_table *table, struct organisation *organisation)
 {
-	g_hash_table_replace(table->keys, g_strdup(key), organisation);
+	table->content->organisation_count--;
+	for (guint i = 0; i < organisation->keys->len; i++)
+		stage_removal(table, &table->content->keys,
+		    organisation->keys->pdata[i], organisation);
 }
 
-/* Finds the routes of a host; ignores its case and port. */
-static const GPtrArray *
-find_routes(const struct routing_table *table, const char *host)
+/* Sets the limits on callers' requests from the next switch on. */
+void
+routing_table_set_limits(
+    struct routing_table *table, const struct caller_limits *limits)
 {
-	g_autofree char *name = g_ascii_strdown(host, -1);
-	char *colon = strchr(name, ':');
+	table->content->limits = *limits;
+}
 
-	if (colon != NULL)
-		*colon = '\0';
-	return g_hash_table_lookup(table->hosts, name);
+/* Makes all staged changes visible, as a version of the configuration. */
+void
+routing_table_switch(struct routing_table *table, uint64_t version)
+{
+	table->version = version;
+	table->limits = table->content->limits;
+	table->organisation_count = table->content->organisation_count;
+	table->content->generation++;
+}
+
+/*
+ * Releases the values that a switch has replaced, of at most this number of
+ * entries. Returns true once none is left, after which changes can be staged
+ * again.
+ */
+bool
+routing_table_settle(struct routing_table *table, size_t max)
+{
+	struct routing_table_content *content = table->content;
+
+	while (content->staged->len > 0 && max-- > 0) {
+		struct slot *slot = g_ptr_array_steal_index_fast(
+		    content->staged, content->staged->len - 1);
+
+		slot->map->unref(slot->current);
+		slot->current = slot->next;
+		slot->next = NULL;
+		slot->generation = 0;
+		if (slot->current != NULL)
+			continue;
+		if (slot->map == &content->routes)
+			remove_length(content, slot->key);
+		g_hash_table_remove(slot->map->slots, slot->key);
+	}
+	return content->staged->len == 0;
 }
 
 /*
  * Finds the route of a host with the longest matching path prefix; NULL if
- * there is none.
+ * there is none. Ignores the host's case and port. The result is borrowed until
+ * the next switch.
  */
-const struct route *
+struct route *
 routing_table_find_route(
     const struct routing_table *table, const char *host, const char *path)
 {
-	const GPtrArray *routes = find_routes(table, host);
+	const struct routing_table_content *content = table->content;
+	size_t host_length = strcspn(host, ":");
+	size_t path_length = strlen(path);
+	g_autofree char *key = g_ascii_strdown(host, (gssize)host_length);
+	const GArray *lengths = g_hash_table_lookup(content->hosts, key);
 
-	for (guint i = 0; routes != NULL && i < routes->len; i++) {
-		const struct route *route = routes->pdata[i];
+	if (lengths == NULL)
+		return NULL;
+	key = g_realloc(key, host_length + path_length + 2);
+	key[host_length] = '\n';
+	memcpy(key + host_length + 1, path, path_length + 1);
+	for (guint i = find_length(lengths, path_length); i < lengths->len;
+	     i++) {
+		size_t length = g_array_index(lengths, struct prefix_length, i)
+				    .length;
+		struct route *route;
 
-		if (g_str_has_prefix(path, route->prefix))
+		key[host_length + 1 + length] = '\0';
+		route = visible_value(
+		    table, g_hash_table_lookup(content->routes.slots, key));
+		if (route != NULL)
 			return route;
 	}
 	return NULL;
 }
 
-/* Finds a service's profile by name; NULL if there is none. */
-const struct service_profile *
+/* Finds a service by name; NULL if there is none. Borrowed like a route. */
+struct service_profile *
 routing_table_find_service(const struct routing_table *table, const char *name)
 {
-	return g_hash_table_lookup(table->services, name);
+	return visible_value(
+	    table, g_hash_table_lookup(table->content->services.slots, name));
 }
 
-/* Finds the organisation that an API key belongs to; NULL if there is none. */
-const struct organisation *
+/*
+ * Finds the organisation that an API key belongs to; NULL if there is none.
+ * Borrowed like a route.
+ */
+struct organisation *
 routing_table_find_organisation(
     const struct routing_table *table, const char *key)
 {
-	return g_hash_table_lookup(table->keys, key);
-}
-
-/* Picks a service at random by the route's weights; NULL if all are 0. */
-const char *
-route_pick_service(const struct route *route, uint32_t random)
-{
-	uint64_t total = 0;
-	uint64_t at;
-
-	for (size_t i = 0; i < route->share_count; i++)
-		total += route->shares[i].weight;
-	if (total == 0)
-		return NULL;
-	at = random % total;
-	for (size_t i = 0; i < route->share_count; i++) {
-		if (at < route->shares[i].weight)
-			return route->shares[i].service;
-		at -= route->shares[i].weight;
-	}
-	return NULL;
-}
-
-/* Returns whether requests of this route may be executed more than once. */
-bool
-route_is_repeatable(const struct route *route)
-{
-	return route->kind == CALL_IDEMPOTENT ||
-	    (route->kind == CALL_STREAM && route->resumable);
+	return visible_value(
+	    table, g_hash_table_lookup(table->content->keys.slots, key));
 }
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -1,8 +1,10 @@
 /*
  * The routing table: maps a request's host and path to a route and its service,
- * an API key to an organisation, and holds the limits for callers. A table is
- * an immutable snapshot; a request keeps a reference to the one that it was
- * routed with.
+ * an API key to an organisation, and holds the limits for callers. It is
+ * changed in place: changes are staged one by one, at a cost that does not
+ * depend on the size of the table, and routing_table_switch() makes all of them
+ * visible at once. Routes, services and organisations have reference counts of
+ * their own; a request holds a reference to each one that it uses.
  */
 #ifndef ROUTING_ROUTING_TABLE_H
 #define ROUTING_ROUTING_TABLE_H
@@ -29,6 +31,7 @@
 };
 
 struct route {
+	guint references;
 	char *name;
 	char *host; /* in lower case, without a port */
 	char *prefix; /* of the path; starts and ends with a slash */
@@ -46,6 +49,7 @@
 };
 
 struct service_profile {
+	guint references;
 	char *name;
 	int64_t cold_ms; /* warm-up time of a new upstream */
 	double cold_per_s; /* requests per second while cold */
@@ -54,9 +58,11 @@
 };
 
 struct organisation {
+	guint references;
 	char *name;
 	bool has_priority;
 	uint32_t priority; /* overrides the route's */
+	GPtrArray *keys; /* API keys as strings, which it owns */
 };
 
 /* Limits on callers' requests and connections. */
@@ -68,34 +74,47 @@
 };
 
 struct routing_table {
-	guint references;
 	uint64_t version; /* set by the operators */
 	struct caller_limits limits;
-	GHashTable *hosts; /* name -> GPtrArray of routes, longest prefix first
-			    */
-	GHashTable *services; /* name -> struct service_profile */
-	GHashTable *keys; /* API key -> struct organisation */
-	GPtrArray *organisations; /* owns the values of keys */
+	size_t organisation_count;
+	struct routing_table_content *content;
 };
 
 struct routing_table *routing_table_new(void);
-struct routing_table *routing_table_ref(struct routing_table *);
-void routing_table_unref(struct routing_table *);
-void routing_table_add_route(struct routing_table *, struct route *);
-void routing_table_add_service(
+void routing_table_free(struct routing_table *);
+
+void routing_table_put_route(struct routing_table *, struct route *);
+void routing_table_remove_route(struct routing_table *, struct route *);
+void routing_table_put_service(
+    struct routing_table *, struct service_profile *);
+void routing_table_remove_service(
     struct routing_table *, struct service_profile *);
-struct organisation *routing_table_add_organisation(
-    struct routing_table *, const char *name);
-void routing_table_add_key(
-    struct routing_table *, const char *key, struct organisation *);
+void routing_table_put_organisation(
+    struct routing_table *, struct organisation *);
+void routing_table_remove_organisation(
+    struct routing_table *, struct organisation *);
+void routing_table_set_limits(
+    struct routing_table *, const struct caller_limits *);
+void routing_table_switch(struct routing_table *, uint64_t version);
+bool routing_table_settle(struct routing_table *, size_t max);
 
-const struct route *routing_table_find_route(
+struct route *routing_table_find_route(
     const struct routing_table *, const char *host, const char *path);
-const struct service_profile *routing_table_find_service(
+struct service_profile *routing_table_find_service(
     const struct routing_table *, const char *name);
-const struct organisation *routing_table_find_organisation(
+struct organisation *routing_table_find_organisation(
     const struct routing_table *, const char *key);
+
+struct route *route_new(void);
+struct route *route_ref(struct route *);
+void route_unref(struct route *);
 const char *route_pick_service(const struct route *, uint32_t random);
 bool route_is_repeatable(const struct route *);
+struct service_profile *service_profile_new(const char *name);
+struct service_profile *service_profile_ref(struct service_profile *);
+void service_profile_unref(struct service_profile *);
+struct organisation *organisation_new(const char *name);
+struct organisation *organisation_ref(struct organisation *);
+void organisation_unref(struct organisation *);
 
 #endif
--- a/tests/test_decode_fuzz.c
+++ b/tests/test_decode_fuzz.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "config_reader.h"
 #include "gateway/event_splitter.h"
 #include "platform/decode.h"
 #include "platform/object_set.h"
@@ -103,15 +104,15 @@
 
 		if (list != NULL)
 			put_named(set, list);
-		json_decref(list);
 		changes = object_set_commit(set, 1);
-		table = decode_routes(changes, &error);
-		g_assert_true((table == NULL) == (error != NULL));
 		reports = decode_upstreams(changes);
+		table = config_reader_table(json_array_get(list, 0), &error);
+		g_assert_true((table == NULL) == (error != NULL));
+		json_decref(list);
 		decoded_count += reports.items->len + (table != NULL);
 		decode_upstreams_clear(&reports);
 		if (table != NULL)
-			routing_table_unref(table);
+			routing_table_free(table);
 		object_set_free(set);
 	}
 	g_assert_cmpuint(decoded_count, >, 0);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "cases.h"
+#include "config_reader.h"
 #include "platform/decode.h"
 #include "routing/fleet.h"
 #include "routing/routing_table.h"
@@ -61,17 +62,26 @@
 	return object_set_commit(set, 1);
 }
 
+/* Reads a table from the first object of a list; NULL if it can't be read. */
+static struct routing_table *
+read_table(const char *text, GError **error)
+{
+	json_t *list = json_loads(text, 0, NULL);
+	struct routing_table *table = config_reader_table(
+	    json_array_get(list, 0), error);
+
+	json_decref(list);
+	return table;
+}
+
 /* Reads the table of the cases. */
 static struct routing_table *
 decode_table(void)
 {
 	g_autoptr(GError) error = NULL;
-	struct object_set *set = object_set_new();
-	struct routing_table *table = decode_routes(
-	    put_objects(set, CONFIG), &error);
+	struct routing_table *table = read_table(CONFIG, &error);
 
 	g_assert_no_error(error);
-	object_set_free(set);
 	return table;
 }
 
@@ -85,7 +95,7 @@
 	    table, c->host, c->path);
 
 	g_assert_cmpstr(route == NULL ? NULL : route->name, ==, c->route);
-	routing_table_unref(table);
+	routing_table_free(table);
 }
 
 /* All members of routes, services and organisations are decoded. */
@@ -117,7 +127,7 @@
 	    routing_table_find_organisation(table, "k2")->name, ==, "o");
 	g_assert_null(routing_table_find_organisation(table, "k3"));
 	g_assert_null(routing_table_find_service(table, "t"));
-	routing_table_unref(table);
+	routing_table_free(table);
 }
 
 static const struct invalid_case {
@@ -125,11 +135,11 @@
 	const char *text;
 	int code;
 } invalid_cases[] = {
-    {"no objects", "[]", DECODE_ERROR_NO_ROUTES},
-    {"another object", "[{\"Metadata\":{\"Name\":\"x\"},\"Spec\":{}}]",
-	DECODE_ERROR_NO_ROUTES},
+    {"no objects", "[]", DECODE_ERROR_INVALID},
+    {"an empty specification", "[{\"Metadata\":{\"Name\":\"x\"},\"Spec\":{}}]",
+	DECODE_ERROR_INVALID},
     {"no specification", "[{\"Metadata\":{\"Name\":\"main\"}}]",
-	DECODE_ERROR_NO_ROUTES},
+	DECODE_ERROR_INVALID},
 };
 
 /* Runs one case. */
@@ -138,11 +148,9 @@
 {
 	const struct invalid_case *c = &invalid_cases[GPOINTER_TO_SIZE(data)];
 	g_autoptr(GError) error = NULL;
-	struct object_set *set = object_set_new();
 
-	g_assert_null(decode_routes(put_objects(set, c->text), &error));
+	g_assert_null(read_table(c->text, &error));
 	g_assert_error(error, DECODE_ERROR, c->code);
-	object_set_free(set);
 }
 
 static const struct upstream_case {
