--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,6 +11,7 @@
 #include "base/settings.h"
 #include "commands.h"
 #include "gateway/exchange.h"
+#include "gateway/routing_update.h"
 #include "node/node.h"
 
 #define LOG_MODULE "gateway"
@@ -346,6 +347,7 @@
 		.role = "gateway",
 		.failure_domain = gateway.settings.failure_domain,
 	    });
+	routing_update_init_process();
 	gateway.loop = ev_default_loop(0);
 	if (!gateway_start(&gateway, &error)) {
 		fprintf(stderr, "heatherturn gateway: %s\n", error->message);
--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -1,5 +1,7 @@
 #include "gateway/routing_update.h"
 
+#include <malloc.h>
+
 #include "base/metrics.h"
 #include "platform/config_change.h"
 #include "platform/config_items.h"
@@ -58,6 +60,18 @@
 	update->items = config_items_new(routing_table_new());
 }
 
+/*
+ * Makes the allocator merge free blocks as they are freed. By default it merges
+ * all small ones when a large one is freed, which took 80 ms of CPU time after
+ * a configuration with 20,000 routes had been freed in slices.
+ */
+void
+routing_update_init_process(void)
+{
+	if (mallopt(M_MXFAST, 0) == 0)
+		LOG_WARN("the allocator can't merge free blocks at once", "{}");
+}
+
 /* Creates the updates of a table that does not exist yet. */
 struct routing_update *
 routing_update_new(struct ev_loop *loop, struct clock *clock,
--- a/src/gateway/routing_update.h
+++ b/src/gateway/routing_update.h
@@ -18,11 +18,11 @@
 #include "routing/routing_table.h"
 
 /*
- * Longest time that a slice may take. Streams' events are to be passed on
- * within 120 ms on hosts with 0.09 of a core, which get about 9 ms of CPU time
- * in 100 ms.
+ * Time after which a slice ends, at the next check. A slice may take 2 ms:
+ * streams' events are to be passed on within 120 ms on hosts with 0.09 of a
+ * core, which get 9 ms of CPU time in 100 ms.
  */
-#define ROUTING_UPDATE_SLICE_US 2000
+#define ROUTING_UPDATE_SLICE_US 1500
 
 struct routing_update;
 
@@ -36,6 +36,7 @@
 	void (*failed)(void *data, uint64_t version, bool had_all);
 };
 
+void routing_update_init_process(void);
 struct routing_update *routing_update_new(struct ev_loop *, struct clock *,
     const struct routing_update_ops *, void *data);
 void routing_update_free(struct routing_update *);
--- /dev/null
+++ b/tests/test_routing_update.c
@@ -0,0 +1,268 @@
+/*
+ * Changes of the configuration that arrive faster than they are applied. Guards
+ * against changes that wait without end, that go back, and that are visible in
+ * part.
+ */
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "gateway/routing_update.h"
+
+#define ROUTES	     200
+#define CHANGES	     30
+#define VERSIONS_MAX 64
+
+/* A clock that goes on with each question, so that all slices are short. */
+struct stepping_clock {
+	struct clock clock;
+	int64_t now_ms;
+};
+
+struct test {
+	struct ev_loop *loop;
+	struct stepping_clock clock;
+	struct routing_update *update;
+	uint64_t versions[VERSIONS_MAX]; /* in the order of their coming */
+	size_t count;
+	unsigned int failures;
+	bool had_all; /* of the last failure */
+};
+
+static struct timespec
+tell_time(struct clock *clock)
+{
+	struct stepping_clock *stepping = (struct stepping_clock *)clock;
+
+	return time_from_ms(stepping->now_ms++);
+}
+
+static const struct clock_ops stepping_ops = {
+    .monotonic = tell_time, .wall = tell_time};
+
+static void
+on_applied(void *data, uint64_t version)
+{
+	struct test *t = data;
+
+	g_assert_cmpuint(t->count, <, VERSIONS_MAX);
+	t->versions[t->count++] = version;
+}
+
+static void
+on_failed(void *data, uint64_t version, bool had_all)
+{
+	struct test *t = data;
+
+	t->failures++;
+	t->had_all = had_all;
+}
+
+static const struct routing_update_ops ops = {
+    .applied = on_applied, .failed = on_failed};
+
+static void
+set_up(struct test *t)
+{
+	*t = (struct test){.loop = ev_loop_new(EVFLAG_AUTO),
+	    .clock = {.clock = {&stepping_ops}}};
+	t->update = routing_update_new(t->loop, &t->clock.clock, &ops, t);
+}
+
+static void
+tear_down(struct test *t)
+{
+	routing_update_free(t->update);
+	ev_loop_destroy(t->loop);
+}
+
+/* Adds an object whose routes all have the name of its version. */
+static void
+add_object(struct test *t, int version)
+{
+	json_t *routes = json_array();
+	json_t *object;
+
+	for (int i = 0; i < ROUTES; i++) {
+		g_autofree char *prefix = g_strdup_printf("/%d/", i);
+		g_autofree char *name = g_strdup_printf("%d", version);
+
+		json_array_append_new(routes,
+		    json_pack("{s:s, s:s, s:s, s:s}", "Name", name, "Host", "h",
+			"PathPrefix", prefix, "Kind", "idempotent"));
+	}
+	object = json_pack("{s:{s:s, s:i}, s:{s:i, s:o, s:[]}}", "Metadata",
+	    "Name", "main", "Revision", version, "Spec", "Version", version,
+	    "Routes", routes, "Services");
+	routing_update_add_object(t->update, object, (uint64_t)version);
+	json_decref(object);
+}
+
+/* All routes are those of the configuration in force. */
+static void
+check_routes(const struct test *t)
+{
+	const struct routing_table *table = routing_update_table(t->update);
+	char name[16];
+
+	if (table == NULL)
+		return;
+	g_snprintf(name, sizeof(name), "%d", (int)table->version);
+	for (int i = 0; i < ROUTES; i++) {
+		g_autofree char *path = g_strdup_printf("/%d/x", i);
+		const struct route *route = routing_table_find_route(
+		    table, "h", path);
+
+		g_assert_nonnull(route);
+		g_assert_cmpstr(route->name, ==, name);
+	}
+}
+
+/* Runs the loop until all changes are applied. */
+static void
+finish(struct test *t)
+{
+	while (routing_update_is_busy(t->update)) {
+		ev_run(t->loop, EVRUN_ONCE);
+		check_routes(t);
+	}
+}
+
+/* Of the changes that arrive during another one, only the newest is applied. */
+static void
+test_merge(void)
+{
+	struct test t;
+
+	set_up(&t);
+	for (int version = 1; version <= 4; version++)
+		add_object(&t, version);
+	g_assert_true(routing_update_is_busy(t.update));
+	finish(&t);
+	g_assert_cmpuint(t.count, ==, 2);
+	g_assert_cmpuint(t.versions[0], ==, 1);
+	g_assert_cmpuint(t.versions[1], ==, 4);
+	tear_down(&t);
+}
+
+/* An older one that arrives later does not replace the one that waits. */
+static void
+test_order(void)
+{
+	struct test t;
+
+	set_up(&t);
+	add_object(&t, 1);
+	add_object(&t, 4);
+	add_object(&t, 3);
+	finish(&t);
+	g_assert_cmpuint(t.count, ==, 2);
+	g_assert_cmpuint(t.versions[1], ==, 4);
+	add_object(&t, 2);
+	finish(&t);
+	g_assert_cmpuint(t.count, ==, 2);
+	tear_down(&t);
+}
+
+/*
+ * While changes arrive in every iteration of the loop, one after the other
+ * comes into force, and versions only rise.
+ */
+static void
+test_flood(void)
+{
+	struct test t;
+	int version = 0;
+
+	set_up(&t);
+	while (t.count < CHANGES) {
+		add_object(&t, ++version);
+		ev_run(t.loop, EVRUN_NOWAIT);
+	}
+	finish(&t);
+	for (size_t i = 1; i < t.count; i++)
+		g_assert_cmpuint(t.versions[i], >, t.versions[i - 1]);
+	g_assert_cmpuint(t.versions[t.count - 1], ==, (uint64_t)version);
+	tear_down(&t);
+}
+
+/* What other processes are sent never has a part of a change. */
+static void
+test_encode(void)
+{
+	struct test t;
+	uint64_t base;
+	GString *text;
+
+	set_up(&t);
+	g_assert_null(routing_update_encode(t.update, 0, &base));
+	add_object(&t, 1);
+	g_assert_null(routing_update_encode(t.update, 0, &base));
+	finish(&t);
+	text = routing_update_encode(t.update, 0, &base);
+	g_assert_nonnull(text);
+	g_string_free(text, TRUE);
+	add_object(&t, 2);
+	g_assert_null(routing_update_encode(t.update, 1, &base));
+	g_assert_null(routing_update_encode_object(t.update));
+	finish(&t);
+	tear_down(&t);
+}
+
+/*
+ * After a change that fails half-way, the table in force stays, and the next
+ * whole configuration replaces it.
+ */
+static void
+test_failure(void)
+{
+	static const char broken[] =
+	    "[{\"Object\":{\"Metadata\":{\"Name\":\"route h /0/\"},\"Spec\":"
+	    "{\"Host\":\"h\",\"PathPrefix\":\"/0/\",\"Name\":\"x\"}}},"
+	    "{\"Object\":{\"Metadata\":{\"Name\":\"route h /1/\"},\"Spec\":"
+	    "{\"Host\":\"h\"}}},"
+	    "{\"Object\":{\"Metadata\":{\"Name\":\"version\"},\"Spec\":"
+	    "{\"Version\":2,\"Items\":200,\"Sum\":\"0\"}}}]";
+	struct test t;
+
+	set_up(&t);
+	add_object(&t, 1);
+	finish(&t);
+	g_assert_true(routing_update_add_items(
+	    t.update, 1, 2, (const uint8_t *)broken, strlen(broken)));
+	finish(&t);
+	g_assert_cmpuint(t.failures, ==, 1);
+	g_assert_false(t.had_all);
+	g_assert_cmpuint(routing_update_table(t.update)->version, ==, 1);
+	check_routes(&t);
+	g_assert_false(routing_update_add_items(
+	    t.update, 1, 3, (const uint8_t *)broken, strlen(broken)));
+	add_object(&t, 4);
+	finish(&t);
+	g_assert_cmpuint(routing_update_table(t.update)->version, ==, 4);
+	check_routes(&t);
+	tear_down(&t);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/routing_update/of the changes that wait, the newest is applied",
+	    test_merge);
+	g_test_add_func(
+	    "/routing_update/an older change does not replace a newer one",
+	    test_order);
+	g_test_add_func("/routing_update/changes without end come into force "
+			"one after the other",
+	    test_flood);
+	g_test_add_func(
+	    "/routing_update/a part of a change is never sent", test_encode);
+	g_test_add_func("/routing_update/a change that fails half-way leaves "
+			"the configuration in force",
+	    test_failure);
+	return g_test_run();
+}
