Ranks: place prompts by rank and slack, tell upstreams an urgency

A divided prompt's parts were placed on any engines, and its first token counted as late from 20% of its target on. Parts of prompts with seconds to spare therefore made short streams with a target of 250 ms late.

policy/precedence keeps less urgent prompts clear of engines with more urgent streams, keeps idle engines clear for the streams that come next, uses parts as long as the route's gap allows, and holds a prompt back while it would delay more urgent streams and still meets its target. A more urgent prompt avoids engines with more prefill than its target allows. The urgency is a band for each rank.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -297,8 +297,10 @@
 	exchange->profile = service == NULL
 	    ? NULL
 	    : routing_table_find_service(exchange->table, service);
-	if (exchange->profile != NULL)
+	if (exchange->profile != NULL) {
+		exchange_set_rank(exchange);
 		return true;
+	}
 	exchange_refuse(exchange, REFUSAL_NO_UPSTREAM, MS_PER_S,
 	    "the route has no configured service");
 	return false;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -1,9 +1,9 @@
 /*
  * Shared by the files of an exchange: exchange.c, its start, end and refusals;
  * _selection.c, which upstreams it may use; _prefill.c, where its prompt is
- * prefilled and its KV cache kept; _send.c, sending it; _response.c, forwarding
- * the response; _health.c, what the outcome says about an upstream; _retry.c,
- * whether it is sent again.
+ * prefilled and its KV cache kept; _rank.c, how urgent it is; _send.c, sending
+ * it; _response.c, forwarding the response; _health.c, what the outcome says
+ * about an upstream; _retry.c, whether it is sent again.
  */
 #ifndef GATEWAY_EXCHANGE_INTERNAL_H
 #define GATEWAY_EXCHANGE_INTERNAL_H
@@ -13,6 +13,8 @@
 #include "gateway/reservations.h"
 #include "platform/headers.h"
 #include "policy/balance.h"
+#include "policy/precedence.h"
+#include "routing/service_ranks.h"
 
 /* Maximum number of upstreams that a request is sent to, on any route. */
 #define EXCHANGE_SENDS_MAX 4
@@ -77,6 +79,9 @@
 	const struct route *route;
 	const struct organisation *organisation; /* NULL on public routes */
 	const struct service_profile *profile;
+	struct precedence_ranks ranks; /* of the service */
+	uint32_t rank; /* 0 is the most urgent */
+	bool held_back; /* at least once, for more urgent streams */
 
 	/* Sends. */
 	char *tried[EXCHANGE_TRIES_MAX]; /* upstream ids */
@@ -127,6 +132,10 @@
 void exchange_refuse(
     struct exchange *, enum refusal, int64_t retry_after_ms, const char *why);
 void exchange_send(struct exchange *);
+void exchange_set_rank(struct exchange *);
+void exchange_describe_rank(const struct exchange *, struct balance_prompt *);
+void exchange_set_urgency(const struct exchange *, struct upstream_headers *);
+void exchange_note_held_back(struct exchange *, const struct balance_plan *);
 void exchange_schedule_plan(struct exchange *);
 bool exchange_may_begin(struct exchange *);
 bool exchange_refuse_crashing_part(struct exchange *);
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "gateway/exchange_internal.h"
 
 /*
@@ -97,6 +99,9 @@
 	    .tie = g_rand_int(exchange->context->random),
 	};
 
+	if (exchange->ranks.has_ranks)
+		candidate.order = (uint32_t)XXH3_64bits(
+		    upstream->id, strlen(upstream->id));
 	for (size_t i = 0; i < STREAM_CLASSES; i++)
 		candidate.streams[i] = upstream->own.streams[i] +
 		    upstream->peers.streams[i];
@@ -258,7 +263,7 @@
 static struct balance_prompt
 make_balance_prompt(const struct exchange *exchange)
 {
-	return (struct balance_prompt){
+	struct balance_prompt prompt = {
 	    .tokens = exchange->caller_headers.prompt_tokens,
 	    .output_tokens = exchange->caller_headers.output_tokens,
 	    .class = exchange_stream_class(exchange),
@@ -268,6 +273,9 @@
 		? RETRY_PREFILL_UPSTREAMS_MAX
 		: 0,
 	};
+
+	exchange_describe_rank(exchange, &prompt);
+	return prompt;
 }
 
 /* Returns whether prefill and decode times can be predicted for the request. */
@@ -293,12 +301,12 @@
 	enum balance_verdict verdict;
 	enum balance_verdict whole_verdict;
 
-	verdict = balance_plan_prompt(
-	    engine, selection->candidates, others, &prompt, out);
+	verdict = precedence_plan_prompt(engine, &exchange->ranks,
+	    selection->candidates, others, &prompt, out);
 	if (verdict == BALANCE_SERVE)
 		return verdict;
 	prompt.undivided = true;
-	whole_verdict = balance_plan_prompt(engine,
+	whole_verdict = precedence_plan_prompt(engine, &exchange->ranks,
 	    selection->candidates + others, selection->rated, &prompt, &whole);
 	if (whole_verdict != BALANCE_SERVE && others > 0)
 		return verdict;
@@ -324,8 +332,9 @@
 	if (selection->rated > 0 &&
 	    balance_is_divisible(&exchange->profile->engine, &prompt))
 		return plan_with_rated(exchange, selection, out);
-	verdict = balance_plan_prompt(&exchange->profile->engine,
-	    selection->candidates, selection->count, &prompt, out);
+	verdict = precedence_plan_prompt(&exchange->profile->engine,
+	    &exchange->ranks, selection->candidates, selection->count, &prompt,
+	    out);
 	if (selection->rated > 0 && out->helper_count > 0)
 		return plan_with_rated(exchange, selection, out);
 	return verdict;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -110,7 +110,7 @@
 start_call(struct exchange *exchange)
 {
 	struct prefill_helper helpers[BALANCE_HELPERS_MAX];
-	const struct upstream_headers values = {
+	struct upstream_headers values = {
 	    .remaining_ms = exchange_remaining_ms(exchange),
 	    .upstream = exchange->upstream->id,
 	    .organisation = exchange->organisation != NULL
@@ -144,6 +144,7 @@
 			: NULL,
 		};
 	}
+	exchange_set_urgency(exchange, &values);
 	headers = headers_build_upstream(exchange->http, &values);
 	request.headers = (const struct http_header *)(void *)headers->data;
 	request.header_count = headers->len;
@@ -353,6 +354,10 @@
 	/* A request that was sent before continues at any cost. */
 	if (verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
 		verdict = BALANCE_SERVE;
+	if (verdict == BALANCE_HELD_BACK && exchange->tries > 0)
+		verdict = BALANCE_SERVE;
+	if (verdict == BALANCE_HELD_BACK)
+		exchange_note_held_back(exchange, &chosen);
 	if (exchange->tries == 0 && exchange_may_wait(exchange, verdict)) {
 		exchange_schedule_plan(exchange);
 		goto out;
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -1,10 +1,12 @@
 #include "policy/balance.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include <glib.h>
 
 #include "base/clock.h"
+#include "policy/balance_memory.h"
 
 /*
  * Returns the class of a stream for its route's gap target in milliseconds;
@@ -138,13 +140,28 @@
 }
 
 /*
- * Returns how late a first token is: 0 if in time, 1 at the target, more after
- * it.
+ * Returns the time after a prompt's arrival from which its first token begins
+ * to count as late. With ranks that is near its target: the parts of others may
+ * delay it by one gap that its route allows.
  */
 static double
-lateness(double first_token_ms, double target_ms)
+late_from_ms(const struct balance_prompt *prompt)
 {
-	double from = target_ms * BALANCE_LATE_FROM_SHARE;
+	double from = prompt->target_ms * BALANCE_LATE_FROM_SHARE;
+
+	return prompt->has_ranks ? MAX(from, prompt->target_ms - prompt->gap_ms)
+				 : from;
+}
+
+/*
+ * Returns how late a prompt's first token is: 0 if in time, 1 at the target,
+ * more after it.
+ */
+static double
+lateness(const struct balance_prompt *prompt, double first_token_ms)
+{
+	double target_ms = prompt->target_ms;
+	double from = late_from_ms(prompt);
 
 	if (target_ms <= 0.0 || first_token_ms <= from)
 		return 0.0;
@@ -157,7 +174,8 @@
  */
 static double
 delayed_streams(const struct engine_profile *profile,
-    const struct balance_candidate *candidate, double part_ms)
+    const struct balance_candidate *candidate,
+    const struct balance_prompt *prompt, double part_ms)
 {
 	static const struct {
 		double gap_ms;
@@ -174,7 +192,11 @@
 	double streams = 0.0;
 
 	for (size_t i = 0; i < STREAM_CLASSES; i++) {
-		if (gap_ms > classes[i].gap_ms)
+		double planned_ms = prompt->planned_gap_ms[i] > 0.0
+		    ? prompt->planned_gap_ms[i]
+		    : classes[i].gap_ms;
+
+		if (gap_ms > planned_ms)
 			streams += candidate->streams[i] * classes[i].worth;
 	}
 	return streams;
@@ -185,15 +207,15 @@
  */
 static void
 rank_engines(const struct engine_profile *profile,
-    const struct balance_candidate *candidates, size_t count, double part_ms,
-    struct rank *ranks)
+    const struct balance_candidate *candidates, size_t count,
+    const struct balance_prompt *prompt, double part_ms, struct rank *ranks)
 {
 	for (size_t i = 0; i < count; i++) {
 		const struct balance_candidate *engine = &candidates[i];
 
 		ranks[i] = (struct rank){
 		    .index = i,
-		    .cost = delayed_streams(profile, engine, part_ms) *
+		    .cost = delayed_streams(profile, engine, prompt, part_ms) *
 			    BALANCE_DELAYED_STREAM_MS +
 			engine->streams[STREAM_SHORT] *
 			    BALANCE_SHORT_STREAM_MS +
@@ -234,14 +256,16 @@
 	double weight = part_ms / BALANCE_MEDIUM_PLANNED_GAP_MS;
 	double total = (double)parts *
 	    (BALANCE_ENGINE_COST +
-		BALANCE_PART_COST * MIN(weight * weight, weight));
+		BALANCE_PART_COST *
+		    (prompt->has_ranks ? weight
+				       : MIN(weight * weight, weight)));
 
 	for (size_t i = 0; i < parts; i++) {
 		const struct balance_candidate
 		    *engine = &candidates[ranks[i].index];
 
 		backlog_ms = MAX(backlog_ms, engine->backlog_ms);
-		total += delayed_streams(profile, engine, part_ms);
+		total += delayed_streams(profile, engine, prompt, part_ms);
 	}
 	*first_token_ms = part_ms +
 	    backlog_ms * (parts == 1 ? 1.0 : BALANCE_BACKLOG_SHARE) +
@@ -251,32 +275,10 @@
 	if (parts > 1)
 		total += preemption_cost(backlog_ms, part_ms);
 	return total +
-	    lateness(prompt->waited_ms + *first_token_ms, prompt->target_ms) *
+	    lateness(prompt, prompt->waited_ms + *first_token_ms) *
 	    prompt_worth(prompt);
 }
 
-/* Returns the free memory of an engine, in tokens. */
-static uint64_t
-free_memory_tokens(const struct engine_profile *profile,
-    const struct balance_candidate *candidate)
-{
-	double planned = (double)profile->memory_tokens * BALANCE_MEMORY_SHARE;
-
-	if (planned <= (double)candidate->context_tokens)
-		return 0;
-	return (uint64_t)planned - candidate->context_tokens;
-}
-
-/* Returns whether a prompt and its answer fit into the free memory. */
-static bool
-fits_memory(const struct engine_profile *profile,
-    const struct balance_candidate *candidate,
-    const struct balance_prompt *prompt)
-{
-	return prompt->tokens + prompt->output_tokens <=
-	    free_memory_tokens(profile, candidate);
-}
-
 /*
  * Returns the rank of the engine that decodes: the cheapest one with enough
  * free memory, or else the one with the most.
@@ -289,7 +291,8 @@
 	size_t most = 0;
 
 	for (size_t i = 0; i < parts; i++) {
-		if (fits_memory(profile, &candidates[ranks[i].index], prompt))
+		if (balance_fits_memory(
+			profile, &candidates[ranks[i].index], prompt))
 			return i;
 		if (candidates[ranks[i].index].context_tokens <
 		    candidates[ranks[most].index].context_tokens)
@@ -310,8 +313,8 @@
 	return candidate->streams[STREAM_SHORT] > 0 &&
 	    candidate->running < candidate->slots * BALANCE_PACK_SHARE &&
 	    candidate->backlog_ms <= BALANCE_PACK_BACKLOG_MS &&
-	    delayed_streams(profile, candidate, part_ms) == 0.0 &&
-	    fits_memory(profile, candidate, prompt);
+	    delayed_streams(profile, candidate, prompt, part_ms) == 0.0 &&
+	    balance_fits_memory(profile, candidate, prompt);
 }
 
 /*
@@ -349,6 +352,23 @@
 	}
 }
 
+/*
+ * Returns the fewest parts into which a prompt is divided. With ranks a part is
+ * no longer than the gap that the route allows, less a decode pass, so that it
+ * delays no streams of its own kind.
+ */
+static size_t
+fewest_parts(const struct engine_profile *profile,
+    const struct balance_prompt *prompt, double prefill_ms)
+{
+	double part_ms = prompt->gap_ms -
+	    engine_profile_pass_ms(profile, profile->slots, 0);
+
+	if (!prompt->has_ranks || part_ms <= 0.0)
+		return 1;
+	return MAX((size_t)ceil(2.0 * prefill_ms / part_ms), 1);
+}
+
 /*
  * Plans a prompt that may be divided. Takes the engines that delay the fewest
  * streams, and as many of them as give the lowest cost, counting the delay of
@@ -361,31 +381,38 @@
 {
 	g_autofree struct rank *ranks = g_new(struct rank, count);
 	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
-	size_t best = 1;
+	size_t fewest;
+	size_t best;
 	size_t decoder;
 	double least_cost = 0.0;
 	double first_token_ms = 0.0;
+	double delayed = 0.0;
 
 	if (prompt->engines_max > 0)
 		max = MIN(max, prompt->engines_max);
 	if (prompt->undivided)
 		max = 1;
-	for (size_t parts = 1; parts <= max; parts++) {
+	fewest = MIN(fewest_parts(profile, prompt, prefill_ms), max);
+	best = fewest;
+	for (size_t parts = fewest; parts <= max; parts++) {
 		double expected_ms;
 		double cost;
 
-		rank_engines(profile, candidates, count,
+		rank_engines(profile, candidates, count, prompt,
 		    prefill_ms / (double)parts, ranks);
 		cost = plan_cost(profile, candidates, ranks, parts, prefill_ms,
 		    prompt, &expected_ms);
-		if (parts > 1 && cost >= least_cost)
+		if (parts > fewest && cost >= least_cost)
 			continue;
 		least_cost = cost;
 		best = parts;
 		first_token_ms = expected_ms;
 	}
-	rank_engines(
-	    profile, candidates, count, prefill_ms / (double)best, ranks);
+	rank_engines(profile, candidates, count, prompt,
+	    prefill_ms / (double)best, ranks);
+	for (size_t i = 0; i < best; i++)
+		delayed += delayed_streams(profile, &candidates[ranks[i].index],
+		    prompt, prefill_ms / (double)best);
 	decoder = find_medium_decoder(profile, candidates, ranks, count,
 	    prefill_ms / (double)best, prompt);
 	if (decoder == 0)
@@ -395,36 +422,12 @@
 	    .first = ranks[decoder].index,
 	    .part_ms = prefill_ms / (double)best,
 	    .first_token_ms = first_token_ms,
+	    .delayed = delayed,
 	};
 	add_helpers(ranks, best, decoder, plan);
 	return least_cost;
 }
 
-/*
- * Distributes the KV cache of a prompt that does not fit into the decoder's
- * memory: the decoder keeps what fits, the helpers the rest. Returns false if
- * they do not have enough memory together.
- */
-static bool
-divide_memory(const struct engine_profile *profile,
-    const struct balance_candidate *candidates,
-    const struct balance_prompt *prompt, struct balance_plan *plan)
-{
-	uint64_t left = prompt->tokens + prompt->output_tokens;
-
-	if (profile->memory_tokens == 0)
-		return true;
-	left -= MIN(
-	    free_memory_tokens(profile, &candidates[plan->first]), left);
-	for (size_t i = 0; i < plan->helper_count; i++) {
-		plan->reserved_tokens[i] = MIN(
-		    free_memory_tokens(profile, &candidates[plan->helpers[i]]),
-		    left);
-		left -= plan->reserved_tokens[i];
-	}
-	return left == 0;
-}
-
 /*
  * Plans a prompt that does not fit into the memory of its engines, by adding
  * more engines. Returns false if all of them do not have enough.
@@ -440,14 +443,14 @@
 	for (size_t parts = plan->helper_count + 2; parts <= max; parts++) {
 		size_t decoder;
 
-		rank_engines(profile, candidates, count,
+		rank_engines(profile, candidates, count, prompt,
 		    prefill_ms / (double)parts, ranks);
 		decoder = choose_decoder(
 		    profile, candidates, ranks, parts, prompt);
 		plan->first = ranks[decoder].index;
 		plan->part_ms = prefill_ms / (double)parts;
 		add_helpers(ranks, parts, decoder, plan);
-		if (divide_memory(profile, candidates, prompt, plan))
+		if (balance_divide_memory(profile, candidates, prompt, plan))
 			return true;
 	}
 	return false;
@@ -500,7 +503,7 @@
 	plan->worth = worth;
 	if (cost > worth * BALANCE_ADMIT_COST_RATIO)
 		return BALANCE_TOO_COSTLY;
-	if (divide_memory(profile, candidates, prompt, plan))
+	if (balance_divide_memory(profile, candidates, prompt, plan))
 		return BALANCE_SERVE;
 	return !prompt->undivided &&
 		plan_for_memory(
@@ -518,6 +521,8 @@
 balance_prompt_may_wait(
     const struct balance_prompt *prompt, enum balance_verdict verdict)
 {
+	if (verdict == BALANCE_HELD_BACK)
+		return true;
 	return (verdict == BALANCE_TOO_COSTLY ||
 		   verdict == BALANCE_NO_MEMORY) &&
 	    prompt->waited_ms < prompt->target_ms * BALANCE_WAIT_SHARE;
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -26,14 +26,7 @@
 #include <stdint.h>
 
 #include "policy/engine_profile.h"
-
-/* Classes of streams by the longest gap between two events that they allow. */
-enum stream_class {
-	STREAM_SHORT,
-	STREAM_MEDIUM,
-	STREAM_LONG,
-	STREAM_CLASSES,
-};
+#include "policy/stream_class.h"
 
 /* Milliseconds: largest gap target, as in routes, of the first two classes. */
 #define BALANCE_SHORT_GAP_MS  400.0
@@ -133,6 +126,7 @@
 	uint32_t streams[STREAM_CLASSES]; /* streams decoding there, by class */
 	double error_share; /* share of recent answers that failed */
 	uint32_t tie; /* random; breaks ties */
+	uint32_t order; /* the same at all gateways; used with ranks */
 };
 
 struct balance_prompt {
@@ -143,6 +137,11 @@
 	double waited_ms; /* time since it arrived */
 	size_t engines_max; /* unless memory needs more; 0: no limit */
 	bool undivided; /* one engine prefills it, or none */
+	bool has_ranks; /* ranks of its service differ, see policy/precedence */
+	uint32_t rank; /* 0 is the most urgent */
+	double slack_ms; /* time left until its target */
+	double gap_ms; /* gap target of its route; used with ranks */
+	double planned_gap_ms[STREAM_CLASSES]; /* 0: as by the constants */
 };
 
 /* Whether a prompt is served now, and the reason if not. */
@@ -151,6 +150,7 @@
 	BALANCE_NO_ENGINE, /* there is no engine */
 	BALANCE_NO_MEMORY, /* the engines together lack memory for it now */
 	BALANCE_TOO_COSTLY, /* its cost exceeds its worth */
+	BALANCE_HELD_BACK, /* it has time and would delay more urgent streams */
 };
 
 /* Which engines prefill a prompt, as indexes into the candidates. */
@@ -163,6 +163,7 @@
 	double first_token_ms; /* expected time to the first token */
 	double wait_ms; /* if not served: expected time until it can be */
 	double cost; /* in cost units: delay of others and its own lateness */
+	double delayed; /* of the cost: streams delayed beyond their gaps */
 	double worth; /* worth of the prompt, in cost units */
 };
 
--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "routing/service_ranks.h"
+
 /* Frees a route with its services and names. */
 static void
 route_free(void *data)
@@ -57,6 +59,7 @@
 	    g_str_hash, g_str_equal, NULL, service_free);
 	table->keys = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, NULL);
+	table->ranks = service_ranks_new();
 	table->organisations = g_ptr_array_new_with_free_func(
 	    organisation_free);
 	return table;
@@ -80,6 +83,7 @@
 	g_hash_table_unref(table->services);
 	g_hash_table_unref(table->keys);
 	g_ptr_array_unref(table->organisations);
+	service_ranks_free(table->ranks);
 	g_free(table);
 }
 
@@ -107,6 +111,7 @@
 		at++;
 	}
 	g_ptr_array_insert(routes, (gint)at, route);
+	service_ranks_add_route(table->ranks, route);
 }
 
 /* Adds a service's profile, which the table then owns. */
@@ -128,6 +133,16 @@
 	return organisation;
 }
 
+/* Gives an organisation a rank of its own, once. */
+void
+routing_table_set_rank(struct routing_table *table,
+    struct organisation *organisation, uint32_t rank)
+{
+	organisation->has_priority = true;
+	organisation->priority = rank;
+	service_ranks_add_organisation(table->ranks, organisation);
+}
+
 /* Assigns an API key to an organisation of this table. */
 void
 routing_table_add_key(struct routing_table *table, const char *key,
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -15,6 +15,8 @@
 
 #include "policy/engine_profile.h"
 
+struct service_ranks;
+
 /* How often one request may be executed. */
 enum call_kind {
 	CALL_IDEMPOTENT, /* any number of times */
@@ -36,7 +38,8 @@
 	int64_t timeout_ms; /* from arrival to the end of the response */
 	int64_t target_ms; /* to the response or a stream's first event */
 	int64_t gap_target_ms; /* between two events of a stream */
-	uint32_t priority; /* 0 is the highest */
+	uint32_t
+	    priority; /* 0 is the most urgent; or PRECEDENCE_RANK_INVALID */
 	uint32_t attempts; /* maximum number of sends */
 	bool public; /* needs no API key */
 	bool prompts; /* its requests are prompts for a model */
@@ -76,6 +79,7 @@
 	GHashTable *services; /* name -> struct service_profile */
 	GHashTable *keys; /* API key -> struct organisation */
 	GPtrArray *organisations; /* owns the values of keys */
+	struct service_ranks *ranks; /* of the routes and organisations */
 };
 
 struct routing_table *routing_table_new(void);
@@ -86,6 +90,8 @@
     struct routing_table *, struct service_profile *);
 struct organisation *routing_table_add_organisation(
     struct routing_table *, const char *name);
+void routing_table_set_rank(
+    struct routing_table *, struct organisation *, uint32_t rank);
 void routing_table_add_key(
     struct routing_table *, const char *key, struct organisation *);
 
--- a/tests/experiment/engine.h
+++ b/tests/experiment/engine.h
@@ -35,6 +35,7 @@
 	double last_ms;
 	double max_gap_ms; /* longest time between two events */
 	uint32_t refusals;
+	bool noticed; /* the other gateways know of it */
 	bool decoding; /* its prefill is complete */
 	bool ended; /* complete, or abandoned by its caller */
 	bool released; /* ended and no longer counted by its gateway */
--- a/tests/experiment/experiment.c
+++ b/tests/experiment/experiment.c
@@ -24,9 +24,12 @@
 	int engines;
 	int gateways;
 	char *replay;
+	char *mix;
+	int notice_ms;
+	gboolean by_rank;
 	gboolean prompts;
 } options = {NULL, SEEDS_DEFAULT, SECONDS_DEFAULT, ENGINES_DEFAULT,
-    GATEWAYS_DEFAULT, NULL, FALSE};
+    GATEWAYS_DEFAULT, NULL, NULL, 0, FALSE, FALSE};
 
 static const GOptionEntry entries[] = {
     {"loads", 0, 0, G_OPTION_ARG_STRING, &options.loads,
@@ -36,6 +39,12 @@
 	"S"},
     {"engines", 0, 0, G_OPTION_ARG_INT, &options.engines, "Engines", "N"},
     {"gateways", 0, 0, G_OPTION_ARG_INT, &options.gateways, "Gateways", "N"},
+    {"mix", 0, 0, G_OPTION_ARG_STRING, &options.mix,
+	"Mix of prompts: even or ranked", "NAME"},
+    {"notice-ms", 0, 0, G_OPTION_ARG_INT, &options.notice_ms,
+	"Time until other gateways know of a prompt", "MS"},
+    {"by-rank", 0, 0, G_OPTION_ARG_NONE, &options.by_rank,
+	"Place prompts by the ranks of the mix", NULL},
     {"prompts", 0, 0, G_OPTION_ARG_NONE, &options.prompts,
 	"Print each prompt instead of the totals", NULL},
     {"replay", 0, 0, G_OPTION_ARG_FILENAME, &options.replay,
@@ -106,20 +115,22 @@
 
 /* Runs one load with all seeds. */
 static void
-run_load(double load)
+run_load(const struct traffic_mix *mix, double load)
 {
 	const struct fleet_model_settings settings = {
-	    .profile = &users_engine,
+	    .profile = mix->engine,
 	    .engines = (size_t)options.engines,
 	    .gateways = (size_t)options.gateways,
 	    .round_ms = LOAD_SYNC_ROUND_MS +
 		LOAD_SYNC_ROUND_PEER_MS * (options.gateways - 1),
+	    .notice_ms = options.notice_ms,
+	    .by_rank = options.by_rank,
 	};
 	struct outcome outcomes[STREAM_CLASSES] = {0};
 
 	for (int seed = 0; seed < options.seeds; seed++) {
 		GRand *random = g_rand_new_with_seed((guint32)seed);
-		g_autoptr(GPtrArray) prompts = traffic_make(&users_engine,
+		g_autoptr(GPtrArray) prompts = traffic_make(mix->engine,
 		    settings.engines, load, options.seconds * 1000.0, random);
 
 		fleet_model_run(&settings, prompts, random);
@@ -148,14 +159,14 @@
 
 /* Runs all loads. */
 static void
-run_loads(void)
+run_loads(const struct traffic_mix *mix)
 {
 	g_auto(GStrv) loads = g_strsplit(
 	    options.loads != NULL ? options.loads : LOADS_DEFAULT, ",", -1);
 
 	print_heading();
 	for (size_t i = 0; loads[i] != NULL; i++)
-		run_load(g_ascii_strtod(loads[i], NULL));
+		run_load(mix, g_ascii_strtod(loads[i], NULL));
 }
 
 /* Whether the options are valid; else prints an error. */
@@ -177,6 +188,7 @@
 	g_autoptr(GOptionContext)
 	    context = g_option_context_new("- place loads on modelled engines");
 	g_autoptr(GError) error = NULL;
+	const struct traffic_mix *mix;
 
 	g_option_context_add_main_entries(context, entries, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
@@ -185,8 +197,13 @@
 	}
 	if (!check_options())
 		return EXIT_FAILURE;
+	mix = traffic_use_mix(options.mix != NULL ? options.mix : "even");
+	if (mix == NULL) {
+		fprintf(stderr, "experiment: unknown mix\n");
+		return EXIT_FAILURE;
+	}
 	if (options.replay == NULL) {
-		run_loads();
+		run_loads(mix);
 		return EXIT_SUCCESS;
 	}
 	if (replay_log(&users_engine, options.replay, &error))
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gateway/load_sync.h"
+#include "policy/precedence.h"
 #include "traffic.h"
 
 /* Tick of the model's clock. */
@@ -26,6 +27,7 @@
 	struct account *own; /* by engine */
 	struct account *published; /* as known to the other gateways */
 	double *prefill_until_ms; /* by engine */
+	double last_publish_ms;
 	double next_publish_ms;
 };
 
@@ -45,6 +47,7 @@
 	struct balance_candidate candidate = {
 	    .slots = model->settings->profile->slots,
 	    .tie = g_rand_int(model->random),
+	    .order = (uint32_t)engine,
 	};
 
 	for (size_t i = 0; i < model->settings->gateways; i++) {
@@ -73,7 +76,7 @@
 	account->context_tokens += (uint64_t)((int64_t)prompt->tokens * delta);
 }
 
-/* Adds the prefill of a prompt, which is published at once. */
+/* Adds the prefill of a prompt. */
 static void
 count_prefill(
     struct model *model, struct gateway *gateway, struct prompt *prompt)
@@ -85,10 +88,24 @@
 		*until = MAX(*until, model->now_ms) + prompt->part_ms;
 		prompt->counted_until_ms[i] = *until + ENGINE_PREFILL_SLACK_MS;
 		gateway->own[engine].prefill_ms += prompt->part_ms;
-		gateway->published[engine].prefill_ms += prompt->part_ms;
 	}
 }
 
+/* Tells the other gateways of a prompt, unless a load message already has. */
+static void
+notice(struct model *model, struct gateway *gateway, struct prompt *prompt)
+{
+	if (model->now_ms < prompt->planned_ms + model->settings->notice_ms)
+		return;
+	prompt->noticed = true;
+	if (gateway->last_publish_ms > prompt->planned_ms)
+		return;
+	count_stream(gateway->published, prompt, 1);
+	for (size_t i = 0; i < prompt->engine_count; i++)
+		gateway->published[prompt->engines[i]]
+		    .prefill_ms += prompt->part_ms;
+}
+
 /* Removes the prefill of parts that are complete, or should be by now. */
 static void
 uncount_prefill(
@@ -120,8 +137,8 @@
 		engine_prefill(model->engines[prompt->engines[i]], prompt, i,
 		    model->now_ms + NETWORK_LATENCY_MS);
 	count_stream(gateway->own, prompt, 1);
-	count_stream(gateway->published, prompt, 1);
 	count_prefill(model, gateway, prompt);
+	notice(model, gateway, prompt);
 }
 
 /* Refuses a prompt: its caller retries later, or gives up the last time. */
@@ -133,6 +150,26 @@
 	prompt->last_try_ms = model->now_ms + wait_ms + RETRY_AFTER_EXTRA_MS;
 }
 
+/* Returns the ranks of the classes. */
+static struct precedence_ranks
+describe_ranks(void)
+{
+	struct precedence_ranks ranks = {.has_ranks = true};
+
+	for (size_t i = 0; i < STREAM_CLASSES; i++) {
+		const struct prompt_class *class = &prompt_classes[i];
+
+		ranks.used[class->rank] = true;
+		ranks.least_urgent = MAX(ranks.least_urgent, class->rank);
+		ranks.classes[i] = (struct precedence_class){
+		    .used = true,
+		    .rank = class->rank,
+		    .gap_ms = class->gap_ms,
+		};
+	}
+	return ranks;
+}
+
 /* Plans a prompt that is new, waiting or retried. */
 static void
 plan(struct model *model, struct gateway *gateway, struct prompt *prompt)
@@ -148,14 +185,20 @@
 	    .class = prompt->class,
 	    .target_ms = class->target_ms,
 	    .waited_ms = model->now_ms - prompt->last_try_ms,
+	    .has_ranks = settings->by_rank,
+	    .rank = class->rank,
+	    .slack_ms = class->target_ms -
+		(model->now_ms - prompt->last_try_ms),
+	    .gap_ms = class->gap_ms,
 	};
+	const struct precedence_ranks ranks = describe_ranks();
 	enum balance_verdict verdict;
 	struct balance_plan plan;
 
 	for (size_t i = 0; i < settings->engines; i++)
 		candidates[i] = describe_engine(model, gateway, i);
-	verdict = balance_plan_prompt(
-	    settings->profile, candidates, settings->engines, &wanted, &plan);
+	verdict = precedence_plan_prompt(settings->profile, &ranks, candidates,
+	    settings->engines, &wanted, &plan);
 	if (verdict == BALANCE_SERVE)
 		send(model, gateway, prompt, &plan);
 	else if (!balance_prompt_may_wait(&wanted, verdict))
@@ -176,6 +219,8 @@
 			plan(model, gateway, prompt);
 		return;
 	}
+	if (!prompt->noticed)
+		notice(model, gateway, prompt);
 	if (prompt->prefills_left == 0 && !prompt->decoding) {
 		engine_decode(
 		    model->engines[prompt->engines[0]], prompt, model->now_ms);
@@ -194,6 +239,7 @@
 {
 	if (model->now_ms < gateway->next_publish_ms)
 		return;
+	gateway->last_publish_ms = model->now_ms;
 	gateway->next_publish_ms = model->now_ms + model->settings->round_ms;
 	memcpy(gateway->published, gateway->own,
 	    model->settings->engines * sizeof(*gateway->own));
--- a/tests/experiment/fleet_model.h
+++ b/tests/experiment/fleet_model.h
@@ -5,6 +5,8 @@
 #ifndef EXPERIMENT_FLEET_MODEL_H
 #define EXPERIMENT_FLEET_MODEL_H
 
+#include <stdbool.h>
+
 #include <glib.h>
 
 #include "engine.h"
@@ -14,6 +16,8 @@
 	size_t engines;
 	size_t gateways;
 	double round_ms; /* between two load messages of a gateway */
+	double notice_ms; /* until the others know of a prompt that was sent */
+	bool by_rank; /* placed by the ranks of the classes */
 };
 
 void fleet_model_run(
--- a/tests/experiment/traffic.c
+++ b/tests/experiment/traffic.c
@@ -1,8 +1,10 @@
 #include "traffic.h"
 
 #include <math.h>
+#include <string.h>
 
 #include "base/clock.h"
+#include "users_engine.h"
 
 /* Periodic change of the load: relative amplitude and period. */
 #define WAVE_SWING 0.3
@@ -10,16 +12,68 @@
 /* Prompts over which the mean prefill time is taken. */
 #define SAMPLE_COUNT 20000
 
-/* From the data sheets of the users' deployments. */
-const struct prompt_class prompt_classes[STREAM_CLASSES] = {
-    [STREAM_SHORT] = {"short", 0.925, 4960, 0.9, 23800, 33, 300, 250, 10000,
-	1.3, 0.33},
-    [STREAM_MEDIUM] = {"medium", 0.047, 45000, 0.5, 110000, 20, 1500, 600,
-	10000, 4.2, 1.0},
-    [STREAM_LONG] = {"long", 0.028, 154000, 0.55, 700000, 16, 3000, 1000, 15000,
-	21.0, 5.2},
+/* Bursts of the classes that have them: period and length. */
+#define BURST_PERIOD_MS 15000.0
+#define BURST_LENGTH_MS 3000.0
+
+/*
+ * Loads after the data sheets of the users' deployments: one of equal ranks,
+ * and one whose kinds differ in rank, with bursts of the least urgent kind.
+ */
+static const struct traffic_mix mixes[] = {
+    {"even", &users_engine,
+	{[STREAM_SHORT] = {"short", 0.925, 4960, 0.9, 23800, 33, 300, 250,
+	     10000, 1.3, 0.33, 0, 0.0},
+	    [STREAM_MEDIUM] = {"medium", 0.047, 45000, 0.5, 110000, 20, 1500,
+		600, 10000, 4.2, 1.0, 0, 0.0},
+	    [STREAM_LONG] = {"long", 0.028, 154000, 0.55, 700000, 16, 3000,
+		1000, 15000, 21.0, 5.2, 0, 0.0}}},
+    {"ranked", &ranked_engine,
+	{[STREAM_SHORT] = {"short", 0.862, 5000, 0.9, 24000, 33, 250, 250,
+	     10000, 1.8, 0.18, 0, 0.0},
+	    [STREAM_MEDIUM] = {"medium", 0.102, 45000, 0.5, 110000, 20, 1500,
+		600, 10000, 2.4, 0.61, 1, 0.0},
+	    [STREAM_LONG] = {"long", 0.036, 190000, 0.55, 600000, 16, 6000,
+		1000, 20000, 7.3, 2.8, 2, 4.0}}},
 };
 
+const struct prompt_class *prompt_classes = mixes[0].classes;
+
+/* Selects a mix by its name; returns NULL if there is none. */
+const struct traffic_mix *
+traffic_use_mix(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(mixes); i++) {
+		if (strcmp(mixes[i].name, name) != 0)
+			continue;
+		prompt_classes = mixes[i].classes;
+		return &mixes[i];
+	}
+	return NULL;
+}
+
+/* Returns how often a class arrives at a time, in multiples of its share. */
+static double
+burst_rate(const struct prompt_class *class, double now_ms)
+{
+	bool in_burst = fmod(now_ms, BURST_PERIOD_MS) >=
+	    BURST_PERIOD_MS - BURST_LENGTH_MS;
+
+	return class->burst > 0.0 && in_burst ? class->burst : 1.0;
+}
+
+/* Returns the shares of all classes at a time; 1 without bursts. */
+static double
+total_share(double now_ms)
+{
+	double total = 0.0;
+
+	for (size_t i = 0; i < STREAM_CLASSES; i++)
+		total += prompt_classes[i].share *
+		    burst_rate(&prompt_classes[i], now_ms);
+	return total;
+}
+
 /* Returns a lognormally distributed random number with a given mean. */
 static double
 lognormal(GRand *random, double mean, double sigma)
@@ -35,12 +89,17 @@
 make_prompt(GRand *random, double arrived_ms)
 {
 	struct prompt *prompt = g_new0(struct prompt, 1);
-	double pick = g_rand_double(random);
+	double pick = g_rand_double(random) * total_share(arrived_ms);
 	size_t class = 0;
 
-	while (
-	    class + 1 < STREAM_CLASSES && pick >= prompt_classes[class].share)
-		pick -= prompt_classes[class ++].share;
+	for (; class + 1 < STREAM_CLASSES; class ++) {
+		double share = prompt_classes[class].share *
+		    burst_rate(&prompt_classes[class], arrived_ms);
+
+		if (pick < share)
+			break;
+		pick -= share;
+	}
 	prompt->class = (enum stream_class) class;
 	prompt->tokens = (uint64_t)MIN(
 	    lognormal(random, prompt_classes[class].tokens,
@@ -89,7 +148,8 @@
 		double wave = 1.0 +
 		    WAVE_SWING * sin(2.0 * G_PI * now_ms / WAVE_MS);
 
-		now_ms -= log(1.0 - g_rand_double(random)) * mean_gap_ms / wave;
+		now_ms -= log(1.0 - g_rand_double(random)) * mean_gap_ms /
+		    (wave * total_share(now_ms));
 		g_ptr_array_add(prompts, make_prompt(random, now_ms));
 	}
 	return prompts;
--- a/tests/experiment/traffic.h
+++ b/tests/experiment/traffic.h
@@ -22,6 +22,15 @@
 	double deadline_ms; /* after which its caller gives up */
 	double worth;
 	double late_worth;
+	uint32_t rank; /* of its route; 0 is the most urgent */
+	double burst; /* its rate during bursts, in multiples; 0 for none */
+};
+
+/* Prompts of one load, and the engines that serve them. */
+struct traffic_mix {
+	const char *name;
+	const struct engine_profile *engine;
+	struct prompt_class classes[STREAM_CLASSES];
 };
 
 /* Part of the worth that does not grow with the size. */
@@ -29,8 +38,10 @@
 /* Maximum worth of a prompt, in multiples of its class's worth. */
 #define WORTH_TIMES_MAX 4.0
 
-extern const struct prompt_class prompt_classes[STREAM_CLASSES];
+/* Classes of the mix in use. */
+extern const struct prompt_class *prompt_classes;
 
+const struct traffic_mix *traffic_use_mix(const char *name);
 double traffic_mean_prefill_ms(const struct engine_profile *);
 GPtrArray *traffic_make(const struct engine_profile *, size_t engines,
     double load, double length_ms, GRand *);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -95,7 +95,8 @@
 	    .address = "127.0.0.1:1",
 	    .cluster_key = "secret"};
 	f->fake_platform = fake_platform_new(f->loop);
-	fake_platform_set_config(f->fake_platform, CONFIG);
+	fake_platform_set_config(
+	    f->fake_platform, f->config != NULL ? f->config : CONFIG);
 	f->http = http_client_new(f->loop, NULL);
 	f->mesh = mesh_new(f->loop, clock_system(), &mesh, NULL);
 	f->documents = documents_new(
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -30,6 +30,7 @@
 	struct clock *clock; /* of the state shared with peers; NULL: system */
 	const char *tokens; /* token count sent; NULL for none */
 	const char *parts; /* prompt parts sent; NULL for none */
+	const char *config; /* in place of the usual one, if not NULL */
 };
 
 /* Runs the loop until a condition holds. */
--- /dev/null
+++ b/tests/test_ranks.c
@@ -0,0 +1,169 @@
+/*
+ * Ranks from the configuration to the upstream: which ones a service has, what
+ * an invalid one counts as, and the urgency that an upstream is told.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "cases.h"
+#include "gateway_fixture.h"
+#include "platform/decode.h"
+#include "routing/service_ranks.h"
+
+#define ROUTE(name, priority)                                           \
+	"{\"Name\":\"" name "\",\"Host\":\"h\",\"PathPrefix\":\"/" name \
+	"/\",\"Kind\":\"stream\",\"TimeoutMs\":5000,"                   \
+	"\"LatencyTargetMs\":90000,\"GapTargetMs\":250,"                \
+	"\"Service\":\"s\"" priority "}"
+#define CONFIG(routes, tenants)                                                \
+	"{\"Version\":3,\"Routes\":[" routes                                   \
+	"],\"Services\":[{\"Name\":\"s\","                                     \
+	"\"Engine\":{\"Slots\":16,\"KvTokens\":315000,\"read_per_s\":177000}}" \
+	"],"                                                                   \
+	"\"Limits\":{\"BodyBytes\":1000},\"Tenants\":[" tenants "]}"
+#define OWNER(priority) "{\"Name\":\"o\",\"Keys\":[\"k1\"]" priority "}"
+
+static const struct config_case {
+	const char *name;
+	const char *config;
+	bool has_ranks;
+	uint32_t rank; /* of a request of o to route a */
+	const char *urgency; /* NULL: none is sent */
+} config_cases[] = {
+    {"routes of equal ranks",
+	CONFIG(ROUTE("a", ",\"Priority\":1") "," ROUTE("b", ",\"Priority\":1"),
+	    OWNER("")),
+	false, 1, NULL},
+    {"routes without ranks",
+	CONFIG(ROUTE("a", "") "," ROUTE("b", ""), OWNER("")), false, 0, NULL},
+    {"routes of different ranks",
+	CONFIG(ROUTE("a", ",\"Priority\":2") "," ROUTE("b", ",\"Priority\":0"),
+	    OWNER("")),
+	true, 2, "9"},
+    {"an organisation with a rank of its own",
+	CONFIG(ROUTE("a", ",\"Priority\":2") "," ROUTE("b", ",\"Priority\":2"),
+	    OWNER(",\"Priority\":0")),
+	true, 0, "4"},
+    {"an organisation of the routes' rank",
+	CONFIG(ROUTE("a", ",\"Priority\":2") "," ROUTE("b", ",\"Priority\":2"),
+	    OWNER(",\"Priority\":2")),
+	false, 2, NULL},
+    {"a rank that is no number is the least urgent of its service",
+	CONFIG(ROUTE("a", ",\"Priority\":\"x\"") "," ROUTE(
+		   "b", ",\"Priority\":0") "," ROUTE("c", ",\"Priority\":1"),
+	    OWNER("")),
+	true, 1, "9"},
+    {"a rank out of range is the least urgent of its service",
+	CONFIG(ROUTE("a", ",\"Priority\":10") "," ROUTE(
+		   "b", ",\"Priority\":0") "," ROUTE("c", ",\"Priority\":1"),
+	    OWNER("")),
+	true, 1, "9"},
+    {"a negative rank is the least urgent of its service",
+	CONFIG(ROUTE("a", ",\"Priority\":-1") "," ROUTE(
+		   "b", ",\"Priority\":0") "," ROUTE("c", ",\"Priority\":1"),
+	    OWNER("")),
+	true, 1, "9"},
+    {"an organisation's invalid rank is the least urgent of the service",
+	CONFIG(ROUTE("a", ",\"Priority\":0") "," ROUTE("b", ",\"Priority\":1"),
+	    OWNER(",\"Priority\":[]")),
+	true, 1, "9"},
+};
+
+/* Decodes a configuration. */
+static struct routing_table *
+decode_config(const char *text)
+{
+	g_autofree char *object = g_strdup_printf(
+	    "{\"Metadata\":{\"Name\":\"main\",\"Revision\":4},\"Spec\":%s}",
+	    text);
+	json_t *decoded = json_loads(object, 0, NULL);
+	struct object_set *set = object_set_new();
+	struct routing_table *table;
+
+	g_assert_nonnull(decoded);
+	object_set_put(set, decoded);
+	json_decref(decoded);
+	table = decode_routes(object_set_commit(set, 1), NULL);
+	object_set_free(set);
+	g_assert_nonnull(table);
+	return table;
+}
+
+/* Runs one case on the routing table. */
+static void
+test_decoded(gconstpointer data)
+{
+	const struct config_case *c = &config_cases[GPOINTER_TO_SIZE(data)];
+	struct routing_table *table = decode_config(c->config);
+	struct precedence_ranks ranks = service_ranks_find(table->ranks, "s");
+	const struct organisation *owner = routing_table_find_organisation(
+	    table, "k1");
+
+	g_assert_true(ranks.has_ranks == c->has_ranks);
+	g_assert_cmpuint(
+	    precedence_resolve_rank(&ranks,
+		routing_table_find_route(table, "h", "/a/x")->priority,
+		owner->has_priority, owner->priority),
+	    ==, c->rank);
+	routing_table_unref(table);
+}
+
+/* Runs one case on a gateway; the caller's own urgency is not passed on. */
+static void
+test_urgency(gconstpointer data)
+{
+	static const enum fake_platform_step steps[] = {FAKE_STEP_STREAM};
+	const struct config_case *c = &config_cases[GPOINTER_TO_SIZE(data)];
+	struct fixture f = {.config = c->config};
+	const struct fake_platform_request *arrival;
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, 1);
+	fixture_wait_for_routing_state(&f);
+	f.tokens = "100,100";
+	fixture_call(&f, "/a/x", FIXTURE_KEY);
+	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 1);
+	arrival = fake_platform_request(f.fake_platform, 0);
+	g_assert_cmpstr(fake_platform_request_header(
+			    arrival, "Heatherturn-Request-Urgency"),
+	    ==, c->urgency);
+	RUN_UNTIL(&f, f.done);
+	fixture_tear_down(&f);
+}
+
+/* A route that is removed no longer makes ranks of its service differ. */
+static void
+test_removal(void)
+{
+	struct routing_table *table = decode_config(CONFIG(
+	    ROUTE("a", ",\"Priority\":2") "," ROUTE("b", ",\"Priority\":0"),
+	    OWNER(",\"Priority\":2")));
+	const struct route *route = routing_table_find_route(
+	    table, "h", "/b/x");
+	struct precedence_ranks ranks;
+
+	g_assert_true(service_ranks_find(table->ranks, "s").has_ranks);
+	service_ranks_remove_route(table->ranks, route);
+	ranks = service_ranks_find(table->ranks, "s");
+	g_assert_false(ranks.has_ranks);
+	g_assert_cmpuint(ranks.classes[STREAM_SHORT].rank, ==, 2);
+	service_ranks_add_route(table->ranks, route);
+	g_assert_true(service_ranks_find(table->ranks, "s").has_ranks);
+	g_assert_false(service_ranks_find(table->ranks, "t").has_ranks);
+	service_ranks_remove_organisation(
+	    table->ranks, routing_table_find_organisation(table, "k1"));
+	g_assert_true(service_ranks_find(table->ranks, "s").has_ranks);
+	routing_table_unref(table);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_CASES(config_cases, "/ranks/decoded", test_decoded);
+	ADD_CASES(config_cases, "/ranks/urgency", test_urgency);
+	g_test_add_func(
+	    "/ranks/a removed route no longer counts", test_removal);
+	return g_test_run();
+}
