--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -65,6 +65,7 @@
 		profile = routing_table_find_service(table, service);
 	if (profile != NULL) {
 		exchange->profile = service_profile_ref(profile);
+		exchange_set_rank(exchange, table->ranks);
 		return true;
 	}
 	exchange_refuse(exchange, REFUSAL_NO_UPSTREAM, MS_PER_S,
--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "routing/service_ranks.h"
+
 struct slot;
 
 /* Entries of one kind by their keys. */
@@ -118,6 +120,7 @@
 	content->staged = g_ptr_array_new();
 	content->generation = 1;
 	table->content = content;
+	table->ranks = service_ranks_new();
 	return table;
 }
 
@@ -133,6 +136,7 @@
 	g_hash_table_unref(table->content->keys.slots);
 	g_hash_table_unref(table->content->hosts);
 	g_free(table->content);
+	service_ranks_free(table->ranks);
 	g_free(table);
 }
 
@@ -259,6 +263,7 @@
 {
 	g_autofree char *key = route_key(route);
 
+	service_ranks_add_route(table->ranks, route);
 	if (stage(table, &table->content->routes, key, route))
 		add_length(table->content, route->host, strlen(route->prefix));
 }
@@ -269,6 +274,7 @@
 {
 	g_autofree char *key = route_key(route);
 
+	service_ranks_remove_route(table->ranks, route);
 	stage_removal(table, &table->content->routes, key, route);
 }
 
@@ -297,6 +303,7 @@
     struct routing_table *table, struct organisation *organisation)
 {
 	table->content->organisation_count++;
+	service_ranks_add_organisation(table->ranks, organisation);
 	for (guint i = 0; i < organisation->keys->len; i++)
 		stage(table, &table->content->keys,
 		    organisation->keys->pdata[i], organisation);
@@ -311,6 +318,7 @@
     struct routing_table *table, struct organisation *organisation)
 {
 	table->content->organisation_count--;
+	service_ranks_remove_organisation(table->ranks, organisation);
 	for (guint i = 0; i < organisation->keys->len; i++)
 		stage_removal(table, &table->content->keys,
 		    organisation->keys->pdata[i], organisation);
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -17,6 +17,8 @@
 
 #include "policy/engine_profile.h"
 
+struct service_ranks;
+
 /* How often one request may be executed. */
 enum call_kind {
 	CALL_IDEMPOTENT, /* any number of times */
@@ -39,7 +41,8 @@
 	int64_t timeout_ms; /* from arrival to the end of the response */
 	int64_t target_ms; /* to the response or a stream's first event */
 	int64_t gap_target_ms; /* between two events of a stream */
-	uint32_t priority; /* 0 is the highest */
+	uint32_t
+	    priority; /* 0 is the most urgent; or PRECEDENCE_RANK_INVALID */
 	uint32_t attempts; /* maximum number of sends */
 	bool public; /* needs no API key */
 	bool prompts; /* its requests are prompts for a model */
@@ -77,6 +80,8 @@
 	uint64_t version; /* set by the operators */
 	struct caller_limits limits;
 	size_t organisation_count;
+	/* Of the routes and organisations, those of the next switch included. */
+	struct service_ranks *ranks;
 	struct routing_table_content *content;
 };
 
