Watchers: hosts with more CPU time are preferred

Cause: the gateways that watch the store parse the whole configuration at each change, in one call of the parser (16 ms of CPU time for 307 KB, bench_routing_update), and were chosen by hash, so also among hosts with 0.09 of a core. With equal or unknown shares the choice is as before. The field costs 1 byte in a report if it is unknown, 3 at most otherwise (test_message).

Tests: new cases in test_watchers, test_load_sync and test_message.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -64,6 +64,7 @@
 	double cold_ratio;
 	double cold_slack; /* requests per second */
 	int64_t hold_ms; /* duration of one memory reservation */
+	double cpu_share; /* cores that this host has; 0 if unknown */
 
 	/* Sidecars only. */
 	char *upstream;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -12,6 +12,7 @@
 #define HOLD_MIN_MS		1500
 #define HOLD_MAX_MS		600000
 #define COLD_SLACK_MAX		100000
+#define CPU_SHARE_MAX		1024
 #define DRAIN_NOTICE_DEFAULT_MS "2000"
 #define LOG_LEVELS		"error|warn|info|debug"
 #define POLICIES		"heatherturn|round-robin|least-outstanding|two-choices"
@@ -101,6 +102,10 @@
 	.argument = "MS",
 	.help = "longest time that engines keep memory reserved for an ended "
 		"request"},
+    {"cpu-share", SETTING_FRACTION, FOR_GATEWAY, AT(cpu_share),
+	.default_value = "0", .max = CPU_SHARE_MAX, .argument = "CORES",
+	.help = "CPU time that this host has, 0.09 for 9% of a core; 0 if "
+		"unknown"},
     {"upstream", SETTING_NAME, FOR_SIDECAR, AT(upstream), true,
 	.argument = "ID", .help = "id of the upstream behind this sidecar"},
     {"upstream-url", SETTING_URL, FOR_SIDECAR, AT(upstream_url), true,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -36,6 +36,7 @@
  * announces a shorter time to callers, which don't reuse older ones.
  */
 #define CALLER_IDLE_S 120U
+#define PERMILLE      1000
 
 struct gateway {
 	struct settings settings;
@@ -263,6 +264,7 @@
 	    .self = settings->id,
 	    .address = address,
 	    .failure_domain = settings->failure_domain,
+	    .cpu_permille = (uint32_t)(settings->cpu_share * PERMILLE),
 	};
 
 	for (size_t i = 0; settings->peers[i] != NULL; i++) {
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -15,6 +15,7 @@
 	char *failure_domain;
 	bool is_seed;
 	bool has_seeds;
+	uint32_t cpu_permille;
 	bool draining;
 	struct timespec started_at;
 	struct routing_state *routing_state;
@@ -318,6 +319,7 @@
 	    .rates = {report.rates, report.rated_count},
 	    .rate_ages_ms = {report.rate_ages_ms, report.rated_count},
 	    .address = changes && is_settled(sync) ? NULL : sync->address,
+	    .cpu_permille = sync->cpu_permille,
 	};
 	if (!may_skip(sync, &report) || !changes)
 		broadcast(sync, &message);
@@ -347,9 +349,12 @@
 	size_t used;
 	g_autofree struct watcher_candidate
 	    *candidates = peer_loads_watcher_candidates(sync->peers, &used);
+	const struct watcher_candidate self = {.id = sync->self,
+	    .answers = true,
+	    .cpu_permille = sync->cpu_permille};
 
-	return !watchers_is_elected(
-	    candidates, used, sync->self, LOAD_SYNC_WATCHERS);
+	return !watchers_is_preferred(
+	    candidates, used, &self, LOAD_SYNC_WATCHERS);
 }
 
 /* Decides whether this process watches the store. */
@@ -396,6 +401,7 @@
 	sync->failure_domain = g_strdup(settings->failure_domain);
 	sync->is_seed = settings->is_seed;
 	sync->has_seeds = settings->has_seeds;
+	sync->cpu_permille = settings->cpu_permille;
 	sync->started_at = clock_monotonic(clock);
 	sync->routing_state = routing_state;
 	sync->fleet = routing_state_fleet(routing_state);
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -62,6 +62,7 @@
 	const char *failure_domain;
 	bool is_seed; /* its address is in the settings of all */
 	bool has_seeds; /* the address of another gateway is in its settings */
+	uint32_t cpu_permille; /* of a core that its host has; 0: unknown */
 };
 
 struct load_sync *load_sync_new(struct ev_loop *, struct clock *, struct mesh *,
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -8,6 +8,7 @@
 	GPtrArray *faulty; /* ids of upstreams */
 	struct timespec received_at;
 	bool cannot_watch; /* the store, as last reported */
+	uint32_t cpu_permille; /* as last reported */
 	bool may_coordinate; /* shared rates, as last reported */
 	uint64_t view; /* of the gateways that may */
 };
@@ -228,6 +229,7 @@
 		replace_row(peer_loads, peer_load, message, i);
 	peer_load->received_at = now;
 	peer_load->cannot_watch = message->cannot_watch;
+	peer_load->cpu_permille = message->cpu_permille;
 	if (peer_load->may_coordinate != message->may_coordinate ||
 	    peer_load->view != message->view)
 		peer_loads->generation++;
@@ -332,6 +334,7 @@
 		candidates[(*count)++] = (struct watcher_candidate){
 		    .id = process,
 		    .answers = !peer_load->cannot_watch,
+		    .cpu_permille = peer_load->cpu_permille,
 		};
 	}
 	return candidates;
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -286,6 +286,7 @@
 	struct u64_array rates; /* per 1,000,000 s; 0: no longer named */
 	struct u64_array rate_ages_ms; /* since they were observed */
 	char *address; /* of the process; empty in most reports of changes */
+	uint32_t cpu_permille; /* of a core that its host has; 0: unknown */
 };
 
 struct message_prefill {
--- a/src/store/watchers.c
+++ b/src/store/watchers.c
@@ -155,25 +155,45 @@
 	return XXH3_64bits(id, strlen(id));
 }
 
+/* Returns whether one candidate is preferred to another one. */
+static bool
+is_ahead(const struct watcher_candidate *a, const struct watcher_candidate *b)
+{
+	if (a->cpu_permille != b->cpu_permille)
+		return a->cpu_permille > b->cpu_permille;
+	return rank_of(a->id) > rank_of(b->id);
+}
+
+/*
+ * Returns whether self is one of the wanted number of candidates that answer
+ * and have the most CPU time or, of equal ones, rank highest: watchers parse
+ * each configuration as a whole. One whose CPU time is unknown comes last. Self
+ * counts as answering even if it is not listed.
+ */
+bool
+watchers_is_preferred(const struct watcher_candidate *candidates, size_t count,
+    const struct watcher_candidate *self, size_t wanted)
+{
+	size_t ahead = 0;
+
+	for (size_t i = 0; i < count; i++)
+		ahead += candidates[i].answers &&
+		    strcmp(candidates[i].id, self->id) != 0 &&
+		    is_ahead(&candidates[i], self);
+	return ahead < wanted;
+}
+
 /*
  * Returns whether self is one of the wanted number of highest-ranked candidates
- * among those that answer. Self counts as answering even if it is not listed.
+ * among those that answer, all of which have the same CPU time.
  */
 bool
 watchers_is_elected(const struct watcher_candidate *candidates, size_t count,
     const char *self, size_t wanted)
 {
-	uint64_t own = rank_of(self);
-	size_t ahead = 0;
+	const struct watcher_candidate own = {.id = self, .answers = true};
 
-	for (size_t i = 0; i < count; i++) {
-		if (!candidates[i].answers ||
-		    strcmp(candidates[i].id, self) == 0)
-			continue;
-		if (rank_of(candidates[i].id) > own)
-			ahead++;
-	}
-	return ahead < wanted;
+	return watchers_is_preferred(candidates, count, &own, wanted);
 }
 
 /*
@@ -263,7 +283,7 @@
 			break;
 		if (is_reachable(watchers, host))
 			ahead[found++] = (struct watcher_candidate){
-			    host->id, true};
+			    .id = host->id, .answers = true};
 	}
 	watchers->first = found == 0;
 	claims_collector_set_active(
--- a/src/store/watchers.h
+++ b/src/store/watchers.h
@@ -34,9 +34,12 @@
 struct watcher_candidate {
 	const char *id;
 	bool answers; /* whether a link to it is open */
+	uint32_t cpu_permille; /* of a core that its host has; 0: unknown */
 };
 
 bool watchers_is_elected(const struct watcher_candidate *, size_t count,
     const char *self, size_t wanted);
+bool watchers_is_preferred(const struct watcher_candidate *, size_t count,
+    const struct watcher_candidate *self, size_t wanted);
 
 #endif
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -21,17 +21,23 @@
 	bool others_stop; /* they were asked to stop */
 	bool watches; /* the gateway that has run for long */
 	bool others_watch;
+	uint32_t cpu_permille; /* of the gateway that has run for long */
+	uint32_t others_cpu_permille;
 } cases[] = {
     {"while others have just started, a gateway watches", 0, false, false, true,
-	false},
+	false, 0, 0},
     {"while others do not watch yet, a gateway watches", WATCHING_SETTLE_MS - 1,
-	false, false, true, false},
+	false, false, true, false, 0, 0},
     {"once enough others watch, a gateway stops", WATCHING_SETTLE_MS, false,
-	false, false, true},
+	false, false, true, 0, 0},
     {"seeds that have just started watch in place of a gateway", 0, true, false,
-	false, true},
+	false, true, 0, 0},
     {"a gateway takes over from others that stop", WATCHING_SETTLE_MS, false,
-	true, true, true},
+	true, true, true, 0, 0},
+    {"a gateway with more CPU time watches although enough others do",
+	WATCHING_SETTLE_MS, false, false, true, true, 500, 90},
+    {"a gateway with less CPU time leaves the watching to others",
+	WATCHING_SETTLE_MS, false, false, false, true, 90, 500},
 };
 
 /* Counts the reports that a gateway receives. */
@@ -107,6 +113,7 @@
 		    .failure_domain = "z",
 		    .is_seed = c->others_are_seeds,
 		    .has_seeds = true,
+		    .cpu_permille = c->others_cpu_permille,
 		};
 
 		if (i == find_last_by_rank())
@@ -136,7 +143,9 @@
 set_up(struct test *t, const struct load_case *c)
 {
 	const struct load_sync_settings settings = {
-	    .self = names[find_last_by_rank()], .failure_domain = "z"};
+	    .self = names[find_last_by_rank()],
+	    .failure_domain = "z",
+	    .cpu_permille = c->cpu_permille};
 
 	t->loop = ev_loop_new(EVFLAG_AUTO);
 	t->platform = fake_platform_new(t->loop);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -107,6 +107,35 @@
 	message_free(decoded);
 }
 
+/*
+ * A load from an earlier build, which ends before the CPU time, is read, and
+ * the CPU time is unknown. Stating it costs at most two bytes more.
+ */
+static void
+test_cpu_time(void)
+{
+	const struct message unknown = {.kind = MESSAGE_LOAD};
+	const struct message known = {
+	    .kind = MESSAGE_LOAD, .load = {.cpu_permille = 500}};
+	g_autoptr(GByteArray) short_frame = message_encode(&unknown, NULL);
+	g_autoptr(GByteArray) frame = message_encode(&known, NULL);
+	struct message *decoded = message_decode(frame->data, frame->len, NULL);
+	guint members;
+
+	g_assert_nonnull(decoded);
+	g_assert_cmpuint(decoded->load.cpu_permille, ==, 500);
+	message_free(decoded);
+	g_assert_cmpuint(frame->len, <=, short_frame->len + 2);
+	/* An array of 16 or more members begins with 0xdc and their number. */
+	g_assert_cmpuint(short_frame->data[0], ==, 0xdc);
+	members = short_frame->data[2];
+	short_frame->data[2] = (guint8)(members - 1);
+	decoded = message_decode(short_frame->data, short_frame->len - 1, NULL);
+	g_assert_nonnull(decoded);
+	g_assert_cmpuint(decoded->load.cpu_permille, ==, 0);
+	message_free(decoded);
+}
+
 /* Corrupted and truncated frames give a message or an error, never both. */
 static void
 test_fuzz(void)
@@ -159,6 +188,8 @@
 	g_test_add_func(
 	    "/message/a pull from an earlier build gets the whole document",
 	    test_earlier_build);
+	g_test_add_func("/message/a load from an earlier build has no CPU time",
+	    test_cpu_time);
 	g_test_add_func(
 	    "/message/a damaged frame gives a message or an error", test_fuzz);
 	g_test_add_func("/message/random bytes give a message or an error",
--- a/tests/test_watchers.c
+++ b/tests/test_watchers.c
@@ -23,14 +23,21 @@
 	size_t wanted;
 	unsigned int watching; /* expected, of the candidates that answer */
 } election_cases[] = {
-    {"a single candidate watches", {{"a", true}}, 1, 2, 1},
-    {"two of two candidates watch", {{"a", true}, {"b", true}}, 2, 2, 2},
+    {"a single candidate watches", {{.id = "a", .answers = true}}, 1, 2, 1},
+    {"two of two candidates watch",
+	{{.id = "a", .answers = true}, {.id = "b", .answers = true}}, 2, 2, 2},
     {"two of four candidates watch",
-	{{"a", true}, {"b", true}, {"c", true}, {"d", true}}, 4, 2, 2},
+	{{.id = "a", .answers = true}, {.id = "b", .answers = true},
+	    {.id = "c", .answers = true}, {.id = "d", .answers = true}},
+	4, 2, 2},
     {"candidates that do not answer are skipped",
-	{{"a", false}, {"b", true}, {"c", false}, {"d", true}}, 4, 2, 2},
+	{{.id = "a", .answers = false}, {.id = "b", .answers = true},
+	    {.id = "c", .answers = false}, {.id = "d", .answers = true}},
+	4, 2, 2},
     {"the only candidate that answers watches",
-	{{"a", false}, {"b", false}, {"c", false}, {"d", true}}, 4, 2, 1},
+	{{.id = "a", .answers = false}, {.id = "b", .answers = false},
+	    {.id = "c", .answers = false}, {.id = "d", .answers = true}},
+	4, 2, 1},
 };
 
 static void
@@ -46,6 +53,63 @@
 	g_assert_cmpuint(watching, ==, c->watching);
 }
 
+/* Hosts with different CPU time, of which the first one rank highest. */
+static const struct cpu_case {
+	const char *name;
+	uint32_t cpu_permille[4];
+	bool answers[4];
+	size_t watching; /* bits of the candidates that are elected, 2 wanted */
+} cpu_cases[] = {
+    {"the two with the most CPU time watch", {90, 500, 90, 500},
+	{true, true, true, true}, 1 << 1 | 1 << 3},
+    {"of equal ones the higher rank watches", {90, 90, 90, 500},
+	{true, true, true, true}, 1 << 0 | 1 << 3},
+    {"equal ones watch by rank", {90, 90, 90, 90}, {true, true, true, true},
+	1 << 0 | 1 << 1},
+    {"unknown ones watch by rank", {0, 0, 0, 0}, {true, true, true, true},
+	1 << 0 | 1 << 1},
+    {"unknown ones come last", {0, 0, 90, 500}, {true, true, true, true},
+	1 << 2 | 1 << 3},
+    {"one that does not answer is replaced", {90, 500, 90, 500},
+	{true, true, true, false}, 1 << 0 | 1 << 1},
+};
+
+/* Compares candidates for sorting by descending rank without CPU time. */
+static int
+compare_elected(const void *a, const void *b)
+{
+	const struct watcher_candidate pair[] = {
+	    *(const struct watcher_candidate *)a,
+	    *(const struct watcher_candidate *)b};
+
+	return watchers_is_elected(pair, G_N_ELEMENTS(pair), pair[0].id, 1) ? -1
+									    : 1;
+}
+
+static void
+test_cpu(gconstpointer data)
+{
+	const struct cpu_case *c = data;
+	struct watcher_candidate candidates[] = {{.id = "a", .answers = true},
+	    {.id = "b", .answers = true}, {.id = "c", .answers = true},
+	    {.id = "d", .answers = true}};
+	size_t watching = 0;
+
+	qsort(candidates, G_N_ELEMENTS(candidates), sizeof(candidates[0]),
+	    compare_elected);
+	for (size_t i = 0; i < G_N_ELEMENTS(candidates); i++) {
+		candidates[i].cpu_permille = c->cpu_permille[i];
+		candidates[i].answers = c->answers[i];
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(candidates); i++) {
+		if (candidates[i].answers &&
+		    watchers_is_preferred(candidates, G_N_ELEMENTS(candidates),
+			&candidates[i], 2))
+			watching |= (size_t)1 << i;
+	}
+	g_assert_cmpuint(watching, ==, c->watching);
+}
+
 static const struct list_case {
 	const char *name;
 	const char *text;
@@ -267,6 +331,7 @@
 	g_test_init(&argc, &argv, NULL);
 	invariant_set_fatal(true);
 	ADD(election_cases, "election", test_election);
+	ADD(cpu_cases, "cpu", test_cpu);
 	ADD(list_cases, "list", test_list);
 	ADD(update_cases, "update", test_update_interval);
 	g_test_add_func("/watchers/two others watch when the two watchers stop",
