Configuration items: a gateway that lacks a change is sent what differs

Cause: watchers that see different steps of the same history, for example because changes come faster than their calls to the store, may not know that an item was added and taken away, or changed and changed back.

Change: the next pull describes the items by 64 checksums, and the answer has the buckets that differ. What a failed change has staged stays invisible, and a repair or a later change goes on from there, so no second table is built.

--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -8,6 +8,8 @@
 #include "platform/decode.h"
 #include "platform/object_watch.h"
 
+G_STATIC_ASSERT(CONFIG_ITEMS_BUCKETS <= DOCUMENTS_SUMS_MAX);
+
 #define LOG_MODULE "knowledge"
 #include "base/log.h"
 
@@ -115,13 +117,13 @@
 	notify_complete(routing_state);
 }
 
-/* Requests what a change that failed half-way needs to be repeated. */
+/* Requests what is needed after a change that failed half-way. */
 static void
 on_routes_failed(void *data, uint64_t version, bool had_all)
 {
 	const struct routing_state *routing_state = data;
 
-	documents_request_whole(
+	documents_request_repair(
 	    routing_state->documents, DOCUMENT_ROUTING_ITEMS);
 	if (had_all)
 		documents_reject(
@@ -174,6 +176,24 @@
 	return routing_update_encode(routing_state->update, have, base);
 }
 
+/* Describes the items here for a peer. */
+static size_t
+describe_items(void *data, uint64_t *sums)
+{
+	const struct routing_state *routing_state = data;
+
+	return routing_update_describe(routing_state->update, sums);
+}
+
+/* Encodes what differs from the items that a peer has described. */
+static GString *
+repair_items(void *data, const uint64_t *sums, size_t count)
+{
+	const struct routing_state *routing_state = data;
+
+	return routing_update_encode_repair(routing_state->update, sums, count);
+}
+
 /* Applies the items that a peer sent. */
 static bool
 apply_items(void *data, uint64_t base, uint64_t version, const uint8_t *text,
@@ -271,6 +291,8 @@
 	    apply_objects, &routing_state->routes);
 	documents_set_codec(documents, DOCUMENT_ROUTING_ITEMS, encode_items,
 	    apply_items, routing_state);
+	documents_set_repair(
+	    documents, DOCUMENT_ROUTING_ITEMS, describe_items, repair_items);
 	start_watch(routing_state, &routing_state->upstreams, loop, store,
 	    DECODE_KIND_UPSTREAMS, DOCUMENT_UPSTREAMS, on_upstreams);
 	start_watch(routing_state, &routing_state->takeouts, loop, store,
--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -1,5 +1,7 @@
 #include "gateway/routing_update.h"
 
+#include <string.h>
+
 #include <malloc.h>
 
 #include "base/metrics.h"
@@ -19,9 +21,10 @@
 	void *data;
 	ev_timer timer; /* starts the next slice */
 	struct config_items *items;
-	struct routing_table *table; /* in force; NULL before the first */
+	struct routing_table *table; /* of the items; NULL before the first */
 	struct config_change *running; /* NULL for none */
 	struct config_change *waiting; /* the newest; NULL for none */
+	bool is_damaged; /* the items are not those of their version */
 	bool settling; /* what the last change replaced is being released */
 	uint64_t refused_version; /* the last that could not be begun */
 	struct timespec started; /* of the running change */
@@ -46,20 +49,6 @@
 
 static void on_slice_timer(struct ev_loop *, ev_timer *, int events);
 
-/* Creates an empty table, which comes into force with the next change. */
-static void
-reset_items(struct routing_update *update)
-{
-	struct routing_table *table = update->items == NULL
-	    ? NULL
-	    : config_items_table(update->items);
-
-	config_items_free(update->items);
-	if (table != update->table)
-		routing_table_free(table);
-	update->items = config_items_new(routing_table_new());
-}
-
 /*
  * Makes the allocator merge free blocks as they are freed. By default it merges
  * all small ones when a large one is freed, which took 80 ms of CPU time after
@@ -85,7 +74,7 @@
 	update->data = data;
 	ev_timer_init(&update->timer, on_slice_timer, 0.0, 0.0);
 	update->timer.data = update;
-	reset_items(update);
+	update->items = config_items_new(routing_table_new());
 	return update;
 }
 
@@ -98,10 +87,8 @@
 	ev_timer_stop(update->loop, &update->timer);
 	config_change_free(update->running);
 	config_change_free(update->waiting);
-	if (config_items_table(update->items) != update->table)
-		routing_table_free(config_items_table(update->items));
+	routing_table_free(config_items_table(update->items));
 	config_items_free(update->items);
-	routing_table_free(update->table);
 	g_free(update);
 }
 
@@ -134,23 +121,23 @@
 static void
 commit(struct routing_update *update)
 {
-	struct routing_table *table = config_items_table(update->items);
 	uint64_t version = config_change_version(update->running);
 
 	config_change_commit(update->running);
 	config_change_free(update->running);
 	update->running = NULL;
-	if (update->table != table) {
-		routing_table_free(update->table);
-		update->table = table;
-	}
+	update->table = config_items_table(update->items);
+	update->is_damaged = false;
 	update->settling = true;
 	update->applied = true;
 	metric_add(&applied_count, 1);
 	update->ops->applied(update->data, version);
 }
 
-/* Gives up the running change: the table in force stays, the items do not. */
+/*
+ * Gives up the running change. What it has staged is not visible; later changes
+ * go on from there.
+ */
 static void
 fail(struct routing_update *update, const GError *error)
 {
@@ -161,7 +148,7 @@
 	log_ignored(update, version, error);
 	config_change_free(update->running);
 	update->running = NULL;
-	reset_items(update);
+	update->is_damaged = true;
 	update->ops->failed(update->data, version, had_all);
 }
 
@@ -335,8 +322,8 @@
 void
 routing_update_raise_version(struct routing_update *update, uint64_t version)
 {
-	if (routing_update_is_busy(update) || update->table == NULL ||
-	    config_items_version(update->items) == 0 ||
+	if (routing_update_is_busy(update) || update->is_damaged ||
+	    update->table == NULL ||
 	    version <= config_items_version(update->items))
 		return;
 	config_items_begin(update->items, version);
@@ -344,24 +331,54 @@
 	update->ops->applied(update->data, version);
 }
 
+/* Returns whether the items are those of a version, and not of a part of it. */
+static bool
+is_consistent(const struct routing_update *update)
+{
+	return update->running == NULL && !update->is_damaged &&
+	    update->table != NULL;
+}
+
 /*
  * Encodes the items that changed after a version, see object_set_encode(). NULL
- * while a change is being applied or before the first one.
+ * while a change is being applied, before the first one, or after a failure.
  */
 GString *
 routing_update_encode(
     const struct routing_update *update, uint64_t since, uint64_t *base)
 {
-	if (update->running != NULL || config_items_version(update->items) == 0)
+	if (!is_consistent(update))
 		return NULL;
 	return config_items_encode(update->items, since, base);
 }
 
+/* Writes the checksums of the items, and returns their number. */
+size_t
+routing_update_describe(const struct routing_update *update, uint64_t *sums)
+{
+	memcpy(sums, config_items_sums(update->items),
+	    CONFIG_ITEMS_BUCKETS * sizeof(*sums));
+	return CONFIG_ITEMS_BUCKETS;
+}
+
+/*
+ * Encodes what differs from another process's items, by their checksums. NULL
+ * as above, or if their number is unknown.
+ */
+GString *
+routing_update_encode_repair(
+    const struct routing_update *update, const uint64_t *sums, size_t count)
+{
+	if (!is_consistent(update) || count != CONFIG_ITEMS_BUCKETS)
+		return NULL;
+	return config_items_encode_repair(update->items, sums);
+}
+
 /* Encodes the configuration as the store's object; NULL as above. */
 GString *
 routing_update_encode_object(const struct routing_update *update)
 {
-	if (update->running != NULL || config_items_version(update->items) == 0)
+	if (!is_consistent(update))
 		return NULL;
 	return config_items_encode_object(update->items);
 }
--- a/src/gateway/routing_update.h
+++ b/src/gateway/routing_update.h
@@ -30,8 +30,8 @@
 	/* A version is in force here. */
 	void (*applied)(void *data, uint64_t version);
 	/*
-	 * A version that was accepted before could not be applied. All items
-	 * are needed, unless it had all.
+	 * A version that was accepted before could not be applied. The items
+	 * need a repair, or another version if it had all.
 	 */
 	void (*failed)(void *data, uint64_t version, bool had_all);
 };
@@ -49,6 +49,9 @@
 bool routing_update_is_busy(const struct routing_update *);
 GString *routing_update_encode(
     const struct routing_update *, uint64_t since, uint64_t *base);
+size_t routing_update_describe(const struct routing_update *, uint64_t *sums);
+GString *routing_update_encode_repair(
+    const struct routing_update *, const uint64_t *sums, size_t count);
 GString *routing_update_encode_object(const struct routing_update *);
 
 #endif
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -37,7 +37,9 @@
 	documents_encode_fn *encode; /* NULL for none */
 	documents_apply_fn *apply;
 	void *data;
-	bool needs_whole; /* changes to what is here can't be used */
+	documents_describe_fn *describe; /* NULL for none */
+	documents_repair_fn *repair;
+	bool needs_repair; /* what is here is not that of its version */
 };
 
 struct documents {
@@ -112,10 +114,15 @@
 	send_to_target(documents, action, &message);
 }
 
-/* Requests a document. */
+/*
+ * Requests a document, or the changes to the version here. If what is here is
+ * not that version, its checksums tell what to send.
+ */
 static void
 send_pull(struct documents *documents, const struct gossip_action *action)
 {
+	const struct codec *codec = &documents->codecs[action->document];
+	uint64_t sums[DOCUMENTS_SUMS_MAX];
 	struct message message = {
 	    .kind = MESSAGE_PULL,
 	    .pull =
@@ -126,8 +133,9 @@
 		},
 	};
 
-	if (documents->codecs[action->document].needs_whole)
-		message.pull.have = 0;
+	if (codec->needs_repair)
+		message.pull.sums = (struct u64_array){
+		    sums, codec->describe(codec->data, sums)};
 	send_to_target(documents, action, &message);
 }
 
@@ -165,6 +173,35 @@
 		g_string_free(text, TRUE);
 }
 
+/* Sends what differs from a document that a peer describes in its pull. */
+static void
+send_repair(struct documents *documents, struct link *link, size_t index,
+    const struct message_pull *pull)
+{
+	const struct codec *codec = &documents->codecs[index];
+	struct message message = {
+	    .kind = MESSAGE_DOCUMENT,
+	    .document =
+		{
+		    .name = (char *)document_names[index],
+		    .version = gossip_version(documents->spread, index),
+		    .base = pull->have,
+		},
+	};
+	GString *text;
+
+	if (message.document.version <= pull->have)
+		return;
+	text = codec->repair(codec->data, pull->sums.items, pull->sums.count);
+	if (text == NULL)
+		return;
+	message.document.data.data = (uint8_t *)text->str;
+	message.document.data.length = text->len;
+	metric_add(&sent_count, 1);
+	link_send(link, &message);
+	g_string_free(text, TRUE);
+}
+
 /* Carries out the actions chosen by the gossip. */
 static void
 run_actions(struct documents *documents, const struct gossip_actions *actions)
@@ -302,7 +339,6 @@
 		return;
 	}
 	if (sent->version <= gossip_version(documents->spread, index) ||
-	    (codec->needs_whole && sent->base > 0) ||
 	    codec->apply(codec->data, sent->base, sent->version,
 		sent->data.data, sent->data.length))
 		return;
@@ -356,7 +392,11 @@
 		break;
 	case MESSAGE_PULL:
 		index = find_index(message->pull.name);
-		if (index < DOCUMENTS)
+		if (index < DOCUMENTS && message->pull.sums.count > 0 &&
+		    message->pull.have > 0 &&
+		    documents->codecs[index].repair != NULL)
+			send_repair(documents, link, index, &message->pull);
+		else if (index < DOCUMENTS)
 			gossip_on_pull(documents->spread, link, index,
 			    message->pull.have, message->pull.changes,
 			    &actions);
@@ -480,7 +520,7 @@
 	size_t index = find_index(name);
 
 	g_return_if_fail(index < DOCUMENTS);
-	documents->codecs[index].needs_whole = false;
+	documents->codecs[index].needs_repair = false;
 	announce_version(documents, index, version);
 }
 
@@ -500,17 +540,30 @@
 	    clock_monotonic(documents->clock), &unused);
 }
 
+/* Sets how a document with a codec is described and repaired. */
+void
+documents_set_repair(struct documents *documents, const char *name,
+    documents_describe_fn *describe, documents_repair_fn *repair)
+{
+	size_t index = find_index(name);
+
+	g_return_if_fail(index < DOCUMENTS);
+	documents->codecs[index].describe = describe;
+	documents->codecs[index].repair = repair;
+}
+
 /*
- * Requests all of a document with the next pulls, until a version of it is
- * announced here.
+ * Describes what is here of a document in the next pulls, until a version of it
+ * is announced here.
  */
 void
-documents_request_whole(struct documents *documents, const char *name)
+documents_request_repair(struct documents *documents, const char *name)
 {
 	size_t index = find_index(name);
 
 	g_return_if_fail(index < DOCUMENTS);
-	documents->codecs[index].needs_whole = true;
+	g_return_if_fail(documents->codecs[index].describe != NULL);
+	documents->codecs[index].needs_repair = true;
 }
 
 /* Requests this version of a document and earlier ones no more. */
--- a/src/peer/documents.h
+++ b/src/peer/documents.h
@@ -34,6 +34,9 @@
 /* Failure domains that are taken out of service. */
 #define DOCUMENT_TAKEOUTS "takeouts"
 
+/* Checksums in one request. */
+#define DOCUMENTS_SUMS_MAX 64
+
 struct documents;
 
 /* Called when a newer document is in force; bytes are borrowed for the call. */
@@ -51,6 +54,17 @@
  */
 typedef bool documents_apply_fn(
     void *data, uint64_t base, uint64_t version, const uint8_t *, size_t);
+/*
+ * Describes what is here by checksums, of which it writes at most
+ * DOCUMENTS_SUMS_MAX, and returns their number.
+ */
+typedef size_t documents_describe_fn(void *data, uint64_t *sums);
+/*
+ * Encodes what differs from a document that a peer has described, as changes to
+ * it. The caller frees the text. NULL if it can't be sent now.
+ */
+typedef GString *documents_repair_fn(
+    void *data, const uint64_t *sums, size_t count);
 /* Called when a newer configuration is in force; the snapshot is borrowed. */
 typedef void documents_config_fn(void *data, struct config *);
 
@@ -64,7 +78,9 @@
     documents_encode_fn *, documents_apply_fn *, void *data);
 void documents_announce(struct documents *, const char *name, uint64_t version);
 void documents_record(struct documents *, const char *name, uint64_t version);
-void documents_request_whole(struct documents *, const char *name);
+void documents_set_repair(struct documents *, const char *name,
+    documents_describe_fn *, documents_repair_fn *);
+void documents_request_repair(struct documents *, const char *name);
 void documents_reject(struct documents *, const char *name, uint64_t version);
 uint64_t documents_version(const struct documents *, const char *name);
 const uint8_t *documents_get(
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -234,6 +234,7 @@
 	char *name;
 	uint64_t have;
 	bool changes; /* changes since then are enough */
+	struct u64_array sums; /* checksums of what differs from that */
 };
 
 struct message_document {
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -69,7 +69,8 @@
 		M(BOOL, digest.reply) } },
 	[MESSAGE_PULL] = { "pull", {
 		M(STRING, pull.name), M(U64, pull.have),
-		M(BOOL, pull.changes) }, .optional_count = 1 },
+		M(BOOL, pull.changes), M(U64_ARRAY, pull.sums) },
+		.optional_count = 2 },
 	[MESSAGE_DOCUMENT] = { "document", {
 		M(STRING, document.name), M(U64, document.version),
 		M(BYTES, document.data), M(U64, document.base) },
--- a/tests/test_config_items.c
+++ b/tests/test_config_items.c
@@ -262,15 +262,38 @@
 }
 
 /*
- * A process that lacks a change is told so by the checksum: here a sender has
- * seen neither the addition of a route that the receiver has, nor its removal.
- * Otherwise a removed route or key would stay.
+ * Sends what differs from the items of another copy, by their checksums, and
+ * returns the number of its elements.
+ */
+static bool
+send_repair(struct copy *from, struct copy *to, size_t *elements)
+{
+	g_autoptr(GError) error = NULL;
+	g_autoptr(GString) text = config_items_encode_repair(
+	    from->items, config_items_sums(to->items));
+	json_t *list = json_loadb(text->str, text->len, 0, NULL);
+
+	*elements = json_array_size(list);
+	json_decref(list);
+	return config_reader_apply(
+	    config_change_new_items(config_items_version(to->items),
+		config_items_version(from->items), (const uint8_t *)text->str,
+		text->len, &error),
+	    to->items, to->table, &error);
+}
+
+/*
+ * A process that lacks a change is told so by the checksum: here the sender has
+ * seen neither the addition of a key that the receiver has, nor its removal.
+ * The key would stay otherwise. It is removed by a repair, which has the items
+ * of the buckets that differ.
  */
 static void
 test_missed_change(void)
 {
 	struct copy copies[2];
 	uint64_t base;
+	size_t elements;
 
 	set_up(&copies[0]);
 	set_up(&copies[1]);
@@ -282,6 +305,11 @@
 	g_assert_true(apply_spec(&copies[0], 12, SPEC("3", "", SERVICE, "")));
 	g_assert_false(send_changes(&copies[0], &copies[1], 0, &base));
 	g_assert_cmpuint(copies[1].table->version, ==, 2);
+	g_assert_cmpstr(key_owner(&copies[1], "k"), ==, "o");
+	g_assert_true(send_repair(&copies[0], &copies[1], &elements));
+	g_assert_cmpuint(elements, ==, 2);
+	g_assert_cmpuint(copies[1].table->version, ==, 3);
+	g_assert_null(key_owner(&copies[1], "k"));
 	tear_down(&copies[0]);
 	tear_down(&copies[1]);
 }
@@ -484,10 +512,14 @@
 {
 	struct copy watcher;
 	struct copy peer;
+	struct copy stray; /* gets repairs alone */
 	uint64_t base;
+	size_t elements;
 
 	set_up(&watcher);
 	set_up(&peer);
+	set_up(&stray);
+	g_assert_true(apply_spec(&stray, 1, SPEC("0", "", "", "")));
 	for (int round = 1; round <= ROUNDS; round++) {
 		g_autofree char *spec = random_spec(round);
 		struct copy fresh;
@@ -500,10 +532,15 @@
 			g_assert_true(send_changes(&watcher, &peer, 0, &base));
 			assert_same_answers(&peer, &fresh);
 		}
+		if (g_test_rand_int_range(0, 3) > 0) {
+			g_assert_true(send_repair(&watcher, &stray, &elements));
+			assert_same_answers(&stray, &fresh);
+		}
 		tear_down(&fresh);
 	}
 	tear_down(&watcher);
 	tear_down(&peer);
+	tear_down(&stray);
 }
 
 /* A process of a build that knows no items gets the object. */
