--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -234,6 +234,7 @@
 	char *name;
 	uint64_t have;
 	bool changes; /* changes since then are enough */
+	struct u64_array sums; /* checksums of what differs from that */
 };
 
 struct message_document {
@@ -286,6 +287,7 @@
 	struct u64_array rates; /* per 1,000,000 s; 0: no longer named */
 	struct u64_array rate_ages_ms; /* since they were observed */
 	char *address; /* of the process; empty in most reports of changes */
+	uint32_t cpu_permille; /* of a core that its host has; 0: unknown */
 };
 
 struct message_prefill {
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -69,7 +69,8 @@
 		M(BOOL, digest.reply) } },
 	[MESSAGE_PULL] = { "pull", {
 		M(STRING, pull.name), M(U64, pull.have),
-		M(BOOL, pull.changes) }, .optional_count = 1 },
+		M(BOOL, pull.changes), M(U64_ARRAY, pull.sums) },
+		.optional_count = 2 },
 	[MESSAGE_DOCUMENT] = { "document", {
 		M(STRING, document.name), M(U64, document.version),
 		M(BYTES, document.data), M(U64, document.base) },
@@ -103,8 +104,8 @@
 		M(BOOL, load.may_coordinate), M(U64, load.view),
 		M(STRING_ARRAY, load.rated), M(U64_ARRAY, load.rated_starts),
 		M(U64_ARRAY, load.rates), M(U64_ARRAY, load.rate_ages_ms),
-		M(STRING, load.address) },
-		.optional_count = 13 },
+		M(STRING, load.address), M(U32, load.cpu_permille) },
+		.optional_count = 14 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
