--- a/src/gateway/exchange_rank.c
+++ b/src/gateway/exchange_rank.c
@@ -9,8 +9,7 @@
 
 /* Sets the rank of a request whose route and service are known. */
 void
-exchange_set_rank(
-    struct exchange *exchange, const struct service_ranks *ranks)
+exchange_set_rank(struct exchange *exchange, const struct service_ranks *ranks)
 {
 	const struct organisation *organisation = exchange->organisation;
 	bool has_own = organisation != NULL && organisation->has_priority;
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -80,7 +80,8 @@
 	uint64_t version; /* set by the operators */
 	struct caller_limits limits;
 	size_t organisation_count;
-	/* Of the routes and organisations, those of the next switch included. */
+	/* Of the routes and organisations, those of the next switch included.
+	 */
 	struct service_ranks *ranks;
 	struct routing_table_content *content;
 };
