Rejected callers get a turn to return, which all gateways keep

Cause: callers that were rejected during a burst were told the mean prefill backlog plus 500 ms, came back together, met new callers and were rejected again.

policy/return_queue is a virtual queue over all gateways: a caller returns when room is expected after those that were rejected before it, within 0.3 of its time left, else it gets no Retry-After. Load reports carry the turns (five arrays at the end of LOAD, at most 64 turns each). A request that is recognised by organisation, target and body is served before new ones of its rank, held for half of its target, then served at any cost that still ends in time. A new request for which only kept capacity is left is rejected instead.

Off by default (--return-queue on): without new settings the gateways must make the same decisions as before.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -64,6 +64,7 @@
 	double cold_ratio;
 	double cold_slack; /* requests per second */
 	int64_t hold_ms; /* duration of one memory reservation */
+	char *return_queue; /* on or off */
 
 	/* Sidecars only. */
 	char *upstream;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -101,6 +101,10 @@
 	.argument = "MS",
 	.help = "longest time that engines keep memory reserved for an ended "
 		"request"},
+    {"return-queue", SETTING_CHOICE, FOR_GATEWAY, AT(return_queue),
+	.default_value = "off", .choices = "on|off", .argument = "on|off",
+	.help = "give callers rejected for lack of capacity a turn to return, "
+		"which all gateways keep"},
     {"upstream", SETTING_NAME, FOR_SIDECAR, AT(upstream), true,
 	.argument = "ID", .help = "id of the upstream behind this sidecar"},
     {"upstream-url", SETTING_URL, FOR_SIDECAR, AT(upstream_url), true,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -23,6 +23,7 @@
 #include "gateway/routing_state.h"
 #include "policy/drain.h"
 #include "policy/retry_window.h"
+#include "policy/return_queue.h"
 #include "policy/return_slots.h"
 
 struct exchange;
@@ -44,6 +45,8 @@
 	double cold_ratio;
 	double cold_slack;
 	int64_t hold_ms; /* reservation lifetime between renewals */
+	struct return_queue
+	    *return_queue; /* NULL: rejected callers get no turn */
 	GHashTable *retry_windows; /* service -> struct retry_window */
 	GHashTable *durations; /* route -> struct duration */
 	GHashTable *return_slots; /* service -> struct return_slots */
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -1,9 +1,9 @@
 /*
  * Shared by the files of an exchange: exchange.c, its start, end and refusals;
  * _selection.c, which upstreams it may use; _prefill.c, where its prompt is
- * prefilled and its KV cache kept; _send.c, sending it; _response.c, forwarding
- * the response; _health.c, what the outcome says about an upstream; _retry.c,
- * whether it is sent again.
+ * prefilled and its KV cache kept; _return.c, when it comes back and in which
+ * turn; _send.c, sending it; _response.c, forwarding the response; _health.c,
+ * what the outcome says about an upstream; _retry.c, whether it is sent again.
  */
 #ifndef GATEWAY_EXCHANGE_INTERNAL_H
 #define GATEWAY_EXCHANGE_INTERNAL_H
@@ -107,6 +107,12 @@
 	bool disconnected; /* the connection broke during the send */
 	const char *send_error; /* why not forwarded; or NULL */
 
+	/* Queue of rejected callers. */
+	struct return_standing standing; /* if it came back */
+	struct return_turn turn; /* given with a rejection */
+	bool yields; /* to requests that come back */
+	bool hopeless; /* can't be served before its deadline */
+
 	/* Response. */
 	int status; /* sent to the caller; 0 before that */
 	struct response_headers response;
@@ -153,6 +159,12 @@
 void exchange_retry_or_fail(
     struct exchange *, enum send_outcome, const char *why);
 int64_t exchange_retry_after_ms(struct exchange *);
+void exchange_return_arrive(struct exchange *);
+void exchange_return_on_send(struct exchange *);
+void exchange_return_end(struct exchange *);
+int64_t exchange_return_after_ms(
+    struct exchange *, double room_ms, double part_ms, int64_t default_ms);
+int64_t exchange_return_after_backlog_ms(struct exchange *, int64_t default_ms);
 void exchange_fail(struct exchange *, enum refusal not_run,
     int64_t retry_after_ms, const char *why);
 void exchange_finish(struct exchange *, const char *how);
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -235,8 +235,12 @@
 	struct exchange_context *context = exchange->context;
 	int64_t left_ms = EXCHANGE_RETRY_AFTER_MS;
 	struct selection selection;
+	bool may_queue;
 
 	selection_collect(exchange, SELECTION_ANY, &selection);
+	/* Named rates and upstreams that want no requests have own times. */
+	may_queue = selection.eligible > 0 && selection.deferred == 0 &&
+	    selection.rate_per_s <= 0.0;
 	if (selection_is_deferred(&selection))
 		left_ms = selection.deferred_ms;
 	if (selection_is_deferred(&selection) && selection.rate_per_s > 0.0)
@@ -244,7 +248,9 @@
 		    selection.rate_per_s / load_sync_count(context->load_sync),
 		    clock_monotonic(context->clock));
 	selection_clear(&selection);
-	return quiet_retry_after_ms(left_ms, context->random);
+	left_ms = quiet_retry_after_ms(left_ms, context->random);
+	return may_queue ? exchange_return_after_backlog_ms(exchange, left_ms)
+			 : left_ms;
 }
 
 /* Returns the stream class for the route's gap target. */
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -39,6 +39,9 @@
 enum balance_verdict selection_plan(
     const struct exchange *, const struct selection *, struct balance_plan *);
 
+bool exchange_return_holds(struct exchange *, const struct selection *,
+    const struct balance_plan *, enum balance_verdict *);
+
 void exchange_add_prefill(
     struct exchange *, const struct selection *, const struct balance_plan *);
 uint64_t exchange_reserved_tokens(const struct balance_plan *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -29,6 +29,7 @@
 	struct timespec now = clock_monotonic(exchange->context->clock);
 	struct fleet_upstream *upstream = selection->upstreams[plan->first];
 
+	exchange_return_on_send(exchange);
 	exchange->upstream = upstream;
 	exchange->send_outcome = SEND_OPEN;
 	exchange->send_error = NULL;
@@ -172,7 +173,8 @@
 		    "an engine did not reserve memory for the prompt");
 	else
 		exchange_fail(exchange, REFUSAL_OVERLOADED,
-		    EXCHANGE_RETRY_AFTER_MS,
+		    exchange_return_after_backlog_ms(
+			exchange, EXCHANGE_RETRY_AFTER_MS),
 		    "the engines did not reserve memory for the prompt");
 }
 
@@ -291,11 +293,18 @@
 		log_rejected_prompt(exchange, selection, plan);
 	switch (verdict) {
 	case BALANCE_TOO_COSTLY:
-		exchange_fail(exchange, REFUSAL_OVERLOADED, wait_ms,
-		    "the engines' time is worth more to other prompts now");
+		exchange_fail(exchange, REFUSAL_OVERLOADED,
+		    exchange_return_after_ms(
+			exchange, plan->wait_ms, plan->part_ms, wait_ms),
+		    exchange->yields
+			? "requests that were rejected before come first now"
+			: "the engines' time is worth more to other prompts "
+			  "now");
 		break;
 	case BALANCE_NO_MEMORY:
-		exchange_fail(exchange, REFUSAL_OVERLOADED, wait_ms,
+		exchange_fail(exchange, REFUSAL_OVERLOADED,
+		    exchange_return_after_ms(
+			exchange, (double)wait_ms, plan->part_ms, wait_ms),
 		    "the engines have no memory for the prompt now");
 		break;
 	default:
@@ -353,7 +362,12 @@
 	/* A request that was sent before continues at any cost. */
 	if (verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
 		verdict = BALANCE_SERVE;
-	if (exchange->tries == 0 && exchange_may_wait(exchange, verdict)) {
+	if (exchange_return_holds(exchange, &selection, &chosen, &verdict)) {
+		exchange_schedule_plan(exchange);
+		goto out;
+	}
+	if (exchange->tries == 0 && !exchange->hopeless &&
+	    exchange_may_wait(exchange, verdict)) {
 		exchange_schedule_plan(exchange);
 		goto out;
 	}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -48,6 +48,7 @@
 	struct load_sync *load_sync;
 	struct crash_sync *crash_sync;
 	struct rate_sync *rate_sync;
+	struct return_queue *return_queue; /* NULL if it is off */
 	struct exchange_context exchange_context;
 	struct httpd *callers;
 	struct ev_timer start_timer;
@@ -200,6 +201,7 @@
 	    .cold_ratio = settings->cold_ratio,
 	    .cold_slack = settings->cold_slack,
 	    .hold_ms = settings->hold_ms - HOLD_RESERVE_MS,
+	    .return_queue = gateway->return_queue,
 	};
 	exchange_context_init(&gateway->exchange_context);
 }
@@ -301,6 +303,9 @@
 	gateway->rate_sync = rate_sync_new(gateway->loop, gateway->clock,
 	    node_mesh(gateway->node), gateway->load_sync,
 	    routing_state_fleet(gateway->routing_state));
+	if (strcmp(settings->return_queue, "on") == 0)
+		gateway->return_queue = return_queue_new();
+	load_sync_set_return_queue(gateway->load_sync, gateway->return_queue);
 	init_exchange_context(gateway);
 	return open_callers(gateway, error);
 }
@@ -317,6 +322,7 @@
 	rate_sync_free(gateway->rate_sync);
 	crash_sync_free(gateway->crash_sync);
 	load_sync_free(gateway->load_sync);
+	return_queue_free(gateway->return_queue);
 	registry_free(gateway->registry);
 	routing_state_free(gateway->routing_state);
 	object_store_free(gateway->store);
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -5,7 +5,6 @@
 #include <glib.h>
 
 #include "base/clock.h"
-#include "peer/message.h"
 
 /* Allocates the arrays of a report. */
 void
@@ -45,6 +44,8 @@
 	g_free(report->rated_starts);
 	g_free(report->rates);
 	g_free(report->rate_ages_ms);
+	for (size_t i = 0; i < LOAD_REPORT_RETURNING; i++)
+		g_free(report->returning[i]);
 }
 
 /* Adds our load on an upstream to a report. */
@@ -78,6 +79,60 @@
 	    time_diff_ms(now, rate->seen_at), 0);
 }
 
+/*
+ * Adds the turns of rejected callers that are new since the last report, or all
+ * of this gateway's.
+ */
+void
+load_report_add_returning(struct load_report *report,
+    struct return_queue *queue, bool changes, struct timespec now)
+{
+	struct return_row rows[RETURN_QUEUE_REPORT_MAX];
+	size_t count = return_queue_collect(queue, changes, rows, now);
+
+	for (size_t i = 0; i < LOAD_REPORT_RETURNING && count > 0; i++)
+		report->returning[i] = g_new(uint64_t, count);
+	for (size_t i = 0; i < count; i++) {
+		report->returning[0][i] = rows[i].ticket;
+		report->returning[1][i] = rows[i].fingerprint;
+		report->returning[2][i] = (uint64_t)rows[i].class.service *
+			RETURN_RANKS +
+		    MIN(rows[i].class.rank, RETURN_RANKS - 1);
+		report->returning[3][i] = rows[i].lapse_ms;
+		report->returning[4][i] = rows[i].work_ms;
+	}
+	report->returning_count = count;
+}
+
+/* Applies the turns of rejected callers that a peer has reported. */
+void
+load_report_apply_returning(const struct message_load *message,
+    struct return_queue *queue, struct timespec now)
+{
+	size_t count = MIN(
+	    message->returning.count, message->returning_requests.count);
+
+	count = MIN(count, message->returning_classes.count);
+	count = MIN(count, message->returning_lapses_ms.count);
+	count = MIN(count, message->returning_work_ms.count);
+	for (size_t i = 0; i < count; i++) {
+		uint64_t class = message->returning_classes.items[i];
+		const struct return_row row = {
+		    .ticket = (uint32_t)message->returning.items[i],
+		    .fingerprint = message->returning_requests.items[i],
+		    .class =
+			{
+			    .service = (uint32_t)(class / RETURN_RANKS),
+			    .rank = (uint32_t)(class % RETURN_RANKS),
+			},
+		    .lapse_ms = message->returning_lapses_ms.items[i],
+		    .work_ms = message->returning_work_ms.items[i],
+		};
+
+		return_queue_on_report(queue, &row, now);
+	}
+}
+
 /* Returns whether there is no load. */
 bool
 load_report_is_idle(const struct upstream_load *load)
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -21,6 +21,7 @@
 	struct fleet *fleet;
 	struct mesh_handler handler;
 	struct peer_loads *peers;
+	struct return_queue *return_queue; /* or NULL */
 	GHashTable *addresses; /* name -> address, as the peers report them */
 	GArray *members; /* of struct rate_member: this process and the peers */
 	uint64_t members_generation; /* of the peers, when they were listed */
@@ -85,6 +86,9 @@
 	    message->load.address[0] != '\0')
 		g_hash_table_replace(sync->addresses, g_strdup(origin),
 		    g_strdup(message->load.address));
+	if (is_load && sync->return_queue != NULL)
+		load_report_apply_returning(&message->load, sync->return_queue,
+		    clock_monotonic(sync->clock));
 	if (is_load)
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
@@ -195,6 +199,16 @@
 	return shared_rate_view(members, count);
 }
 
+/*
+ * Exchanges the turns of rejected callers too. The queue must outlive the
+ * exchange of loads; NULL for none.
+ */
+void
+load_sync_set_return_queue(struct load_sync *sync, struct return_queue *queue)
+{
+	sync->return_queue = queue;
+}
+
 /* Returns the name of this process among the gateways. */
 const char *
 load_sync_self(const struct load_sync *sync)
@@ -261,7 +275,8 @@
 may_skip(struct load_sync *sync, const struct load_report *report)
 {
 	bool empty = report->rows == 0 && report->faulty_count == 0 &&
-	    report->leaving_count == 0 && report->rated_count == 0;
+	    report->leaving_count == 0 && report->rated_count == 0 &&
+	    report->returning_count == 0;
 
 	if (empty && sync->idle_rounds > 0 &&
 	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
@@ -298,6 +313,9 @@
 
 	load_report_init(&report, fleet_count(sync->fleet));
 	collect_report(sync, &report, changes);
+	if (sync->return_queue != NULL)
+		load_report_add_returning(&report, sync->return_queue, changes,
+		    clock_monotonic(sync->clock));
 	message.load = (struct message_load){
 	    .cannot_watch = cannot_watch(sync),
 	    .upstreams = {report.ids, report.rows},
@@ -318,6 +336,12 @@
 	    .rates = {report.rates, report.rated_count},
 	    .rate_ages_ms = {report.rate_ages_ms, report.rated_count},
 	    .address = changes && is_settled(sync) ? NULL : sync->address,
+	    .returning = {report.returning[0], report.returning_count},
+	    .returning_requests = {report.returning[1], report.returning_count},
+	    .returning_classes = {report.returning[2], report.returning_count},
+	    .returning_lapses_ms = {report.returning[3],
+		report.returning_count},
+	    .returning_work_ms = {report.returning[4], report.returning_count},
 	};
 	if (!may_skip(sync, &report) || !changes)
 		broadcast(sync, &message);
@@ -373,6 +397,9 @@
 	    round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
 	    clock_monotonic(sync->clock));
 	fleet_expire(sync->fleet, clock_monotonic(sync->clock));
+	if (sync->return_queue != NULL)
+		return_queue_expire(
+		    sync->return_queue, clock_monotonic(sync->clock));
 	decide_watching(sync);
 	broadcast_load(sync);
 	ev_timer_set(timer, (double)round_ms(sync) / MS_PER_S, 0.0);
