Turns in load reports: one array, 25 bytes a turn

A report without turns is 1 byte longer, not 5. A request that came back and is rejected by its upstreams counts as rejected again.

--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -110,6 +110,7 @@
 	/* Queue of rejected callers. */
 	struct return_standing standing; /* if it came back */
 	struct return_turn turn; /* given with a rejection */
+	bool returned; /* it came back after a rejection */
 	bool yields; /* to requests that come back */
 	bool hopeless; /* can't be served before its deadline */
 
--- a/src/gateway/exchange_return.c
+++ b/src/gateway/exchange_return.c
@@ -116,6 +116,7 @@
 	    exchange->arrived);
 	if (exchange->standing.ticket == 0)
 		return;
+	exchange->returned = true;
 	metric_add(&returned_count, 1);
 	LOG_INFO("request returned", "{s:s, s:I, s:I, s:I}", "request",
 	    exchange->caller_headers.request_id, "ticket",
@@ -331,7 +332,7 @@
 		exchange->standing.ticket = 0;
 		return left_ms;
 	}
-	if (exchange->standing.ticket != 0)
+	if (exchange->returned)
 		metric_add(&returned_refused_count, 1);
 	exchange_return_end(exchange);
 	servers = count_servers(exchange);
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -6,6 +6,9 @@
 
 #include "base/clock.h"
 
+/* Numbers of a turn in a report: see load_report_add_returning(). */
+#define TURN_NUMBERS 5
+
 /* Allocates the arrays of a report. */
 void
 load_report_init(struct load_report *report, size_t max)
@@ -44,8 +47,7 @@
 	g_free(report->rated_starts);
 	g_free(report->rates);
 	g_free(report->rate_ages_ms);
-	for (size_t i = 0; i < LOAD_REPORT_RETURNING; i++)
-		g_free(report->returning[i]);
+	g_free(report->returning);
 }
 
 /* Adds our load on an upstream to a report. */
@@ -81,7 +83,8 @@
 
 /*
  * Adds the turns of rejected callers that are new since the last report, or all
- * of this gateway's.
+ * of this gateway's. They share one array, so that a report without turns is
+ * only one byte longer.
  */
 void
 load_report_add_returning(struct load_report *report,
@@ -90,18 +93,20 @@
 	struct return_row rows[RETURN_QUEUE_REPORT_MAX];
 	size_t count = return_queue_collect(queue, changes, rows, now);
 
-	for (size_t i = 0; i < LOAD_REPORT_RETURNING && count > 0; i++)
-		report->returning[i] = g_new(uint64_t, count);
+	if (count == 0)
+		return;
+	report->returning = g_new(uint64_t, count * TURN_NUMBERS);
+	report->returning_count = count * TURN_NUMBERS;
 	for (size_t i = 0; i < count; i++) {
-		report->returning[0][i] = rows[i].ticket;
-		report->returning[1][i] = rows[i].fingerprint;
-		report->returning[2][i] = (uint64_t)rows[i].class.service *
-			RETURN_RANKS +
+		uint64_t *numbers = &report->returning[i * TURN_NUMBERS];
+
+		numbers[0] = rows[i].ticket;
+		numbers[1] = rows[i].fingerprint;
+		numbers[2] = (uint64_t)rows[i].class.service * RETURN_RANKS +
 		    MIN(rows[i].class.rank, RETURN_RANKS - 1);
-		report->returning[3][i] = rows[i].lapse_ms;
-		report->returning[4][i] = rows[i].work_ms;
+		numbers[3] = rows[i].lapse_ms;
+		numbers[4] = rows[i].work_ms;
 	}
-	report->returning_count = count;
 }
 
 /* Applies the turns of rejected callers that a peer has reported. */
@@ -110,23 +115,21 @@
     struct return_queue *queue, struct timespec now)
 {
 	size_t count = MIN(
-	    message->returning.count, message->returning_requests.count);
+	    message->returning.count / TURN_NUMBERS, RETURN_QUEUE_REPORT_MAX);
 
-	count = MIN(count, message->returning_classes.count);
-	count = MIN(count, message->returning_lapses_ms.count);
-	count = MIN(count, message->returning_work_ms.count);
 	for (size_t i = 0; i < count; i++) {
-		uint64_t class = message->returning_classes.items[i];
+		const uint64_t *numbers = &message->returning
+					       .items[i * TURN_NUMBERS];
 		const struct return_row row = {
-		    .ticket = (uint32_t)message->returning.items[i],
-		    .fingerprint = message->returning_requests.items[i],
+		    .ticket = (uint32_t)numbers[0],
+		    .fingerprint = numbers[1],
 		    .class =
 			{
-			    .service = (uint32_t)(class / RETURN_RANKS),
-			    .rank = (uint32_t)(class % RETURN_RANKS),
+			    .service = (uint32_t)(numbers[2] / RETURN_RANKS),
+			    .rank = (uint32_t)(numbers[2] % RETURN_RANKS),
 			},
-		    .lapse_ms = message->returning_lapses_ms.items[i],
-		    .work_ms = message->returning_work_ms.items[i],
+		    .lapse_ms = numbers[3],
+		    .work_ms = numbers[4],
 		};
 
 		return_queue_on_report(queue, &row, now);
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -14,9 +14,6 @@
 #include "policy/return_queue.h"
 #include "routing/fleet.h"
 
-/* Arrays that describe the turns of rejected callers. */
-#define LOAD_REPORT_RETURNING 5
-
 /* Rows of a report; the arrays have room for all upstreams. */
 struct load_report {
 	char **ids;
@@ -35,8 +32,8 @@
 	uint64_t *rates;
 	uint64_t *rate_ages_ms;
 	size_t rated_count;
-	uint64_t *returning[LOAD_REPORT_RETURNING]; /* in the message's order */
-	size_t returning_count;
+	uint64_t *returning; /* several numbers a turn; NULL for none */
+	size_t returning_count; /* of the numbers */
 };
 
 void load_report_init(struct load_report *, size_t max);
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -336,12 +336,7 @@
 	    .rates = {report.rates, report.rated_count},
 	    .rate_ages_ms = {report.rate_ages_ms, report.rated_count},
 	    .address = changes && is_settled(sync) ? NULL : sync->address,
-	    .returning = {report.returning[0], report.returning_count},
-	    .returning_requests = {report.returning[1], report.returning_count},
-	    .returning_classes = {report.returning[2], report.returning_count},
-	    .returning_lapses_ms = {report.returning[3],
-		report.returning_count},
-	    .returning_work_ms = {report.returning[4], report.returning_count},
+	    .returning = {report.returning, report.returning_count},
 	};
 	if (!may_skip(sync, &report) || !changes)
 		broadcast(sync, &message);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -286,11 +286,7 @@
 	struct u64_array rates; /* per 1,000,000 s; 0: no longer named */
 	struct u64_array rate_ages_ms; /* since they were observed */
 	char *address; /* of the process; empty in most reports of changes */
-	struct u64_array returning; /* tickets of rejected callers' turns */
-	struct u64_array returning_requests; /* fingerprints */
-	struct u64_array returning_classes; /* 16 x service + rank */
-	struct u64_array returning_lapses_ms; /* until they lapse */
-	struct u64_array returning_work_ms; /* 0: no longer expected */
+	struct u64_array returning; /* turns, see gateway/load_report.c */
 };
 
 struct message_prefill {
--- a/src/policy/return_queue.h
+++ b/src/policy/return_queue.h
@@ -24,8 +24,9 @@
 
 /* Turns that one gateway knows; about 100 bytes each. */
 #define RETURN_QUEUE_MAX 2048
-/* Most turns in one load report, the soonest first; 27 bytes each at most. */
+/* Most turns in one load report, the soonest first, and the size of one. */
 #define RETURN_QUEUE_REPORT_MAX 64
+#define RETURN_QUEUE_ROW_BYTES	25
 /*
  * Share of its remaining time for which a caller waits. Callers give up if told
  * more than a third; the margin covers the way to them.
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -206,6 +206,57 @@
 	tear_down(&t);
 }
 
+/*
+ * Turns of rejected callers reach another gateway, which keeps them when the
+ * one that gave them is gone, and recognises their callers.
+ */
+static void
+test_turns(void)
+{
+	static const struct load_case c = {
+	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
+	struct return_ask ask = {
+	    .class = {.service = return_queue_service("s", true), .rank = 2},
+	    .work_ms = 100.0,
+	    .servers = 10.0,
+	    .left_ms = 10000.0,
+	    .share = 1.0,
+	};
+	struct return_queue *first = return_queue_new();
+	struct return_queue *queues[OTHERS];
+	struct return_standing standing;
+	struct test t = {0};
+
+	set_up(&t, &c);
+	load_sync_set_return_queue(t.first.load_sync, first);
+	for (size_t i = 0; i < OTHERS; i++) {
+		ask.fingerprint = UINT64_MAX - i;
+		ask.ticket = UINT32_MAX - (uint32_t)i;
+		queues[i] = return_queue_new();
+		load_sync_set_return_queue(t.others[i].load_sync, queues[i]);
+		return_queue_take(
+		    queues[i], &ask, clock_monotonic(&t.others[i].clock.clock));
+	}
+	while (return_queue_count(first) < OTHERS)
+		ev_run(t.loop, EVRUN_ONCE);
+	for (size_t i = 0; i < OTHERS; i++) {
+		peer_gateway_stop(&t.others[i]);
+		return_queue_free(queues[i]);
+	}
+	for (size_t i = 0; i < OTHERS; i++) {
+		standing = return_queue_arrive(first, UINT64_MAX - i,
+		    ask.class.service, clock_monotonic(&t.first.clock.clock));
+		g_assert_cmpuint(standing.ticket, ==, UINT32_MAX - i);
+		g_assert_cmpint(standing.early_ms, ==, RETURN_WAIT_MIN_MS);
+	}
+	mesh_remove_handler(t.first.mesh, &t.counter.handler);
+	peer_gateway_stop(&t.first);
+	return_queue_free(first);
+	fake_platform_free(t.platform);
+	ev_timer_stop(t.loop, &t.timeout);
+	ev_loop_destroy(t.loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -215,5 +266,8 @@
 	g_test_add_func("/load_sync/gateways that are not in the list yet "
 			"count where limits are divided",
 	    test_count);
+	g_test_add_func("/load_sync/turns of rejected callers outlive the "
+			"gateway that gave them",
+	    test_turns);
 	return g_test_run();
 }
