Distance between failure domains is weighed against waiting

Cause: upstreams of all failure domains were alike, so that two of three requests crossed to another one although their own had room.

policy/locality: Engine.delays gives one-way delays; a candidate's distance_ms is the cost of the round trips to the first event and of the bytes, in milliseconds of waiting. Each failure domain packs its own short streams.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -36,6 +36,7 @@
 	struct routing_state *routing_state;
 	struct registry *registry;
 	const char *address; /* of this gateway, for its peers */
+	const char *failure_domain; /* of this gateway */
 	struct load_sync *load_sync;
 	struct crash_sync *crash_sync;
 	struct rate_sync *rate_sync;
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -82,6 +82,22 @@
 		exchange->may_have_run) >= exchange_sends_max(exchange);
 }
 
+/* Returns the cost of the distance between this gateway and an upstream. */
+static double
+request_distance_ms(
+    const struct exchange *exchange, const struct fleet_upstream *upstream)
+{
+	const struct locality_request request = {
+	    .prompt_tokens = exchange->caller_headers.prompt_tokens,
+	    .output_tokens = exchange->caller_headers.output_tokens,
+	    .event_tokens = exchange->profile->engine.stride,
+	};
+
+	return locality_request_ms(&exchange->profile->locality,
+	    exchange->context->failure_domain, upstream->failure_domain,
+	    &request);
+}
+
 /* Fills a balancing candidate with an upstream's load. */
 static struct balance_candidate
 make_candidate(struct exchange *exchange, const struct fleet_upstream *upstream)
@@ -100,6 +116,8 @@
 	for (size_t i = 0; i < STREAM_CLASSES; i++)
 		candidate.streams[i] = upstream->own.streams[i] +
 		    upstream->peers.streams[i];
+	if (exchange->profile->locality.count > 0)
+		candidate.distance_ms = request_distance_ms(exchange, upstream);
 	return candidate;
 }
 
@@ -284,6 +302,24 @@
 	    exchange->caller_headers.has_prompt;
 }
 
+/* Plans a prompt for the first candidates of a selection. */
+static enum balance_verdict
+plan_prompt(const struct exchange *exchange, const struct selection *selection,
+    size_t count, const struct balance_prompt *prompt, struct balance_plan *out)
+{
+	const struct service_profile *profile = exchange->profile;
+	g_autofree const char **domains = NULL;
+
+	if (profile->locality.count == 0)
+		return balance_plan_prompt(&profile->engine,
+		    selection->candidates, count, prompt, out);
+	domains = g_new(const char *, count + 1);
+	for (size_t i = 0; i < count; i++)
+		domains[i] = selection->upstreams[i]->failure_domain;
+	return locality_plan_prompt(&profile->engine, &profile->locality,
+	    selection->candidates, domains, count, prompt, out);
+}
+
 /*
  * Plans a prompt where some upstreams name a rate. These take whole prompts
  * only: each part of one would count as a request.
@@ -299,8 +335,7 @@
 	enum balance_verdict verdict;
 	enum balance_verdict whole_verdict;
 
-	verdict = balance_plan_prompt(
-	    engine, selection->candidates, others, &prompt, out);
+	verdict = plan_prompt(exchange, selection, others, &prompt, out);
 	if (verdict == BALANCE_SERVE)
 		return verdict;
 	prompt.undivided = true;
@@ -330,8 +365,8 @@
 	if (selection->rated > 0 &&
 	    balance_is_divisible(&exchange->profile->engine, &prompt))
 		return plan_with_rated(exchange, selection, out);
-	verdict = balance_plan_prompt(&exchange->profile->engine,
-	    selection->candidates, selection->count, &prompt, out);
+	verdict = plan_prompt(
+	    exchange, selection, selection->count, &prompt, out);
 	if (selection->rated > 0 && out->helper_count > 0)
 		return plan_with_rated(exchange, selection, out);
 	return verdict;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -92,7 +92,7 @@
 
 	LOG_INFO("request sent",
 	    "{s:s, s:s, s:s, s:i, s:I, s:s, s:i, s:s, s:f, s:i, s:i, s:i, s:i, "
-	    "s:I, s:I, s:I}",
+	    "s:I, s:I, s:I, s:f}",
 	    "request", exchange->caller_headers.request_id, "upstream",
 	    selection->upstreams[plan->first]->id, "route",
 	    exchange->route->name, "try", (int)exchange->tries, "prompt_tokens",
@@ -103,7 +103,7 @@
 	    "expected_ms", (int)plan->first_token_ms, "left_ms",
 	    (json_int_t)exchange_remaining_ms(exchange), "routes_version",
 	    (json_int_t)exchange->table->version, "list_version",
-	    (json_int_t)fleet->version);
+	    (json_int_t)fleet->version, "distance_ms", chosen->distance_ms);
 }
 
 /* Starts the HTTP call to the upstream. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -187,6 +187,7 @@
 	    .routing_state = gateway->routing_state,
 	    .registry = gateway->registry,
 	    .address = node_identity(gateway->node)->address,
+	    .failure_domain = settings->failure_domain,
 	    .load_sync = gateway->load_sync,
 	    .crash_sync = gateway->crash_sync,
 	    .rate_sync = gateway->rate_sync,
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "policy/locality.h"
 
 /*
  * Returns the class of a stream for its route's gap target in milliseconds;
@@ -36,7 +37,8 @@
 {
 	double total = candidate->backlog_ms +
 	    candidate->running * BALANCE_RUNNING_COST_MS +
-	    candidate->error_share * BALANCE_ERROR_COST_MS;
+	    candidate->error_share * BALANCE_ERROR_COST_MS +
+	    candidate->distance_ms;
 
 	if (candidate->running >= candidate->slots)
 		total += BALANCE_FULL_COST_MS +
@@ -104,7 +106,8 @@
 	    candidate->backlog_ms > BALANCE_PACK_BACKLOG_MS)
 		return waiting_cost_ms(candidate);
 	return candidate->error_share * BALANCE_ERROR_COST_MS -
-	    BALANCE_PACK_GAIN_MS * candidate->streams[STREAM_SHORT];
+	    locality_pack_gain_ms(candidate->distance_ms,
+		BALANCE_PACK_GAIN_MS * candidate->streams[STREAM_SHORT]);
 }
 
 /* Plans a short stream's prompt, which one engine prefills. */
@@ -121,6 +124,7 @@
 	    .first = ranks[0].index,
 	    .part_ms = prefill_ms,
 	    .first_token_ms = first->backlog_ms + prefill_ms +
+		first->distance_ms +
 		engine_profile_pass_ms(
 		    profile, first->running + 1, first->context_tokens),
 	};
@@ -198,7 +202,8 @@
 			engine->streams[STREAM_SHORT] *
 			    BALANCE_SHORT_STREAM_MS +
 			engine->backlog_ms +
-			engine->error_share * BALANCE_ERROR_COST_MS,
+			engine->error_share * BALANCE_ERROR_COST_MS +
+			engine->distance_ms,
 		    .tie = engine->tie,
 		};
 	}
@@ -231,6 +236,7 @@
 {
 	double part_ms = prefill_ms / (double)parts;
 	double backlog_ms = 0.0;
+	double distance_ms = 0.0;
 	double weight = part_ms / BALANCE_MEDIUM_PLANNED_GAP_MS;
 	double total = (double)parts *
 	    (BALANCE_ENGINE_COST +
@@ -241,9 +247,11 @@
 		    *engine = &candidates[ranks[i].index];
 
 		backlog_ms = MAX(backlog_ms, engine->backlog_ms);
-		total += delayed_streams(profile, engine, part_ms);
+		distance_ms = MAX(distance_ms, engine->distance_ms);
+		total += delayed_streams(profile, engine, part_ms) +
+		    engine->distance_ms / BALANCE_DELAYED_STREAM_MS;
 	}
-	*first_token_ms = part_ms +
+	*first_token_ms = part_ms + distance_ms +
 	    backlog_ms * (parts == 1 ? 1.0 : BALANCE_BACKLOG_SHARE) +
 	    engine_profile_pass_ms(profile,
 		candidates[ranks[0].index].running + 1,
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -133,6 +133,7 @@
 	uint32_t streams[STREAM_CLASSES]; /* streams decoding there, by class */
 	double error_share; /* share of recent answers that failed */
 	uint32_t tie; /* random; breaks ties */
+	double distance_ms; /* cost of the way, see policy/locality.h */
 };
 
 struct balance_prompt {
--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -23,6 +23,7 @@
 {
 	struct service_profile *service = data;
 
+	locality_clear(&service->locality);
 	g_free(service->name);
 	g_free(service);
 }
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "policy/engine_profile.h"
+#include "policy/locality.h"
 
 /* How often one request may be executed. */
 enum call_kind {
@@ -51,6 +52,7 @@
 	double cold_per_s; /* requests per second while cold */
 	bool has_engine;
 	struct engine_profile engine;
+	struct locality locality; /* delays between failure domains */
 };
 
 struct organisation {
--- a/tests/test_decode_fuzz.c
+++ b/tests/test_decode_fuzz.c
@@ -20,7 +20,8 @@
     "\"Kind\":\"stream\",\"TimeoutMs\":900,\"CanResume\":true,\"Attempts\":2,"
     "\"Split\":[{\"Service\":\"s\",\"Weight\":9},{\"Service\":\"t\"}]}],"
     "\"Services\":[{\"Name\":\"s\",\"ColdS\":1.5,\"ColdPerS\":26,"
-    "\"Engine\":{\"read_per_s\":177000,\"KvTokens\":9,\"Slots\":4}}],"
+    "\"Engine\":{\"read_per_s\":177000,\"KvTokens\":9,\"Slots\":4,"
+    "\"delays\":[{\"From\":\"y\",\"TargetVersion\":\"z\",\"delay_ms\":3.5}]}}],"
     "\"Limits\":{\"BodyBytes\":100},"
     "\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\"],\"Priority\":3}]}}]";
 
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -26,7 +26,10 @@
 	"\"Kind\":\"unheard\",\"Service\":\"s\"},"                            \
 	"{\"Name\":\"no host\",\"PathPrefix\":\"/n/\"}],"                     \
 	"\"Services\":[{\"Name\":\"s\",\"ColdS\":1.5,\"ColdPerS\":26,"        \
-	"\"Engine\":{\"read_per_s\":177000,\"KvTokens\":9}}],"                \
+	"\"Engine\":{\"read_per_s\":177000,\"KvTokens\":9,\"delays\":["       \
+	"{\"From\":\"y\",\"TargetVersion\":\"z\",\"delay_ms\":3.5},"          \
+	"{\"From\":\"y\",\"TargetVersion\":\"x\",\"delay_ms\":\"far\"},"      \
+	"{\"From\":\"x\"},7]}}],"                                             \
 	"\"Limits\":{\"BodyBytes\":100},"                                     \
 	"\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\",\"k2\"],"              \
 	"\"Priority\":3},{\"Keys\":[\"k3\"]}]}}]"
@@ -113,6 +116,10 @@
 	g_assert_cmpstr(route_pick_service(second, 9), ==, "t");
 	g_assert_cmpint(service->cold_ms, ==, 1500);
 	g_assert_cmpfloat(service->engine.prefill_tokens_per_ms, ==, 177.0);
+	/* Delays that can't be decoded are skipped. */
+	g_assert_cmpuint(service->locality.count, ==, 1);
+	g_assert_cmpfloat(
+	    locality_delay_ms(&service->locality, "z", "y"), ==, 3.5);
 	g_assert_cmpstr(
 	    routing_table_find_organisation(table, "k2")->name, ==, "o");
 	g_assert_null(routing_table_find_organisation(table, "k3"));
