Turns only for prompts that can be served when they come back

Capacity is kept from 100 ms before a turn. Turns that peers gave in the last 2 s show how many an own one stands for.

--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -163,8 +163,8 @@
 void exchange_return_arrive(struct exchange *);
 void exchange_return_on_send(struct exchange *);
 void exchange_return_end(struct exchange *);
-int64_t exchange_return_after_ms(
-    struct exchange *, double room_ms, double part_ms, int64_t default_ms);
+int64_t exchange_return_after_ms(struct exchange *, double room_ms,
+    const struct balance_plan *, int64_t default_ms);
 int64_t exchange_return_after_backlog_ms(struct exchange *, int64_t default_ms);
 void exchange_fail(struct exchange *, enum refusal not_run,
     int64_t retry_after_ms, const char *why);
--- a/src/gateway/exchange_return.c
+++ b/src/gateway/exchange_return.c
@@ -143,7 +143,7 @@
 	size_t free_slots = 0;
 	size_t kept = return_queue_kept_count(exchange->context->return_queue,
 	    return_class(exchange), exchange->standing.ticket,
-	    slot_ms(exchange), clock_monotonic(exchange->context->clock));
+	    clock_monotonic(exchange->context->clock));
 
 	for (size_t i = 0; i < selection->count && kept > 0; i++) {
 		const struct balance_candidate
@@ -160,12 +160,11 @@
  * that go before it were being prefilled already.
  */
 static bool
-has_spare_time(const struct exchange *exchange,
-    const struct selection *selection, const struct balance_plan *plan)
+has_spare_time(
+    const struct exchange *exchange, const struct selection *selection)
 {
 	double kept_ms = return_queue_kept_ms(exchange->context->return_queue,
 	    return_class(exchange), exchange->standing.ticket,
-	    plan->wait_ms + plan->part_ms,
 	    clock_monotonic(exchange->context->clock));
 	g_autofree struct balance_candidate *candidates = NULL;
 	struct selection later = *selection;
@@ -183,14 +182,12 @@
 
 /* Returns whether a new request has to leave its place to returning ones. */
 static bool
-must_yield(const struct exchange *exchange, const struct selection *selection,
-    const struct balance_plan *plan)
+must_yield(const struct exchange *exchange, const struct selection *selection)
 {
 	if (return_queue_count(exchange->context->return_queue) == 0)
 		return false;
-	return is_by_slots(exchange)
-	    ? !has_spare_slot(exchange, selection)
-	    : !has_spare_time(exchange, selection, plan);
+	return is_by_slots(exchange) ? !has_spare_slot(exchange, selection)
+				     : !has_spare_time(exchange, selection);
 }
 
 /* Returns whether all slots of the candidates are taken. */
@@ -219,7 +216,7 @@
 
 /*
  * Returns the verdict on a request in its turn: it is served at a higher cost
- * than a new one, and after it has been held, at any.
+ * than a new one, and after it has been held, at a still higher one.
  */
 static enum balance_verdict
 judge_returned(const struct exchange *exchange,
@@ -229,7 +226,7 @@
 	bool holds = may_hold(exchange, 0);
 
 	if (verdict == BALANCE_TOO_COSTLY &&
-	    (!holds || plan->cost <= plan->worth * RETURN_COST_RATIO))
+	    return_queue_admits(plan->cost, plan->worth, holds))
 		return BALANCE_SERVE;
 	if (verdict == BALANCE_SERVE && holds && is_by_slots(exchange) &&
 	    is_full(selection))
@@ -263,8 +260,7 @@
 		*verdict = judge_returned(exchange, selection, plan, *verdict);
 		return *verdict != BALANCE_SERVE && may_hold(exchange, 0);
 	}
-	if (*verdict == BALANCE_SERVE &&
-	    must_yield(exchange, selection, plan)) {
+	if (*verdict == BALANCE_SERVE && must_yield(exchange, selection)) {
 		exchange->yields = true;
 		*verdict = BALANCE_TOO_COSTLY;
 		metric_add(&yielded_count, 1);
@@ -302,12 +298,12 @@
  * Returns when the caller of a request that is rejected for lack of capacity
  * should come back, in milliseconds: in its turn, or at the default time if
  * turns are off; 0 if it is not to come back. room_ms is the time until there
- * is room for more work than the upstreams have now, part_ms that for its
- * prefill.
+ * is room for more work than the upstreams have now; plan is how it would have
+ * been served, or NULL.
  */
 int64_t
 exchange_return_after_ms(struct exchange *exchange, double room_ms,
-    double part_ms, int64_t default_ms)
+    const struct balance_plan *plan, int64_t default_ms)
 {
 	struct exchange_context *context = exchange->context;
 	bool by_slots = is_by_slots(exchange);
@@ -318,7 +314,10 @@
 	    .class = return_class(exchange),
 	    .room_ms = room_ms,
 	    .left_ms = (double)exchange_remaining_ms(exchange),
-	    .serve_ms = part_ms,
+	    .serve_ms = plan != NULL ? plan->part_ms : 0.0,
+	    .cost_ratio = plan != NULL && plan->worth > 0.0
+		? plan->cost / plan->worth
+		: 0.0,
 	    .ticket = g_rand_int(context->random),
 	    .phase = g_rand_double(context->random),
 	};
@@ -369,5 +368,5 @@
 	    is_by_slots(exchange) || servers.count == 0
 		? 0.0
 		: servers.backlog_ms / (double)servers.count,
-	    0.0, default_ms);
+	    NULL, default_ms);
 }
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -295,7 +295,7 @@
 	case BALANCE_TOO_COSTLY:
 		exchange_fail(exchange, REFUSAL_OVERLOADED,
 		    exchange_return_after_ms(
-			exchange, plan->wait_ms, plan->part_ms, wait_ms),
+			exchange, plan->wait_ms, plan, wait_ms),
 		    exchange->yields
 			? "requests that were rejected before come first now"
 			: "the engines' time is worth more to other prompts "
@@ -304,7 +304,7 @@
 	case BALANCE_NO_MEMORY:
 		exchange_fail(exchange, REFUSAL_OVERLOADED,
 		    exchange_return_after_ms(
-			exchange, (double)wait_ms, plan->part_ms, wait_ms),
+			exchange, (double)wait_ms, plan, wait_ms),
 		    "the engines have no memory for the prompt now");
 		break;
 	default:
--- a/src/policy/return_queue.c
+++ b/src/policy/return_queue.c
@@ -124,6 +124,32 @@
 	    turn->class.rank <= class.rank;
 }
 
+/*
+ * Returns how many turns all gateways give while this one gives one: by those
+ * of the last seconds that the peers have reported, or by the load if there are
+ * none.
+ */
+static double
+count_copies(const struct return_queue *queue, const struct return_ask *ask,
+    struct timespec now)
+{
+	const struct turn *turn;
+	double own = 0.0;
+	double all = 0.0;
+
+	TAILQ_FOREACH (turn, &queue->turns, entry) {
+		int64_t age_ms = time_diff_ms(now, turn->made_at);
+
+		if (turn->class.service != ask->class.service ||
+		    age_ms < RETURN_SYNC_MS || age_ms > RETURN_RECENT_MS)
+			continue;
+		own += turn->own ? 1.0 : 0.0;
+		all += 1.0;
+	}
+	return own > 0.0 ? all / own
+			 : 1.0 / CLAMP(ask->share, LOAD_SHARE_MIN, 1.0);
+}
+
 /*
  * Returns the work ahead of a new turn, in milliseconds of one server. Own
  * turns that the peers don't know yet also stand for theirs.
@@ -153,14 +179,14 @@
 /*
  * Gives a rejected caller its turn: when there is room for it after those ahead
  * of it. It has none if that is later than it waits, or than it can be served
- * in time.
+ * in time, or if it costs too much to be served then.
  */
 struct return_turn
 return_queue_take(struct return_queue *queue, const struct return_ask *ask,
     struct timespec now)
 {
 	double per_ms = MAX(ask->servers, SERVER_MIN) * RETURN_CAPACITY_SHARE;
-	double copies = 1.0 / CLAMP(ask->share, LOAD_SHARE_MIN, 1.0);
+	double copies = count_copies(queue, ask, now);
 	struct return_turn out = {
 	    .ahead_ms = work_ahead_ms(queue, ask, copies, now),
 	};
@@ -173,7 +199,7 @@
 	uint32_t ticket = ask->ticket;
 
 	wait_ms = MAX(wait_ms, RETURN_WAIT_MIN_MS);
-	if (wait_ms > most_ms)
+	if (wait_ms > most_ms || ask->cost_ratio > RETURN_TURN_COST_RATIO)
 		return out;
 	while (ticket == 0 || find_turn(queue, ticket) != NULL)
 		ticket++;
@@ -264,25 +290,22 @@
 
 /* Returns whether capacity is kept for a turn now. */
 static bool
-is_kept(const struct turn *turn, double lookahead_ms, struct timespec now)
+is_kept(const struct turn *turn, struct timespec now)
 {
 	int64_t left_ms = time_diff_ms(turn->due, now);
 
 	return turn->arrived ||
-	    ((double)left_ms <= lookahead_ms + RETURN_LOOKAHEAD_MS &&
-		left_ms > -RETURN_KEEP_MS);
+	    (left_ms <= RETURN_LOOKAHEAD_MS && left_ms > -RETURN_KEEP_MS);
 }
 
 /*
  * Returns the work, in milliseconds of one server, that a request of a class
- * leaves room for: that of the callers that go before it and are due before it
- * would be done, in lookahead_ms. ticket is the request's own turn, which only
- * earlier ones precede, or 0.
+ * leaves room for: that of the callers that go before it and are due now.
+ * ticket is the request's own turn, which only earlier ones precede, or 0.
  */
 double
 return_queue_kept_ms(const struct return_queue *queue,
-    struct return_class class, uint32_t ticket, double lookahead_ms,
-    struct timespec now)
+    struct return_class class, uint32_t ticket, struct timespec now)
 {
 	const struct turn *turn;
 	double total = 0.0;
@@ -290,8 +313,7 @@
 	TAILQ_FOREACH (turn, &queue->turns, entry) {
 		if (turn->ticket == ticket)
 			break;
-		if (has_precedence(turn, class) &&
-		    is_kept(turn, lookahead_ms, now))
+		if (has_precedence(turn, class) && is_kept(turn, now))
 			total += turn->work_ms *
 			    (turn->arrived ? 1.0 : queue->share);
 	}
@@ -301,8 +323,7 @@
 /* Returns how many callers a request leaves room for, see above. */
 size_t
 return_queue_kept_count(const struct return_queue *queue,
-    struct return_class class, uint32_t ticket, double lookahead_ms,
-    struct timespec now)
+    struct return_class class, uint32_t ticket, struct timespec now)
 {
 	const struct turn *turn;
 	double total = 0.0;
@@ -310,8 +331,7 @@
 	TAILQ_FOREACH (turn, &queue->turns, entry) {
 		if (turn->ticket == ticket)
 			break;
-		if (has_precedence(turn, class) &&
-		    is_kept(turn, lookahead_ms, now))
+		if (has_precedence(turn, class) && is_kept(turn, now))
 			total += turn->arrived ? 1.0 : queue->share;
 	}
 	return (size_t)lround(total);
@@ -400,6 +420,17 @@
 	    });
 }
 
+/*
+ * Returns whether a prompt in its turn is served at a cost; may_hold is whether
+ * it may still be held.
+ */
+bool
+return_queue_admits(double cost, double worth, bool may_hold)
+{
+	return cost <=
+	    worth * (may_hold ? RETURN_COST_RATIO : RETURN_HELD_COST_RATIO);
+}
+
 /*
  * Returns whether a request in its turn may be held: it then still has most of
  * its time left, so that it can go elsewhere if it is not served after all.
--- a/src/policy/return_queue.h
+++ b/src/policy/return_queue.h
@@ -42,11 +42,14 @@
  * the other gateways have given at the same time and not reported yet.
  */
 #define RETURN_SYNC_MS 250
+/* Turns of this time show how many the other gateways give. */
+#define RETURN_RECENT_MS 2000
 /* Share of the servers' time that turns are planned with; the rest decodes. */
 #define RETURN_CAPACITY_SHARE 0.7
 /*
- * Capacity is kept for a caller from this long before its turn, besides the
- * time for which a new request would occupy the servers, to this long after.
+ * Capacity is kept for a caller from this long before its turn to this long
+ * after. Kept earlier, it makes as many new callers late as it helps others: in
+ * the fleet model the worth of what is served then falls by a tenth.
  */
 #define RETURN_LOOKAHEAD_MS 100
 #define RETURN_KEEP_MS	    300
@@ -61,10 +64,16 @@
 #define RETURN_SHARE_WEIGHT (1.0 / 32.0)
 #define RETURN_SHARE_MIN    0.1
 /*
- * A request in its turn is served up to this ratio of its cost to its worth; 1
- * for others.
+ * Ratio of a prompt's cost to its worth, which is at most 1 for new prompts
+ * that are served: up to which a rejected one gets a turn, is served in its
+ * turn, and is served in it after it has been held. In the fleet model 86% of
+ * those that came back were rejected again without the first limit, as they are
+ * too costly at any load; with the others above these, more prompts become late
+ * than are served in addition.
  */
-#define RETURN_COST_RATIO 2.0
+#define RETURN_TURN_COST_RATIO 1.5
+#define RETURN_COST_RATIO      1.5
+#define RETURN_HELD_COST_RATIO 2.0
 /*
  * It is held for this share of its target until it can be served, or for this
  * time if it has no target.
@@ -91,6 +100,7 @@
 	double room_ms; /* until there is room for work that is not here yet */
 	double left_ms; /* until the caller's deadline */
 	double serve_ms; /* from when there is room to its first event */
+	double cost_ratio; /* its cost by its worth; 0 if it has none */
 	double share; /* of the load that comes from this gateway, 0 to 1 */
 	uint32_t ticket; /* random */
 	double phase; /* random, from 0 to below 1 */
@@ -129,14 +139,15 @@
 void return_queue_defer(struct return_queue *, uint32_t ticket);
 void return_queue_end(struct return_queue *, uint32_t ticket);
 double return_queue_kept_ms(const struct return_queue *, struct return_class,
-    uint32_t ticket, double lookahead_ms, struct timespec now);
+    uint32_t ticket, struct timespec now);
 size_t return_queue_kept_count(const struct return_queue *, struct return_class,
-    uint32_t ticket, double lookahead_ms, struct timespec now);
+    uint32_t ticket, struct timespec now);
 void return_queue_expire(struct return_queue *, struct timespec now);
 size_t return_queue_collect(struct return_queue *, bool changes,
     struct return_row rows[RETURN_QUEUE_REPORT_MAX], struct timespec now);
 void return_queue_on_report(
     struct return_queue *, const struct return_row *, struct timespec now);
+bool return_queue_admits(double cost, double worth, bool may_hold);
 bool return_queue_may_hold(double waited_ms, double target_ms, double left_ms);
 size_t return_queue_count(const struct return_queue *);
 double return_queue_share(const struct return_queue *);
--- a/tests/experiment/engine.h
+++ b/tests/experiment/engine.h
@@ -35,6 +35,8 @@
 	double last_ms;
 	double max_gap_ms; /* longest time between two events */
 	uint32_t refusals;
+	uint32_t ticket; /* of its turn to return; 0: none */
+	bool is_back; /* its turn is known to the gateway */
 	bool decoding; /* its prefill is complete */
 	bool ended; /* complete, or abandoned by its caller */
 	bool released; /* ended and no longer counted by its gateway */
--- a/tests/experiment/fleet_model.h
+++ b/tests/experiment/fleet_model.h
@@ -14,6 +14,8 @@
 	size_t engines;
 	size_t gateways;
 	double round_ms; /* between two load messages of a gateway */
+	bool patience; /* callers wait for a third of their time left */
+	bool return_queue; /* they get turns, see policy/return_queue.h */
 };
 
 void fleet_model_run(
