locality: a prompt that engines here serve at a low cost is planned once

Planning around each failure domain takes as much CPU time as a plan for each of them, and a waiting prompt is planned every 50 ms.

--- a/src/policy/locality.c
+++ b/src/policy/locality.c
@@ -144,11 +144,48 @@
 	return balance_plan_prompt(profile, moved, count, prompt, plan);
 }
 
+/* Returns whether a plan is served while another is not, or is cheaper. */
+static bool
+is_better(enum balance_verdict verdict, const struct balance_plan *plan,
+    enum balance_verdict than_verdict, const struct balance_plan *than)
+{
+	bool served = verdict == BALANCE_SERVE;
+
+	if (served != (than_verdict == BALANCE_SERVE))
+		return served;
+	return plan->cost < than->cost;
+}
+
+/* Returns whether all engines of a plan are in this gateway's failure domain.
+ */
+static bool
+is_local(
+    const struct balance_candidate *candidates, const struct balance_plan *plan)
+{
+	for (size_t i = 0; i < plan->helper_count; i++) {
+		if (candidates[plan->helpers[i]].distance_ms > 0.0)
+			return false;
+	}
+	return candidates[plan->first].distance_ms <= 0.0;
+}
+
+/* Returns an engine of this gateway's failure domain, or the first one. */
+static size_t
+find_local(const struct balance_candidate *candidates, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (candidates[i].distance_ms <= 0.0)
+			return i;
+	}
+	return 0;
+}
+
 /*
  * Plans a prompt like balance_plan_prompt(), where candidates have their
  * distance_ms from this gateway, and domains their failure domains. Helpers
  * exchange data with the first engine all the time, so a prompt that may be
- * divided is planned around each failure domain, and the cheapest plan is used.
+ * divided is planned around each failure domain, and the cheapest plan is used,
+ * unless the engines here serve it at a low cost.
  */
 enum balance_verdict
 locality_plan_prompt(const struct engine_profile *profile,
@@ -156,32 +193,31 @@
     const char *const *domains, size_t count,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	enum balance_verdict verdict = BALANCE_NO_ENGINE;
-	bool found = false;
+	size_t local = find_local(candidates, count);
+	enum balance_verdict verdict;
 
 	if (locality->count == 0 || count == 0 || prompt->undivided ||
 	    !balance_is_divisible(profile, prompt))
 		return balance_plan_prompt(
 		    profile, candidates, count, prompt, plan);
+	verdict = plan_around(
+	    profile, locality, candidates, domains, count, local, prompt, plan);
+	if (verdict == BALANCE_SERVE && is_local(candidates, plan) &&
+	    plan->cost <= plan->worth * LOCALITY_LOCAL_COST_SHARE)
+		return verdict;
 	for (size_t i = 0; i < count; i++) {
 		struct balance_plan other;
 		enum balance_verdict other_verdict;
 
-		if (occurs_before(domains, i))
+		if (occurs_before(domains, i) ||
+		    strcmp(domains[i], domains[local]) == 0)
 			continue;
 		other_verdict = plan_around(profile, locality, candidates,
 		    domains, count, i, prompt, &other);
-		if (found &&
-		    (verdict == BALANCE_SERVE) !=
-			(other_verdict == BALANCE_SERVE)) {
-			if (verdict == BALANCE_SERVE)
-				continue;
-		} else if (found && other.cost >= plan->cost) {
-			continue;
+		if (is_better(other_verdict, &other, verdict, plan)) {
+			verdict = other_verdict;
+			*plan = other;
 		}
-		found = true;
-		verdict = other_verdict;
-		*plan = other;
 	}
 	return verdict;
 }
--- a/src/policy/locality.h
+++ b/src/policy/locality.h
@@ -43,6 +43,11 @@
  * each step of a part.
  */
 #define LOCALITY_PARTS 8.0
+/*
+ * A prompt that engines here serve at up to this share of its worth is not
+ * planned around other failure domains, which takes as much CPU time for each.
+ */
+#define LOCALITY_LOCAL_COST_SHARE 0.25
 /* Steps of a part, if the size of one is not known. */
 #define LOCALITY_STEPS 4.0
 
