--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -289,7 +289,8 @@
 {
 	int64_t wait_ms = (int64_t)plan->wait_ms + EXCHANGE_RETRY_AFTER_MS;
 
-	if (verdict == BALANCE_TOO_COSTLY || verdict == BALANCE_NO_MEMORY)
+	if (!exchange->yields &&
+	    (verdict == BALANCE_TOO_COSTLY || verdict == BALANCE_NO_MEMORY))
 		log_rejected_prompt(exchange, selection, plan);
 	switch (verdict) {
 	case BALANCE_TOO_COSTLY:
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -118,8 +118,8 @@
 	    message->returning.count / TURN_NUMBERS, RETURN_QUEUE_REPORT_MAX);
 
 	for (size_t i = 0; i < count; i++) {
-		const uint64_t *numbers = &message->returning
-					       .items[i * TURN_NUMBERS];
+		const uint64_t *numbers = message->returning.items +
+		    i * TURN_NUMBERS;
 		const struct return_row row = {
 		    .ticket = (uint32_t)numbers[0],
 		    .fingerprint = numbers[1],
