--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -65,6 +65,7 @@
 	double cold_slack; /* requests per second */
 	int64_t hold_ms; /* duration of one memory reservation */
 	double cpu_share; /* cores that this host has; 0 if unknown */
+	char *return_queue; /* on or off */
 
 	/* Sidecars only. */
 	char *upstream;
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -84,6 +84,22 @@
 		exchange->may_have_run) >= exchange_sends_max(exchange);
 }
 
+/* Returns the cost of the distance between this gateway and an upstream. */
+static double
+request_distance_ms(
+    const struct exchange *exchange, const struct fleet_upstream *upstream)
+{
+	const struct locality_request request = {
+	    .prompt_tokens = exchange->caller_headers.prompt_tokens,
+	    .output_tokens = exchange->caller_headers.output_tokens,
+	    .event_tokens = exchange->profile->engine.stride,
+	};
+
+	return locality_request_ms(&exchange->profile->locality,
+	    exchange->context->failure_domain, upstream->failure_domain,
+	    &request);
+}
+
 /* Fills a balancing candidate with an upstream's load. */
 static struct balance_candidate
 make_candidate(struct exchange *exchange, const struct fleet_upstream *upstream)
@@ -105,6 +121,8 @@
 	for (size_t i = 0; i < STREAM_CLASSES; i++)
 		candidate.streams[i] = upstream->own.streams[i] +
 		    upstream->peers.streams[i];
+	if (exchange->profile->locality.count > 0)
+		candidate.distance_ms = request_distance_ms(exchange, upstream);
 	return candidate;
 }
 
@@ -240,8 +258,12 @@
 	struct exchange_context *context = exchange->context;
 	int64_t left_ms = EXCHANGE_RETRY_AFTER_MS;
 	struct selection selection;
+	bool may_queue;
 
 	selection_collect(exchange, SELECTION_ANY, &selection);
+	/* Named rates and upstreams that want no requests have own times. */
+	may_queue = selection.eligible > 0 && selection.deferred == 0 &&
+	    selection.rate_per_s <= 0.0;
 	if (selection_is_deferred(&selection))
 		left_ms = selection.deferred_ms;
 	if (selection_is_deferred(&selection) && selection.rate_per_s > 0.0)
@@ -249,7 +271,9 @@
 		    selection.rate_per_s / load_sync_count(context->load_sync),
 		    clock_monotonic(context->clock));
 	selection_clear(&selection);
-	return quiet_retry_after_ms(left_ms, context->random);
+	left_ms = quiet_retry_after_ms(left_ms, context->random);
+	return may_queue ? exchange_return_after_backlog_ms(exchange, left_ms)
+			 : left_ms;
 }
 
 /* Returns the stream class for the route's gap target. */
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -288,6 +288,7 @@
 	struct u64_array rate_ages_ms; /* since they were observed */
 	char *address; /* of the process; empty in most reports of changes */
 	uint32_t cpu_permille; /* of a core that its host has; 0: unknown */
+	struct u64_array returning; /* turns, see gateway/load_report.c */
 };
 
 struct message_prefill {
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "policy/balance_memory.h"
+#include "policy/locality.h"
 
 /*
  * Returns the class of a stream for its route's gap target in milliseconds;
@@ -38,7 +39,8 @@
 {
 	double total = candidate->backlog_ms +
 	    candidate->running * BALANCE_RUNNING_COST_MS +
-	    candidate->error_share * BALANCE_ERROR_COST_MS;
+	    candidate->error_share * BALANCE_ERROR_COST_MS +
+	    candidate->distance_ms;
 
 	if (candidate->running >= candidate->slots)
 		total += BALANCE_FULL_COST_MS +
@@ -106,7 +108,8 @@
 	    candidate->backlog_ms > BALANCE_PACK_BACKLOG_MS)
 		return waiting_cost_ms(candidate);
 	return candidate->error_share * BALANCE_ERROR_COST_MS -
-	    BALANCE_PACK_GAIN_MS * candidate->streams[STREAM_SHORT];
+	    locality_pack_gain_ms(candidate->distance_ms,
+		BALANCE_PACK_GAIN_MS * candidate->streams[STREAM_SHORT]);
 }
 
 /* Plans a short stream's prompt, which one engine prefills. */
@@ -123,6 +126,7 @@
 	    .first = ranks[0].index,
 	    .part_ms = prefill_ms,
 	    .first_token_ms = first->backlog_ms + prefill_ms +
+		first->distance_ms +
 		engine_profile_pass_ms(
 		    profile, first->running + 1, first->context_tokens),
 	};
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -127,6 +127,7 @@
 	double error_share; /* share of recent answers that failed */
 	uint32_t tie; /* random; breaks ties */
 	uint32_t order; /* the same at all gateways; used with ranks */
+	double distance_ms; /* cost of the way, see policy/locality.h */
 };
 
 struct balance_prompt {
--- a/src/routing/routing_items.c
+++ b/src/routing/routing_items.c
@@ -87,6 +87,7 @@
 {
 	if (service == NULL || --service->references > 0)
 		return;
+	locality_clear(&service->locality);
 	g_free(service->name);
 	g_free(service);
 }
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -16,6 +16,7 @@
 #include <glib.h>
 
 #include "policy/engine_profile.h"
+#include "policy/locality.h"
 
 struct service_ranks;
 
@@ -58,6 +59,7 @@
 	double cold_per_s; /* requests per second while cold */
 	bool has_engine;
 	struct engine_profile engine;
+	struct locality locality; /* delays between failure domains */
 };
 
 struct organisation {
--- a/tests/experiment/engine.h
+++ b/tests/experiment/engine.h
@@ -36,6 +36,8 @@
 	double max_gap_ms; /* longest time between two events */
 	uint32_t refusals;
 	bool noticed; /* the other gateways know of it */
+	uint32_t ticket; /* of its turn to return; 0: none */
+	bool is_back; /* its turn is known to the gateway */
 	bool decoding; /* its prefill is complete */
 	bool ended; /* complete, or abandoned by its caller */
 	bool released; /* ended and no longer counted by its gateway */
--- a/tests/experiment/fleet_model.h
+++ b/tests/experiment/fleet_model.h
@@ -18,6 +18,8 @@
 	double round_ms; /* between two load messages of a gateway */
 	double notice_ms; /* until the others know of a prompt that was sent */
 	bool by_rank; /* placed by the ranks of the classes */
+	bool patience; /* callers wait for a third of their time left */
+	bool return_queue; /* they get turns, see policy/return_queue.h */
 };
 
 void fleet_model_run(
