loop_monitor: long iterations of the event loop; what an event costs

Cause: nothing showed what delayed data in a gateway's event loop, and after each event of a stream http_client visited all its calls, the HTTP server ran one iteration later behind all background work, and each log line and each message to a peer took system calls of its own.

Upstreams' and callers' sockets and timers have a higher libev priority than store, links and reports. Only calls whose state changed are visited. The HTTP server runs in the iteration of the events. Log lines of an iteration are written together, errors at once. Links write at the end of the iteration and read once if the buffer is not filled. A requested pause takes effect before the next 16 KiB of a response, not after up to 1.6 MB. Aborting a stream whose caller reads nothing closes its connection at once, not after the idle timeout of 120 s.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "base/loop_monitor.h"
 
 #define LOG_MODULE "http_client"
 #include "base/log.h"
@@ -47,6 +48,7 @@
 	ev_timer timer; /* set by curl */
 	ev_timer deferred; /* never started; fed to run deferred work */
 	struct call_list calls;
+	struct call_list changed; /* calls with a state to apply to curl */
 	bool in_curl; /* a curl function is on the stack */
 	char *ca_file; /* NULL for the system's CAs */
 };
@@ -64,6 +66,7 @@
 	size_t response_max_bytes;
 	int64_t stall_ms;
 	int64_t unreachable_ms;
+	int receive_buffer_bytes;
 	ev_timer stall;
 	ev_timer timeout;
 	bool pause_wanted;
@@ -73,7 +76,17 @@
 	bool headers_complete; /* those of the final response */
 	bool failed; /* error_code is set and overrides curl's code */
 	enum http_client_error error_code;
+	bool background; /* serves no caller's request */
+	bool is_changed; /* is in the client's list of changed calls */
 	TAILQ_ENTRY(http_call) entry;
+	TAILQ_ENTRY(http_call) changed_entry;
+};
+
+/* A socket of curl. */
+struct client_socket {
+	struct ev_io io;
+	struct http_client *client;
+	bool background; /* of the calls that use its connection */
 };
 
 /* Frees a call that has been removed from curl. */
@@ -85,6 +98,8 @@
 	ev_timer_stop(client->loop, &call->stall);
 	ev_timer_stop(client->loop, &call->timeout);
 	TAILQ_REMOVE(&client->calls, call, entry);
+	if (call->is_changed)
+		TAILQ_REMOVE(&client->changed, call, changed_entry);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers_out);
 	g_array_unref(call->headers_in);
@@ -103,10 +118,19 @@
 	client->in_curl = false;
 }
 
-/* Schedules client_run_deferred() on the loop. */
+/*
+ * Schedules client_run_deferred() on the loop, to apply the call's state to
+ * curl.
+ */
 static void
-defer_work(struct http_client *client)
+call_defer_state(struct http_call *call)
 {
+	struct http_client *client = call->client;
+
+	if (!call->is_changed) {
+		call->is_changed = true;
+		TAILQ_INSERT_TAIL(&client->changed, call, changed_entry);
+	}
 	ev_feed_event(client->loop, &client->deferred, EV_CUSTOM);
 }
 
@@ -237,21 +261,26 @@
 }
 
 /*
- * Runs deferred work: requested state changes of all calls, then the calls that
- * curl has completed. Callbacks only mark calls as cancelled, so none frees the
- * next call of the loop.
+ * Runs deferred work: the requested state changes, then the calls that curl has
+ * completed. Only calls whose state changed are visited, as this runs for each
+ * event of each stream. A change that a callback requests meanwhile is applied
+ * too, as it is appended to the list.
  */
 static void
 client_run_deferred(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct http_client *client = w->data;
-	struct http_call *call, *next;
+	enum loop_work previous = loop_work_begin(LOOP_WORK_UPSTREAM);
+	struct http_call *call;
 
-	if (client->in_curl)
-		return;
-	TAILQ_FOREACH_SAFE (call, &client->calls, entry, next)
+	while (!client->in_curl &&
+	    (call = TAILQ_FIRST(&client->changed)) != NULL) {
+		TAILQ_REMOVE(&client->changed, call, changed_entry);
+		call->is_changed = false;
 		call_apply_state(call);
+	}
 	client_reap_calls(client);
+	loop_work_end(previous);
 }
 
 /* Lets curl handle socket events or its timer. */
@@ -264,50 +293,66 @@
 	curl_multi_socket_action(client->multi, fd, mask, &running);
 	client->in_curl = false;
 	client_reap_calls(client);
-	defer_work(client);
+	if (!TAILQ_EMPTY(&client->changed))
+		ev_feed_event(client->loop, &client->deferred, EV_CUSTOM);
 }
 
 /* A socket of curl is ready. */
 static void
 on_socket_ready(struct ev_loop *loop, ev_io *w, int events)
 {
+	struct client_socket *socket = w->data;
+	struct http_client *client = socket->client;
+	enum loop_work previous = loop_work_begin(
+	    socket->background ? LOOP_WORK_STORE : LOOP_WORK_UPSTREAM);
 	int mask = ((events & EV_READ) ? CURL_CSELECT_IN : 0) |
 	    ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
 
-	client_socket_action(w->data, w->fd, mask);
+	client_socket_action(client, w->fd, mask);
+	loop_work_end(previous);
 }
 
 /* Curl's timer has expired. */
 static void
 on_curl_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
+	enum loop_work previous = loop_work_begin(LOOP_WORK_UPSTREAM);
+
 	client_socket_action(w->data, CURL_SOCKET_TIMEOUT, 0);
+	loop_work_end(previous);
 }
 
 /* Curl sets which events of a socket to watch. */
 static int
 on_curl_socket_change(
-    CURL *easy, curl_socket_t fd, int what, void *data, void *watcher)
+    CURL *easy, curl_socket_t fd, int what, void *data, void *assigned)
 {
 	struct http_client *client = data;
-	ev_io *io = watcher;
+	struct client_socket *socket = assigned;
+	struct http_call *call = NULL;
 
-	if (io != NULL)
-		ev_io_stop(client->loop, io);
+	if (socket != NULL)
+		ev_io_stop(client->loop, &socket->io);
 	if (what == CURL_POLL_REMOVE) {
-		g_free(io);
+		g_free(socket);
 		curl_multi_assign(client->multi, fd, NULL);
 		return 0;
 	}
-	if (io == NULL) {
-		io = g_new0(ev_io, 1);
-		curl_multi_assign(client->multi, fd, io);
+	if (socket == NULL) {
+		socket = g_new0(struct client_socket, 1);
+		socket->client = client;
+		curl_multi_assign(client->multi, fd, socket);
 	}
-	ev_io_init(io, on_socket_ready, fd,
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
+	socket->background = call != NULL && call->background;
+	ev_io_init(&socket->io, on_socket_ready, fd,
 	    ((what & CURL_POLL_IN) ? EV_READ : 0) |
 		((what & CURL_POLL_OUT) ? EV_WRITE : 0));
-	io->data = client;
-	ev_io_start(client->loop, io);
+	ev_set_priority(&socket->io,
+	    socket->background ? LOOP_PRIORITY_BACKGROUND
+			       : LOOP_PRIORITY_UPSTREAM);
+	socket->io.data = socket;
+	ev_io_start(client->loop, &socket->io);
 	return 0;
 }
 
@@ -437,7 +482,11 @@
 	return length;
 }
 
-/* Curl received a part of the body; returning 0 makes it end the call. */
+/*
+ * Curl received a part of the body; returning 0 makes it end the call. Curl
+ * reads up to 1.6 MB of a fast peer before it returns to the loop, so a pause
+ * that the owner requested is applied here already: curl keeps the part.
+ */
 static size_t
 on_body_bytes(char *bytes, size_t size, size_t count, void *data)
 {
@@ -447,6 +496,10 @@
 
 	if (call->state != CALL_RUNNING)
 		return 0;
+	if (call->pause_wanted) {
+		call->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
 	stall_restart(call);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->ops->chunk != NULL &&
@@ -479,9 +532,12 @@
 	client->loop = loop;
 	client->multi = curl_multi_init();
 	TAILQ_INIT(&client->calls);
+	TAILQ_INIT(&client->changed);
 	ev_init(&client->timer, on_curl_timer);
+	ev_set_priority(&client->timer, LOOP_PRIORITY_UPSTREAM);
 	client->timer.data = client;
 	ev_init(&client->deferred, client_run_deferred);
+	ev_set_priority(&client->deferred, LOOP_PRIORITY_UPSTREAM);
 	client->deferred.data = client;
 	curl_multi_setopt(
 	    client->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket_change);
@@ -592,6 +648,7 @@
 	int on = 1;
 	int probe_s = KEEPALIVE_INTERVAL_S;
 	int probes = (int)MAX(call->unreachable_ms / MS_PER_S, 1);
+	int buffer = call->receive_buffer_bytes;
 
 	if (setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) != 0 ||
 	    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s,
@@ -604,6 +661,10 @@
 		sizeof(silence_ms)) != 0)
 		LOG_WARN("can't set TCP keep-alive options", "{s:s}", "why",
 		    g_strerror(errno));
+	if (buffer > 0 &&
+	    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer)) != 0)
+		LOG_WARN("can't limit the receive buffer", "{s:s}", "why",
+		    g_strerror(errno));
 	return CURL_SOCKOPT_OK;
 }
 
@@ -661,7 +722,9 @@
 	    : RESPONSE_MAX_DEFAULT_BYTES;
 	call->stall_ms = request->stall_ms;
 	call->unreachable_ms = request->unreachable_ms;
+	call->receive_buffer_bytes = request->receive_buffer_bytes;
 	call->connect_only = request->connect_only;
+	call->background = request->background;
 	ev_init(&call->stall, on_call_stalled);
 	call->stall.data = call;
 	ev_timer_init(&call->timeout, on_call_timeout,
@@ -675,7 +738,7 @@
 	if (request->timeout_ms > 0)
 		ev_timer_start(client->loop, &call->timeout);
 	stall_restart(call);
-	defer_work(client);
+	call_defer_state(call);
 	return call;
 }
 
@@ -693,7 +756,7 @@
 	call->state = CALL_CANCELLED;
 	ev_timer_stop(client->loop, &call->stall);
 	ev_timer_stop(client->loop, &call->timeout);
-	defer_work(client);
+	call_defer_state(call);
 }
 
 /* Returns whether any byte of the request may have been sent by now. */
@@ -709,7 +772,7 @@
 {
 	call->pause_wanted = true;
 	stall_restart(call);
-	defer_work(call->client);
+	call_defer_state(call);
 }
 
 /* Resumes the chunk callbacks and restarts the stall timer. */
@@ -718,7 +781,8 @@
 {
 	call->pause_wanted = false;
 	stall_restart(call);
-	defer_work(call->client);
+	if (call->paused)
+		call_defer_state(call);
 }
 
 /*
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -50,6 +50,11 @@
 	 * for the system's default.
 	 */
 	int64_t unreachable_ms;
+	/*
+	 * Limit on what the system buffers of a response that is not read
+	 * (SO_RCVBUF); 0 for the default. Only with unreachable_ms.
+	 */
+	int receive_buffer_bytes;
 	bool connect_only; /* succeeds once connected; nothing is sent */
 	/* Uses a new connection, which is closed after the response. */
 	bool dedicated_connection;
@@ -59,6 +64,8 @@
 	 * except GET uses a new connection, so that it can't be sent twice.
 	 */
 	bool repeatable;
+	/* Serves no caller's request: its events wait for those that do. */
+	bool background;
 };
 
 struct http_result {
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include "base/clock.h"
@@ -35,6 +37,19 @@
 	LOG_DEBUG("http server", "{s:s}", "line", g_strchomp(line));
 }
 
+/* Limits what the system buffers of a connection whose peer reads slowly. */
+static void
+limit_unsent(const struct httpd *httpd, int fd)
+{
+	int bytes = httpd->unsent_max_bytes;
+
+	if (bytes > 0 &&
+	    setsockopt(
+		fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof(bytes)) != 0)
+		LOG_DEBUG("can't limit unsent bytes", "{s:s}", "why",
+		    g_strerror(errno));
+}
+
 /* Watches each new connection for the peer's shutdown, until it is closed. */
 static void
 on_connection_notify(void *data, struct MHD_Connection *connection,
@@ -56,6 +71,7 @@
 	peer->fd = MHD_get_connection_info(
 	    connection, MHD_CONNECTION_INFO_CONNECTION_FD)
 		       ->connect_fd;
+	limit_unsent(httpd, peer->fd);
 	event.data.ptr = peer;
 	epoll_ctl(httpd->hangup_epoll, EPOLL_CTL_ADD, peer->fd, &event);
 	*context = peer;
@@ -106,12 +122,14 @@
 on_hangups_ready(struct ev_loop *loop, struct ev_io *watcher, int events)
 {
 	struct httpd *httpd = watcher->data;
+	enum loop_work previous = loop_work_begin(httpd->work);
 	struct epoll_event ready[HANGUP_EVENTS];
 	int count = epoll_wait(httpd->hangup_epoll, ready, HANGUP_EVENTS, 0);
 
 	for (int i = 0; i < count; i++)
 		on_peer_closed(ready[i].data.ptr);
 	schedule_run_in(httpd, 0);
+	loop_work_end(previous);
 }
 
 /* Creates the request once its request line has been read. */
@@ -275,13 +293,16 @@
 
 /*
  * Schedules one run of the library for all requests resumed in this loop
- * iteration; resuming doesn't wake the library.
+ * iteration; resuming doesn't wake the library. The run comes after the events
+ * of all upstreams that are ready and before any background work of the
+ * iteration. One run for many requests matters, as the library visits all its
+ * suspended requests in each.
  */
 void
 httpd_schedule_run(struct httpd *httpd)
 {
 	if (!httpd->resumed)
-		schedule_run_in(httpd, 0);
+		ev_feed_event(httpd->loop, &httpd->resume, EV_CUSTOM);
 	httpd->resumed = true;
 }
 
@@ -290,15 +311,19 @@
 run_daemon(struct httpd *httpd)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+	enum loop_work previous = loop_work_begin(httpd->work);
 
 	httpd->resumed = false;
+	ev_clear_pending(httpd->loop, &httpd->resume);
 	MHD_run(httpd->daemon);
 	if (httpd->resumed)
-		return;
+		goto out;
 	if (MHD_get_timeout(httpd->daemon, &wait_ms) == MHD_YES)
 		schedule_run_in(httpd, (int64_t)wait_ms);
 	else
 		ev_timer_stop(httpd->loop, &httpd->timer);
+out:
+	loop_work_end(previous);
 }
 
 /* The library's epoll descriptor is ready. */
@@ -350,6 +375,14 @@
 	ev_io_init(&httpd->hangup_readable, on_hangups_ready,
 	    httpd->hangup_epoll, EV_READ);
 	ev_timer_init(&httpd->timer, on_daemon_timer, 0., 0.);
+	ev_timer_init(&httpd->resume, on_daemon_timer, 0., 0.);
+	if (httpd->work == LOOP_WORK_CALLER) {
+		ev_set_priority(&httpd->readable, LOOP_PRIORITY_CALLER);
+		ev_set_priority(&httpd->hangup_readable, LOOP_PRIORITY_CALLER);
+		ev_set_priority(&httpd->timer, LOOP_PRIORITY_CALLER);
+		ev_set_priority(&httpd->resume, LOOP_PRIORITY_CALLER);
+	}
+	httpd->resume.data = httpd;
 	httpd->readable.data = httpd;
 	httpd->hangup_readable.data = httpd;
 	httpd->timer.data = httpd;
@@ -382,11 +415,14 @@
 	httpd->ops = ops;
 	httpd->data = data;
 	httpd->body_max_bytes = settings->body_max_bytes;
+	httpd->unsent_max_bytes = settings->unsent_max_bytes;
 	httpd->bodies_max_bytes = settings->bodies_max_bytes;
 	httpd->connection_bytes = MAX(
 	    CONNECTION_MEMORY_BYTES, 2 * settings->header_max_bytes);
 	httpd->idle_s = settings->idle_s > 0 ? settings->idle_s
 					     : CONNECTION_IDLE_S;
+	httpd->work = settings->is_monitor ? LOOP_WORK_METRICS
+					   : LOOP_WORK_CALLER;
 	httpd->hangup_epoll = epoll_create1(EPOLL_CLOEXEC);
 	TAILQ_INIT(&httpd->requests);
 	TAILQ_INIT(&httpd->peers);
@@ -438,6 +474,7 @@
 		ev_io_stop(httpd->loop, &httpd->readable);
 		ev_io_stop(httpd->loop, &httpd->hangup_readable);
 		ev_timer_stop(httpd->loop, &httpd->timer);
+		ev_clear_pending(httpd->loop, &httpd->resume);
 	}
 	close(httpd->hangup_epoll);
 	httpd_tls_free(httpd->tls);
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -51,6 +51,12 @@
 	size_t header_max_bytes; /* of a request's headers; 0 for the default */
 	unsigned int idle_s; /* idle time of a connection; 0 for the default */
 	bool start_paused; /* accept nothing until httpd_start() */
+	bool is_monitor; /* serves metrics and health, not callers */
+	/*
+	 * Bytes of a connection that the system buffers beyond what the
+	 * caller's window takes (TCP_NOTSENT_LOWAT); 0 for the default.
+	 */
+	int unsent_max_bytes;
 };
 
 struct httpd_stats {
@@ -90,6 +96,7 @@
 void httpd_respond(struct httpd_request *, int status,
     const struct http_header *, size_t header_count, const void *body,
     size_t length);
+void httpd_close_after(struct httpd_request *);
 void httpd_abort(struct httpd_request *);
 void httpd_stream_begin(struct httpd_request *, int status,
     const struct http_header *, size_t header_count);
@@ -97,6 +104,7 @@
     const struct http_header *, size_t header_count, uint64_t length);
 void httpd_stream_write(struct httpd_request *, const void *, size_t length);
 size_t httpd_stream_pending(const struct httpd_request *);
+uint64_t httpd_stream_taken(const struct httpd_request *);
 void httpd_stream_end(struct httpd_request *);
 
 #endif
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -7,6 +7,7 @@
 #include "base/httpd.h"
 #include "base/httpd_tls.h"
 #include "base/list.h"
+#include "base/loop_monitor.h"
 
 /* A caller's connection, which may carry several requests in sequence. */
 struct httpd_peer {
@@ -36,12 +37,14 @@
 	int status;
 	GByteArray *stream; /* NULL for a complete response */
 	size_t stream_read; /* bytes of stream already sent */
+	uint64_t stream_taken; /* bytes sent since the stream's beginning */
 	bool old_version; /* of HTTP, before 1.1 */
 	bool started; /* its headers were read */
 	bool dispatched; /* passed to the owner */
 	bool stream_ended;
 	bool ends_with_connection; /* the stream has no length or chunks */
 	bool written_since_drain; /* since the last drained callback */
+	bool close_after; /* the response closes the connection */
 	bool suspended;
 	bool disconnected;
 	TAILQ_ENTRY(httpd_request) entry;
@@ -56,7 +59,10 @@
 	struct MHD_Daemon *daemon;
 	struct ev_io readable;
 	struct ev_timer timer;
+	struct ev_timer resume; /* never started; fed to run the library */
+	enum loop_work work;
 	bool resumed; /* httpd_schedule_run() is pending */
+	int unsent_max_bytes;
 	int hangup_epoll;
 	struct ev_io hangup_readable;
 	int port;
--- a/src/base/httpd_request.c
+++ b/src/base/httpd_request.c
@@ -92,19 +92,49 @@
 		    g_strerror(errno));
 }
 
+/*
+ * Ends the connection of a stream whose caller may not read: the library waits
+ * for it to become writable, also with a last part of its own when nothing is
+ * pending here, and would keep it until the idle timeout. The buffered bytes
+ * are freed.
+ */
+static void
+shutdown_stream(struct httpd_request *request)
+{
+	if (!request->suspended && shutdown(request->peer->fd, SHUT_RDWR) != 0)
+		LOG_DEBUG("can't shut down connection", "{s:s}", "why",
+		    g_strerror(errno));
+	request->httpd->stats.stream_bytes -= httpd_stream_pending(request);
+	g_byte_array_unref(request->stream);
+	request->stream = g_byte_array_new();
+	request->stream_read = 0;
+}
+
 /*
  * Closes the connection without completing the response; closed() follows from
- * the loop, also if the caller has disconnected.
+ * the loop, also if the caller has disconnected or does not read.
  */
 void
 httpd_abort(struct httpd_request *request)
 {
 	if (request->ends_with_connection && !request->disconnected)
 		reset_connection(request);
+	else if (request->stream != NULL && !request->disconnected)
+		shutdown_stream(request);
 	request->disconnected = true;
 	resume_request(request);
 }
 
+/*
+ * Closes the connection after the response, of which no part may have been
+ * given yet.
+ */
+void
+httpd_close_after(struct httpd_request *request)
+{
+	request->close_after = true;
+}
+
 /* Returns the method, in upper case. */
 const char *
 httpd_request_method(const struct httpd_request *request)
@@ -214,7 +244,7 @@
 	for (size_t i = 0; i < header_count; i++)
 		MHD_add_response_header(
 		    response, headers[i].name, headers[i].value);
-	if (request->httpd->closing)
+	if (request->httpd->closing || request->close_after)
 		MHD_add_response_header(
 		    response, MHD_HTTP_HEADER_CONNECTION, "close");
 	request->response = response;
@@ -292,6 +322,7 @@
 	size = MIN(size, pending);
 	memcpy(out, request->stream->data + request->stream_read, size);
 	request->stream_read += size;
+	request->stream_taken += size;
 	request->httpd->stats.stream_bytes -= size;
 	return (ssize_t)size;
 }
@@ -365,6 +396,13 @@
 	return request->stream->len - request->stream_read;
 }
 
+/* Returns the bytes of a stream that were passed to the system so far. */
+uint64_t
+httpd_stream_taken(const struct httpd_request *request)
+{
+	return request->stream_taken;
+}
+
 /* Ends a stream after the bytes written so far. */
 void
 httpd_stream_end(struct httpd_request *request)
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "base/loop_monitor.h"
 #include "base/metrics.h"
 
 #define TIMESTAMP_MAX_BYTES 40
@@ -34,7 +35,16 @@
 	unsigned int warnings; /* of levels error and warn */
 } rate;
 
-static uint64_t unreported_drops; /* since the last line written */
+static uint64_t unreported_drops; /* that no line written has reported */
+
+/* Lines that are written together. */
+static struct {
+	bool deferred; /* until log_flush() */
+	char text[PIPE_BUF];
+	size_t length;
+	unsigned int lines;
+	uint64_t drops; /* of unreported_drops, reported by these lines */
+} batch;
 
 METRIC_DEFINE(dropped_lines, METRIC_COUNTER, "heatherturn_log_lines_dropped",
     NULL, "Log lines that were over the rate or that nobody took.");
@@ -117,32 +127,77 @@
 }
 
 /*
- * Writes a line if that doesn't block: a pipe that polls as writable accepts
- * PIPE_BUF bytes. Returns false if the line is longer or was not written.
+ * Writes the batch if that doesn't block: a pipe that polls as writable accepts
+ * PIPE_BUF bytes. Returns false if it was not written.
  */
 static bool
-write_out(const char *line)
+write_batch(void)
 {
 	struct pollfd ready = {.fd = output, .events = POLLOUT};
-	size_t length = strlen(line);
 
-	if (length > PIPE_BUF || poll(&ready, 1, 0) != 1 ||
-	    (ready.revents & POLLOUT) == 0)
+	if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
 		return false;
-	return write(output, line, length) == (ssize_t)length;
+	return write(output, batch.text, batch.length) == (ssize_t)batch.length;
 }
 
-/* Counts a dropped line. */
+/* Counts dropped lines. */
 static void
-drop_line(void)
+drop_lines(unsigned int count)
 {
-	unreported_drops++;
-	metric_add(&dropped_lines, 1);
+	unreported_drops += count;
+	if (count > 0)
+		metric_add(&dropped_lines, count);
+}
+
+/* Writes the lines that wait, or drops them if that would block. */
+void
+log_flush(void)
+{
+	enum loop_work previous = loop_work_begin(LOOP_WORK_LOG);
+
+	if (batch.length > 0 && write_batch())
+		unreported_drops -= batch.drops;
+	else
+		drop_lines(batch.lines);
+	batch.length = 0;
+	batch.lines = 0;
+	batch.drops = 0;
+	loop_work_end(previous);
+}
+
+/*
+ * Sets whether lines wait for log_flush(), so that one write takes all lines of
+ * an iteration of the event loop. Errors never wait.
+ */
+void
+log_set_deferred(bool deferred)
+{
+	batch.deferred = deferred;
+	if (!deferred)
+		log_flush();
+}
+
+/* Adds a line to the batch; drops it if it is longer than one write. */
+static void
+add_to_batch(const char *line, uint64_t reported_drops)
+{
+	size_t length = strlen(line);
+
+	if (length > sizeof(batch.text)) {
+		drop_lines(1);
+		return;
+	}
+	if (batch.length + length > sizeof(batch.text))
+		log_flush();
+	memcpy(batch.text + batch.length, line, length);
+	batch.length += length;
+	batch.lines++;
+	batch.drops += reported_drops;
 }
 
 /* Encodes a line with its fields; free with g_free(). */
 static char *
-render(json_t *line, const char *format, va_list args)
+render(json_t *line, uint64_t drops, const char *format, va_list args)
 {
 	json_error_t error;
 	json_t *fields = json_vpack_ex(&error, 0, format, args);
@@ -153,9 +208,9 @@
 		json_object_update(line, fields);
 	else
 		json_object_set_new(line, "log_fault", json_string(error.text));
-	if (unreported_drops > 0)
-		json_object_set_new(line, "lines_dropped",
-		    json_integer((json_int_t)unreported_drops));
+	if (drops > 0)
+		json_object_set_new(
+		    line, "lines_dropped", json_integer((json_int_t)drops));
 	json = json_dumps(line, JSON_COMPACT);
 	out = json == NULL ? NULL : g_strconcat(json, "\n", NULL);
 	free(json);
@@ -172,21 +227,27 @@
 log_write(enum log_level level, const char *module, const char *text,
     const char *format, ...)
 {
+	enum loop_work previous = loop_work_begin(LOOP_WORK_LOG);
+	uint64_t drops = unreported_drops - batch.drops;
 	json_t *line;
 	va_list args;
 	g_autofree char *out = NULL;
 
 	if (!is_within_rate(level)) {
-		drop_line();
-		return;
+		drop_lines(1);
+		goto out;
 	}
 	line = make_line(level, module, text);
 	va_start(args, format);
-	out = render(line, format, args);
+	out = render(line, drops, format, args);
 	va_end(args);
 	json_decref(line);
-	if (out != NULL && write_out(out))
-		unreported_drops = 0;
+	if (out != NULL)
+		add_to_batch(out, drops);
 	else
-		drop_line();
+		drop_lines(1);
+	if (!batch.deferred || level == LOG_LEVEL_ERROR)
+		log_flush();
+out:
+	loop_work_end(previous);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -29,6 +29,8 @@
 };
 
 void log_init(enum log_level, const struct log_identity *);
+void log_set_deferred(bool);
+void log_flush(void);
 bool log_enabled(enum log_level);
 bool log_level_parse(const char *, enum log_level *);
 void log_write(enum log_level, const char *module, const char *text,
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -1,5 +1,6 @@
 #include "gateway/load_sync.h"
 
+#include "base/loop_monitor.h"
 #include "gateway/load_report.h"
 #include "gateway/peer_loads.h"
 #include "policy/fanout.h"
@@ -73,6 +74,7 @@
 on_message(void *data, struct link *link, const struct message *message)
 {
 	struct load_sync *sync = data;
+	enum loop_work previous = loop_work_begin(LOOP_WORK_LOAD_REPORT);
 	bool is_load = message->kind == MESSAGE_LOAD;
 	const char *origin = is_load ? message->load.origin
 				     : message->prefill.origin;
@@ -91,6 +93,7 @@
 	else if (message->kind == MESSAGE_PREFILL)
 		peer_loads_on_prompt(sync->peers, origin, &message->prefill,
 		    clock_monotonic(sync->clock));
+	loop_work_end(previous);
 }
 
 static const struct mesh_ops load_sync_ops = {
@@ -368,6 +371,7 @@
 on_round_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct load_sync *sync = timer->data;
+	enum loop_work previous = loop_work_begin(LOOP_WORK_LOAD_REPORT);
 
 	peer_loads_expire(sync->peers,
 	    round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
@@ -377,6 +381,7 @@
 	broadcast_load(sync);
 	ev_timer_set(timer, (double)round_ms(sync) / MS_PER_S, 0.0);
 	ev_timer_start(loop, timer);
+	loop_work_end(previous);
 }
 
 /* Starts to exchange load figures with the peers. */
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -1,5 +1,6 @@
 #include "gateway/routing_state.h"
 
+#include "base/loop_monitor.h"
 #include "base/metrics.h"
 #include "platform/decode.h"
 #include "platform/object_watch.h"
@@ -118,10 +119,12 @@
 {
 	const struct shared_kind *kind = data;
 	g_autoptr(GError) error = NULL;
+	enum loop_work previous = loop_work_begin(LOOP_WORK_ROUTES);
 	struct routing_table *table;
 
 	if (changes->put_count == 0 && changes->removed_count == 0) {
 		announce(kind, version);
+		loop_work_end(previous);
 		return;
 	}
 	table = decode_routes(changes, &error);
@@ -132,6 +135,7 @@
 		    error->message, "revision", (json_int_t)version);
 	announce(kind, version);
 	notify_complete(kind->routing_state);
+	loop_work_end(previous);
 }
 
 /* Applies a newer list of upstreams. */
--- a/src/node/monitor.c
+++ b/src/node/monitor.c
@@ -76,6 +76,7 @@
 	    .address = address,
 	    .body_max_bytes = MONITOR_BODY_MAX_BYTES,
 	    .bodies_max_bytes = MONITOR_BODY_MAX_BYTES,
+	    .is_monitor = true,
 	};
 
 	monitor->ready = ready;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,6 +9,7 @@
 
 #include "base/httpd.h"
 #include "base/invariant.h"
+#include "base/loop_monitor.h"
 #include "node/monitor.h"
 #include "store/hosts.h"
 #include "store/watchers.h"
@@ -27,6 +28,7 @@
 	struct hosts *hosts;
 	struct watchers *watchers;
 	struct monitor *monitor;
+	struct loop_monitor *loop_monitor;
 	const struct node_ops *ops;
 	void *data;
 };
@@ -204,6 +206,7 @@
 	node->data = data;
 	raise_descriptor_limit();
 	invariant_set_fatal(settings->fatal_invariants);
+	node->loop_monitor = loop_monitor_new(loop, clock);
 	node->http = http_client_new(loop, error);
 	if (node->http == NULL)
 		goto err;
@@ -237,6 +240,7 @@
 	documents_free(node->documents);
 	mesh_free(node->mesh);
 	http_client_free(node->http);
+	loop_monitor_free(node->loop_monitor);
 	g_free(node->cluster_key);
 	g_free(node->advertise);
 	g_free(node);
@@ -312,6 +316,13 @@
 		signals->node->ops->reload(signals->node->data);
 }
 
+/* Writes the log lines of an iteration before the loop waits. */
+static void
+on_wait(struct ev_loop *loop, struct ev_prepare *watcher, int events)
+{
+	log_flush();
+}
+
 /*
  * Runs the loop until ev_break(). Calls the stop function for each SIGTERM and
  * SIGINT, and the node's reload function for each SIGHUP.
@@ -320,6 +331,7 @@
 node_run(struct node *node, struct ev_loop *loop, void (*stop)(void *data))
 {
 	struct signals signals = {.node = node, .stop = stop};
+	struct ev_prepare wait;
 
 	signal(SIGPIPE, SIG_IGN);
 	ev_signal_init(&signals.terminate, on_stop_signal, SIGTERM);
@@ -331,8 +343,13 @@
 	ev_signal_start(loop, &signals.terminate);
 	ev_signal_start(loop, &signals.interrupt);
 	ev_signal_start(loop, &signals.hang_up);
+	ev_prepare_init(&wait, on_wait);
+	ev_prepare_start(loop, &wait);
+	log_set_deferred(true);
 	mask_signals(SIG_UNBLOCK);
 	ev_run(loop, 0);
+	log_set_deferred(false);
+	ev_prepare_stop(loop, &wait);
 	mask_signals(SIG_BLOCK);
 	ev_signal_stop(loop, &signals.terminate);
 	ev_signal_stop(loop, &signals.interrupt);
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -5,6 +5,7 @@
 #include <sodium.h>
 
 #include "base/list.h"
+#include "base/loop_monitor.h"
 #include "base/metrics.h"
 #include "policy/gossip.h"
 
@@ -330,6 +331,7 @@
 on_message(void *data, struct link *link, const struct message *message)
 {
 	struct documents *documents = data;
+	enum loop_work previous = loop_work_begin(LOOP_WORK_DIGEST);
 	struct gossip_actions actions = {0};
 	size_t index;
 
@@ -354,6 +356,7 @@
 		break;
 	}
 	run_actions(documents, &actions);
+	loop_work_end(previous);
 }
 
 static const struct mesh_ops documents_ops = {
@@ -365,12 +368,14 @@
 on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	struct documents *documents = watcher->data;
+	enum loop_work previous = loop_work_begin(LOOP_WORK_DIGEST);
 	struct gossip_actions actions = {0};
 
 	update_peer_count(documents);
 	gossip_tick(
 	    documents->spread, clock_monotonic(documents->clock), &actions);
 	run_actions(documents, &actions);
+	loop_work_end(previous);
 }
 
 /*
--- a/src/peer/frames.c
+++ b/src/peer/frames.c
@@ -133,7 +133,10 @@
 	g_byte_array_unref(buffer->bytes);
 }
 
-/* Reads until the socket would block, up to the limit per call. */
+/*
+ * Reads until the socket has no more, up to the limit per call. A read that
+ * does not fill the buffer has taken all.
+ */
 enum frames_status
 frame_buffer_read(struct frame_buffer *buffer, int fd)
 {
@@ -154,6 +157,8 @@
 		turn += (size_t)count;
 		metric_add(&received_bytes, count);
 		g_byte_array_append(buffer->bytes, bytes, (guint)count);
+		if ((size_t)count < sizeof(bytes))
+			return FRAMES_DONE;
 	}
 	return FRAMES_MORE;
 }
--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "base/invariant.h"
+#include "base/loop_monitor.h"
 #include "peer/link_internal.h"
 #include "peer/socket.h"
 
@@ -121,14 +122,17 @@
 }
 
 /*
- * Has the queue written in the loop's next iteration, never inside the caller's
- * call: a broken socket must not cause a callback inside link_send().
+ * Has the queue written at the end of the loop's iteration, never inside the
+ * caller's call: a broken socket must not cause a callback inside link_send().
+ * The loop watches the socket only if it does not take all: this saves two
+ * changes of the watched events for each message.
  */
 void
 link_schedule_write(struct link *link)
 {
-	if (link->state == LINK_HANDSHAKING || link->state == LINK_OPEN)
-		ev_io_start(link->loop, &link->writable);
+	if ((link->state == LINK_HANDSHAKING || link->state == LINK_OPEN) &&
+	    !ev_is_active(&link->writable))
+		ev_feed_event(link->loop, &link->writable, EV_WRITE);
 }
 
 /* The socket is readable. */
@@ -208,6 +212,7 @@
 	link_auth_generate_nonce(link->nonce);
 	ev_io_init(&link->readable, on_readable, fd, EV_READ);
 	ev_io_init(&link->writable, on_writable, fd, EV_WRITE);
+	ev_set_priority(&link->writable, LOOP_PRIORITY_LAST);
 	ev_timer_init(&link->tick, on_tick, LINK_HEARTBEAT_MS / 1000.0,
 	    LINK_HEARTBEAT_MS / 1000.0);
 	link->readable.data = link;
--- a/src/store/hosts.c
+++ b/src/store/hosts.c
@@ -254,6 +254,7 @@
 	    .timeout_ms = HOSTS_POLL_MS,
 	    .response_max_bytes = HOSTS_MAX_BYTES,
 	    .repeatable = true,
+	    .background = true,
 	};
 
 	if (hosts->call != NULL)
