host_capacity: what follows if a host is short of resources

Cause: a caller that reads nothing could fill a process of 160 MB, its paused upstream was taken for silent and the request sent again, and a gateway without processor time left accepted requests that it could not serve in time.

Without the settings none of this applies. A paused upstream is not taken for silent, with or without them.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -64,6 +64,9 @@
 	double cold_ratio;
 	double cold_slack; /* requests per second */
 	int64_t hold_ms; /* duration of one memory reservation */
+	double cpu_share; /* of the host, in cores; 0 for unknown */
+	int64_t memory_mb; /* of the host; 0 for unknown */
+	double link_mbps; /* of the host; 0 for unknown */
 
 	/* Sidecars only. */
 	char *upstream;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -12,6 +12,9 @@
 #define HOLD_MIN_MS		1500
 #define HOLD_MAX_MS		600000
 #define COLD_SLACK_MAX		100000
+#define CPU_SHARE_MAX		1024
+#define MEMORY_MAX_MB		(16 * 1024 * 1024)
+#define LINK_MAX_MBPS		1000000
 #define DRAIN_NOTICE_DEFAULT_MS "2000"
 #define LOG_LEVELS		"error|warn|info|debug"
 #define POLICIES		"heatherturn|round-robin|least-outstanding|two-choices"
@@ -101,6 +104,15 @@
 	.argument = "MS",
 	.help = "longest time that engines keep memory reserved for an ended "
 		"request"},
+    {"cpu-share", SETTING_FRACTION, FOR_GATEWAY, AT(cpu_share),
+	.default_value = "0", .max = CPU_SHARE_MAX, .argument = "SHARE",
+	.help = "processor time of this host, in cores; 0 for unknown"},
+    {"memory-mb", SETTING_NUMBER, FOR_GATEWAY, AT(memory_mb),
+	.default_value = "0", .max = MEMORY_MAX_MB, .argument = "MB",
+	.help = "memory of this host; 0 for unknown"},
+    {"link-mbps", SETTING_FRACTION, FOR_GATEWAY, AT(link_mbps),
+	.default_value = "0", .max = LINK_MAX_MBPS, .argument = "MBPS",
+	.help = "link of this host, in Mbit/s; 0 for unknown"},
     {"upstream", SETTING_NAME, FOR_SIDECAR, AT(upstream), true,
 	.argument = "ID", .help = "id of the upstream behind this sidecar"},
     {"upstream-url", SETTING_URL, FOR_SIDECAR, AT(upstream_url), true,
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 #include <xxhash.h>
 
+#include "base/loop_monitor.h"
 #include "base/metrics.h"
 #include "gateway/coordination.h"
 #include "gateway/exchange_internal.h"
@@ -414,6 +415,11 @@
 	exchange->prefill_timer.data = exchange;
 	ev_init(&exchange->deadline_timer, on_deadline);
 	exchange->deadline_timer.data = exchange;
+	/* They serve a request, so no background work goes before them. */
+	ev_set_priority(&exchange->stall_timer, LOOP_PRIORITY_CALLER);
+	ev_set_priority(&exchange->wait_timer, LOOP_PRIORITY_CALLER);
+	ev_set_priority(&exchange->prefill_timer, LOOP_PRIORITY_CALLER);
+	ev_set_priority(&exchange->deadline_timer, LOOP_PRIORITY_CALLER);
 	event_splitter_init(&exchange->splitter);
 	httpd_request_set_data(http, exchange);
 	headers_parse_caller(http, &exchange->caller_headers);
@@ -428,7 +434,8 @@
 	}
 	exchange->table = routing_table_ref(
 	    routing_state_table(context->routing_state));
-	if (!find_route(exchange) || is_quarantined(exchange))
+	if (!find_route(exchange) || is_quarantined(exchange) ||
+	    exchange_lacks_host(exchange))
 		return;
 	set_deadline(exchange);
 	exchange_send(exchange);
@@ -479,15 +486,3 @@
 	TAILQ_REMOVE(&context->exchanges, exchange, entry);
 	g_free(exchange);
 }
-
-/*
- * The caller has received all pending data: resumes reading from the upstream.
- */
-void
-exchange_on_drained(void *data, struct httpd_request *http)
-{
-	struct exchange *exchange = httpd_request_data(http);
-
-	if (exchange != NULL && exchange->call != NULL)
-		http_call_resume(exchange->call);
-}
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -17,6 +17,7 @@
 #include "base/httpd.h"
 #include "base/list.h"
 #include "gateway/crash_sync.h"
+#include "gateway/host_monitor.h"
 #include "gateway/load_sync.h"
 #include "gateway/rate_sync.h"
 #include "gateway/registry.h"
@@ -47,6 +48,7 @@
 	GHashTable *retry_windows; /* service -> struct retry_window */
 	GHashTable *durations; /* route -> struct duration */
 	GHashTable *return_slots; /* service -> struct return_slots */
+	struct host_monitor *host; /* NULL if no limits are known */
 	struct drain drain;
 	TAILQ_HEAD(exchange_list, exchange) exchanges; /* open ones */
 	bool exiting; /* open requests are cut */
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -115,6 +115,9 @@
 	bool streaming; /* a streamed response has begun */
 	bool is_event_stream; /* another upstream can continue it */
 	bool finished;
+	bool paused; /* the upstream is not read, as the caller is slow */
+	uint64_t taken_bytes; /* of the response, when last looked at */
+	struct timespec taken_at; /* when the caller was last seen to read */
 	struct event_splitter splitter;
 	bool has_last_event;
 	uint64_t last_event; /* id of the last event sent to the caller */
@@ -130,6 +133,7 @@
 void exchange_schedule_plan(struct exchange *);
 bool exchange_may_begin(struct exchange *);
 bool exchange_refuse_crashing_part(struct exchange *);
+bool exchange_lacks_host(struct exchange *);
 void exchange_report_survival(struct exchange *);
 void exchange_check_death(struct exchange *);
 crash_sync_refused_fn exchange_on_part_refused;
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -172,7 +172,9 @@
 		return;
 	}
 	g_byte_array_append(exchange->body, bytes, (guint)length);
-	if (exchange->body->len <= BODY_BUFFER_MAX_BYTES)
+	if (exchange->body->len <=
+	    host_monitor_buffer_max(
+		exchange->context->host, BODY_BUFFER_MAX_BYTES))
 		return;
 	begin_stream(exchange);
 	httpd_stream_write(
@@ -198,8 +200,12 @@
 		return false;
 	}
 	if (exchange->streaming &&
-	    httpd_stream_pending(exchange->http) > STREAM_PENDING_MAX_BYTES)
+	    httpd_stream_pending(exchange->http) >
+		host_monitor_buffer_max(
+		    exchange->context->host, STREAM_PENDING_MAX_BYTES)) {
+		exchange->paused = true;
 		http_call_pause(exchange->call);
+	}
 	return true;
 }
 
@@ -301,6 +307,21 @@
 	exchange_retry_or_fail(exchange, outcome, why);
 }
 
+/*
+ * The caller has received all pending data: resumes reading from the upstream.
+ */
+void
+exchange_on_drained(void *data, struct httpd_request *http)
+{
+	struct exchange *exchange = httpd_request_data(http);
+
+	if (exchange == NULL)
+		return;
+	exchange->paused = false;
+	if (exchange->call != NULL)
+		http_call_resume(exchange->call);
+}
+
 const struct http_call_ops exchange_call_ops = {
     .headers = on_upstream_headers,
     .chunk = on_upstream_chunk,
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -167,7 +167,8 @@
 
 /*
  * Cancels the send if the request may be sent to another upstream; otherwise
- * continues to wait, since silence alone is no reason to end the response. One
+ * continues to wait, since silence alone is no reason to end the response. An
+ * upstream that is not read, since the caller is slow, is not silent. One
  * that has begun stays while each other upstream may reject it.
  */
 void
@@ -175,7 +176,7 @@
 {
 	struct exchange *exchange = timer->data;
 
-	if (exchange->call == NULL ||
+	if (exchange->call == NULL || exchange->paused ||
 	    !exchange_may_retry(exchange, exchange->sends + 1, true)) {
 		exchange_restart_stall_timer(exchange);
 		return;
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -129,6 +129,8 @@
 	    .url = url,
 	    .connect_timeout_ms = CONNECT_MS,
 	    .unreachable_ms = UNREACHABLE_MS,
+	    .receive_buffer_bytes = host_monitor_receive_buffer(
+		exchange->context->host),
 	    .dedicated_connection = true,
 	};
 	g_autoptr(GArray) headers = NULL;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -228,6 +228,11 @@
 open_callers(struct gateway *gateway, GError **error)
 {
 	const struct settings *settings = &gateway->settings;
+	const struct host_limits limits = {
+	    .cpu_share = settings->cpu_share,
+	    .memory_mb = settings->memory_mb,
+	    .link_mbps = settings->link_mbps,
+	};
 	const struct httpd_settings http_settings = {
 	    .address = settings->callers,
 	    .body_max_bytes = (size_t)settings->body_max_bytes,
@@ -237,12 +242,18 @@
 	    .header_max_bytes = HEADER_MAX_BYTES,
 	    .idle_s = CALLER_IDLE_S,
 	    .start_paused = true,
+	    .unsent_max_bytes = limits.memory_mb > 0
+		? HOST_MONITOR_UNSENT_MAX_BYTES
+		: 0,
 	};
 
 	gateway->callers = httpd_new(
 	    gateway->loop, &http_settings, &caller_ops, gateway, error);
 	if (gateway->callers == NULL)
 		return false;
+	gateway->exchange_context.host = host_monitor_new(gateway->loop,
+	    gateway->clock, &limits, gateway->callers,
+	    &gateway->exchange_context);
 	ev_timer_init(&gateway->start_timer, on_start_timeout,
 	    (double)START_WAIT_MS / MS_PER_S, 0.0);
 	gateway->start_timer.data = gateway;
@@ -312,6 +323,8 @@
 	ev_timer_stop(gateway->loop, &gateway->start_timer);
 	ev_timer_stop(gateway->loop, &gateway->drain_poll_timer);
 	gateway->exchange_context.exiting = true;
+	host_monitor_free(gateway->exchange_context.host);
+	gateway->exchange_context.host = NULL;
 	httpd_free(gateway->callers);
 	exchange_context_clear(&gateway->exchange_context);
 	rate_sync_free(gateway->rate_sync);
