--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -66,6 +66,8 @@
 	int64_t hold_ms; /* duration of one memory reservation */
 	double cpu_share; /* cores that this host has; 0 if unknown */
 	char *return_queue; /* on or off */
+	int64_t memory_mb; /* of the host; 0 for unknown */
+	double link_mbps; /* of the host; 0 for unknown */
 
 	/* Sidecars only. */
 	char *upstream;
--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -4,6 +4,7 @@
 
 #include <malloc.h>
 
+#include "base/loop_monitor.h"
 #include "base/metrics.h"
 #include "platform/config_change.h"
 #include "platform/config_items.h"
@@ -230,15 +231,18 @@
 run_slice(struct routing_update *update)
 {
 	struct timespec start = clock_monotonic(update->clock);
+	enum loop_work previous;
 	int64_t spent_us = 0;
 
 	if (ev_is_active(&update->timer))
 		return;
+	previous = loop_work_begin(LOOP_WORK_ROUTES);
 	while (routing_update_is_busy(update) &&
 	    spent_us < ROUTING_UPDATE_SLICE_US) {
 		step(update);
 		spent_us = time_diff_us(clock_monotonic(update->clock), start);
 	}
+	loop_work_end(previous);
 	update->slices++;
 	update->longest_slice_us = MAX(update->longest_slice_us, spent_us);
 	if (!routing_update_is_busy(update)) {
