Prefer upstreams that still hold the beginning of a prompt

Engines that keep prompts after their requests skip the prefill of a prefix that the next prompt shares. The gateway chose by load alone and met a holder only by chance.

policy/affinity weighs the prefill saved against waiting; gateway/prompt_cache infers what each upstream holds from the requests of this gateway that ended there, engine memory, peers' prompts, restarts and departures, and corrects assumptions by the time of the first token. A prefix without a known holder goes to its home, by rendezvous hashing, so that all gateways choose the same upstream without a message. Off by default (--prompt-cache-ms=0): saved_ms is then 0 for all candidates and every plan is that of the load alone.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -64,6 +64,7 @@
 	double cold_ratio;
 	double cold_slack; /* requests per second */
 	int64_t hold_ms; /* duration of one memory reservation */
+	int64_t prompt_cache_ms; /* engines keep a prompt; 0: they don't */
 
 	/* Sidecars only. */
 	char *upstream;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -12,6 +12,7 @@
 #define HOLD_MIN_MS		1500
 #define HOLD_MAX_MS		600000
 #define COLD_SLACK_MAX		100000
+#define PROMPT_CACHE_MAX_MS	86400000
 #define DRAIN_NOTICE_DEFAULT_MS "2000"
 #define LOG_LEVELS		"error|warn|info|debug"
 #define POLICIES		"heatherturn|round-robin|least-outstanding|two-choices"
@@ -101,6 +102,10 @@
 	.argument = "MS",
 	.help = "longest time that engines keep memory reserved for an ended "
 		"request"},
+    {"prompt-cache-ms", SETTING_NUMBER, FOR_GATEWAY, AT(prompt_cache_ms),
+	.default_value = "0", .max = PROMPT_CACHE_MAX_MS, .argument = "MS",
+	.help = "how long engines keep a prompt after its last use; 0 if they "
+		"keep none"},
     {"upstream", SETTING_NAME, FOR_SIDECAR, AT(upstream), true,
 	.argument = "ID", .help = "id of the upstream behind this sidecar"},
     {"upstream-url", SETTING_URL, FOR_SIDECAR, AT(upstream_url), true,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -18,6 +18,7 @@
 #include "base/list.h"
 #include "gateway/crash_sync.h"
 #include "gateway/load_sync.h"
+#include "gateway/prompt_cache.h"
 #include "gateway/rate_sync.h"
 #include "gateway/registry.h"
 #include "gateway/routing_state.h"
@@ -38,6 +39,7 @@
 	struct load_sync *load_sync;
 	struct crash_sync *crash_sync;
 	struct rate_sync *rate_sync;
+	struct prompt_cache *prompt_cache; /* NULL: engines keep no prompts */
 	struct mesh *mesh; /* shares which requests crash upstreams */
 	GRand *random;
 	struct retry_window_limits retry; /* slack for all gateways */
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -286,6 +286,7 @@
 	upstream->own.context_tokens -= exchange->context_tokens;
 	if (exchange->stream_count != NULL)
 		(*exchange->stream_count)--;
+	exchange_end_prompt(exchange, upstream, outcome);
 	fleet_remove_request(
 	    routing_state_fleet(exchange->context->routing_state), upstream,
 	    now);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -1,7 +1,8 @@
 /*
  * Shared by the files of an exchange: exchange.c, its start, end and refusals;
  * _selection.c, which upstreams it may use; _prefill.c, where its prompt is
- * prefilled and its KV cache kept; _send.c, sending it; _response.c, forwarding
+ * prefilled and its KV cache kept; _prompt.c, which upstreams are believed to
+ * hold a prefix of it; _send.c, sending it; _response.c, forwarding
  * the response; _health.c, what the outcome says about an upstream; _retry.c,
  * whether it is sent again.
  */
@@ -10,6 +11,7 @@
 
 #include "gateway/event_splitter.h"
 #include "gateway/exchange.h"
+#include "gateway/prompt_cache.h"
 #include "gateway/reservations.h"
 #include "platform/headers.h"
 #include "policy/balance.h"
@@ -63,6 +65,18 @@
 	struct timespec done;
 };
 
+/* What upstreams are believed to hold of the prompt. */
+struct exchange_prompt {
+	struct prompt_prefixes prefixes;
+	bool initialised; /* the prefixes are set */
+	bool sent; /* the members below are those of the current send */
+	bool kept; /* its upstream alone holds the prompt's KV cache */
+	bool is_guess; /* its upstream is the home of the prefix */
+	double saved_ms; /* prefill time that its upstream saves */
+	double expected_ms; /* time to the first token, with that saved */
+	struct prompt_cache_use use;
+};
+
 struct exchange {
 	struct exchange_context *context;
 	struct httpd_request *http;
@@ -77,6 +91,7 @@
 	const struct route *route;
 	const struct organisation *organisation; /* NULL on public routes */
 	const struct service_profile *profile;
+	struct exchange_prompt prompt;
 
 	/* Sends. */
 	char *tried[EXCHANGE_TRIES_MAX]; /* upstream ids */
@@ -143,6 +158,9 @@
 void exchange_end_send(struct exchange *, enum send_outcome);
 void exchange_stop_send(struct exchange *);
 void exchange_clear_prefill(struct exchange *);
+void exchange_check_prompt(struct exchange *);
+void exchange_end_prompt(
+    struct exchange *, const struct fleet_upstream *, enum send_outcome);
 void exchange_on_prefill_timer(struct ev_loop *, ev_timer *, int events);
 void exchange_discard_partial(struct exchange *);
 void exchange_restart_stall_timer(struct exchange *);
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -151,6 +151,8 @@
 
 	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
 		exchange_report_survival(exchange);
+	if (exchange->send_events == 1)
+		exchange_check_prompt(exchange);
 	if (has_id && exchange->has_last_event && id <= exchange->last_event)
 		return;
 	if (has_id) {
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -181,6 +181,7 @@
 			continue;
 		add_candidate(exchange, selection, upstream);
 	}
+	exchange_fill_saved(exchange, selection);
 }
 
 /*
@@ -307,10 +308,10 @@
 	return whole_verdict;
 }
 
-/* Plans which upstreams serve the request, or returns why none does. */
-enum balance_verdict
-selection_plan(const struct exchange *exchange,
-    const struct selection *selection, struct balance_plan *out)
+/* Plans by the upstreams' load which of them serve the request. */
+static enum balance_verdict
+plan_by_load(const struct exchange *exchange, const struct selection *selection,
+    struct balance_plan *out)
 {
 	const struct balance_prompt prompt = make_balance_prompt(exchange);
 	enum balance_verdict verdict;
@@ -331,6 +332,21 @@
 	return verdict;
 }
 
+/* Plans which upstreams serve the request, or returns why none does. */
+enum balance_verdict
+selection_plan(const struct exchange *exchange,
+    const struct selection *selection, struct balance_plan *out)
+{
+	const struct balance_prompt prompt = make_balance_prompt(exchange);
+	enum balance_verdict verdict = plan_by_load(exchange, selection, out);
+
+	if (verdict == BALANCE_SERVE && has_predictable_prompt(exchange))
+		affinity_adjust_plan(&exchange->profile->engine,
+		    selection->candidates, selection->count - selection->rated,
+		    &prompt, out);
+	return verdict;
+}
+
 /* Returns whether a request that no upstream can take now may wait. */
 bool
 exchange_may_wait(const struct exchange *exchange, enum balance_verdict verdict)
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -42,6 +42,9 @@
 void exchange_add_prefill(
     struct exchange *, const struct selection *, const struct balance_plan *);
 uint64_t exchange_reserved_tokens(const struct balance_plan *);
+void exchange_fill_saved(struct exchange *, struct selection *);
+void exchange_begin_prompt(
+    struct exchange *, const struct selection *, const struct balance_plan *);
 void exchange_set_helpers(
     struct exchange *, const struct selection *, const struct balance_plan *);
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -29,6 +29,7 @@
 	struct timespec now = clock_monotonic(exchange->context->clock);
 	struct fleet_upstream *upstream = selection->upstreams[plan->first];
 
+	exchange_begin_prompt(exchange, selection, plan);
 	exchange->upstream = upstream;
 	exchange->send_outcome = SEND_OPEN;
 	exchange->send_error = NULL;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -189,6 +189,9 @@
 	    .load_sync = gateway->load_sync,
 	    .crash_sync = gateway->crash_sync,
 	    .rate_sync = gateway->rate_sync,
+	    .prompt_cache = settings->prompt_cache_ms > 0
+		? prompt_cache_new(settings->prompt_cache_ms)
+		: NULL,
 	    .mesh = node_mesh(gateway->node),
 	    .random = gateway->random,
 	    .retry =
@@ -314,6 +317,7 @@
 	gateway->exchange_context.exiting = true;
 	httpd_free(gateway->callers);
 	exchange_context_clear(&gateway->exchange_context);
+	prompt_cache_free(gateway->exchange_context.prompt_cache);
 	rate_sync_free(gateway->rate_sync);
 	crash_sync_free(gateway->crash_sync);
 	load_sync_free(gateway->load_sync);
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -285,6 +285,8 @@
 		if (upstream == NULL)
 			continue;
 		peer_loads_count_prompt(&upstream->peers, message, i == 0);
+		if (i == 0)
+			upstream->peers_sent_tokens += message->context_tokens;
 		fleet_upstream_add_prefill(upstream, message->part_us, now);
 	}
 	peer_load->received_at = now;
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "policy/affinity.h"
 
 /*
  * Returns the class of a stream for its route's gap target in milliseconds;
@@ -102,9 +103,11 @@
 
 	if (candidate->running >= pack ||
 	    candidate->backlog_ms > BALANCE_PACK_BACKLOG_MS)
-		return waiting_cost_ms(candidate);
+		return waiting_cost_ms(candidate) -
+		    affinity_credit_ms(candidate, true);
 	return candidate->error_share * BALANCE_ERROR_COST_MS -
-	    BALANCE_PACK_GAIN_MS * candidate->streams[STREAM_SHORT];
+	    BALANCE_PACK_GAIN_MS * candidate->streams[STREAM_SHORT] -
+	    affinity_credit_ms(candidate, false);
 }
 
 /* Plans a short stream's prompt, which one engine prefills. */
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -132,6 +132,7 @@
 	uint64_t context_tokens; /* KV tokens of the running requests */
 	uint32_t streams[STREAM_CLASSES]; /* streams decoding there, by class */
 	double error_share; /* share of recent answers that failed */
+	double saved_ms; /* of the prompt's prefill, see policy/affinity.h */
 	uint32_t tie; /* random; breaks ties */
 };
 
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -84,6 +84,7 @@
 	struct upstream_load own; /* requests of this process */
 	struct upstream_load reported; /* own, as the peers know it */
 	struct upstream_load peers; /* requests of other processes */
+	uint64_t peers_sent_tokens; /* of all prompts that peers announced */
 	struct timespec prefill_until; /* when all prefill work is done */
 
 	TAILQ_ENTRY(fleet_upstream) entry;
