Experiment: engines that keep prompts; note on prompt affinity

Modelled engines evict the least recently used prompts, before gateways that see a part of each session.

--- a/src/gateway/exchange_prompt.c
+++ b/src/gateway/exchange_prompt.c
@@ -104,8 +104,8 @@
 }
 
 /*
- * Credits the home of the prompt's prefix with the share of its prefill that is
- * saved on average there. Used if no candidate is known to hold the prefix.
+ * Sets what the home of the prompt's prefix saves on average. Used if no
+ * candidate is known to hold the prefix.
  */
 static void
 credit_home(struct exchange *exchange, struct selection *selection)
@@ -130,27 +130,31 @@
 	selection->candidates[home].saved_ms = saved_ms(exchange, selection,
 						   home,
 						   prefixes->tokens[prefix]) *
-	    prompt_cache_home_share(
-		exchange->context->prompt_cache, exchange->profile->name);
+	    prompt_cache_share(
+		exchange->context->prompt_cache, exchange->profile->name, true);
 }
 
 /*
- * Sets what the candidates of a selection save of the prompt's prefill, except
- * those whose rate of requests is limited.
+ * Sets what the candidates of a selection save of the prompt's prefill on
+ * average, except those whose rate of requests is limited.
  */
 void
 exchange_fill_saved(struct exchange *exchange, struct selection *selection)
 {
 	bool found = false;
+	double share;
 
 	if (!has_prefix(exchange))
 		return;
+	share = prompt_cache_share(
+	    exchange->context->prompt_cache, exchange->profile->name, false);
 	for (size_t i = 0; i + selection->rated < selection->count; i++) {
 		uint64_t tokens = held_by(exchange, selection->upstreams[i]);
 
 		found |= tokens >= AFFINITY_PREFIX_TOKENS_MIN;
-		selection->candidates[i].saved_ms = saved_ms(
-		    exchange, selection, i, tokens);
+		selection->candidates[i].saved_ms = saved_ms(exchange,
+							selection, i, tokens) *
+		    share;
 	}
 	if (!found)
 		credit_home(exchange, selection);
@@ -179,11 +183,13 @@
 	    .prompt_tokens = exchange->caller_headers.prompt_tokens,
 	    .held_tokens = planned_ms > 0.0 ? held_by(exchange, upstream) : 0,
 	};
-	prompt->saved_ms = planned_ms;
 	prompt->is_guess = planned_ms > 0.0 && prompt->use.held_tokens == 0;
-	if (prompt->is_guess)
+	prompt->saved_ms = 0.0;
+	if (planned_ms > 0.0)
 		prompt->saved_ms = saved_ms(exchange, selection, plan->first,
-		    prefixes->tokens[prompt_prefixes_home(prefixes)]);
+		    prompt->is_guess
+			? prefixes->tokens[prompt_prefixes_home(prefixes)]
+			: prompt->use.held_tokens);
 	prompt->expected_ms = plan->first_token_ms + planned_ms -
 	    prompt->saved_ms;
 	prompt_cache_begin(
--- a/src/gateway/prompt_cache.c
+++ b/src/gateway/prompt_cache.c
@@ -42,7 +42,9 @@
 /* What first tokens showed of a service. */
 struct service {
 	struct affinity_delay delay;
-	double home_share; /* of prompts whose home holds their prefix */
+	/* Of prompts whose prefix is held as assumed. */
+	double holder_share;
+	double home_share;
 };
 
 struct prompt_cache {
@@ -385,16 +387,22 @@
 	if (service == NULL) {
 		service = g_new0(struct service, 1);
 		service->home_share = AFFINITY_HOME_SHARE;
+		service->holder_share = AFFINITY_HOLDER_SHARE;
 		g_hash_table_insert(cache->services, g_strdup(name), service);
 	}
 	return service;
 }
 
-/* Returns the share of a service's prompts whose home holds their prefix. */
+/*
+ * Returns the share of a service's prompts whose prefix is held by the upstream
+ * that is believed to hold it, or by its home (is_guess).
+ */
 double
-prompt_cache_home_share(struct prompt_cache *cache, const char *service)
+prompt_cache_share(struct prompt_cache *cache, const char *name, bool is_guess)
 {
-	return obtain_service(cache, service)->home_share;
+	const struct service *service = obtain_service(cache, name);
+
+	return is_guess ? service->home_share : service->holder_share;
 }
 
 /* Removes the prefixes that a prompt shares with others. */
@@ -434,10 +442,11 @@
 	evidence = affinity_evidence(
 	    &service->delay, token->delay_ms, token->saved_ms);
 	finding = affinity_finding(evidence);
-	if (token->is_guess) {
-		affinity_home_add(&service->home_share, finding);
+	affinity_share_add(
+	    token->is_guess ? &service->home_share : &service->holder_share,
+	    finding);
+	if (token->is_guess)
 		return finding;
-	}
 	holder->doubt = MAX(holder->doubt + evidence, 0.0);
 	if (finding == AFFINITY_NOT_HELD)
 		remove_prefixes(cache, holder, prefixes);
--- a/src/gateway/prompt_cache.h
+++ b/src/gateway/prompt_cache.h
@@ -83,7 +83,8 @@
 void prompt_cache_drop(struct prompt_cache *, const char *upstream);
 void prompt_cache_expire(
     struct prompt_cache *, const struct fleet *, struct timespec now);
-double prompt_cache_home_share(struct prompt_cache *, const char *service);
+double prompt_cache_share(
+    struct prompt_cache *, const char *name, bool is_guess);
 size_t prompt_prefixes_home(const struct prompt_prefixes *);
 size_t prompt_cache_count(const struct prompt_cache *);
 
--- a/src/policy/affinity.c
+++ b/src/policy/affinity.c
@@ -9,8 +9,8 @@
 /* Weights of a delay in the moving averages of the mean and the deviation. */
 #define DELAY_MEAN_WEIGHT      0.125
 #define DELAY_DEVIATION_WEIGHT 0.25
-/* Weight of a prompt in the share of those whose home held their prefix. */
-#define HOME_WEIGHT 0.05
+/* Weight of a prompt in the share of those whose prefix was held. */
+#define SHARE_WEIGHT 0.1
 
 /*
  * Returns the milliseconds of prefill that a candidate saves if it holds the
@@ -64,16 +64,16 @@
 	return XXH3_64bits_withSeed(upstream, strlen(upstream), prefix);
 }
 
-/* Adds to the share of prompts whose home held their prefix. */
+/* Adds to the share of prompts whose prefix was held as assumed. */
 void
-affinity_home_add(double *share, enum affinity_finding finding)
+affinity_share_add(double *share, enum affinity_finding finding)
 {
 	double held = finding == AFFINITY_HELD ? 1.0 : 0.0;
 
 	if (finding == AFFINITY_UNCLEAR)
 		return;
-	*share += HOME_WEIGHT * (held - *share);
-	*share = MAX(*share, AFFINITY_HOME_SHARE_MIN);
+	*share += SHARE_WEIGHT * (held - *share);
+	*share = MAX(*share, AFFINITY_SHARE_MIN);
 }
 
 /*
--- a/src/policy/affinity.h
+++ b/src/policy/affinity.h
@@ -47,11 +47,13 @@
  */
 #define AFFINITY_DOUBT_MAX 3.0
 /*
- * Expected share of the prompts whose prefix its home holds, see
- * affinity_home_weight(): at first, and at least, so that it can grow again.
+ * Expected share of the prompts whose prefix its known holder or its home, see
+ * affinity_home_weight(), does hold: at first, and at least, so that it can
+ * grow again where it is observed by chance.
  */
-#define AFFINITY_HOME_SHARE	0.5
-#define AFFINITY_HOME_SHARE_MIN 0.02
+#define AFFINITY_HOLDER_SHARE 1.0
+#define AFFINITY_HOME_SHARE   0.5
+#define AFFINITY_SHARE_MIN    0.02
 /* Tokens of the shortest prefix that is taken into account. */
 #define AFFINITY_PREFIX_TOKENS_MIN 256
 
@@ -84,7 +86,7 @@
     const struct balance_candidate *, const struct affinity_prompt *);
 double affinity_credit_ms(const struct balance_candidate *, bool waits);
 uint64_t affinity_home_weight(uint64_t prefix, const char *upstream);
-void affinity_home_add(double *share, enum affinity_finding);
+void affinity_share_add(double *share, enum affinity_finding);
 void affinity_adjust_plan(const struct engine_profile *,
     const struct balance_candidate *, size_t count,
     const struct balance_prompt *, struct balance_plan *);
--- a/tests/experiment/engine.h
+++ b/tests/experiment/engine.h
@@ -21,6 +21,8 @@
 	enum stream_class class;
 	uint64_t tokens;
 	uint32_t events; /* of its response */
+	uint64_t session; /* whose prompts begin alike; 0 for none */
+	uint64_t prefix_tokens; /* that they share */
 	double arrived_ms; /* the caller's first try */
 	double last_try_ms; /* the caller's last try */
 	double planned_ms; /* below 0 until it is placed */
--- a/tests/experiment/experiment.c
+++ b/tests/experiment/experiment.c
@@ -9,6 +9,7 @@
 #include "fleet_model.h"
 #include "gateway/load_sync.h"
 #include "replay.h"
+#include "reuse_table.h"
 #include "traffic.h"
 #include "users_engine.h"
 
@@ -25,8 +26,9 @@
 	int gateways;
 	char *replay;
 	gboolean prompts;
+	char *reuse;
 } options = {NULL, SEEDS_DEFAULT, SECONDS_DEFAULT, ENGINES_DEFAULT,
-    GATEWAYS_DEFAULT, NULL, FALSE};
+    GATEWAYS_DEFAULT, NULL, FALSE, NULL};
 
 static const GOptionEntry entries[] = {
     {"loads", 0, 0, G_OPTION_ARG_STRING, &options.loads,
@@ -38,6 +40,10 @@
     {"gateways", 0, 0, G_OPTION_ARG_INT, &options.gateways, "Gateways", "N"},
     {"prompts", 0, 0, G_OPTION_ARG_NONE, &options.prompts,
 	"Print each prompt instead of the totals", NULL},
+    {"reuse", 0, 0, G_OPTION_ARG_STRING, &options.reuse,
+	"Sessions on engines that keep prompts: return seconds and prefix and "
+	"own tokens, with a count of sessions or 0, and 1 if sticky",
+	"S,PREFIX,OWN,SESSIONS,STICKY"},
     {"replay", 0, 0, G_OPTION_ARG_FILENAME, &options.replay,
 	"Compare the model with a gateway's log", "FILE"},
     {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
@@ -185,6 +191,13 @@
 	}
 	if (!check_options())
 		return EXIT_FAILURE;
+	if (options.reuse != NULL) {
+		reuse_table_print(options.reuse,
+		    options.loads != NULL ? options.loads : LOADS_DEFAULT,
+		    (size_t)options.engines, (size_t)options.gateways,
+		    options.seeds);
+		return EXIT_SUCCESS;
+	}
 	if (options.replay == NULL) {
 		run_loads();
 		return EXIT_SUCCESS;
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gateway/load_sync.h"
+#include "policy/affinity.h"
 #include "traffic.h"
 
 /* Tick of the model's clock. */
@@ -104,6 +105,30 @@
 	}
 }
 
+/* Returns which gateway this is. */
+static size_t
+gateway_index(const struct model *model, const struct gateway *gateway)
+{
+	return (size_t)(gateway - model->gateways);
+}
+
+/* Starts the prefill of a prompt at its engines. */
+static void
+start_prefill(
+    struct model *model, const struct gateway *gateway, struct prompt *prompt)
+{
+	const struct fleet_model_settings *settings = model->settings;
+	double counted_ms = prompt->part_ms;
+
+	if (settings->ops != NULL)
+		prompt->part_ms = settings->ops->place(settings->data,
+		    gateway_index(model, gateway), prompt, model->now_ms);
+	for (size_t i = 0; i < prompt->engine_count; i++)
+		engine_prefill(model->engines[prompt->engines[i]], prompt, i,
+		    model->now_ms + NETWORK_LATENCY_MS);
+	prompt->part_ms = counted_ms;
+}
+
 /* Sends a prompt to its planned engines. */
 static void
 send(struct model *model, struct gateway *gateway, struct prompt *prompt,
@@ -116,9 +141,7 @@
 	for (size_t i = 0; i < plan->helper_count; i++)
 		prompt->engines[prompt->engine_count++] = plan->helpers[i];
 	prompt->prefills_left = prompt->engine_count;
-	for (size_t i = 0; i < prompt->engine_count; i++)
-		engine_prefill(model->engines[prompt->engines[i]], prompt, i,
-		    model->now_ms + NETWORK_LATENCY_MS);
+	start_prefill(model, gateway, prompt);
 	count_stream(gateway->own, prompt, 1);
 	count_stream(gateway->published, prompt, 1);
 	count_prefill(model, gateway, prompt);
@@ -154,20 +177,29 @@
 
 	for (size_t i = 0; i < settings->engines; i++)
 		candidates[i] = describe_engine(model, gateway, i);
+	if (settings->ops != NULL)
+		settings->ops->describe(settings->data,
+		    gateway_index(model, gateway), prompt, candidates,
+		    model->now_ms);
 	verdict = balance_plan_prompt(
 	    settings->profile, candidates, settings->engines, &wanted, &plan);
-	if (verdict == BALANCE_SERVE)
+	if (verdict == BALANCE_SERVE) {
+		affinity_adjust_plan(settings->profile, candidates,
+		    settings->engines, &wanted, &plan);
 		send(model, gateway, prompt, &plan);
-	else if (!balance_prompt_may_wait(&wanted, verdict))
+	} else if (!balance_prompt_may_wait(&wanted, verdict)) {
 		refuse(model, prompt, plan.wait_ms);
+	}
 }
 
 /* Advances one prompt: plans it, starts decoding, or ends it. */
 static void
 advance_prompt(struct model *model, size_t index, struct prompt *prompt)
 {
-	struct gateway
-	    *gateway = &model->gateways[index % model->settings->gateways];
+	const struct fleet_model_settings *settings = model->settings;
+	size_t reached = settings->sticky ? prompt->session : index;
+	struct gateway *gateway = &model
+				       ->gateways[reached % settings->gateways];
 	double since_ms = model->now_ms - prompt->last_try_ms;
 
 	if (prompt->planned_ms < 0.0) {
@@ -180,11 +212,17 @@
 		engine_decode(
 		    model->engines[prompt->engines[0]], prompt, model->now_ms);
 		prompt->decoding = true;
+		if (settings->ops != NULL)
+			settings->ops->begin(settings->data,
+			    gateway_index(model, gateway), prompt);
 	}
 	uncount_prefill(model, gateway, prompt);
 	if (!prompt->ended)
 		return;
 	count_stream(gateway->own, prompt, -1);
+	if (settings->ops != NULL)
+		settings->ops->end(settings->data,
+		    gateway_index(model, gateway), prompt, model->now_ms);
 	prompt->released = true;
 }
 
--- a/tests/test_prompt_cache.c
+++ b/tests/test_prompt_cache.c
@@ -258,15 +258,15 @@
 
 	prompt_cache_begin(cache, &upstream, &use);
 	g_assert_cmpfloat(
-	    prompt_cache_home_share(cache, "s"), ==, AFFINITY_HOME_SHARE);
+	    prompt_cache_share(cache, "s", true), ==, AFFINITY_HOME_SHARE);
 	for (int i = 0; i < 100; i++)
 		prompt_cache_judge(cache, &token, &prefixes, start);
 	g_assert_cmpfloat(
-	    prompt_cache_home_share(cache, "s"), ==, AFFINITY_HOME_SHARE_MIN);
+	    prompt_cache_share(cache, "s", true), ==, AFFINITY_SHARE_MIN);
 	token.delay_ms = 0.0;
 	for (int i = 0; i < 100; i++)
 		prompt_cache_judge(cache, &token, &prefixes, start);
-	g_assert_cmpfloat(prompt_cache_home_share(cache, "s"), >, 0.9);
+	g_assert_cmpfloat(prompt_cache_share(cache, "s", true), >, 0.9);
 	g_assert_false(prompt_cache_is_distrusted(cache, "e0", start));
 	prompt_cache_free(cache);
 }
