--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -68,6 +68,7 @@
 	char *return_queue; /* on or off */
 	int64_t memory_mb; /* of the host; 0 for unknown */
 	double link_mbps; /* of the host; 0 for unknown */
+	int64_t prompt_cache_ms; /* engines keep a prompt; 0: they don't */
 
 	/* Sidecars only. */
 	char *upstream;
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -15,6 +15,7 @@
 #define CPU_SHARE_MAX		1024
 #define MEMORY_MAX_MB		(16 * 1024 * 1024)
 #define LINK_MAX_MBPS		1000000
+#define PROMPT_CACHE_MAX_MS	86400000
 #define DRAIN_NOTICE_DEFAULT_MS "2000"
 #define LOG_LEVELS		"error|warn|info|debug"
 #define POLICIES		"heatherturn|round-robin|least-outstanding|two-choices"
@@ -118,6 +119,10 @@
     {"link-mbps", SETTING_FRACTION, FOR_GATEWAY, AT(link_mbps),
 	.default_value = "0", .max = LINK_MAX_MBPS, .argument = "MBPS",
 	.help = "link of this host, in Mbit/s; 0 for unknown"},
+    {"prompt-cache-ms", SETTING_NUMBER, FOR_GATEWAY, AT(prompt_cache_ms),
+	.default_value = "0", .max = PROMPT_CACHE_MAX_MS, .argument = "MS",
+	.help = "how long engines keep a prompt after its last use; 0 if they "
+		"keep none"},
     {"upstream", SETTING_NAME, FOR_SIDECAR, AT(upstream), true,
 	.argument = "ID", .help = "id of the upstream behind this sidecar"},
     {"upstream-url", SETTING_URL, FOR_SIDECAR, AT(upstream_url), true,
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -30,6 +30,7 @@
 	struct fleet_upstream *upstream = selection->upstreams[plan->first];
 
 	exchange_return_on_send(exchange);
+	exchange_begin_prompt(exchange, selection, plan);
 	exchange->upstream = upstream;
 	exchange->send_outcome = SEND_OPEN;
 	exchange->send_error = NULL;
--- a/tests/experiment/experiment.c
+++ b/tests/experiment/experiment.c
@@ -9,6 +9,7 @@
 #include "fleet_model.h"
 #include "gateway/load_sync.h"
 #include "replay.h"
+#include "reuse_table.h"
 #include "traffic.h"
 #include "users_engine.h"
 
@@ -30,8 +31,9 @@
 	gboolean prompts;
 	gboolean patience;
 	gboolean return_queue;
+	char *reuse;
 } options = {NULL, SEEDS_DEFAULT, SECONDS_DEFAULT, ENGINES_DEFAULT,
-    GATEWAYS_DEFAULT, NULL, NULL, 0, FALSE, FALSE, FALSE, FALSE};
+    GATEWAYS_DEFAULT, NULL, NULL, 0, FALSE, FALSE, FALSE, FALSE, NULL};
 
 static const GOptionEntry entries[] = {
     {"loads", 0, 0, G_OPTION_ARG_STRING, &options.loads,
@@ -49,6 +51,10 @@
 	"Place prompts by the ranks of the mix", NULL},
     {"prompts", 0, 0, G_OPTION_ARG_NONE, &options.prompts,
 	"Print each prompt instead of the totals", NULL},
+    {"reuse", 0, 0, G_OPTION_ARG_STRING, &options.reuse,
+	"Sessions on engines that keep prompts: return seconds and prefix and "
+	"own tokens, with a count of sessions or 0, and 1 if sticky",
+	"S,PREFIX,OWN,SESSIONS,STICKY"},
     {"replay", 0, 0, G_OPTION_ARG_FILENAME, &options.replay,
 	"Compare the model with a gateway's log", "FILE"},
     {"patience", 0, 0, G_OPTION_ARG_NONE, &options.patience,
@@ -214,6 +220,13 @@
 	}
 	if (!check_options())
 		return EXIT_FAILURE;
+	if (options.reuse != NULL) {
+		reuse_table_print(options.reuse,
+		    options.loads != NULL ? options.loads : LOADS_DEFAULT,
+		    (size_t)options.engines, (size_t)options.gateways,
+		    options.seeds);
+		return EXIT_SUCCESS;
+	}
 	mix = traffic_use_mix(options.mix != NULL ? options.mix : "even");
 	if (mix == NULL) {
 		fprintf(stderr, "experiment: unknown mix\n");
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "gateway/load_sync.h"
+#include "policy/affinity.h"
 #include "policy/precedence.h"
 #include "policy/return_queue.h"
 #include "traffic.h"
@@ -124,6 +125,30 @@
 	}
 }
 
+/* Returns which gateway this is. */
+static size_t
+gateway_index(const struct model *model, const struct gateway *gateway)
+{
+	return (size_t)(gateway - model->gateways);
+}
+
+/* Starts the prefill of a prompt at its engines. */
+static void
+start_prefill(
+    struct model *model, const struct gateway *gateway, struct prompt *prompt)
+{
+	const struct fleet_model_settings *settings = model->settings;
+	double counted_ms = prompt->part_ms;
+
+	if (settings->ops != NULL)
+		prompt->part_ms = settings->ops->place(settings->data,
+		    gateway_index(model, gateway), prompt, model->now_ms);
+	for (size_t i = 0; i < prompt->engine_count; i++)
+		engine_prefill(model->engines[prompt->engines[i]], prompt, i,
+		    model->now_ms + NETWORK_LATENCY_MS);
+	prompt->part_ms = counted_ms;
+}
+
 /* Sends a prompt to its planned engines. */
 static void
 send(struct model *model, struct gateway *gateway, struct prompt *prompt,
@@ -136,9 +161,7 @@
 	for (size_t i = 0; i < plan->helper_count; i++)
 		prompt->engines[prompt->engine_count++] = plan->helpers[i];
 	prompt->prefills_left = prompt->engine_count;
-	for (size_t i = 0; i < prompt->engine_count; i++)
-		engine_prefill(model->engines[prompt->engines[i]], prompt, i,
-		    model->now_ms + NETWORK_LATENCY_MS);
+	start_prefill(model, gateway, prompt);
 	count_stream(gateway->own, prompt, 1);
 	count_prefill(model, gateway, prompt);
 	notice(model, gateway, prompt);
@@ -317,6 +340,10 @@
 
 	for (size_t i = 0; i < settings->engines; i++)
 		candidates[i] = describe_engine(model, gateway, i);
+	if (settings->ops != NULL)
+		settings->ops->describe(settings->data,
+		    gateway_index(model, gateway), prompt, candidates,
+		    model->now_ms);
 	verdict = precedence_plan_prompt(settings->profile, &ranks, candidates,
 	    settings->engines, &wanted, &plan);
 	if (gateway->queue != NULL &&
@@ -324,6 +351,8 @@
 		model, gateway, prompt, &wanted, &plan, candidates, &verdict))
 		return;
 	if (verdict == BALANCE_SERVE) {
+		affinity_adjust_plan(settings->profile, candidates,
+		    settings->engines, &wanted, &plan);
 		if (prompt->is_back)
 			return_queue_end(gateway->queue, prompt->ticket);
 		send(model, gateway, prompt, &plan);
@@ -336,8 +365,11 @@
 static void
 advance_prompt(struct model *model, size_t index, struct prompt *prompt)
 {
-	struct gateway *gateway = &model->gateways[(index + prompt->refusals) %
-	    model->settings->gateways];
+	const struct fleet_model_settings *settings = model->settings;
+	size_t reached = settings->sticky ? prompt->session
+					  : index + prompt->refusals;
+	struct gateway *gateway = &model
+				       ->gateways[reached % settings->gateways];
 	double since_ms = model->now_ms - prompt->last_try_ms;
 
 	if (prompt->planned_ms < 0.0) {
@@ -352,11 +384,17 @@
 		engine_decode(
 		    model->engines[prompt->engines[0]], prompt, model->now_ms);
 		prompt->decoding = true;
+		if (settings->ops != NULL)
+			settings->ops->begin(settings->data,
+			    gateway_index(model, gateway), prompt);
 	}
 	uncount_prefill(model, gateway, prompt);
 	if (!prompt->ended)
 		return;
 	count_stream(gateway->own, prompt, -1);
+	if (settings->ops != NULL)
+		settings->ops->end(settings->data,
+		    gateway_index(model, gateway), prompt, model->now_ms);
 	prompt->released = true;
 }
 
--- a/tests/experiment/fleet_model.h
+++ b/tests/experiment/fleet_model.h
@@ -11,6 +11,19 @@
 
 #include "engine.h"
 
+/* What a model adds of engines that keep prompts; each function gets data. */
+struct fleet_model_ops {
+	/* Completes what a gateway knows of all engines for a prompt. */
+	void (*describe)(void *data, size_t gateway, const struct prompt *,
+	    struct balance_candidate *, double now_ms);
+	/* Returns how long each engine of a placed prompt really prefills. */
+	double (*place)(
+	    void *data, size_t gateway, const struct prompt *, double now_ms);
+	void (*begin)(void *data, size_t gateway, const struct prompt *);
+	void (*end)(
+	    void *data, size_t gateway, const struct prompt *, double now_ms);
+};
+
 struct fleet_model_settings {
 	const struct engine_profile *profile;
 	size_t engines;
@@ -20,6 +33,9 @@
 	bool by_rank; /* placed by the ranks of the classes */
 	bool patience; /* callers wait for a third of their time left */
 	bool return_queue; /* they get turns, see policy/return_queue.h */
+	bool sticky; /* a session's requests all reach one gateway */
+	const struct fleet_model_ops *ops; /* NULL for none */
+	void *data; /* of these */
 };
 
 void fleet_model_run(
