--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -1,62 +1,13 @@
 #include "peer/documents.h"
 
-#include <string.h>
-
 #include <sodium.h>
 
-#include "base/list.h"
 #include "base/metrics.h"
-#include "policy/gossip.h"
+#include "peer/documents_internal.h"
 
 #define LOG_MODULE "documents"
 #include "base/log.h"
 
-static const char *const document_names[] = {
-    DOCUMENT_CONFIG,
-    DOCUMENT_PLACEMENT,
-    DOCUMENT_HOSTS,
-    DOCUMENT_ROUTES,
-    DOCUMENT_UPSTREAMS,
-    DOCUMENT_TAKEOUTS,
-    DOCUMENT_ROUTING_ITEMS,
-};
-#define DOCUMENTS    G_N_ELEMENTS(document_names)
-#define CONFIG_INDEX 0
-G_STATIC_ASSERT(G_N_ELEMENTS(document_names) <= GOSSIP_DOCUMENTS_MAX);
-
-struct subscriber {
-	size_t document;
-	documents_update_fn *callback; /* or NULL */
-	documents_config_fn *config_callback; /* or NULL */
-	void *data;
-	TAILQ_ENTRY(subscriber) entry;
-};
-
-/* Encodes and applies a document that is not stored as bytes here. */
-struct codec {
-	documents_encode_fn *encode; /* NULL for none */
-	documents_apply_fn *apply;
-	void *data;
-	documents_describe_fn *describe; /* NULL for none */
-	documents_repair_fn *repair;
-	bool needs_repair; /* what is here is not that of its version */
-};
-
-struct documents {
-	struct ev_loop *loop;
-	struct clock *clock;
-	struct mesh *mesh;
-	struct link_identity *identity;
-	struct mesh_handler handler;
-	GRand *random;
-	struct gossip *spread;
-	GBytes *bytes[DOCUMENTS]; /* NULL for none */
-	struct codec codecs[DOCUMENTS];
-	struct config *config;
-	ev_timer tick;
-	TAILQ_HEAD(subscriber_list, subscriber) subscribers;
-};
-
 METRIC_DEFINE(taken_count, METRIC_COUNTER, "heatherturn_documents_taken", NULL,
     "Newer documents that were applied.");
 METRIC_DEFINE(refused_count, METRIC_COUNTER, "heatherturn_documents_refused",
@@ -66,17 +17,6 @@
 METRIC_DEFINE(config_version_gauge, METRIC_GAUGE, "heatherturn_config_version",
     NULL, "Version of the configuration in force.");
 
-/* Returns a document's index, or DOCUMENTS if the name is unknown. */
-static size_t
-find_index(const char *name)
-{
-	size_t i = 0;
-
-	while (i < DOCUMENTS && strcmp(document_names[i], name) != 0)
-		i++;
-	return i;
-}
-
 /* Sends a message to the target of an action. */
 static void
 send_to_target(struct documents *documents, const struct gossip_action *action,
@@ -103,7 +43,7 @@
 	    .kind = MESSAGE_DIGEST,
 	    .digest =
 		{
-		    .names = {(char **)document_names, DOCUMENTS},
+		    .names = {(char **)documents_names, DOCUMENTS},
 		    .versions = {versions, DOCUMENTS},
 		    .reply = action->reply,
 		},
@@ -127,7 +67,7 @@
 	    .kind = MESSAGE_PULL,
 	    .pull =
 		{
-		    .name = (char *)document_names[action->document],
+		    .name = (char *)documents_names[action->document],
 		    .have = gossip_version(documents->spread, action->document),
 		    .changes = true,
 		},
@@ -148,7 +88,7 @@
 	    .kind = MESSAGE_DOCUMENT,
 	    .document =
 		{
-		    .name = (char *)document_names[action->document],
+		    .name = (char *)documents_names[action->document],
 		    .version = gossip_version(
 			documents->spread, action->document),
 		},
@@ -173,35 +113,6 @@
 		g_string_free(text, TRUE);
 }
 
-/* Sends what differs from a document that a peer describes in its pull. */
-static void
-send_repair(struct documents *documents, struct link *link, size_t index,
-    const struct message_pull *pull)
-{
-	const struct codec *codec = &documents->codecs[index];
-	struct message message = {
-	    .kind = MESSAGE_DOCUMENT,
-	    .document =
-		{
-		    .name = (char *)document_names[index],
-		    .version = gossip_version(documents->spread, index),
-		    .base = pull->have,
-		},
-	};
-	GString *text;
-
-	if (message.document.version <= pull->have)
-		return;
-	text = codec->repair(codec->data, pull->sums.items, pull->sums.count);
-	if (text == NULL)
-		return;
-	message.document.data.data = (uint8_t *)text->str;
-	message.document.data.length = text->len;
-	metric_add(&sent_count, 1);
-	link_send(link, &message);
-	g_string_free(text, TRUE);
-}
-
 /* Carries out the actions chosen by the gossip. */
 static void
 run_actions(struct documents *documents, const struct gossip_actions *actions)
@@ -289,7 +200,7 @@
 		return;
 	metric_add(&taken_count, 1);
 	LOG_INFO("document in force", "{s:s, s:I}", "name",
-	    document_names[index], "version", (json_int_t)version);
+	    documents_names[index], "version", (json_int_t)version);
 	run_actions(documents, &actions);
 }
 
@@ -327,7 +238,7 @@
 handle_document(
     struct documents *documents, const struct message_document *sent)
 {
-	size_t index = find_index(sent->name);
+	size_t index = documents_find_index(sent->name);
 	const struct codec *codec;
 
 	if (index == DOCUMENTS)
@@ -343,8 +254,8 @@
 		sent->data.data, sent->data.length))
 		return;
 	LOG_WARN("document refused", "{s:s, s:I, s:I}", "name",
-	    document_names[index], "version", (json_int_t)sent->version, "base",
-	    (json_int_t)sent->base);
+	    documents_names[index], "version", (json_int_t)sent->version,
+	    "base", (json_int_t)sent->base);
 	metric_add(&refused_count, 1);
 	gossip_reject_document(documents->spread, index, sent->version);
 }
@@ -358,12 +269,12 @@
     const struct message_digest *digest, struct gossip_actions *actions)
 {
 	uint64_t versions[GOSSIP_DOCUMENTS_MAX] = {0};
-	size_t routes = find_index(DOCUMENT_ROUTES);
-	size_t items = find_index(DOCUMENT_ROUTING_ITEMS);
+	size_t routes = documents_find_index(DOCUMENT_ROUTES);
+	size_t items = documents_find_index(DOCUMENT_ROUTING_ITEMS);
 	bool has_items = false;
 
 	for (size_t i = 0; i < digest->names.count; i++) {
-		size_t index = find_index(digest->names.items[i]);
+		size_t index = documents_find_index(digest->names.items[i]);
 
 		if (index < DOCUMENTS && i < digest->versions.count)
 			versions[index] = digest->versions.items[i];
@@ -391,11 +302,12 @@
 		handle_digest(documents, link, &message->digest, &actions);
 		break;
 	case MESSAGE_PULL:
-		index = find_index(message->pull.name);
+		index = documents_find_index(message->pull.name);
 		if (index < DOCUMENTS && message->pull.sums.count > 0 &&
 		    message->pull.have > 0 &&
 		    documents->codecs[index].repair != NULL)
-			send_repair(documents, link, index, &message->pull);
+			documents_send_repair(
+			    documents, link, index, &message->pull);
 		else if (index < DOCUMENTS)
 			gossip_on_pull(documents->spread, link, index,
 			    message->pull.have, message->pull.changes,
@@ -448,7 +360,7 @@
 	documents->spread = gossip_new(documents->random, DOCUMENTS);
 	if (identity->role == ROLE_GATEWAY)
 		gossip_set_required(
-		    documents->spread, find_index(DOCUMENT_ROUTES));
+		    documents->spread, documents_find_index(DOCUMENT_ROUTES));
 	documents->config = config_new_empty();
 	TAILQ_INIT(&documents->subscribers);
 	documents->handler = (struct mesh_handler){
@@ -491,98 +403,29 @@
 documents_update(struct documents *documents, const char *name,
     uint64_t version, const uint8_t *data, size_t length)
 {
-	size_t index = find_index(name);
+	size_t index = documents_find_index(name);
 
 	g_return_val_if_fail(index < DOCUMENTS, false);
 	return apply_document(documents, index, version, data, length);
 }
 
-/*
- * Sets the codec of a document, which encodes and applies it in place of bytes
- * stored here. Must be called before the first version.
- */
-void
-documents_set_codec(struct documents *documents, const char *name,
-    documents_encode_fn *encode, documents_apply_fn *apply, void *data)
-{
-	size_t index = find_index(name);
-
-	g_return_if_fail(index < DOCUMENTS);
-	documents->codecs[index] = (struct codec){
-	    .encode = encode, .apply = apply, .data = data};
-}
-
 /* Announces a newer version of a document that has a codec. */
 void
 documents_announce(
     struct documents *documents, const char *name, uint64_t version)
 {
-	size_t index = find_index(name);
+	size_t index = documents_find_index(name);
 
 	g_return_if_fail(index < DOCUMENTS);
 	documents->codecs[index].needs_repair = false;
 	announce_version(documents, index, version);
 }
 
-/*
- * Records a newer version of a document without an announcement, for one whose
- * peers learn of it by that of another document.
- */
-void
-documents_record(
-    struct documents *documents, const char *name, uint64_t version)
-{
-	struct gossip_actions unused = {0};
-	size_t index = find_index(name);
-
-	g_return_if_fail(index < DOCUMENTS);
-	gossip_accept_document(documents->spread, index, version,
-	    clock_monotonic(documents->clock), &unused);
-}
-
-/* Sets how a document with a codec is described and repaired. */
-void
-documents_set_repair(struct documents *documents, const char *name,
-    documents_describe_fn *describe, documents_repair_fn *repair)
-{
-	size_t index = find_index(name);
-
-	g_return_if_fail(index < DOCUMENTS);
-	documents->codecs[index].describe = describe;
-	documents->codecs[index].repair = repair;
-}
-
-/*
- * Describes what is here of a document in the next pulls, until a version of it
- * is announced here.
- */
-void
-documents_request_repair(struct documents *documents, const char *name)
-{
-	size_t index = find_index(name);
-
-	g_return_if_fail(index < DOCUMENTS);
-	g_return_if_fail(documents->codecs[index].describe != NULL);
-	documents->codecs[index].needs_repair = true;
-}
-
-/* Requests this version of a document and earlier ones no more. */
-void
-documents_reject(
-    struct documents *documents, const char *name, uint64_t version)
-{
-	size_t index = find_index(name);
-
-	g_return_if_fail(index < DOCUMENTS);
-	metric_add(&refused_count, 1);
-	gossip_reject_document(documents->spread, index, version);
-}
-
 /* Returns the version in force here, 0 for none. */
 uint64_t
 documents_version(const struct documents *documents, const char *name)
 {
-	size_t index = find_index(name);
+	size_t index = documents_find_index(name);
 
 	g_return_val_if_fail(index < DOCUMENTS, 0);
 	return gossip_version(documents->spread, index);
@@ -593,7 +436,7 @@
 documents_get(
     const struct documents *documents, const char *name, size_t *length)
 {
-	size_t index = find_index(name);
+	size_t index = documents_find_index(name);
 
 	*length = 0;
 	g_return_val_if_fail(index < DOCUMENTS, NULL);
@@ -618,7 +461,7 @@
 documents_subscribe(struct documents *documents, const char *name,
     documents_update_fn *callback, void *data)
 {
-	size_t index = find_index(name);
+	size_t index = documents_find_index(name);
 
 	g_return_if_fail(index < DOCUMENTS);
 	add_subscriber(documents,
