--- a/src/gateway/exchange_return.c
+++ b/src/gateway/exchange_return.c
@@ -318,8 +318,6 @@
 	    .cost_ratio = plan != NULL && plan->worth > 0.0
 		? plan->cost / plan->worth
 		: 0.0,
-	    .ticket = g_rand_int(context->random),
-	    .phase = g_rand_double(context->random),
 	};
 
 	if (context->return_queue == NULL || exchange->may_have_run ||
@@ -335,6 +333,8 @@
 		metric_add(&returned_refused_count, 1);
 	exchange_return_end(exchange);
 	servers = count_servers(exchange);
+	ask.ticket = g_rand_int(context->random);
+	ask.phase = g_rand_double(context->random);
 	ask.work_ms = by_slots
 	    ? slot_ms(exchange)
 	    : engine_profile_prefill_ms(&exchange->profile->engine,
