Ranks: order of waiting and rejection, at all gateways

By cost alone a prompt is rejected whatever its rank, and a rank or the largest prompts may not be served at all.

Less urgent prompts wait for more urgent ones while they have time, and yield where those were rejected more often; a rank, and its large prompts, have a least share. A prompt for which the preferred engines have no memory is planned on those that have.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -223,6 +223,7 @@
 	struct exchange *exchange = timer->data;
 
 	exchange_stop_send(exchange);
+	exchange_count_outcome(exchange, false);
 	if (exchange->streaming) {
 		httpd_abort(exchange->http);
 		exchange_finish(exchange, "deadline");
@@ -468,6 +469,7 @@
 	ev_timer_stop(context->loop, &exchange->deadline_timer);
 	ev_timer_stop(context->loop, &exchange->stall_timer);
 	ev_timer_stop(context->loop, &exchange->wait_timer);
+	exchange_end_waiting(exchange);
 	for (size_t i = 0; i < exchange->tries; i++)
 		g_free(exchange->tried[i]);
 	g_free(exchange->faulty_upstream);
--- a/src/gateway/exchange_rank.c
+++ b/src/gateway/exchange_rank.c
@@ -1,5 +1,6 @@
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
+#include "gateway/rank_sync.h"
 
 #define LOG_MODULE "rank"
 #include "base/log.h"
@@ -32,25 +33,55 @@
 	prompt->gap_ms = (double)exchange->route->gap_target_ms;
 }
 
+/* Returns whether the order of ranks applies to a request. */
+static bool
+has_order(const struct exchange *exchange)
+{
+	return exchange->ranks.has_ranks && exchange->profile->has_engine &&
+	    exchange->caller_headers.has_prompt;
+}
+
+/* Returns the counts of the request's service at this gateway. */
+static struct rank_ledger *
+own_ledger(const struct exchange *exchange)
+{
+	return rank_sync_ledger(load_sync_ranks(exchange->context->load_sync),
+	    exchange->profile->name);
+}
+
+/* Returns the counts of the request's service at all gateways. */
+static void
+sum_counts(
+    const struct exchange *exchange, struct rank_counts sums[PRECEDENCE_RANKS])
+{
+	rank_sync_sum(load_sync_ranks(exchange->context->load_sync),
+	    exchange->profile->name, clock_monotonic(exchange->context->clock),
+	    sums);
+}
+
 /*
- * Sets the urgency that upstreams are told. Without different ranks none is
- * sent: upstreams then treat all requests of the service alike.
+ * Adds to the description of a prompt for the balancer what is known of its
+ * rank at all gateways.
  */
 void
-exchange_set_urgency(
-    const struct exchange *exchange, struct upstream_headers *values)
+exchange_describe_order(
+    struct exchange *exchange, size_t engines, struct balance_prompt *prompt)
 {
-	values->has_urgency = exchange->ranks.has_ranks;
-	if (values->has_urgency)
-		values->urgency = precedence_urgency(&exchange->ranks,
-		    exchange->rank, (double)exchange->route->target_ms,
-		    (double)exchange_age_ms(exchange));
+	struct rank_counts sums[PRECEDENCE_RANKS];
+
+	if (!has_order(exchange))
+		return;
+	sum_counts(exchange, sums);
+	prompt->is_large = rank_counts_is_large(
+	    &sums[exchange->rank], prompt->tokens);
+	exchange->is_large = prompt->is_large;
+	prompt->ahead_ms = rank_counts_ahead_ms(
+	    sums, exchange->rank, &exchange->profile->engine, engines);
 }
 
 /* Logs and counts a prompt that is held back, the first time. */
-void
-exchange_note_held_back(
-    struct exchange *exchange, const struct balance_plan *plan)
+static void
+note_held_back(struct exchange *exchange, const struct balance_plan *plan)
 {
 	if (exchange->held_back)
 		return;
@@ -64,3 +95,91 @@
 	    (json_int_t)exchange->route->target_ms - exchange_age_ms(exchange),
 	    "expected_ms", (int)plan->first_token_ms);
 }
+
+/*
+ * Applies the order of ranks to the verdict on a prompt that was not sent yet;
+ * one that was sent continues.
+ */
+enum balance_verdict
+exchange_apply_order(struct exchange *exchange,
+    const struct balance_prompt *prompt, enum balance_verdict planned,
+    const struct balance_plan *plan)
+{
+	struct rank_counts sums[PRECEDENCE_RANKS];
+	enum balance_verdict verdict = planned;
+
+	if (!has_order(exchange))
+		return planned;
+	if (exchange->tries > 0)
+		return planned == BALANCE_HELD_BACK ? BALANCE_SERVE : planned;
+	sum_counts(exchange, sums);
+	verdict = rank_counts_rule(sums, prompt, planned);
+	exchange->forced = verdict == BALANCE_SERVE && planned != BALANCE_SERVE;
+	if (verdict == BALANCE_HELD_BACK)
+		note_held_back(exchange, plan);
+	if (verdict != planned)
+		LOG_INFO("verdict on a prompt changed by the order of ranks",
+		    "{s:s, s:i, s:b, s:f, s:f}", "request",
+		    exchange->caller_headers.request_id, "rank",
+		    (int)exchange->rank, "served", verdict == BALANCE_SERVE,
+		    "cost", plan->cost, "worth", plan->worth);
+	return verdict;
+}
+
+/* Counts a prompt that waits for engines. */
+void
+exchange_count_waiting(struct exchange *exchange)
+{
+	if (!has_order(exchange) || exchange->counted_waiting)
+		return;
+	exchange->counted_waiting = true;
+	rank_ledger_add_waiting(own_ledger(exchange), exchange->rank,
+	    exchange->caller_headers.prompt_tokens);
+}
+
+/* Removes a prompt that no longer waits, or is gone, from what waits. */
+void
+exchange_end_waiting(struct exchange *exchange)
+{
+	if (!exchange->counted_waiting)
+		return;
+	exchange->counted_waiting = false;
+	rank_ledger_remove_waiting(own_ledger(exchange), exchange->rank,
+	    exchange->caller_headers.prompt_tokens);
+}
+
+/* Counts whether a prompt is served or rejected, the first time. */
+void
+exchange_count_outcome(struct exchange *exchange, bool served)
+{
+	enum rank_outcome outcome = exchange->forced ? RANK_FORCED
+						     : RANK_SERVED;
+	const struct rank_prompt prompt = {
+	    .rank = exchange->rank,
+	    .tokens = exchange->caller_headers.prompt_tokens,
+	    .is_large = exchange->is_large,
+	};
+
+	exchange_end_waiting(exchange);
+	if (!has_order(exchange) || exchange->counted_outcome)
+		return;
+	exchange->counted_outcome = true;
+	rank_ledger_add(own_ledger(exchange), &prompt,
+	    served ? outcome : RANK_REJECTED,
+	    clock_monotonic(exchange->context->clock));
+}
+
+/*
+ * Sets the urgency that upstreams are told. Without different ranks none is
+ * sent: upstreams then treat all requests of the service alike.
+ */
+void
+exchange_set_urgency(
+    const struct exchange *exchange, struct upstream_headers *values)
+{
+	values->has_urgency = exchange->ranks.has_ranks;
+	if (values->has_urgency)
+		values->urgency = precedence_urgency(&exchange->ranks,
+		    exchange->rank, (double)exchange->route->target_ms,
+		    (double)exchange_age_ms(exchange));
+}
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -292,10 +292,11 @@
  */
 static enum balance_verdict
 plan_with_rated(const struct exchange *exchange,
-    const struct selection *selection, struct balance_plan *out)
+    const struct selection *selection, const struct balance_prompt *wanted,
+    struct balance_plan *out)
 {
 	const struct engine_profile *engine = &exchange->profile->engine;
-	struct balance_prompt prompt = make_balance_prompt(exchange);
+	struct balance_prompt prompt = *wanted;
 	size_t others = selection->count - selection->rated;
 	struct balance_plan whole;
 	enum balance_verdict verdict;
@@ -315,12 +316,30 @@
 	return whole_verdict;
 }
 
+/* Plans which upstreams serve a prompt, or returns why none does. */
+static enum balance_verdict
+plan_prompt(const struct exchange *exchange, const struct selection *selection,
+    const struct balance_prompt *prompt, struct balance_plan *out)
+{
+	enum balance_verdict verdict;
+
+	if (selection->rated > 0 &&
+	    balance_is_divisible(&exchange->profile->engine, prompt))
+		return plan_with_rated(exchange, selection, prompt, out);
+	verdict = precedence_plan_prompt(&exchange->profile->engine,
+	    &exchange->ranks, selection->candidates, selection->count, prompt,
+	    out);
+	if (selection->rated > 0 && out->helper_count > 0)
+		return plan_with_rated(exchange, selection, prompt, out);
+	return verdict;
+}
+
 /* Plans which upstreams serve the request, or returns why none does. */
 enum balance_verdict
-selection_plan(const struct exchange *exchange,
-    const struct selection *selection, struct balance_plan *out)
+selection_plan(struct exchange *exchange, const struct selection *selection,
+    struct balance_plan *out)
 {
-	const struct balance_prompt prompt = make_balance_prompt(exchange);
+	struct balance_prompt prompt = make_balance_prompt(exchange);
 	enum balance_verdict verdict;
 	ssize_t at;
 
@@ -329,15 +348,9 @@
 		*out = (struct balance_plan){.first = at < 0 ? 0 : (size_t)at};
 		return at < 0 ? BALANCE_NO_ENGINE : BALANCE_SERVE;
 	}
-	if (selection->rated > 0 &&
-	    balance_is_divisible(&exchange->profile->engine, &prompt))
-		return plan_with_rated(exchange, selection, out);
-	verdict = precedence_plan_prompt(&exchange->profile->engine,
-	    &exchange->ranks, selection->candidates, selection->count, &prompt,
-	    out);
-	if (selection->rated > 0 && out->helper_count > 0)
-		return plan_with_rated(exchange, selection, out);
-	return verdict;
+	exchange_describe_order(exchange, selection->count, &prompt);
+	verdict = plan_prompt(exchange, selection, &prompt, out);
+	return exchange_apply_order(exchange, &prompt, verdict, out);
 }
 
 /* Returns whether a request that no upstream can take now may wait. */
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -37,7 +37,7 @@
 bool exchange_has_reliable_upstream(struct exchange *);
 bool exchange_may_wait(const struct exchange *, enum balance_verdict);
 enum balance_verdict selection_plan(
-    const struct exchange *, const struct selection *, struct balance_plan *);
+    struct exchange *, const struct selection *, struct balance_plan *);
 
 void exchange_add_prefill(
     struct exchange *, const struct selection *, const struct balance_plan *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -354,11 +354,8 @@
 	/* A request that was sent before continues at any cost. */
 	if (verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
 		verdict = BALANCE_SERVE;
-	if (verdict == BALANCE_HELD_BACK && exchange->tries > 0)
-		verdict = BALANCE_SERVE;
-	if (verdict == BALANCE_HELD_BACK)
-		exchange_note_held_back(exchange, &chosen);
 	if (exchange->tries == 0 && exchange_may_wait(exchange, verdict)) {
+		exchange_count_waiting(exchange);
 		exchange_schedule_plan(exchange);
 		goto out;
 	}
@@ -367,9 +364,11 @@
 		goto out;
 	}
 	if (verdict != BALANCE_SERVE) {
+		exchange_count_outcome(exchange, false);
 		refuse(exchange, &selection, verdict, &chosen);
 		goto out;
 	}
+	exchange_count_outcome(exchange, true);
 	count_send(exchange, &selection, &chosen);
 	log_send(exchange, &selection, &chosen);
 	exchange_set_helpers(exchange, &selection, &chosen);
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -2,6 +2,7 @@
 
 #include "gateway/load_report.h"
 #include "gateway/peer_loads.h"
+#include "gateway/rank_sync.h"
 #include "policy/fanout.h"
 #include "policy/watching.h"
 
@@ -21,6 +22,7 @@
 	struct fleet *fleet;
 	struct mesh_handler handler;
 	struct peer_loads *peers;
+	struct rank_sync *ranks;
 	GHashTable *addresses; /* name -> address, as the peers report them */
 	GArray *members; /* of struct rate_member: this process and the peers */
 	uint64_t members_generation; /* of the peers, when they were listed */
@@ -85,10 +87,13 @@
 	    message->load.address[0] != '\0')
 		g_hash_table_replace(sync->addresses, g_strdup(origin),
 		    g_strdup(message->load.address));
-	if (is_load)
+	if (is_load) {
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
-	else if (message->kind == MESSAGE_PREFILL)
+		rank_sync_on_report(sync->ranks, origin,
+		    message->load.waiting.items, message->load.waiting.count,
+		    clock_monotonic(sync->clock));
+	} else if (message->kind == MESSAGE_PREFILL)
 		peer_loads_on_prompt(sync->peers, origin, &message->prefill,
 		    clock_monotonic(sync->clock));
 }
@@ -132,6 +137,13 @@
 	sync->draining = true;
 }
 
+/* Returns the counts by rank that are exchanged with the loads. */
+struct rank_sync *
+load_sync_ranks(const struct load_sync *sync)
+{
+	return sync->ranks;
+}
+
 /* Returns whether the peers know this process. */
 static bool
 is_settled(const struct load_sync *sync)
@@ -258,10 +270,12 @@
 
 /* Returns whether a round can be skipped because there is nothing to report. */
 static bool
-may_skip(struct load_sync *sync, const struct load_report *report)
+may_skip(struct load_sync *sync, const struct load_report *report,
+    const GArray *ranks)
 {
 	bool empty = report->rows == 0 && report->faulty_count == 0 &&
-	    report->leaving_count == 0 && report->rated_count == 0;
+	    report->leaving_count == 0 && report->rated_count == 0 &&
+	    ranks->len == 0;
 
 	if (empty && sync->idle_rounds > 0 &&
 	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
@@ -294,6 +308,8 @@
 {
 	struct message message = {.kind = MESSAGE_LOAD};
 	bool changes = reports_changes(sync);
+	g_autoptr(GArray)
+	    ranks = rank_sync_encode(sync->ranks, clock_monotonic(sync->clock));
 	struct load_report report;
 
 	load_report_init(&report, fleet_count(sync->fleet));
@@ -318,8 +334,9 @@
 	    .rates = {report.rates, report.rated_count},
 	    .rate_ages_ms = {report.rate_ages_ms, report.rated_count},
 	    .address = changes && is_settled(sync) ? NULL : sync->address,
+	    .waiting = {(uint64_t *)(void *)ranks->data, ranks->len},
 	};
-	if (!may_skip(sync, &report) || !changes)
+	if (!may_skip(sync, &report, ranks) || !changes)
 		broadcast(sync, &message);
 	load_report_clear(&report);
 }
@@ -372,6 +389,8 @@
 	peer_loads_expire(sync->peers,
 	    round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
 	    clock_monotonic(sync->clock));
+	rank_sync_expire(sync->ranks, round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
+	    clock_monotonic(sync->clock));
 	fleet_expire(sync->fleet, clock_monotonic(sync->clock));
 	decide_watching(sync);
 	broadcast_load(sync);
@@ -400,6 +419,7 @@
 	sync->routing_state = routing_state;
 	sync->fleet = routing_state_fleet(routing_state);
 	sync->peers = peer_loads_new(sync->fleet);
+	sync->ranks = rank_sync_new();
 	sync->addresses = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
 	sync->members = g_array_new(FALSE, FALSE, sizeof(struct rate_member));
@@ -425,6 +445,7 @@
 	ev_timer_stop(sync->loop, &sync->timer);
 	mesh_remove_handler(sync->mesh, &sync->handler);
 	peer_loads_free(sync->peers);
+	rank_sync_free(sync->ranks);
 	g_hash_table_unref(sync->addresses);
 	g_array_unref(sync->members);
 	g_free(sync->self);
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -45,6 +45,7 @@
 #define LOAD_SYNC_SETTLE_MS 5000
 
 struct load_sync;
+struct rank_sync;
 
 /* A prompt that was sent; the first upstream decodes its stream. */
 struct load_sync_prompt {
@@ -69,6 +70,7 @@
     struct routing_state *);
 void load_sync_free(struct load_sync *);
 void load_sync_start_draining(struct load_sync *);
+struct rank_sync *load_sync_ranks(const struct load_sync *);
 const char *load_sync_self(const struct load_sync *);
 const char *load_sync_address(const struct load_sync *, const char *name);
 uint32_t load_sync_count(struct load_sync *);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -286,6 +286,7 @@
 	struct u64_array rates; /* per 1,000,000 s; 0: no longer named */
 	struct u64_array rate_ages_ms; /* since they were observed */
 	char *address; /* of the process; empty in most reports of changes */
+	struct u64_array waiting; /* by rank; rows as of gateway/rank_sync.h */
 };
 
 struct message_prefill {
--- a/src/peer/message_internal.h
+++ b/src/peer/message_internal.h
@@ -7,7 +7,7 @@
 #include "peer/message.h"
 
 /* Most fields of a kind, without the header's. */
-#define MESSAGE_FIELDS_MAX 24
+#define MESSAGE_FIELDS_MAX 32
 /* Fields of the header, before those of the kind. */
 #define HEADER_FIELDS 6
 
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -103,8 +103,8 @@
 		M(BOOL, load.may_coordinate), M(U64, load.view),
 		M(STRING_ARRAY, load.rated), M(U64_ARRAY, load.rated_starts),
 		M(U64_ARRAY, load.rates), M(U64_ARRAY, load.rate_ages_ms),
-		M(STRING, load.address) },
-		.optional_count = 13 },
+		M(STRING, load.address), M(U64_ARRAY, load.waiting) },
+		.optional_count = 14 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "policy/balance_memory.h"
 
 /* Number of urgencies of upstreams: 0 to 9. */
 #define URGENCIES 10
@@ -209,6 +210,44 @@
 	}
 }
 
+/* Sorts indexes of engines by their free memory, most first. */
+static int
+compare_memory(const void *a, const void *b, void *data)
+{
+	const uint64_t *free_tokens = data;
+	uint64_t left = free_tokens[*(const size_t *)a];
+	uint64_t right = free_tokens[*(const size_t *)b];
+
+	return (left < right) - (left > right);
+}
+
+/*
+ * Collects the engines that have memory for a whole prompt, or else those with
+ * the most free memory, as many as a prompt may use.
+ */
+static void
+collect_free(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count,
+    const struct balance_prompt *prompt, struct subset *subset)
+{
+	g_autofree uint64_t *free_tokens = g_new(uint64_t, count + 1);
+	g_autofree size_t *order = g_new(size_t, count + 1);
+
+	subset_init(subset, count);
+	for (size_t i = 0; i < count; i++) {
+		free_tokens[i] = balance_free_tokens(profile, &candidates[i]);
+		order[i] = i;
+		if (balance_fits_memory(profile, &candidates[i], prompt))
+			subset_add(subset, candidates, i);
+	}
+	if (subset->count > 0)
+		return;
+	g_qsort_with_data(
+	    order, (gint)count, sizeof(*order), compare_memory, free_tokens);
+	for (size_t i = 0; i < MIN(count, BALANCE_HELPERS_MAX + 1); i++)
+		subset_add(subset, candidates, order[i]);
+}
+
 /* Converts a plan for a subset to one for all candidates. */
 static void
 convert_plan(const struct subset *subset, struct balance_plan *plan)
@@ -226,7 +265,7 @@
 has_time_after(
     const struct balance_prompt *prompt, const struct balance_plan *plan)
 {
-	return plan->first_token_ms + prompt->gap_ms +
+	return plan->first_token_ms + prompt->ahead_ms + prompt->gap_ms +
 	    BALANCE_WAIT_INTERVAL_MS <
 	    prompt->slack_ms;
 }
@@ -243,30 +282,64 @@
 }
 
 /*
- * Plans a prompt on engines without more urgent streams. Returns whether it is
- * served there within its target, and without delaying streams while it has
- * time.
+ * Plans a prompt on engines without more urgent streams; BALANCE_NO_ENGINE if
+ * there are none.
  */
-static bool
+static enum balance_verdict
 plan_clear(const struct engine_profile *profile,
     const struct precedence_ranks *ranks,
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
 	struct subset subset;
-	bool served = false;
+	enum balance_verdict verdict = BALANCE_NO_ENGINE;
 
 	collect_clear(ranks, candidates, count, prompt->rank, &subset);
-	if (subset.count > 0 &&
-	    balance_plan_prompt(profile, subset.candidates, subset.count,
-		prompt, plan) == BALANCE_SERVE &&
-	    plan->first_token_ms <= prompt->slack_ms &&
-	    (plan->delayed == 0.0 || !has_time_after(prompt, plan))) {
+	if (subset.count > 0)
+		verdict = balance_plan_prompt(
+		    profile, subset.candidates, subset.count, prompt, plan);
+	if (verdict != BALANCE_NO_ENGINE)
 		convert_plan(&subset, plan);
-		served = true;
-	}
 	subset_clear(&subset);
-	return served;
+	return verdict;
+}
+
+/*
+ * Plans a prompt on all engines. If those that would be the best have no memory
+ * for it, plans it on those that have.
+ */
+static enum balance_verdict
+plan_all(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count,
+    const struct balance_prompt *prompt, struct balance_plan *plan)
+{
+	enum balance_verdict verdict = balance_plan_prompt(
+	    profile, candidates, count, prompt, plan);
+	struct subset subset;
+
+	if (verdict != BALANCE_NO_MEMORY)
+		return verdict;
+	collect_free(profile, candidates, count, prompt, &subset);
+	verdict = balance_plan_prompt(
+	    profile, subset.candidates, subset.count, prompt, plan);
+	if (verdict != BALANCE_NO_ENGINE)
+		convert_plan(&subset, plan);
+	subset_clear(&subset);
+	return verdict;
+}
+
+/*
+ * Returns whether a plan for engines without more urgent streams is carried
+ * out: the prompt meets its target, and delays no streams while it has time.
+ */
+static bool
+is_accepted(const struct balance_prompt *prompt, enum balance_verdict verdict,
+    const struct balance_plan *plan)
+{
+	if (verdict != BALANCE_SERVE || plan->first_token_ms > prompt->slack_ms)
+		return false;
+	return (plan->delayed == 0.0 && prompt->ahead_ms == 0.0) ||
+	    !has_time_after(prompt, plan);
 }
 
 /*
@@ -323,22 +396,35 @@
 {
 	struct balance_prompt copy = *wanted;
 	const struct balance_prompt *prompt = &copy;
-	bool is_less_urgent;
+	struct balance_plan clear;
+	enum balance_verdict clear_verdict;
 	enum balance_verdict verdict;
 
 	if (!prompt->has_ranks || ranks == NULL)
 		return balance_plan_prompt(
 		    profile, candidates, count, prompt, plan);
 	set_planned_gaps(profile, ranks, &copy);
-	is_less_urgent = has_more_urgent_rank(ranks, prompt->rank) &&
-	    balance_is_divisible(profile, prompt);
-	if (is_less_urgent
-		? plan_clear(profile, ranks, candidates, count, prompt, plan)
-		: plan_quick(profile, candidates, count, prompt, plan))
+	if (!has_more_urgent_rank(ranks, prompt->rank) ||
+	    !balance_is_divisible(profile, prompt))
+		return plan_quick(profile, candidates, count, prompt, plan)
+		    ? BALANCE_SERVE
+		    : plan_all(profile, candidates, count, prompt, plan);
+	clear_verdict = plan_clear(
+	    profile, ranks, candidates, count, prompt, &clear);
+	if (is_accepted(prompt, clear_verdict, &clear)) {
+		*plan = clear;
 		return BALANCE_SERVE;
-	verdict = balance_plan_prompt(profile, candidates, count, prompt, plan);
-	if (is_less_urgent && verdict == BALANCE_SERVE &&
-	    has_time_after(prompt, plan))
+	}
+	verdict = plan_all(profile, candidates, count, prompt, plan);
+	plan->wait_ms += prompt->ahead_ms;
+	if (verdict == BALANCE_SERVE && has_time_after(prompt, plan))
 		return BALANCE_HELD_BACK;
+	/* If it is served at any cost, it is not at that of urgent streams. */
+	if (verdict == BALANCE_TOO_COSTLY &&
+	    (clear_verdict == BALANCE_SERVE ||
+		clear_verdict == BALANCE_TOO_COSTLY)) {
+		clear.wait_ms = plan->wait_ms;
+		*plan = clear;
+	}
 	return verdict;
 }
--- a/tests/experiment/engine.h
+++ b/tests/experiment/engine.h
@@ -35,6 +35,9 @@
 	double last_ms;
 	double max_gap_ms; /* longest time between two events */
 	uint32_t refusals;
+	double refused_ms; /* the first time, if it was */
+	bool is_large; /* among the prompts of its rank */
+	bool waiting; /* counted as such by its gateway */
 	bool noticed; /* the other gateways know of it */
 	bool decoding; /* its prefill is complete */
 	bool ended; /* complete, or abandoned by its caller */
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -4,6 +4,7 @@
 
 #include "gateway/load_sync.h"
 #include "policy/precedence.h"
+#include "policy/rank_ledger.h"
 #include "traffic.h"
 
 /* Tick of the model's clock. */
@@ -27,6 +28,8 @@
 	struct account *own; /* by engine */
 	struct account *published; /* as known to the other gateways */
 	double *prefill_until_ms; /* by engine */
+	struct rank_ledger ledger;
+	struct rank_counts published_counts[PRECEDENCE_RANKS];
 	double last_publish_ms;
 	double next_publish_ms;
 };
@@ -145,6 +148,8 @@
 static void
 refuse(struct model *model, struct prompt *prompt, double wait_ms)
 {
+	if (prompt->refusals == 0)
+		prompt->refused_ms = model->now_ms;
 	prompt->ended = ++prompt->refusals >= REFUSALS_MAX;
 	prompt->released = prompt->ended;
 	prompt->last_try_ms = model->now_ms + wait_ms + RETRY_AFTER_EXTRA_MS;
@@ -170,6 +175,49 @@
 	return ranks;
 }
 
+/* Returns the counts of all ranks as known to a gateway. */
+static void
+sum_counts(const struct model *model, const struct gateway *gateway,
+    struct rank_counts sums[PRECEDENCE_RANKS])
+{
+	rank_ledger_sum(
+	    &gateway->ledger, time_from_ms((int64_t)model->now_ms), sums);
+	for (size_t i = 0; i < model->settings->gateways; i++) {
+		const struct gateway *other = &model->gateways[i];
+
+		for (size_t j = 0; other != gateway && j < PRECEDENCE_RANKS;
+		     j++)
+			rank_counts_add(&sums[j], &other->published_counts[j]);
+	}
+}
+
+/* Counts a prompt that was sent or refused, and that it no longer waits. */
+static void
+count_outcome(struct model *model, struct gateway *gateway,
+    struct prompt *prompt, enum rank_outcome outcome)
+{
+	uint32_t rank = prompt_classes[prompt->class].rank;
+	const struct rank_prompt decided = {
+	    rank, prompt->tokens, prompt->is_large};
+
+	if (prompt->waiting)
+		rank_ledger_remove_waiting(
+		    &gateway->ledger, rank, prompt->tokens);
+	prompt->waiting = false;
+	rank_ledger_add(&gateway->ledger, &decided, outcome,
+	    time_from_ms((int64_t)model->now_ms));
+}
+
+/* Counts a prompt that waits. */
+static void
+count_waiting(struct gateway *gateway, struct prompt *prompt)
+{
+	if (!prompt->waiting)
+		rank_ledger_add_waiting(&gateway->ledger,
+		    prompt_classes[prompt->class].rank, prompt->tokens);
+	prompt->waiting = true;
+}
+
 /* Plans a prompt that is new, waiting or retried. */
 static void
 plan(struct model *model, struct gateway *gateway, struct prompt *prompt)
@@ -178,7 +226,7 @@
 	g_autofree struct balance_candidate *candidates = g_new(
 	    struct balance_candidate, settings->engines);
 	const struct prompt_class *class = &prompt_classes[prompt->class];
-	const struct balance_prompt wanted = {
+	struct balance_prompt wanted = {
 	    .tokens = prompt->tokens,
 	    .output_tokens = (uint64_t)prompt->events *
 		settings->profile->stride,
@@ -192,17 +240,36 @@
 	    .gap_ms = class->gap_ms,
 	};
 	const struct precedence_ranks ranks = describe_ranks();
+	struct rank_counts sums[PRECEDENCE_RANKS];
 	enum balance_verdict verdict;
+	enum balance_verdict planned;
 	struct balance_plan plan;
 
+	sum_counts(model, gateway, sums);
+	if (settings->by_rank) {
+		wanted.is_large = rank_counts_is_large(
+		    &sums[class->rank], prompt->tokens);
+		prompt->is_large = wanted.is_large;
+		wanted.ahead_ms = rank_counts_ahead_ms(
+		    sums, class->rank, settings->profile, settings->engines);
+	}
 	for (size_t i = 0; i < settings->engines; i++)
 		candidates[i] = describe_engine(model, gateway, i);
 	verdict = precedence_plan_prompt(settings->profile, &ranks, candidates,
 	    settings->engines, &wanted, &plan);
-	if (verdict == BALANCE_SERVE)
+	planned = verdict;
+	if (settings->by_rank)
+		verdict = rank_counts_rule(sums, &wanted, verdict);
+	if (verdict == BALANCE_SERVE) {
+		count_outcome(model, gateway, prompt,
+		    planned == BALANCE_SERVE ? RANK_SERVED : RANK_FORCED);
 		send(model, gateway, prompt, &plan);
-	else if (!balance_prompt_may_wait(&wanted, verdict))
+	} else if (balance_prompt_may_wait(&wanted, verdict)) {
+		count_waiting(gateway, prompt);
+	} else {
+		count_outcome(model, gateway, prompt, RANK_REJECTED);
 		refuse(model, prompt, plan.wait_ms);
+	}
 }
 
 /* Advances one prompt: plans it, starts decoding, or ends it. */
@@ -239,6 +306,8 @@
 {
 	if (model->now_ms < gateway->next_publish_ms)
 		return;
+	rank_ledger_sum(&gateway->ledger, time_from_ms((int64_t)model->now_ms),
+	    gateway->published_counts);
 	gateway->last_publish_ms = model->now_ms;
 	gateway->next_publish_ms = model->now_ms + model->settings->round_ms;
 	memcpy(gateway->published, gateway->own,
--- a/tests/experiment/traffic.c
+++ b/tests/experiment/traffic.c
@@ -39,6 +39,13 @@
 
 const struct prompt_class *prompt_classes = mixes[0].classes;
 
+/* Uses the classes of a mix, which must stay valid. */
+void
+traffic_set_mix(const struct traffic_mix *mix)
+{
+	prompt_classes = mix->classes;
+}
+
 /* Selects a mix by its name; returns NULL if there is none. */
 const struct traffic_mix *
 traffic_use_mix(const char *name)
@@ -46,7 +53,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(mixes); i++) {
 		if (strcmp(mixes[i].name, name) != 0)
 			continue;
-		prompt_classes = mixes[i].classes;
+		traffic_set_mix(&mixes[i]);
 		return &mixes[i];
 	}
 	return NULL;
--- a/tests/experiment/traffic.h
+++ b/tests/experiment/traffic.h
@@ -42,6 +42,7 @@
 extern const struct prompt_class *prompt_classes;
 
 const struct traffic_mix *traffic_use_mix(const char *name);
+void traffic_set_mix(const struct traffic_mix *);
 double traffic_mean_prefill_ms(const struct engine_profile *);
 GPtrArray *traffic_make(const struct engine_profile *, size_t engines,
     double load, double length_ms, GRand *);
