--- a/src/gateway/exchange_return.c
+++ b/src/gateway/exchange_return.c
@@ -168,7 +168,6 @@
 	    clock_monotonic(exchange->context->clock));
 	g_autofree struct balance_candidate *candidates = NULL;
 	struct selection later = *selection;
-	struct balance_plan ignored;
 
 	if (kept_ms <= 0.0)
 		return true;
@@ -177,7 +176,7 @@
 	for (size_t i = 0; i < selection->count; i++)
 		candidates[i].backlog_ms += kept_ms / (double)selection->count;
 	later.candidates = candidates;
-	return selection_plan(exchange, &later, &ignored) != BALANCE_TOO_COSTLY;
+	return !selection_is_too_costly(exchange, &later);
 }
 
 /* Returns whether a new request has to leave its place to returning ones. */
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -36,8 +36,9 @@
 enum stream_class exchange_stream_class(const struct exchange *);
 bool exchange_has_reliable_upstream(struct exchange *);
 bool exchange_may_wait(const struct exchange *, enum balance_verdict);
+bool selection_is_too_costly(const struct exchange *, const struct selection *);
 enum balance_verdict selection_plan(
-    const struct exchange *, const struct selection *, struct balance_plan *);
+    struct exchange *, const struct selection *, struct balance_plan *);
 
 bool exchange_return_holds(struct exchange *, const struct selection *,
     const struct balance_plan *, enum balance_verdict *);
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -3,6 +3,7 @@
 #include "base/loop_monitor.h"
 #include "gateway/load_report.h"
 #include "gateway/peer_loads.h"
+#include "gateway/rank_sync.h"
 #include "policy/fanout.h"
 #include "policy/watching.h"
 
@@ -24,6 +25,7 @@
 	struct mesh_handler handler;
 	struct peer_loads *peers;
 	struct return_queue *return_queue; /* or NULL */
+	struct rank_sync *ranks;
 	GHashTable *addresses; /* name -> address, as the peers report them */
 	GArray *members; /* of struct rate_member: this process and the peers */
 	uint64_t members_generation; /* of the peers, when they were listed */
@@ -92,10 +94,13 @@
 	if (is_load && sync->return_queue != NULL)
 		load_report_apply_returning(&message->load, sync->return_queue,
 		    clock_monotonic(sync->clock));
-	if (is_load)
+	if (is_load) {
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
-	else if (message->kind == MESSAGE_PREFILL)
+		rank_sync_on_report(sync->ranks, origin,
+		    message->load.waiting.items, message->load.waiting.count,
+		    clock_monotonic(sync->clock));
+	} else if (message->kind == MESSAGE_PREFILL)
 		peer_loads_on_prompt(sync->peers, origin, &message->prefill,
 		    clock_monotonic(sync->clock));
 	loop_work_end(previous);
@@ -140,6 +145,13 @@
 	sync->draining = true;
 }
 
+/* Returns the counts by rank that are exchanged with the loads. */
+struct rank_sync *
+load_sync_ranks(const struct load_sync *sync)
+{
+	return sync->ranks;
+}
+
 /* Returns whether the peers know this process. */
 static bool
 is_settled(const struct load_sync *sync)
@@ -276,11 +288,12 @@
 
 /* Returns whether a round can be skipped because there is nothing to report. */
 static bool
-may_skip(struct load_sync *sync, const struct load_report *report)
+may_skip(struct load_sync *sync, const struct load_report *report,
+    const GArray *ranks)
 {
 	bool empty = report->rows == 0 && report->faulty_count == 0 &&
 	    report->leaving_count == 0 && report->rated_count == 0 &&
-	    report->returning_count == 0;
+	    report->returning_count == 0 && ranks->len == 0;
 
 	if (empty && sync->idle_rounds > 0 &&
 	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
@@ -313,6 +326,8 @@
 {
 	struct message message = {.kind = MESSAGE_LOAD};
 	bool changes = reports_changes(sync);
+	g_autoptr(GArray)
+	    ranks = rank_sync_encode(sync->ranks, clock_monotonic(sync->clock));
 	struct load_report report;
 
 	load_report_init(&report, fleet_count(sync->fleet));
@@ -341,9 +356,10 @@
 	    .rate_ages_ms = {report.rate_ages_ms, report.rated_count},
 	    .address = changes && is_settled(sync) ? NULL : sync->address,
 	    .cpu_permille = sync->cpu_permille,
+	    .waiting = {(uint64_t *)(void *)ranks->data, ranks->len},
 	    .returning = {report.returning, report.returning_count},
 	};
-	if (!may_skip(sync, &report) || !changes)
+	if (!may_skip(sync, &report, ranks) || !changes)
 		broadcast(sync, &message);
 	load_report_clear(&report);
 }
@@ -400,6 +416,8 @@
 	peer_loads_expire(sync->peers,
 	    round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
 	    clock_monotonic(sync->clock));
+	rank_sync_expire(sync->ranks, round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
+	    clock_monotonic(sync->clock));
 	fleet_expire(sync->fleet, clock_monotonic(sync->clock));
 	if (sync->return_queue != NULL)
 		return_queue_expire(
@@ -433,6 +451,7 @@
 	sync->routing_state = routing_state;
 	sync->fleet = routing_state_fleet(routing_state);
 	sync->peers = peer_loads_new(sync->fleet);
+	sync->ranks = rank_sync_new();
 	sync->addresses = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
 	sync->members = g_array_new(FALSE, FALSE, sizeof(struct rate_member));
@@ -458,6 +477,7 @@
 	ev_timer_stop(sync->loop, &sync->timer);
 	mesh_remove_handler(sync->mesh, &sync->handler);
 	peer_loads_free(sync->peers);
+	rank_sync_free(sync->ranks);
 	g_hash_table_unref(sync->addresses);
 	g_array_unref(sync->members);
 	g_free(sync->self);
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -105,8 +105,8 @@
 		M(STRING_ARRAY, load.rated), M(U64_ARRAY, load.rated_starts),
 		M(U64_ARRAY, load.rates), M(U64_ARRAY, load.rate_ages_ms),
 		M(STRING, load.address), M(U32, load.cpu_permille),
-		M(U64_ARRAY, load.returning) },
-		.optional_count = 15 },
+		M(U64_ARRAY, load.waiting), M(U64_ARRAY, load.returning) },
+		.optional_count = 16 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
