ctl explain: where a gateway would send a request now, and why

Operators saw only decisions on requests that were made, without who else was considered.

exchange_decide(), exchange_refusal() and selection_exclusion() are split off from the sending of real requests, so both use the same rules.

A test compares 60 explanations under load with the upstream that then got the request, and all metrics, loads and random numbers before and after each.

--- a/completions/heatherturn.bash
+++ b/completions/heatherturn.bash
@@ -1,7 +1,7 @@
 _heatherturn() {
 	local word=${COMP_WORDS[COMP_CWORD]}
 	local flags="--entry --token-file --ca-file --json --wait --timeout --file --version --help"
-	local verbs="create get list update delete take-out bring-back status key completion"
+	local verbs="create get list update delete take-out bring-back status explain key completion"
 	local kinds="organisation service failure-domain rollout upstream"
 	if [ "$COMP_CWORD" -eq 1 ]; then
 		COMPREPLY=($(compgen -W "entry gateway sidecar ctl check explain" -- "$word"))
--- a/src/base/exit_code.h
+++ b/src/base/exit_code.h
@@ -13,6 +13,7 @@
 	EXIT_CODE_CONFLICT = 7, /* the object was changed concurrently */
 	EXIT_CODE_TIMEOUT = 8, /* not applied within the requested time */
 	EXIT_CODE_UNKNOWN = 9, /* the change may or may not have been stored */
+	EXIT_CODE_REFUSED = 10, /* the gateway would refuse the request */
 };
 
 #endif
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -16,9 +16,6 @@
 #define LOG_MODULE "exchange"
 #include "base/log.h"
 
-/* Used if neither the caller nor the route sets a time limit. */
-#define DEADLINE_DEFAULT_MS 60000
-
 /* A gateway that has just started receives its routes within this time. */
 #define NOT_READY_RETRY_AFTER_MS 300
 
@@ -244,7 +241,7 @@
 	int64_t wait_ms = exchange->route->timeout_ms;
 
 	if (wait_ms <= 0)
-		wait_ms = DEADLINE_DEFAULT_MS;
+		wait_ms = EXCHANGE_DEADLINE_DEFAULT_MS;
 	if (exchange->caller_headers.has_deadline)
 		wait_ms = MIN(wait_ms, exchange->caller_headers.deadline_ms);
 	exchange->deadline = time_add_ms(exchange->arrived, wait_ms);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -2,9 +2,9 @@
  * Shared by the files of an exchange: exchange.c, its start, end and refusals;
  * _selection.c, which upstreams it may use; _prefill.c, where its prompt is
  * prefilled and its KV cache kept; _prompt.c, which upstreams are believed to
- * hold a prefix of it; _send.c, sending it; _response.c, forwarding
- * the response; _health.c, what the outcome says about an upstream; _retry.c,
- * whether it is sent again.
+ * hold a prefix of it; _send.c, sending it; _response.c, forwarding the
+ * response; _health.c, what the outcome says about an upstream; _retry.c,
+ * whether it is sent again; _explain.c, where it would go.
  */
 #ifndef GATEWAY_EXCHANGE_INTERNAL_H
 #define GATEWAY_EXCHANGE_INTERNAL_H
@@ -21,6 +21,9 @@
 /* Maximum number of connection attempts; one that sent nothing is no send. */
 #define EXCHANGE_TRIES_MAX 8
 
+/* Used if neither the caller nor the route sets a time limit. */
+#define EXCHANGE_DEADLINE_DEFAULT_MS 60000
+
 /* Retry-After of a request that no upstream can take now. */
 #define EXCHANGE_RETRY_AFTER_MS 500
 
@@ -100,6 +103,7 @@
 	size_t sends; /* tries that sent at least a part of the request */
 	size_t rejections; /* of sends: the upstream did not execute it */
 	bool may_have_run;
+	bool is_dry_run; /* is only planned, and must change nothing */
 	bool is_probe; /* tests whether a refused part of its prompt crashes */
 	struct http_call *call; /* NULL while nothing is being sent */
 	struct fleet_upstream *upstream; /* of the current send */
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -111,8 +111,52 @@
 deferred_ms(const struct exchange *exchange, struct fleet_upstream *upstream,
     struct timespec now)
 {
-	return MAX(quiet_left_ms(&upstream->quiet, now),
+	const struct shared_rate rate = upstream->shared_rate;
+	int64_t left_ms = MAX(quiet_left_ms(&upstream->quiet, now),
 	    rate_sync_wait_ms(exchange->context->rate_sync, upstream));
+
+	if (exchange->is_dry_run)
+		upstream->shared_rate = rate;
+	return left_ms;
+}
+
+/*
+ * Returns why an upstream of the service gets no request now; left_ms is for
+ * how long, if it is deferred.
+ */
+static enum exclusion
+find_exclusion(const struct exchange *exchange, struct fleet_upstream *upstream,
+    enum selection_filter filter, int64_t *left_ms)
+{
+	const struct fleet *fleet = routing_state_fleet(
+	    exchange->context->routing_state);
+	struct timespec now = clock_monotonic(exchange->context->clock);
+
+	if (!fleet_upstream_is_eligible(fleet, upstream, now))
+		return EXCLUDED_INELIGIBLE;
+	*left_ms = deferred_ms(exchange, upstream, now);
+	if (*left_ms > 0)
+		return EXCLUDED_DEFERRED;
+	if (was_tried(exchange, upstream->id))
+		return EXCLUDED_TRIED;
+	if (!may_send_to_cold(exchange, upstream, now))
+		return EXCLUDED_COLD;
+	if (filter != SELECTION_ANY && fleet_upstream_is_avoided(upstream, now))
+		return EXCLUDED_AVOIDED;
+	if (filter == SELECTION_RELIABLE && is_last_send(exchange) &&
+	    may_reject(upstream, now))
+		return EXCLUDED_MAY_REJECT;
+	return EXCLUDED_NOT;
+}
+
+/* Returns why an upstream of the service gets no request now. */
+enum exclusion
+selection_exclusion(const struct exchange *exchange,
+    struct fleet_upstream *upstream, enum selection_filter filter)
+{
+	int64_t left_ms;
+
+	return find_exclusion(exchange, upstream, filter, &left_ms);
 }
 
 /* Counts an upstream that takes no requests for some time. */
@@ -150,36 +194,30 @@
 {
 	struct fleet *fleet = routing_state_fleet(
 	    exchange->context->routing_state);
-	struct timespec now = clock_monotonic(exchange->context->clock);
 	size_t max = fleet_count(fleet);
-	bool reliable_only = filter == SELECTION_RELIABLE &&
-	    is_last_send(exchange);
 	struct fleet_upstream *upstream;
-	int64_t left_ms;
 
 	*selection = (struct selection){
 	    .candidates = g_new(struct balance_candidate, max),
 	    .upstreams = g_new(struct fleet_upstream *, max),
 	};
 	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		if (strcmp(upstream->service, exchange->profile->name) != 0 ||
-		    !fleet_upstream_is_eligible(fleet, upstream, now))
+		enum exclusion exclusion;
+		int64_t left_ms;
+
+		if (strcmp(upstream->service, exchange->profile->name) != 0)
+			continue;
+		exclusion = find_exclusion(
+		    exchange, upstream, filter, &left_ms);
+		if (exclusion == EXCLUDED_INELIGIBLE)
 			continue;
 		selection->eligible++;
 		if (rate_sync_needs_permit(upstream))
 			selection->rate_per_s += upstream->named_rate.per_s;
-		left_ms = deferred_ms(exchange, upstream, now);
-		if (left_ms > 0) {
+		if (exclusion == EXCLUDED_DEFERRED)
 			count_deferred(selection, left_ms);
-			continue;
-		}
-		if (was_tried(exchange, upstream->id) ||
-		    !may_send_to_cold(exchange, upstream, now) ||
-		    (filter != SELECTION_ANY &&
-			fleet_upstream_is_avoided(upstream, now)) ||
-		    (reliable_only && may_reject(upstream, now)))
-			continue;
-		add_candidate(exchange, selection, upstream);
+		else if (exclusion == EXCLUDED_NOT)
+			add_candidate(exchange, selection, upstream);
 	}
 	exchange_fill_saved(exchange, selection);
 }
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -29,9 +29,34 @@
 	SELECTION_ANY, /* all that are eligible and not yet tried */
 };
 
+/* Why an upstream gets no request. */
+enum exclusion {
+	EXCLUDED_NOT,
+	EXCLUDED_INELIGIBLE, /* it drains, has left or its domain is out */
+	EXCLUDED_DEFERRED, /* it takes none for some time */
+	EXCLUDED_TRIED, /* for this request */
+	EXCLUDED_COLD, /* its rate while cold is used up */
+	EXCLUDED_AVOIDED, /* it failed recently */
+	EXCLUDED_MAY_REJECT, /* on the last retry */
+	EXCLUSIONS,
+};
+
+/* What is to be done with a request now. */
+enum exchange_decision {
+	DECISION_SEND,
+	DECISION_WAIT, /* plan it again soon */
+	DECISION_REFUSE,
+};
+
 void selection_collect(
     struct exchange *, enum selection_filter, struct selection *);
 void selection_clear(struct selection *);
+enum exclusion selection_exclusion(
+    const struct exchange *, struct fleet_upstream *, enum selection_filter);
+enum exchange_decision exchange_decide(struct exchange *, struct selection *,
+    enum selection_filter *, struct balance_plan *, enum balance_verdict *);
+enum refusal exchange_refusal(
+    const struct selection *, enum balance_verdict, const char **why);
 bool selection_is_deferred(const struct selection *);
 enum stream_class exchange_stream_class(const struct exchange *);
 bool exchange_has_reliable_upstream(struct exchange *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -281,34 +281,42 @@
 	    (int)plan->helper_count, "candidates", (int)selection->count);
 }
 
+/* Returns as what a request that is not sent is refused, and why. */
+enum refusal
+exchange_refusal(const struct selection *selection,
+    enum balance_verdict verdict, const char **why)
+{
+	switch (verdict) {
+	case BALANCE_TOO_COSTLY:
+		*why = "the engines' time is worth more to other prompts now";
+		return REFUSAL_OVERLOADED;
+	case BALANCE_NO_MEMORY:
+		*why = "the engines have no memory for the prompt now";
+		return REFUSAL_OVERLOADED;
+	default:
+		*why = selection_is_deferred(selection)
+		    ? "no upstream takes more requests now"
+		    : selection->eligible > 0
+		    ? "no upstream has capacity now"
+		    : "no upstream accepts new requests now";
+		return REFUSAL_NO_UPSTREAM;
+	}
+}
+
 /* Fails a request that is not sent, or not sent again. */
 static void
 refuse(struct exchange *exchange, const struct selection *selection,
     enum balance_verdict verdict, const struct balance_plan *plan)
 {
+	const char *why;
+	enum refusal refusal = exchange_refusal(selection, verdict, &why);
 	int64_t wait_ms = (int64_t)plan->wait_ms + EXCHANGE_RETRY_AFTER_MS;
 
-	if (verdict == BALANCE_TOO_COSTLY || verdict == BALANCE_NO_MEMORY)
+	if (refusal == REFUSAL_OVERLOADED)
 		log_rejected_prompt(exchange, selection, plan);
-	switch (verdict) {
-	case BALANCE_TOO_COSTLY:
-		exchange_fail(exchange, REFUSAL_OVERLOADED, wait_ms,
-		    "the engines' time is worth more to other prompts now");
-		break;
-	case BALANCE_NO_MEMORY:
-		exchange_fail(exchange, REFUSAL_OVERLOADED, wait_ms,
-		    "the engines have no memory for the prompt now");
-		break;
-	default:
-		exchange_fail(exchange, REFUSAL_NO_UPSTREAM,
-		    exchange_retry_after_ms(exchange),
-		    selection_is_deferred(selection)
-			? "no upstream takes more requests now"
-			: selection->eligible > 0
-			? "no upstream has capacity now"
-			: "no upstream accepts new requests now");
-		break;
-	}
+	else
+		wait_ms = exchange_retry_after_ms(exchange);
+	exchange_fail(exchange, refusal, wait_ms, why);
 }
 
 /* Tries again to find an upstream for a prompt that has waited. */
@@ -327,12 +335,40 @@
 	ev_timer_start(exchange->context->loop, &exchange->wait_timer);
 }
 
+/*
+ * Decides what to do with a request now: collects the upstreams with the
+ * strictest filter that leaves any, and plans. The caller clears the selection.
+ */
+enum exchange_decision
+exchange_decide(struct exchange *exchange, struct selection *selection,
+    enum selection_filter *filter, struct balance_plan *plan,
+    enum balance_verdict *verdict)
+{
+	*filter = SELECTION_RELIABLE;
+	selection_collect(exchange, *filter, selection);
+	while (selection->count == 0 && *filter < SELECTION_ANY) {
+		selection_clear(selection);
+		selection_collect(exchange, ++*filter, selection);
+	}
+	*verdict = selection_plan(exchange, selection, plan);
+	/* A request that was sent before continues at any cost. */
+	if (*verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
+		*verdict = BALANCE_SERVE;
+	if (exchange->tries == 0 && exchange_may_wait(exchange, *verdict))
+		return DECISION_WAIT;
+	if (*verdict == BALANCE_SERVE)
+		return DECISION_SEND;
+	return exchange_may_wait_to_resume(exchange) ? DECISION_WAIT
+						     : DECISION_REFUSE;
+}
+
 /* Sends the request to the best upstream, lets it wait, or fails it. */
 void
 exchange_send(struct exchange *exchange)
 {
 	struct selection selection;
 	struct balance_plan chosen = {0};
+	enum selection_filter filter;
 	enum balance_verdict verdict;
 
 	if (exchange_refuse_crashing_part(exchange))
@@ -343,28 +379,16 @@
 		    "this process stops and may not complete the request");
 		return;
 	}
-	selection_collect(exchange, SELECTION_RELIABLE, &selection);
-	for (int filter = SELECTION_HEALTHY;
-	     filter <= SELECTION_ANY && selection.count == 0; filter++) {
-		selection_clear(&selection);
-		selection_collect(
-		    exchange, (enum selection_filter)filter, &selection);
-	}
-	verdict = selection_plan(exchange, &selection, &chosen);
-	/* A request that was sent before continues at any cost. */
-	if (verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
-		verdict = BALANCE_SERVE;
-	if (exchange->tries == 0 && exchange_may_wait(exchange, verdict)) {
+	switch (
+	    exchange_decide(exchange, &selection, &filter, &chosen, &verdict)) {
+	case DECISION_WAIT:
 		exchange_schedule_plan(exchange);
 		goto out;
-	}
-	if (verdict != BALANCE_SERVE && exchange_may_wait_to_resume(exchange)) {
-		exchange_schedule_plan(exchange);
-		goto out;
-	}
-	if (verdict != BALANCE_SERVE) {
+	case DECISION_REFUSE:
 		refuse(exchange, &selection, verdict, &chosen);
 		goto out;
+	case DECISION_SEND:
+		break;
 	}
 	count_send(exchange, &selection, &chosen);
 	log_send(exchange, &selection, &chosen);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,6 +11,7 @@
 #include "base/settings.h"
 #include "commands.h"
 #include "gateway/exchange.h"
+#include "gateway/exchange_explain.h"
 #include "node/node.h"
 
 #define LOG_MODULE "gateway"
@@ -77,9 +78,21 @@
 		    "{s:s}", "why", error->message);
 }
 
+/* Explains requests on --http. */
+static bool
+serve_explain(void *data, struct httpd_request *http)
+{
+	const struct gateway *gateway = data;
+
+	/* Requests are served only once the modules exist. */
+	return gateway->exchange_context.routing_state != NULL &&
+	    exchange_serve_explain(&gateway->exchange_context, http);
+}
+
 static const struct node_ops node_ops = {
     .ready = is_ready,
     .reload = reload_certificate,
+    .serve = serve_explain,
 };
 
 /*
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -185,6 +185,14 @@
 	return MAX(registry_count(sync->registry), (uint32_t)alive);
 }
 
+/* Returns the number of peers that report, and the age of the oldest report. */
+size_t
+load_sync_report_ages(const struct load_sync *sync, int64_t *oldest_ms)
+{
+	return peer_loads_report_ages(
+	    sync->peers, clock_monotonic(sync->clock), oldest_ms);
+}
+
 /* Returns the view of those that may coordinate shared rates. */
 static uint64_t
 own_view(struct load_sync *sync)
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -312,6 +312,28 @@
 	}
 }
 
+/*
+ * Returns the number of peers whose load is known, and the age of the oldest of
+ * their last reports, 0 without any.
+ */
+size_t
+peer_loads_report_ages(const struct peer_loads *peer_loads, struct timespec now,
+    int64_t *oldest_ms)
+{
+	GHashTableIter iter;
+	void *value;
+
+	*oldest_ms = 0;
+	g_hash_table_iter_init(&iter, peer_loads->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer_load *peer_load = value;
+
+		*oldest_ms = MAX(
+		    *oldest_ms, time_diff_ms(now, peer_load->received_at));
+	}
+	return g_hash_table_size(peer_loads->peers);
+}
+
 /*
  * Returns the peers as candidates for watching the store, to be freed with
  * g_free(). Their ids are valid until the next call of this module.
--- a/src/gateway/prompt_cache.c
+++ b/src/gateway/prompt_cache.c
@@ -211,23 +211,40 @@
 	return (double)MAX(sent, upstream->peers_running) * holder->fresh_share;
 }
 
-/* Removes the parts that are old or that other prompts must have evicted. */
-static void
-evict(struct prompt_cache *cache, struct holder *holder,
+/*
+ * Returns the least recently used part that the upstream still holds: those
+ * after it are old, or other prompts must have evicted them. NULL if none is.
+ */
+static struct held_part *
+last_held(const struct prompt_cache *cache, const struct holder *holder,
     const struct prompt_cache_upstream *upstream, struct timespec now)
 {
 	double memory = free_memory(holder, upstream);
+	double tokens = (double)holder->tokens;
 	struct held_part *part;
 
-	while ((part = TAILQ_LAST(&holder->parts, held_parts)) != NULL) {
+	TAILQ_FOREACH_REVERSE (part, &holder->parts, held_parts, entry) {
 		bool old = time_diff_ms(now, part->used_at) >= cache->keep_ms;
 
 		if (!old &&
 		    (upstream->memory == 0 ||
-			(double)holder->tokens +
-				peers_tokens(holder, upstream, part) <=
+			tokens + peers_tokens(holder, upstream, part) <=
 			    memory))
 			break;
+		tokens -= (double)part->tokens;
+	}
+	return part;
+}
+
+/* Removes the parts that the upstream holds no more. */
+static void
+evict(struct prompt_cache *cache, struct holder *holder,
+    const struct prompt_cache_upstream *upstream, struct timespec now)
+{
+	const struct held_part *last = last_held(cache, holder, upstream, now);
+	struct held_part *part;
+
+	while ((part = TAILQ_LAST(&holder->parts, held_parts)) != last) {
 		remove_part(cache, holder, part);
 		metric_add(&evictions, 1);
 	}
@@ -277,24 +294,40 @@
 	return time_before(now, holder->distrusted_until);
 }
 
+/* Returns whether a part was used as recently as another one, or later. */
+static bool
+is_before(const struct held_part *part, const struct held_part *last)
+{
+	while (last != NULL && last != part)
+		last = TAILQ_PREV(last, held_parts, entry);
+	return last != NULL;
+}
+
 /*
  * Returns the number of leading tokens of a prompt that an upstream is believed
  * to hold.
  */
 uint64_t
-prompt_cache_held(struct prompt_cache *cache,
+prompt_cache_held(const struct prompt_cache *cache,
     const struct prompt_cache_upstream *upstream,
     const struct prompt_prefixes *prefixes, struct timespec now)
 {
-	struct holder *holder = find_holder(cache, upstream);
+	const struct holder *holder = g_hash_table_lookup(
+	    cache->holders, upstream->id);
+	const struct held_part *last;
 	uint64_t tokens = 0;
 
 	if (holder == NULL || prefixes->shared_count == 0 ||
+	    holder->start_wall_ms != upstream->start_wall_ms ||
+	    !g_hash_table_contains(holder->by_key, &prefixes->keys[0]) ||
 	    is_distrusted(holder, now))
 		return 0;
-	evict(cache, holder, upstream, now);
+	last = last_held(cache, holder, upstream, now);
 	for (size_t i = 0; i < prefixes->shared_count; i++) {
-		if (!g_hash_table_contains(holder->by_key, &prefixes->keys[i]))
+		const struct held_part *part = g_hash_table_lookup(
+		    holder->by_key, &prefixes->keys[i]);
+
+		if (part == NULL || !is_before(part, last))
 			break;
 		tokens = prefixes->tokens[i];
 	}
@@ -398,10 +431,14 @@
  * that is believed to hold it, or by its home (is_guess).
  */
 double
-prompt_cache_share(struct prompt_cache *cache, const char *name, bool is_guess)
+prompt_cache_share(
+    const struct prompt_cache *cache, const char *name, bool is_guess)
 {
-	const struct service *service = obtain_service(cache, name);
+	const struct service *service = g_hash_table_lookup(
+	    cache->services, name);
 
+	if (service == NULL)
+		return is_guess ? AFFINITY_HOME_SHARE : AFFINITY_HOLDER_SHARE;
 	return is_guess ? service->home_share : service->holder_share;
 }
 
--- a/src/gateway/prompt_cache.h
+++ b/src/gateway/prompt_cache.h
@@ -65,7 +65,7 @@
 void prompt_prefixes_init(struct prompt_prefixes *,
     const struct caller_headers *, const char *service,
     const char *organisation);
-uint64_t prompt_cache_held(struct prompt_cache *,
+uint64_t prompt_cache_held(const struct prompt_cache *,
     const struct prompt_cache_upstream *, const struct prompt_prefixes *,
     struct timespec now);
 void prompt_cache_begin(struct prompt_cache *,
@@ -84,7 +84,7 @@
 void prompt_cache_expire(
     struct prompt_cache *, const struct fleet *, struct timespec now);
 double prompt_cache_share(
-    struct prompt_cache *, const char *name, bool is_guess);
+    const struct prompt_cache *, const char *name, bool is_guess);
 size_t prompt_prefixes_home(const struct prompt_prefixes *);
 size_t prompt_cache_count(const struct prompt_cache *);
 
--- a/src/node/monitor.c
+++ b/src/node/monitor.c
@@ -12,6 +12,8 @@
 	struct httpd *httpd;
 	monitor_ready_fn *ready;
 	void *data;
+	monitor_serve_fn *serve; /* NULL for none */
+	void *serve_data;
 };
 
 /* Responds with plain text. */
@@ -47,6 +49,9 @@
 
 	if (strcmp(path, "/metrics") == 0)
 		respond_metrics(http);
+	else if (!live && !ready && monitor->serve != NULL &&
+	    monitor->serve(monitor->serve_data, http))
+		return;
 	else if (!live && !ready)
 		respond(http, 404, "not found\n");
 	else if (live || monitor->ready(monitor->data))
@@ -88,6 +93,14 @@
 	return monitor;
 }
 
+/* Sets what responds to requests for other paths. */
+void
+monitor_set_serve(struct monitor *monitor, monitor_serve_fn *serve, void *data)
+{
+	monitor->serve = serve;
+	monitor->serve_data = data;
+}
+
 /* Stops serving; NULL is allowed. */
 void
 monitor_free(struct monitor *monitor)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -217,6 +217,7 @@
 		    loop, settings->http, is_ready, node, error);
 		if (node->monitor == NULL)
 			goto err;
+		monitor_set_serve(node->monitor, ops->serve, data);
 	}
 	return node;
 err:
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "base/clock.h"
 #include "base/exit_code.h"
 #include "base/http_client.h"
+#include "base/httpd.h"
 #include "base/settings.h"
 #include "peer/documents.h"
 #include "peer/link.h"
@@ -24,11 +25,13 @@
 
 struct node;
 
-/* Callbacks of the process; reload may be NULL. */
+/* Callbacks of the process; reload and serve may be NULL. */
 struct node_ops {
 	bool (*ready)(void *data);
 	/* On SIGHUP: reload certificates; open connections are kept. */
 	void (*reload)(void *data);
+	/* Responds to a request on --http; false if the path is not known. */
+	bool (*serve)(void *data, struct httpd_request *);
 };
 
 void node_block_signals(void);
--- a/src/operator/ctl.c
+++ b/src/operator/ctl.c
@@ -23,6 +23,9 @@
     "  bring-back FAILURE-DOMAIN     let work start there again\n"
     "  status                        show the configuration version per "
     "process\n"
+    "  explain --gateway=HOST:PORT --host=NAME --path=PATH [REQUEST]\n"
+    "                                show where a gateway would send a "
+    "request\n"
     "  key new | key digest [FILE]   generate an API key, or print its digest\n"
     "  completion bash               print the completion script for bash\n\n"
     "Kinds: organisation, service, failure-domain, rollout, upstream.\n"
@@ -41,6 +44,11 @@
     "  --version=N           object version to change, or configuration "
     "version\n"
     "                        for status; default: the current one\n"
+    "  --organisation=NAME, --key-file=FILE, --tokens=N, --output=N,\n"
+    "  --parts=ID:TOKENS,...\n"
+    "                        with explain: what describes the request; "
+    "--gateway\n"
+    "                        is the gateway's own --http\n"
     "  --help                print this help, or the fields of a kind\n";
 
 /* Parses the flags common to all verbs and removes them from argv. */
@@ -228,6 +236,8 @@
 		code = report_error(&ctl, NULL, error);
 	else if (argc > 1 && strcmp(argv[1], "key") == 0)
 		code = ctl_run_key(&ctl, argc, argv);
+	else if (argc > 1 && strcmp(argv[1], "explain") == 0 && !ctl.help)
+		code = ctl_run_explain(&ctl, argc, argv);
 	else if (argc == 3 && strcmp(argv[1], "completion") == 0 &&
 	    strcmp(argv[2], "bash") == 0)
 		ctl_print_completion(out);
--- a/src/operator/ctl.h
+++ b/src/operator/ctl.h
@@ -82,6 +82,7 @@
 char *ctl_fields_help(const struct object_kind *);
 char *ctl_compute_key_digest(const char *path, GError **);
 int ctl_run_key(struct ctl *, int argc, char **argv);
+int ctl_run_explain(struct ctl *, int argc, char **argv);
 int ctl_main(struct ev_loop *, int argc, char **argv, GString *out,
     GString *diagnostics);
 
--- a/src/operator/ctl_print.c
+++ b/src/operator/ctl_print.c
@@ -217,7 +217,7 @@
 	    "--timeout "
 	    "--file --version --help\"\n"
 	    "\tlocal verbs=\"create get list update delete take-out "
-	    "bring-back status key completion\"\n"
+	    "bring-back status explain key completion\"\n"
 	    "\tlocal kinds=\"%s\"\n"
 	    "\tif [ \"$COMP_CWORD\" -eq 1 ]; then\n"
 	    "\t\tCOMPREPLY=($(compgen -W \"entry gateway sidecar ctl check "
