--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -94,7 +94,7 @@
 /*
  * Returns the cost of placing a short stream, in milliseconds of waiting. An
  * engine with many short streams costs less than one with few, until it is
- * packed or has a prefill backlog.
+ * packed or has a prefill backlog. What it saves of the prefill is subtracted.
  */
 static double
 packing_cost_ms(const struct balance_candidate *candidate)
