--- a/src/gateway/exchange_rank.c
+++ b/src/gateway/exchange_rank.c
@@ -114,6 +114,8 @@
 	sum_counts(exchange, sums);
 	verdict = rank_counts_rule(sums, prompt, planned);
 	exchange->forced = verdict == BALANCE_SERVE && planned != BALANCE_SERVE;
+	if (exchange->is_dry_run)
+		return verdict;
 	if (verdict == BALANCE_HELD_BACK)
 		note_held_back(exchange, plan);
 	if (verdict != planned)
--- a/src/gateway/exchange_return.c
+++ b/src/gateway/exchange_return.c
@@ -262,7 +262,8 @@
 	if (*verdict == BALANCE_SERVE && must_yield(exchange, selection)) {
 		exchange->yields = true;
 		*verdict = BALANCE_TOO_COSTLY;
-		metric_add(&yielded_count, 1);
+		if (!exchange->is_dry_run)
+			metric_add(&yielded_count, 1);
 	}
 	return *verdict != BALANCE_SERVE && exchange->standing.ticket != 0 &&
 	    may_hold(exchange, early_ms(exchange));
--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -423,3 +423,24 @@
 	return visible_value(
 	    table, g_hash_table_lookup(table->content->keys.slots, key));
 }
+
+/*
+ * Finds an organisation with an API key by its name, among all keys; NULL if
+ * there is none. Borrowed like a route.
+ */
+struct organisation *
+routing_table_find_named(const struct routing_table *table, const char *name)
+{
+	GHashTableIter iter;
+	void *slot;
+
+	g_hash_table_iter_init(&iter, table->content->keys.slots);
+	while (g_hash_table_iter_next(&iter, NULL, &slot)) {
+		struct organisation *organisation = visible_value(table, slot);
+
+		if (organisation != NULL &&
+		    strcmp(organisation->name, name) == 0)
+			return organisation;
+	}
+	return NULL;
+}
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -112,6 +112,8 @@
     const struct routing_table *, const char *name);
 struct organisation *routing_table_find_organisation(
     const struct routing_table *, const char *key);
+struct organisation *routing_table_find_named(
+    const struct routing_table *, const char *organisation);
 
 struct route *route_new(void);
 struct route *route_ref(struct route *);
