--- a/tests/test_routing_state.c
+++ b/tests/test_routing_state.c
@@ -85,8 +85,8 @@
 		return;
 	peer->pulls++;
 	peer->sum_count = MIN(message->pull.sums.count, CONFIG_ITEMS_BUCKETS);
-	memcpy(peer->sums, message->pull.sums.items,
-	    peer->sum_count * sizeof(peer->sums[0]));
+	for (size_t i = 0; i < peer->sum_count; i++)
+		peer->sums[i] = message->pull.sums.items[i];
 	answer.document.data.data = (uint8_t *)peer->text;
 	answer.document.data.length = strlen(peer->text);
 	link_send(link, &answer);
