--- a/src/gateway/routing_update.h
+++ b/src/gateway/routing_update.h
@@ -18,7 +18,7 @@
 #include "routing/routing_table.h"
 
 /*
- * Time after which a slice ends, at the next check. A slice may take 2 ms:
+ * Time after which a slice ends, at the next check. A slice should take 2 ms:
  * streams' events are to be passed on within 120 ms on hosts with 0.09 of a
  * core, which get 9 ms of CPU time in 100 ms.
  */
