Ranks: test of a held prompt at a gateway; lint

A prompt that is held back counts as waiting until it is sent or its caller leaves; a count that stays would hold back other ranks at all gateways.

--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -40,7 +40,7 @@
 
 	for (uint32_t i = 0; i < PRECEDENCE_RANKS; i++) {
 		count += ranks->used[i];
-		position += ranks->used[i] && i < rank;
+		position += i < rank && ranks->used[i];
 	}
 	width = URGENCIES / MAX(count, 1);
 	if (target_ms > 0.0)
--- a/tests/test_ranks.c
+++ b/tests/test_ranks.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "cases.h"
+#include "gateway/rank_sync.h"
 #include "gateway_fixture.h"
 #include "platform/decode.h"
 #include "routing/service_ranks.h"
@@ -157,12 +158,77 @@
 	routing_table_unref(table);
 }
 
+/* Sets the short streams that peers report at each upstream. */
+static void
+set_peer_streams(struct fixture *f, uint32_t streams)
+{
+	struct fleet *fleet = routing_state_fleet(
+	    f->exchange_context.routing_state);
+	struct fleet_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
+		upstream->peers.running = streams;
+		upstream->peers.streams[STREAM_SHORT] = streams;
+	}
+}
+
+/* Returns the counts of rank 2 of the service. */
+static struct rank_counts
+count_rank(struct fixture *f)
+{
+	struct rank_counts sums[PRECEDENCE_RANKS];
+
+	rank_sync_sum(load_sync_ranks(f->exchange_context.load_sync), "s",
+	    clock_monotonic(clock_system()), sums);
+	return sums[2];
+}
+
+/*
+ * A less urgent prompt is held back while all upstreams have more urgent
+ * streams, and counted as waiting until it is sent or its caller leaves.
+ */
+static void
+test_held_back(gconstpointer leaves)
+{
+	static const enum fake_platform_step steps[] = {FAKE_STEP_STREAM};
+	struct fixture f = {.tokens = "60000,10",
+	    .config = CONFIG(
+		ROUTE("a", ",\"Priority\":2") "," ROUTE("b", ",\"Priority\":0"),
+		OWNER(""))};
+	struct http_call *call;
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, 1);
+	fixture_wait_for_routing_state(&f);
+	set_peer_streams(&f, 3);
+	call = fixture_call(&f, "/a/x", FIXTURE_KEY);
+	RUN_UNTIL(&f, count_rank(&f).waiting == 1);
+	g_assert_cmpuint(count_rank(&f).waiting_tokens, ==, 60000);
+	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 0);
+	if (leaves != NULL) {
+		http_call_cancel(call);
+		RUN_UNTIL(&f, count_rank(&f).waiting == 0);
+		g_assert_cmpuint(count_rank(&f).served, ==, 0);
+	} else {
+		set_peer_streams(&f, 0);
+		RUN_UNTIL(&f, f.done);
+		g_assert_cmpint(f.status, ==, 200);
+		g_assert_cmpuint(count_rank(&f).served, ==, 1);
+	}
+	g_assert_cmpuint(count_rank(&f).waiting_tokens, ==, 0);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(config_cases, "/ranks/decoded", test_decoded);
 	ADD_CASES(config_cases, "/ranks/urgency", test_urgency);
+	g_test_add_data_func(
+	    "/ranks/a prompt is held back, then sent", NULL, test_held_back);
+	g_test_add_data_func(
+	    "/ranks/the caller of a held prompt leaves", "", test_held_back);
 	g_test_add_func(
 	    "/ranks/a removed route no longer counts", test_removal);
 	return g_test_run();
