Ranks: engines without more urgent streams are chosen by free memory too

A prompt for which the cheapest of them have no memory was planned on engines with more urgent streams although others were free.

--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -282,22 +282,23 @@
 }
 
 /*
- * Plans a prompt on engines without more urgent streams; BALANCE_NO_ENGINE if
- * there are none.
+ * Plans a prompt on these engines. If those that would be the best have no
+ * memory for it, plans it on those that have.
  */
 static enum balance_verdict
-plan_clear(const struct engine_profile *profile,
-    const struct precedence_ranks *ranks,
+plan_engines(const struct engine_profile *profile,
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
+	enum balance_verdict verdict = balance_plan_prompt(
+	    profile, candidates, count, prompt, plan);
 	struct subset subset;
-	enum balance_verdict verdict = BALANCE_NO_ENGINE;
 
-	collect_clear(ranks, candidates, count, prompt->rank, &subset);
-	if (subset.count > 0)
-		verdict = balance_plan_prompt(
-		    profile, subset.candidates, subset.count, prompt, plan);
+	if (verdict != BALANCE_NO_MEMORY)
+		return verdict;
+	collect_free(profile, candidates, count, prompt, &subset);
+	verdict = balance_plan_prompt(
+	    profile, subset.candidates, subset.count, prompt, plan);
 	if (verdict != BALANCE_NO_ENGINE)
 		convert_plan(&subset, plan);
 	subset_clear(&subset);
@@ -305,23 +306,22 @@
 }
 
 /*
- * Plans a prompt on all engines. If those that would be the best have no memory
- * for it, plans it on those that have.
+ * Plans a prompt on engines without more urgent streams; BALANCE_NO_ENGINE if
+ * there are none.
  */
 static enum balance_verdict
-plan_all(const struct engine_profile *profile,
+plan_clear(const struct engine_profile *profile,
+    const struct precedence_ranks *ranks,
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	enum balance_verdict verdict = balance_plan_prompt(
-	    profile, candidates, count, prompt, plan);
 	struct subset subset;
+	enum balance_verdict verdict = BALANCE_NO_ENGINE;
 
-	if (verdict != BALANCE_NO_MEMORY)
-		return verdict;
-	collect_free(profile, candidates, count, prompt, &subset);
-	verdict = balance_plan_prompt(
-	    profile, subset.candidates, subset.count, prompt, plan);
+	collect_clear(ranks, candidates, count, prompt->rank, &subset);
+	if (subset.count > 0)
+		verdict = balance_plan_prompt(
+		    profile, subset.candidates, subset.count, prompt, plan);
 	if (verdict != BALANCE_NO_ENGINE)
 		convert_plan(&subset, plan);
 	subset_clear(&subset);
@@ -356,8 +356,8 @@
 
 	collect_quick(profile, candidates, count, prompt, &subset);
 	served = subset.count > 0 &&
-	    balance_plan_prompt(profile, subset.candidates, subset.count,
-		prompt, plan) == BALANCE_SERVE;
+	    plan_engines(profile, subset.candidates, subset.count, prompt,
+		plan) == BALANCE_SERVE;
 	if (served)
 		convert_plan(&subset, plan);
 	subset_clear(&subset);
@@ -408,14 +408,14 @@
 	    !balance_is_divisible(profile, prompt))
 		return plan_quick(profile, candidates, count, prompt, plan)
 		    ? BALANCE_SERVE
-		    : plan_all(profile, candidates, count, prompt, plan);
+		    : plan_engines(profile, candidates, count, prompt, plan);
 	clear_verdict = plan_clear(
 	    profile, ranks, candidates, count, prompt, &clear);
 	if (is_accepted(prompt, clear_verdict, &clear)) {
 		*plan = clear;
 		return BALANCE_SERVE;
 	}
-	verdict = plan_all(profile, candidates, count, prompt, plan);
+	verdict = plan_engines(profile, candidates, count, prompt, plan);
 	plan->wait_ms += prompt->ahead_ms;
 	if (verdict == BALANCE_SERVE && has_time_after(prompt, plan))
 		return BALANCE_HELD_BACK;
