start_wait: callers of a gateway without routes return late while the store is away

Cause: a fixed Retry-After of 300 ms. Change: while the store does not answer, Retry-After is 0.3 of the caller's remaining time. Callers are served late instead of not at all.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -13,13 +13,11 @@
 #include "gateway/exchange_internal.h"
 #include "policy/duration.h"
 #include "policy/quarantine.h"
+#include "policy/start_wait.h"
 
 #define LOG_MODULE "exchange"
 #include "base/log.h"
 
-/* A gateway that has just started receives its routes within this time. */
-#define NOT_READY_RETRY_AFTER_MS 300
-
 /* Gives operators time to look at a request that crashes upstreams. */
 #define QUARANTINED_RETRY_AFTER_MS 5000
 
@@ -380,7 +378,11 @@
 	log_drain(exchange);
 	if (table == NULL) {
 		exchange_refuse(exchange, REFUSAL_NOT_READY,
-		    NOT_READY_RETRY_AFTER_MS,
+		    start_wait_retry_after_ms(
+			routing_state_is_store_disconnected(
+			    context->routing_state),
+			exchange->caller_headers.has_deadline,
+			exchange->caller_headers.deadline_ms),
 		    "the gateway has not received its routes yet");
 		return;
 	}
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -113,7 +113,7 @@
 struct organisation *routing_table_find_organisation(
     const struct routing_table *, const char *key);
 struct organisation *routing_table_find_named(
-    const struct routing_table *, const char *organisation);
+    const struct routing_table *, const char *name);
 
 struct route *route_new(void);
 struct route *route_ref(struct route *);
