--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -137,11 +137,11 @@
 	const char *send_error; /* why not forwarded; or NULL */
 
 	/* Queue of rejected callers. */
-	struct return_standing standing; /* if it came back */
+	struct return_status return_status; /* if it came back */
 	struct return_turn turn; /* given with a rejection */
 	bool returned; /* it came back after a rejection */
 	bool yields; /* to requests that come back */
-	bool hopeless; /* can't be served before its deadline */
+	bool misses_deadline; /* can't be served before its deadline */
 
 	/* Response. */
 	int status; /* sent to the caller; 0 before that */
--- a/src/gateway/exchange_return.c
+++ b/src/gateway/exchange_return.c
@@ -111,25 +111,26 @@
 	if (context->return_queue == NULL ||
 	    return_queue_count(context->return_queue) == 0)
 		return;
-	exchange->standing = return_queue_arrive(context->return_queue,
+	exchange->return_status = return_queue_arrive(context->return_queue,
 	    exchange->fingerprint, return_class(exchange).service,
 	    exchange->arrived);
-	if (exchange->standing.ticket == 0)
+	if (exchange->return_status.ticket == 0)
 		return;
 	exchange->returned = true;
 	metric_add(&returned_count, 1);
 	LOG_INFO("request returned", "{s:s, s:I, s:I, s:I}", "request",
 	    exchange->caller_headers.request_id, "ticket",
-	    (json_int_t)exchange->standing.ticket, "early_ms",
-	    (json_int_t)exchange->standing.early_ms, "late_ms",
-	    (json_int_t)exchange->standing.late_ms);
+	    (json_int_t)exchange->return_status.ticket, "early_ms",
+	    (json_int_t)exchange->return_status.early_ms, "late_ms",
+	    (json_int_t)exchange->return_status.late_ms);
 }
 
 /* Returns the time until the turn of a request that came back early. */
 static int64_t
 early_ms(const struct exchange *exchange)
 {
-	return MAX(exchange->standing.early_ms - exchange_age_ms(exchange), 0);
+	return MAX(
+	    exchange->return_status.early_ms - exchange_age_ms(exchange), 0);
 }
 
 /*
@@ -142,7 +143,7 @@
 {
 	size_t free_slots = 0;
 	size_t kept = return_queue_kept_count(exchange->context->return_queue,
-	    return_class(exchange), exchange->standing.ticket,
+	    return_class(exchange), exchange->return_status.ticket,
 	    clock_monotonic(exchange->context->clock));
 
 	for (size_t i = 0; i < selection->count && kept > 0; i++) {
@@ -164,7 +165,7 @@
     const struct exchange *exchange, const struct selection *selection)
 {
 	double kept_ms = return_queue_kept_ms(exchange->context->return_queue,
-	    return_class(exchange), exchange->standing.ticket,
+	    return_class(exchange), exchange->return_status.ticket,
 	    clock_monotonic(exchange->context->clock));
 	g_autofree struct balance_candidate *candidates = NULL;
 	struct selection later = *selection;
@@ -243,7 +244,7 @@
     const struct selection *selection, const struct balance_plan *plan,
     enum balance_verdict *verdict)
 {
-	bool in_turn = exchange->standing.ticket != 0 &&
+	bool in_turn = exchange->return_status.ticket != 0 &&
 	    early_ms(exchange) == 0;
 
 	exchange->yields = false;
@@ -252,7 +253,7 @@
 		return false;
 	if (*verdict == BALANCE_TOO_COSTLY &&
 	    plan->first_token_ms >= (double)exchange_remaining_ms(exchange)) {
-		exchange->hopeless = true;
+		exchange->misses_deadline = true;
 		return false;
 	}
 	if (in_turn) {
@@ -265,7 +266,8 @@
 		if (!exchange->is_dry_run)
 			metric_add(&yielded_count, 1);
 	}
-	return *verdict != BALANCE_SERVE && exchange->standing.ticket != 0 &&
+	return *verdict != BALANCE_SERVE &&
+	    exchange->return_status.ticket != 0 &&
 	    may_hold(exchange, early_ms(exchange));
 }
 
@@ -273,13 +275,13 @@
 void
 exchange_return_on_send(struct exchange *exchange)
 {
-	if (exchange->standing.ticket == 0)
+	if (exchange->return_status.ticket == 0)
 		return;
 	LOG_INFO("returning request admitted", "{s:s, s:I, s:I, s:I, s:I}",
 	    "request", exchange->caller_headers.request_id, "ticket",
-	    (json_int_t)exchange->standing.ticket, "early_ms",
+	    (json_int_t)exchange->return_status.ticket, "early_ms",
 	    (json_int_t)early_ms(exchange), "late_ms",
-	    (json_int_t)exchange->standing.late_ms, "held_ms",
+	    (json_int_t)exchange->return_status.late_ms, "held_ms",
 	    (json_int_t)exchange_age_ms(exchange));
 	exchange_return_end(exchange);
 }
@@ -288,10 +290,10 @@
 void
 exchange_return_end(struct exchange *exchange)
 {
-	if (exchange->standing.ticket != 0)
-		return_queue_end(
-		    exchange->context->return_queue, exchange->standing.ticket);
-	exchange->standing.ticket = 0;
+	if (exchange->return_status.ticket != 0)
+		return_queue_end(exchange->context->return_queue,
+		    exchange->return_status.ticket);
+	exchange->return_status.ticket = 0;
 }
 
 /*
@@ -323,10 +325,10 @@
 	if (context->return_queue == NULL || exchange->may_have_run ||
 	    exchange->streaming)
 		return default_ms;
-	if (exchange->standing.ticket != 0 && left_ms > 0) {
+	if (exchange->return_status.ticket != 0 && left_ms > 0) {
 		return_queue_defer(
-		    context->return_queue, exchange->standing.ticket);
-		exchange->standing.ticket = 0;
+		    context->return_queue, exchange->return_status.ticket);
+		exchange->return_status.ticket = 0;
 		return left_ms;
 	}
 	if (exchange->returned)
@@ -344,7 +346,7 @@
 		ask.serve_ms = ask.work_ms;
 	ask.share = MAX((servers.own + 1.0) / (servers.running + 1.0),
 	    1.0 / load_sync_count(context->load_sync));
-	if (!exchange->hopeless)
+	if (!exchange->misses_deadline)
 		exchange->turn = return_queue_take(context->return_queue, &ask,
 		    clock_monotonic(context->clock));
 	metric_add(
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -368,7 +368,7 @@
 		*verdict = BALANCE_SERVE;
 	if (exchange_return_holds(exchange, selection, plan, verdict))
 		return DECISION_WAIT;
-	if (exchange->tries == 0 && !exchange->hopeless &&
+	if (exchange->tries == 0 && !exchange->misses_deadline &&
 	    exchange_may_wait(exchange, *verdict))
 		return DECISION_WAIT;
 	if (*verdict == BALANCE_SERVE)
--- a/src/policy/return_queue.c
+++ b/src/policy/return_queue.c
@@ -234,11 +234,11 @@
  * Finds the turn of a caller whose request has arrived: the soonest one of an
  * equal request.
  */
-struct return_standing
+struct return_status
 return_queue_arrive(struct return_queue *queue, uint64_t fingerprint,
     uint32_t service, struct timespec now)
 {
-	struct return_standing out = {0};
+	struct return_status out = {0};
 	struct turn *turn;
 
 	TAILQ_FOREACH (turn, &queue->turns, entry) {
--- a/src/policy/return_queue.h
+++ b/src/policy/return_queue.h
@@ -114,7 +114,7 @@
 };
 
 /* A caller that has come back. */
-struct return_standing {
+struct return_status {
 	uint32_t ticket; /* 0: it is new */
 	int64_t early_ms; /* until its turn; 0 if it is in its turn */
 	int64_t late_ms; /* since its turn */
@@ -134,7 +134,7 @@
 uint32_t return_queue_service(const char *name, bool by_slots);
 struct return_turn return_queue_take(
     struct return_queue *, const struct return_ask *, struct timespec now);
-struct return_standing return_queue_arrive(struct return_queue *,
+struct return_status return_queue_arrive(struct return_queue *,
     uint64_t fingerprint, uint32_t service, struct timespec now);
 void return_queue_defer(struct return_queue *, uint32_t ticket);
 void return_queue_end(struct return_queue *, uint32_t ticket);
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -233,7 +233,7 @@
 	};
 	struct return_queue *first = return_queue_new();
 	struct return_queue *queues[OTHERS];
-	struct return_standing standing;
+	struct return_status status;
 	struct test t = {0};
 
 	set_up(&t, &c);
@@ -253,10 +253,10 @@
 		return_queue_free(queues[i]);
 	}
 	for (size_t i = 0; i < OTHERS; i++) {
-		standing = return_queue_arrive(first, UINT64_MAX - i,
+		status = return_queue_arrive(first, UINT64_MAX - i,
 		    ask.class.service, clock_monotonic(&t.first.clock.clock));
-		g_assert_cmpuint(standing.ticket, ==, UINT32_MAX - i);
-		g_assert_cmpint(standing.early_ms, ==, RETURN_WAIT_MIN_MS);
+		g_assert_cmpuint(status.ticket, ==, UINT32_MAX - i);
+		g_assert_cmpint(status.early_ms, ==, RETURN_WAIT_MIN_MS);
 	}
 	mesh_remove_handler(t.first.mesh, &t.counter.handler);
 	peer_gateway_stop(&t.first);
--- a/tests/test_return_queue.c
+++ b/tests/test_return_queue.c
@@ -55,7 +55,7 @@
 	int64_t at_ms; /* of its next step */
 	size_t gateway;
 	uint64_t fingerprint;
-	struct return_standing standing;
+	struct return_status status;
 	int64_t arrived_ms;
 	bool held;
 	bool returns;
@@ -149,9 +149,9 @@
 	if (!caller->held) {
 		r->returned++;
 		caller->arrived_ms = now;
-		caller->standing = return_queue_arrive(queue,
-		    caller->fingerprint, prompts.service, time_from_ms(now));
-		if (caller->standing.ticket == 0) {
+		caller->status = return_queue_arrive(queue, caller->fingerprint,
+		    prompts.service, time_from_ms(now));
+		if (caller->status.ticket == 0) {
 			r->again += !arrive_new(r, caller->gateway, now);
 			return true;
 		}
@@ -164,7 +164,7 @@
 		return false;
 	}
 	serve(r);
-	return_queue_end(queue, caller->standing.ticket);
+	return_queue_end(queue, caller->status.ticket);
 	return true;
 }
 
@@ -345,19 +345,19 @@
 test_early_and_late(void)
 {
 	struct return_queue *queue = return_queue_new();
-	struct return_standing standing;
+	struct return_status status;
 
 	take(queue, 1, 1, 60000);
 	take(queue, 2, 1, 60000);
-	standing = return_queue_arrive(queue, 2, 7, time_from_ms(1100));
-	g_assert_cmpint(standing.early_ms, ==, 900);
+	status = return_queue_arrive(queue, 2, 7, time_from_ms(1100));
+	g_assert_cmpint(status.early_ms, ==, 900);
 	/* An equal request of another caller does not take the same turn. */
 	g_assert_cmpuint(
 	    return_queue_arrive(queue, 2, 7, time_from_ms(1100)).ticket, ==, 0);
 	return_queue_defer(queue, 2);
-	standing = return_queue_arrive(queue, 2, 7, time_from_ms(1950));
-	g_assert_cmpuint(standing.ticket, ==, 2);
-	g_assert_cmpint(standing.early_ms, ==, 0);
+	status = return_queue_arrive(queue, 2, 7, time_from_ms(1950));
+	g_assert_cmpuint(status.ticket, ==, 2);
+	g_assert_cmpint(status.early_ms, ==, 0);
 	g_assert_cmpuint(
 	    return_queue_arrive(queue, 1, 7, time_from_ms(5000)).ticket, ==, 0);
 	return_queue_free(queue);
