--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -388,7 +388,7 @@
 	}
 	exchange->routes_version = table->version;
 	if (!exchange_find_route(exchange, table) || is_quarantined(exchange) ||
-	    exchange_lacks_host(exchange))
+	    exchange_reject_if_host_short(exchange))
 		return;
 	set_deadline(exchange);
 	exchange_return_arrive(exchange);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -182,7 +182,7 @@
 void exchange_schedule_plan(struct exchange *);
 bool exchange_may_begin(struct exchange *);
 bool exchange_refuse_crashing_part(struct exchange *);
-bool exchange_lacks_host(struct exchange *);
+bool exchange_reject_if_host_short(struct exchange *);
 void exchange_report_survival(struct exchange *);
 void exchange_check_death(struct exchange *);
 crash_sync_refused_fn exchange_on_part_refused;
--- a/src/gateway/host_monitor.c
+++ b/src/gateway/host_monitor.c
@@ -297,7 +297,7 @@
  * closes the connection if the host is short. Returns whether it is rejected.
  */
 bool
-exchange_lacks_host(struct exchange *exchange)
+exchange_reject_if_host_short(struct exchange *exchange)
 {
 	struct host_monitor *monitor = exchange->context->host;
 	g_autofree char *why = NULL;
