exchange_retry: a log line for each decision of the retry budget

The log told that a request was sent again, but not by what: hypotheses 1 and 2 of docs/incidents/retry-budget-renewed-by-restarts.md look the same in it. No decision changes.

--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -1,3 +1,5 @@
+#include <jansson.h>
+
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/exchange_selection.h"
@@ -22,6 +24,9 @@
 METRIC_DEFINE(retries_denied_count, METRIC_COUNTER,
     "heatherturn_gateway_repeats_denied", NULL,
     "Requests not sent again because of their route, deadline or budget.");
+METRIC_DEFINE(budget_denied_count, METRIC_COUNTER,
+    "heatherturn_gateway_repeats_denied_budget", NULL,
+    "Requests not sent again because the service's retry budget is used up.");
 
 /* Returns the retry window of the request's service; creates it if needed. */
 struct retry_window *
@@ -68,26 +73,60 @@
 }
 
 /*
- * Returns whether the request may be sent again after this number of sends. If
- * it may have been executed, its route must allow that.
+ * Returns whether the request may be sent again after this number of sends as
+ * far as its route and deadline go. If it may have been executed, its route
+ * must allow that.
+ */
+static bool
+may_retry_by_route(
+    const struct exchange *exchange, size_t sends, bool may_have_run)
+{
+	if (may_have_run && !route_is_repeatable(exchange->route))
+		return false;
+	return exchange_used_attempts(exchange, sends, may_have_run) <
+	    exchange_sends_max(exchange) &&
+	    exchange->tries < EXCHANGE_TRIES_MAX &&
+	    exchange_remaining_ms(exchange) >= SEND_REMAINING_MIN_MS;
+}
+
+/*
+ * Returns whether the request may be sent again after this number of sends, by
+ * its route, its deadline and the budget.
  */
 bool
 exchange_may_retry(struct exchange *exchange, size_t sends, bool may_have_run)
 {
 	struct retry_window_limits limits = own_limits(exchange->context);
 
-	if (may_have_run && !route_is_repeatable(exchange->route))
-		return false;
-	if (exchange_used_attempts(exchange, sends, may_have_run) >=
-		exchange_sends_max(exchange) ||
-	    exchange->tries >= EXCHANGE_TRIES_MAX ||
-	    exchange_remaining_ms(exchange) < SEND_REMAINING_MIN_MS)
+	if (!may_retry_by_route(exchange, sends, may_have_run))
 		return false;
 	return sends == 0 ||
 	    retry_window_allows(exchange_retry_window(exchange), &limits,
 		clock_monotonic(exchange->context->clock));
 }
 
+/* Logs a decision on a retry with what it was based on. */
+static void
+log_budget(struct exchange *exchange, const struct retry_window_limits *limits,
+    bool allowed)
+{
+	struct exchange_context *context = exchange->context;
+	const struct retry_window_sums sums = retry_window_sums(
+	    exchange_retry_window(exchange), limits,
+	    clock_monotonic(context->clock));
+	int64_t oldest_ms;
+	size_t peers = load_sync_report_ages(context->load_sync, &oldest_ms);
+
+	LOG_INFO(allowed ? "retry allowed" : "retry denied by the budget",
+	    "{s:s, s:s, s:i, s:i, s:i, s:f, s:i, s:i, s:I, s:I}", "request",
+	    exchange->caller_headers.request_id, "service",
+	    exchange->profile->name, "sends", (int)exchange->sends, "retries",
+	    (int)sums.retries, "requests", (int)sums.requests, "slack",
+	    limits->slack, "gateways", (int)load_sync_count(context->load_sync),
+	    "peers", (int)peers, "oldest_report_ms", (json_int_t)oldest_ms,
+	    "uptime_ms", (json_int_t)load_sync_uptime_ms(context->load_sync));
+}
+
 /*
  * Takes one retry from the budget; false if the request may not be sent again.
  */
@@ -95,17 +134,21 @@
 consume_retry(struct exchange *exchange)
 {
 	struct retry_window_limits limits = own_limits(exchange->context);
+	bool allowed;
 
-	if (!exchange_may_retry(
+	if (!may_retry_by_route(
 		exchange, exchange->sends, exchange->may_have_run)) {
 		metric_add(&retries_denied_count, 1);
 		return false;
 	}
 	if (exchange->sends == 0)
 		return true;
-	metric_add(&retries_count, 1);
-	return retry_window_take(exchange_retry_window(exchange), &limits,
+	allowed = retry_window_take(exchange_retry_window(exchange), &limits,
 	    clock_monotonic(exchange->context->clock));
+	log_budget(exchange, &limits, allowed);
+	metric_add(allowed ? &retries_count : &retries_denied_count, 1);
+	metric_add(&budget_denied_count, allowed ? 0 : 1);
+	return allowed;
 }
 
 /* Returns after how much silence callers abandon a stream, in milliseconds. */
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -152,12 +152,18 @@
 	return sync->ranks;
 }
 
+/* Returns the time since this process started, in milliseconds. */
+int64_t
+load_sync_uptime_ms(const struct load_sync *sync)
+{
+	return time_diff_ms(clock_monotonic(sync->clock), sync->started_at);
+}
+
 /* Returns whether the peers know this process. */
 static bool
 is_settled(const struct load_sync *sync)
 {
-	return time_diff_ms(clock_monotonic(sync->clock), sync->started_at) >=
-	    LOAD_SYNC_SETTLE_MS;
+	return load_sync_uptime_ms(sync) >= LOAD_SYNC_SETTLE_MS;
 }
 
 /* Returns whether this process may coordinate shared rates. */
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -77,6 +77,7 @@
 const char *load_sync_self(const struct load_sync *);
 const char *load_sync_address(const struct load_sync *, const char *name);
 uint32_t load_sync_count(struct load_sync *);
+int64_t load_sync_uptime_ms(const struct load_sync *);
 size_t load_sync_report_ages(const struct load_sync *, int64_t *oldest_ms);
 const struct rate_member *load_sync_members(struct load_sync *, size_t *count);
 void load_sync_send_prompt(struct load_sync *, const struct load_sync_prompt *);
--- a/src/operator/summary.c
+++ b/src/operator/summary.c
@@ -18,6 +18,7 @@
     {"request ended", {"route", "how"}, "sends"},
     {"request refused", {"code", "why"}, NULL},
     {"send ended without answer", {"why"}, NULL},
+    {"retry denied by the budget", {"service"}, NULL},
     {"prompt part refused", {"part"}, NULL},
     {"upstream avoided", {"upstream"}, NULL},
     {"connection to upstream broken", {"upstream", "begun"}, NULL},
--- a/src/policy/retry_window.c
+++ b/src/policy/retry_window.c
@@ -37,20 +37,31 @@
 	window->requests[advance_window(window, limits, now)]++;
 }
 
-/* Returns whether one more retry is within the limits. */
-bool
-retry_window_allows(struct retry_window *window,
+/* Returns the requests and retries of the window that ends now. */
+struct retry_window_sums
+retry_window_sums(struct retry_window *window,
     const struct retry_window_limits *limits, struct timespec now)
 {
-	uint32_t requests = 0;
-	uint32_t retries = 0;
+	struct retry_window_sums sums = {0};
 
 	advance_window(window, limits, now);
 	for (uint32_t i = 0; i < BUCKETS; i++) {
-		requests += window->requests[i];
-		retries += window->retries[i];
+		sums.requests += window->requests[i];
+		sums.retries += window->retries[i];
 	}
-	return retries + 1 <= limits->ratio * requests + limits->slack;
+	return sums;
+}
+
+/* Returns whether one more retry is within the limits. */
+bool
+retry_window_allows(struct retry_window *window,
+    const struct retry_window_limits *limits, struct timespec now)
+{
+	const struct retry_window_sums sums = retry_window_sums(
+	    window, limits, now);
+
+	return sums.retries + 1 <=
+	    limits->ratio * sums.requests + limits->slack;
 }
 
 /* Counts a retry if it is within the limits; returns false otherwise. */
--- a/src/policy/retry_window.h
+++ b/src/policy/retry_window.h
@@ -27,6 +27,14 @@
 	int64_t bucket; /* newest, counted from the clock's start */
 };
 
+/* What a window holds; its oldest bucket may be partly outside it. */
+struct retry_window_sums {
+	uint32_t requests;
+	uint32_t retries;
+};
+
+struct retry_window_sums retry_window_sums(struct retry_window *,
+    const struct retry_window_limits *, struct timespec now);
 void retry_window_count_request(struct retry_window *,
     const struct retry_window_limits *, struct timespec now);
 bool retry_window_allows(struct retry_window *,
