One entry that can't be parsed no longer takes the whole list from a gateway

What callers saw: nothing at first; a gateway no longer followed the list after one writer's odd entry, and one that started had no upstreams at all.

Cause: answers of the store, watch events and peers' updates are parsed as one document, which jansson refuses for an integer beyond 64 bits, a real beyond a double, NUL, invalid UTF-8 or deep nesting anywhere in it. The class: what one writer wrote decides over what all others did.

A page whose last entries have no readable name was asked for again without end; it is left out too now.

--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -185,6 +185,7 @@
 {
 	struct registry *registry = data;
 	json_t *item;
+	g_autofree char *before = g_strdup(registry->page_token);
 	size_t i;
 
 	registry->call = NULL;
@@ -202,17 +203,28 @@
 		const char *name = object_name(item);
 		const char *address = decode_gateway_address(item);
 
-		if (name == NULL || address == NULL)
+		if (name == NULL)
 			continue;
 		g_free(registry->page_token);
 		registry->page_token = g_strdup(name);
+		if (address == NULL) {
+			LOG_WARN("invalid gateway object skipped", "{s:s}",
+			    "gateway", name);
+			continue;
+		}
 		add_gateway(registry, name, address,
 		    decode_gateway_failure_domain(item));
 	}
-	if (page->more)
-		read_list(registry);
-	else
+	if (!page->more) {
 		apply_gateway_list(registry);
+	} else if (g_strcmp0(before, registry->page_token) != 0) {
+		read_list(registry);
+	} else {
+		LOG_WARN("page of the list of gateways without a readable name",
+		    "{s:s?}", "after", before);
+		g_clear_pointer(&registry->page_token, g_free);
+		schedule_read(registry, REGISTRY_RETRY_MS);
+	}
 }
 
 /* Returns an empty set of names. */
--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -75,6 +75,33 @@
 		"\"StoreRevision\":8}"},
 	    {"Watch=8", 0, NULL}},
 	"a b", 8},
+    {"an entry with a number beyond 64 bits does not take the list with it",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}},"
+	     "{\"Metadata\":{\"Name\":\"odd\"},"
+	     "\"Spec\":{\"Slots\":99999999999999999999}},"
+	     "{\"Metadata\":{\"Name\":\"z\"}}],\"HasMore\":false,"
+	     "\"StoreRevision\":7}"},
+	    {"Watch=7", 0, NULL}},
+	"a odd z", 7},
+    {"an event with a number beyond a double does not stop the watch",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":false,"
+	     "\"StoreRevision\":7}"},
+	    {"Watch=7", 200,
+		"{\"events\":[{\"Object\":{\"Metadata\":{\"Name\":\"odd\"},"
+		"\"Spec\":{\"ColdMs\":1e999}}},"
+		"{\"Object\":{\"Metadata\":{\"Name\":\"b\"}}}],"
+		"\"StoreRevision\":8}"},
+	    {"Watch=8", 0, NULL}},
+	"a b odd", 8},
+    {"an entry without a readable name is left out",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"\\u0000\"}},"
+	     "{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":false,"
+	     "\"StoreRevision\":7}"},
+	    {"Watch=7", 0, NULL}},
+	"a", 7},
     {"an object without a name is ignored",
 	{{"servers", 200,
 	     "{\"Items\":[{\"Spec\":1},{\"Metadata\":{\"Name\":\"a\"}}],"
