--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -170,13 +170,14 @@
 	    {"Content-Type", "text/plain"},
 	    {"Server-Limit", upstream->fake_platform->rate},
 	};
-	const struct http_header not_run[] = {{"Heatherturn-Not-Executed", "1"},
+	const struct http_header not_run[] = {{"Heatherturn-Attempt-Id", id},
+	    {"Heatherturn-Not-Executed", "1"},
 	    {"Server-Limit", upstream->fake_platform->rate}};
 	/* Headers that all complete responses have. */
 	size_t count = upstream->fake_platform->rate == NULL ? 3 : 4;
-	static const struct http_header leaving[] = {
+	const struct http_header leaving[] = {{"Heatherturn-Attempt-Id", id},
 	    {"Heatherturn-Not-Executed", "1"}, {"Server-Leaving", "1"}};
-	static const struct http_header quiet[] = {
+	const struct http_header quiet[] = {{"Heatherturn-Attempt-Id", id},
 	    {"Heatherturn-Not-Executed", "1"}, {"Retry-After", FAKE_QUIET_S}};
 
 	switch (step) {
@@ -187,10 +188,10 @@
 		httpd_respond(request, 500, headers, count, "failed", 6);
 		break;
 	case FAKE_STEP_NOT_RUN:
-		httpd_respond(request, 503, not_run, count - 2, "", 0);
+		httpd_respond(request, 503, not_run, count - 1, "", 0);
 		break;
 	case FAKE_STEP_WRONG_INSTANCE:
-		httpd_respond(request, 421, NULL, 0, "", 0);
+		httpd_respond(request, 421, headers, 1, "", 0);
 		break;
 	case FAKE_STEP_UNMARKED_503:
 		httpd_respond(request, 503, headers, 3, "busy", 4);
@@ -225,21 +226,21 @@
 	case FAKE_STEP_HANG:
 		break;
 	case FAKE_STEP_LEAVING:
-		headers[3] = leaving[1];
+		headers[3] = leaving[2];
 		httpd_respond(request, 200, headers, 4, "whole", 5);
 		break;
 	case FAKE_STEP_LEAVING_NOT_RUN:
-		httpd_respond(request, 503, leaving, 2, "", 0);
+		httpd_respond(request, 503, leaving, 3, "", 0);
 		break;
 	case FAKE_STEP_QUIET:
-		httpd_respond(request, 503, quiet, 2, "", 0);
+		httpd_respond(request, 503, quiet, 3, "", 0);
 		break;
 	case FAKE_STEP_STREAM:
 	case FAKE_STEP_LEAVING_STREAM:
 	case FAKE_STEP_CUT_STREAM:
 		headers[2].value = "text/event-stream";
 		if (step == FAKE_STEP_LEAVING_STREAM)
-			headers[3] = leaving[1];
+			headers[3] = leaving[2];
 		httpd_stream_begin(request, 200, headers,
 		    step == FAKE_STEP_LEAVING_STREAM ? 4 : count);
 		write_events(request, step == FAKE_STEP_CUT_STREAM);
--- a/tests/raw_server.c
+++ b/tests/raw_server.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -36,6 +37,7 @@
 	size_t ended;
 	size_t repeats;
 	bool finished;
+	bool single_bytes; /* each byte is sent by itself */
 };
 
 /* Closes a connection and frees it. */
@@ -109,7 +111,9 @@
 		end_connection(connection);
 		return;
 	}
-	sent = send(connection->io.fd, unsent->str, unsent->len,
+	sent = send(connection->io.fd, unsent->str,
+	    connection->server->single_bytes ? MIN(unsent->len, 1)
+					     : unsent->len,
 	    MSG_NOSIGNAL | MSG_DONTWAIT);
 	if (sent > 0)
 		g_string_erase(unsent, 0, sent);
@@ -194,6 +198,9 @@
 	int fd = accept(io->fd, NULL, NULL);
 
 	g_assert_cmpint(fd, >=, 0);
+	if (server->single_bytes)
+		setsockopt(
+		    fd, IPPROTO_TCP, TCP_NODELAY, &(int){1}, sizeof(int));
 	connection->server = server;
 	connection->port = (size_t)(io - server->listeners);
 	connection->request = g_string_new(NULL);
@@ -293,3 +300,10 @@
 {
 	server->finished = true;
 }
+
+/* Sends each byte of the responses by itself from now on. */
+void
+raw_server_send_bytes(struct raw_server *server)
+{
+	server->single_bytes = true;
+}
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -36,6 +36,7 @@
 int raw_server_port(const struct raw_server *, size_t index);
 size_t raw_server_requests(const struct raw_server *);
 size_t raw_server_helped(const struct raw_server *);
+void raw_server_send_bytes(struct raw_server *);
 size_t raw_server_ended(const struct raw_server *);
 size_t raw_server_repeats(const struct raw_server *);
 void raw_server_finish(struct raw_server *);
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -562,7 +562,7 @@
         """Makes an upstream reject, break off, fail or cut some requests."""
         upstream = self.random.choice(self.upstreams)
         kind = self.random.choice(("full", "break", "fail", "cut", "quiet",
-                                   "endless"))
+                                   "endless", "earlier_refusal"))
         upstream.faults[kind] = self.random.uniform(0.05, 0.5)
         await asyncio.sleep(self.random.uniform(1.0, 4.0))
         upstream.faults.pop(kind, None)
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -17,7 +17,6 @@
 EVENTS = 8
 EVENT_GAP_S = 0.08
 HEADER_MAX_BYTES = 65536
-NOT_EXECUTED = {"Heatherturn-Not-Executed": "1"}
 COPY_INTERVAL_S = 0.5  # between copies of the store
 COPIES = 20
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -25,6 +24,12 @@
 ENDLESS_FILLER = b"X-Filler: 0123456789012345678901234567890123\r\n" * 64
 
 
+def not_executed(request_id):
+    """Returns the headers of a response to a request that was not run."""
+    return {"Heatherturn-Attempt-Id": request_id,
+            "Heatherturn-Not-Executed": "1"}
+
+
 class BrokenConnection(Exception):
     """The peer closed the connection early or sent malformed HTTP."""
 
@@ -290,13 +295,14 @@
             quiet_s = self.random.uniform(0.8, 3.0)
             self.notices.append((time.time(), request_id, quiet_s))
             writer.write(make_response(
-                503, {**NOT_EXECUTED, **self.own_headers(request_id),
+                503, {**not_executed(request_id),
+                      **self.own_headers(request_id),
                       "Retry-After": f"{quiet_s:.2f}"}, b""))
             return
         if rejection:
             own = self.own_headers(request_id) if rejection != 421 else {}
             writer.write(make_response(
-                rejection, {**NOT_EXECUTED, **own}, b""))
+                rejection, {**not_executed(request_id), **own}, b""))
             return
         if self.draws_fault("endless"):
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
@@ -307,6 +313,13 @@
         if self.draws_fault("break"):
             self.broken_off.add(request_id)
             raise BrokenConnection
+        if self.draws_fault("earlier_refusal"):
+            self.broken_off.add(request_id)
+            earlier = self.random.choice(self.arrivals)[1]
+            if earlier != request_id:
+                writer.write(make_response(
+                    503, not_executed(earlier), b""))
+                return
         response_headers = {"Heatherturn-Attempt-Id": request_id,
                             "Heatherturn-Server-Seal": self.name,
                             **self.own_headers(request_id)}
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -47,7 +47,8 @@
 	{{.bytes = "HTTP/1.1 500 Failed\r\n" TEXT "\r\nfailed"}}, 1, 500,
 	"failed", 0, NULL},
     {"an unframed rejection means that the request did not run", "/once/x",
-	{{.bytes = "HTTP/1.1 503 Full\r\nHeatherturn-Not-Executed: "
+	{{.bytes = "HTTP/1.1 503 Full\r\nHeatherturn-Attempt-Id: "
+		   "r1\r\nHeatherturn-Not-Executed: "
 		   "1\r\n\r\nfull"},
 	    {WHOLE}},
 	2, 200, "whole", 0, NULL},
@@ -133,8 +134,9 @@
     {"a response that ends inside its headers is no response", "/once/x",
 	{{.bytes = OK TEXT}}, 1, 502, NULL, 0, NULL},
     {"a rejection that ends inside its headers is no promise", "/once/x",
-	{{.bytes = "HTTP/1.1 503 Full\r\nHeatherturn-Not-Executed: 1\r\n"}}, 1,
-	502, NULL, 0, NULL},
+	{{.bytes = "HTTP/1.1 503 Full\r\nHeatherturn-Attempt-Id: r1\r\n"
+		   "Heatherturn-Not-Executed: 1\r\n"}},
+	1, 502, NULL, 0, NULL},
     {"a stream that ends inside its headers is resumed", "/stream/x",
 	{{.bytes = OK STREAM}, {ALL_EVENTS}}, 2, 200, E1 E2 E3, 0, NULL},
     {"a response that is shorter than its length is retried", "/again/x",
