A stream that is continued ends as complete only after new events of its own

Where a stream broke off and the next upstream answered with no events, with an earlier event alone, with an event that reports an error, or with 206, the caller's stream ended as if it were complete, or had the error's text in it.

Cause: a continued stream was complete as soon as its upstream's response was; nothing asked whether it had continued anything. The class: the end of a part is taken for the end of the whole.

Why it works: a continuation must be a 200 with events; an event without an id before its first new one fails the send, comments are dropped, and an end without a new event counts as broken off, so the next upstream is tried or the caller sees the break. Price: a stream that breaks between its last event and its end, whose continuation has nothing left, now shows as broken; its last event can't be told from the others. A caller that resumes a complete stream itself is not affected.

--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -133,6 +133,8 @@
 	struct timespec sent_at; /* start of this send */
 	struct timespec begun_at; /* response of this send; or unset */
 	uint32_t send_events; /* received in this send */
+	bool continues; /* this send continues a stream that has begun */
+	bool has_new_event; /* that the caller did not have, in this send */
 	bool disconnected; /* the connection broke during the send */
 	const char *send_error; /* why not forwarded; or NULL */
 
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -9,6 +9,9 @@
 /* A response that is no event stream is buffered up to this size. */
 #define BODY_BUFFER_MAX_BYTES ((size_t)256 * 1024)
 
+/* First byte of a comment in an event stream. */
+#define COMMENT ':'
+
 #define STATUS_OK	   200
 #define STATUS_MULTIPLE	   300
 #define STATUS_SERVER_MIN  500
@@ -41,7 +44,8 @@
 	if (!response->request_id_matches ||
 	    (success && !response->has_server_seal))
 		return VERDICT_MISMATCH;
-	if (exchange->streaming && (!success || !response->event_stream))
+	if (exchange->streaming &&
+	    (status != STATUS_OK || !response->event_stream))
 		return VERDICT_FAILED;
 	if (status >= STATUS_SERVER_MIN &&
 	    exchange_may_retry(exchange, exchange->sends + 1, true))
@@ -142,13 +146,37 @@
 	exchange->last_event_at = now;
 }
 
-/* Forwards a complete event, unless the caller has received it already. */
+/*
+ * Returns whether an event without an id is no part of the stream that a send
+ * should continue: an upstream may report an error as an event. Fails the send
+ * unless it is a comment.
+ */
+static bool
+is_foreign_event(struct exchange *exchange, const uint8_t *bytes, bool has_id)
+{
+	if (has_id || !exchange->continues || exchange->has_new_event)
+		return false;
+	if (bytes[0] == COMMENT)
+		return true;
+	exchange->send_outcome = SEND_FAILED;
+	exchange->send_error = "the upstream continued with an event without "
+			       "an id";
+	return true;
+}
+
+/*
+ * Forwards a complete event, unless the caller has received it already or the
+ * send has failed.
+ */
 static void
 forward_event(
     void *data, const uint8_t *bytes, size_t length, bool has_id, uint64_t id)
 {
 	struct exchange *exchange = data;
 
+	if (exchange->send_outcome == SEND_FAILED ||
+	    is_foreign_event(exchange, bytes, has_id))
+		return;
 	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
 		exchange_report_survival(exchange);
 	if (exchange->send_events == 1)
@@ -158,6 +186,7 @@
 	if (has_id) {
 		exchange->has_last_event = true;
 		exchange->last_event = id;
+		exchange->has_new_event = true;
 	}
 	record_event_time(exchange);
 	exchange_restart_stall_timer(exchange);
@@ -201,6 +230,8 @@
 		exchange->send_error = "the upstream sent an event without end";
 		return false;
 	}
+	if (exchange->send_outcome == SEND_FAILED)
+		return false;
 	if (exchange->streaming &&
 	    httpd_stream_pending(exchange->http) >
 		host_monitor_buffer_max(
@@ -263,7 +294,8 @@
 /*
  * Returns whether an event stream broke off though its connection ended without
  * an error: inside an event or, where only the connection frames it, before the
- * first one.
+ * first one. One that should continue a stream and has no new event is no end
+ * of it: the last event can't be told from the others.
  */
 static bool
 is_cut_stream(const struct exchange *exchange)
@@ -271,6 +303,7 @@
 	if (!exchange->is_event_stream)
 		return false;
 	return event_splitter_is_in_event(&exchange->splitter) ||
+	    (exchange->continues && !exchange->has_new_event) ||
 	    (!exchange->response.framed && exchange->send_events == 0 &&
 		!exchange->has_last_event);
 }
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -37,6 +37,8 @@
 	exchange->sent_at = now;
 	exchange->begun_at = (struct timespec){0};
 	exchange->send_events = 0;
+	exchange->continues = exchange->streaming;
+	exchange->has_new_event = false;
 	exchange->disconnected = false;
 	exchange->tried[exchange->tries++] = g_strdup(upstream->id);
 	fleet_add_request(routing_state_fleet(exchange->context->routing_state),
--- /dev/null
+++ b/tests/raw_caller.c
@@ -0,0 +1,65 @@
+#include "raw_caller.h"
+
+#include <sys/socket.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "raw_responses.h"
+
+/* Reads the response until the connection ends. */
+static void
+on_caller_readable(struct ev_loop *loop, ev_io *io, int events)
+{
+	struct raw_caller *caller = io->data;
+	char input[4096];
+	ssize_t length = recv(io->fd, input, sizeof(input), 0);
+
+	if (length > 0) {
+		g_string_append_len(caller->response, input, length);
+		return;
+	}
+	caller->error = length < 0 ? errno : 0;
+	caller->ended = true;
+	ev_io_stop(loop, io);
+}
+
+/* Sends a request, given as its method's path and its first header lines. */
+void
+raw_caller_start(struct raw_caller *caller, struct fixture *f, const char *path,
+    const char *version, const char *header)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons((uint16_t)httpd_port(f->callers)),
+	};
+	g_autofree char *request = g_strdup_printf(
+	    "POST %s HTTP/%s\r\n%sHost: h\r\nAuthorization: " FIXTURE_KEY
+	    "\r\nHeatherturn-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nasked",
+	    path, version, header);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	caller->response = g_string_new(NULL);
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+	g_assert_cmpint(
+	    send(fd, request, strlen(request), 0), ==, strlen(request));
+	ev_io_init(&caller->io, on_caller_readable, fd, EV_READ);
+	caller->io.data = caller;
+	ev_io_start(f->loop, &caller->io);
+}
+
+/*
+ * Returns whether a caller can tell that the response is incomplete: by a
+ * reset, or by chunks without the last one.
+ */
+bool
+raw_caller_is_cut(const struct raw_caller *caller)
+{
+	return caller->error == ECONNRESET ||
+	    (strstr(caller->response->str, CHUNKED) != NULL &&
+		!g_str_has_suffix(caller->response->str, "0\r\n\r\n"));
+}
--- a/tests/test_unframed_ends.c
+++ b/tests/test_unframed_ends.c
@@ -13,6 +13,7 @@
 
 #include "cases.h"
 #include "gateway_fixture.h"
+#include "raw_caller.h"
 #include "raw_responses.h"
 #include "raw_server.h"
 #include "upstream/upstream.h"
@@ -36,57 +37,6 @@
 	return server;
 }
 
-/* A caller that shows how its connection ends. */
-struct raw_caller {
-	ev_io io;
-	GString *response;
-	int error; /* of the connection; 0 if it was closed */
-	bool ended;
-};
-
-/* Reads the response until the connection ends. */
-static void
-on_caller_readable(struct ev_loop *loop, ev_io *io, int events)
-{
-	struct raw_caller *caller = io->data;
-	char input[4096];
-	ssize_t length = recv(io->fd, input, sizeof(input), 0);
-
-	if (length > 0) {
-		g_string_append_len(caller->response, input, length);
-		return;
-	}
-	caller->error = length < 0 ? errno : 0;
-	caller->ended = true;
-	ev_io_stop(loop, io);
-}
-
-/* Sends a request, given as its method's path and its first header lines. */
-static void
-raw_caller_start(struct raw_caller *caller, struct fixture *f, const char *path,
-    const char *version, const char *header)
-{
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	    .sin_port = htons((uint16_t)httpd_port(f->callers)),
-	};
-	g_autofree char *request = g_strdup_printf(
-	    "POST %s HTTP/%s\r\n%sHost: h\r\nAuthorization: " FIXTURE_KEY
-	    "\r\nHeatherturn-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nasked",
-	    path, version, header);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	caller->response = g_string_new(NULL);
-	g_assert_cmpint(
-	    connect(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
-	g_assert_cmpint(
-	    send(fd, request, strlen(request), 0), ==, strlen(request));
-	ev_io_init(&caller->io, on_caller_readable, fd, EV_READ);
-	caller->io.data = caller;
-	ev_io_start(f->loop, &caller->io);
-}
-
 static const struct caller_case {
 	const char *name;
 	const char *path;
@@ -123,18 +73,6 @@
 	true, NULL},
 };
 
-/*
- * Returns whether a caller can tell that the response is incomplete: by a
- * reset, or by chunks without the last one.
- */
-static bool
-is_visibly_cut(const struct raw_caller *caller)
-{
-	return caller->error == ECONNRESET ||
-	    (strstr(caller->response->str, CHUNKED) != NULL &&
-		!g_str_has_suffix(caller->response->str, "0\r\n\r\n"));
-}
-
 /* Runs one case. */
 static void
 test_caller(gconstpointer data)
@@ -146,7 +84,7 @@
 
 	raw_caller_start(&caller, &f, c->path, c->version, c->header);
 	RUN_UNTIL(&f, caller.ended);
-	g_assert_cmpint(is_visibly_cut(&caller), ==, c->cut);
+	g_assert_cmpint(raw_caller_is_cut(&caller), ==, c->cut);
 	if (!c->cut)
 		g_assert_true(g_str_has_suffix(caller.response->str, c->end));
 	close(caller.io.fd);
@@ -170,7 +108,7 @@
 	httpd_free(f.callers);
 	f.callers = NULL;
 	RUN_UNTIL(&f, caller.ended);
-	g_assert_true(is_visibly_cut(&caller));
+	g_assert_true(raw_caller_is_cut(&caller));
 	close(caller.io.fd);
 	g_string_free(caller.response, TRUE);
 	raw_server_free(server);
