--- a/tests/test_error_in_stream.c
+++ b/tests/test_error_in_stream.c
@@ -49,7 +49,6 @@
 	const char *name;
 	const char *bytes;
 	enum raw_end end;
-	bool waits; /* for an upstream that can continue, up to 2 s */
 } answers[] = {
     {"400", "HTTP/1.1 400 Bad\r\n" SEAL ERROR_TEXT, RAW_END_CLOSE},
     {"404 as events",
@@ -61,14 +60,14 @@
     {"503 that says not run",
 	"HTTP/1.1 503 Busy\r\n" OWN
 	"Heatherturn-Not-Executed: 1\r\n" ERROR_TEXT,
-	RAW_END_CLOSE, true},
+	RAW_END_CLOSE},
     {"503 that says nothing", "HTTP/1.1 503 Busy\r\n" SEAL ERROR_TEXT,
 	RAW_END_CLOSE},
-    {"421", "HTTP/1.1 421 Not me\r\n" OWN ERROR_TEXT, RAW_END_CLOSE, true},
+    {"421", "HTTP/1.1 421 Not me\r\n" OWN ERROR_TEXT, RAW_END_CLOSE},
     {"429",
 	"HTTP/1.1 429 Wait\r\n" OWN
 	"Heatherturn-Not-Executed: 1\r\n" ERROR_TEXT,
-	RAW_END_CLOSE, true},
+	RAW_END_CLOSE},
     {"301", "HTTP/1.1 301 Moved\r\n" SEAL "Location: /\r\n" ERROR_TEXT,
 	RAW_END_CLOSE},
     {"204", "HTTP/1.1 204 None\r\n" SEAL "\r\n", RAW_END_CLOSE},
@@ -105,6 +104,17 @@
     {"gone", "", RAW_END_STOP},
 };
 
+/*
+ * Returns whether an answer refuses the request: the gateway then waits up to 2
+ * s for an upstream that can continue.
+ */
+static bool
+is_refusal(const struct answer *answer)
+{
+	return strstr(answer->bytes, "Not-Executed") != NULL ||
+	    strstr(answer->bytes, " 421 ") != NULL;
+}
+
 /* Returns whether a text is some whole events of the stream, from its first. */
 static bool
 is_start_of_stream(const char *text)
@@ -195,7 +205,7 @@
 		    {first, bad, continued, continued}, {first, bad, bad, bad}};
 
 		for (size_t j = 0; j < G_N_ELEMENTS(responses); j++) {
-			if (answer->waits && i > 0 && j > 0)
+			if (is_refusal(answer) && i > 0 && j > 0)
 				continue;
 			check_chunks(ends[i].name, responses[j]);
 			check_unframed(ends[i].name, responses[j]);
