Cold rate: a gateway that starts again has no share for a second

Cause: the same class as the retry budget: the record of what was sent in the window is kept by one process and begins empty in its next life.

Evidence: the new case of test_cold_rate, two lives of one gateway within a second: 16 sends where its share is 8.

Why it works: while the record is shorter than the window, what was sent before it counts as the whole share.

--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -58,7 +58,8 @@
 	sharers.others = registry_others(
 	    context->registry, &sharers.other_count);
 	return cold_rate_allows(&upstream->cold_rate,
-	    cold_rate_share(capacity_per_s, &sharers), now);
+	    cold_rate_share(capacity_per_s, &sharers),
+	    load_sync_uptime_ms(context->load_sync), now);
 }
 
 /*
--- a/src/policy/cold_rate.c
+++ b/src/policy/cold_rate.c
@@ -51,10 +51,14 @@
 	return MIN(share, COLD_RATE_SENDS_MAX);
 }
 
-/* Returns whether one more request may be sent within the share. */
+/*
+ * Returns whether one more request may be sent within the share. Sends have
+ * been recorded for recorded_ms; what was sent before may have used up the
+ * share, as of a process that has just started again.
+ */
 bool
-cold_rate_allows(
-    const struct cold_rate *rate, uint32_t share, struct timespec now)
+cold_rate_allows(const struct cold_rate *rate, uint32_t share,
+    int64_t recorded_ms, struct timespec now)
 {
 	const struct timespec *oldest;
 
@@ -62,8 +66,9 @@
 		return false;
 	oldest = &rate->sent[(rate->next + COLD_RATE_SENDS_MAX - share) %
 	    COLD_RATE_SENDS_MAX];
-	return !time_is_set(*oldest) ||
-	    time_diff_ms(now, *oldest) >= COLD_RATE_WINDOW_MS;
+	if (!time_is_set(*oldest))
+		return recorded_ms >= COLD_RATE_WINDOW_MS;
+	return time_diff_ms(now, *oldest) >= COLD_RATE_WINDOW_MS;
 }
 
 /*
--- a/src/policy/cold_rate.h
+++ b/src/policy/cold_rate.h
@@ -40,8 +40,8 @@
 
 uint32_t cold_rate_share(
     double sustainable_per_s, const struct cold_rate_sharers *);
-bool cold_rate_allows(
-    const struct cold_rate *, uint32_t share, struct timespec now);
+bool cold_rate_allows(const struct cold_rate *, uint32_t share,
+    int64_t recorded_ms, struct timespec now);
 void cold_rate_record_send(struct cold_rate *, struct timespec now);
 
 #endif
--- a/tests/test_cold_rate.c
+++ b/tests/test_cold_rate.c
@@ -12,6 +12,7 @@
 #define UPSTREAMS     8
 #define SECOND_MS     1000
 #define STEP_MS	      5
+#define UPTIME_MS     60000
 
 static const struct share_case {
 	const char *name;
@@ -39,7 +40,7 @@
 
 	for (int ms = 0; ms < SECOND_MS; ms += STEP_MS) {
 		now = time_add_ms(now, STEP_MS);
-		if (!cold_rate_allows(&rate, share, now))
+		if (!cold_rate_allows(&rate, share, UPTIME_MS, now))
 			continue;
 		cold_rate_record_send(&rate, now);
 		sent++;
@@ -105,6 +106,36 @@
 		g_free(names[i]);
 }
 
+/*
+ * A gateway that is killed and starts again within the second does not send its
+ * share again in it.
+ */
+static void
+test_restart(void)
+{
+	enum {
+		SHARE = 8,
+		DOWN_MS = 500
+	};
+	struct timespec now = time_from_ms(5000);
+	uint32_t sent_in_window = 0;
+
+	for (int life = 0; life < 2; life++) {
+		struct cold_rate rate = {0};
+		int64_t uptime_ms = life == 0 ? UPTIME_MS : 0;
+
+		for (int ms = 0; ms < SECOND_MS - DOWN_MS; ms += STEP_MS) {
+			now = time_add_ms(now, STEP_MS);
+			uptime_ms += STEP_MS;
+			if (!cold_rate_allows(&rate, SHARE, uptime_ms, now))
+				continue;
+			cold_rate_record_send(&rate, now);
+			sent_in_window++;
+		}
+	}
+	g_assert_cmpuint(sent_in_window, ==, SHARE);
+}
+
 /* While not all gateways are known, none takes a part of the remainder. */
 static void
 test_unknown_gateways(void)
@@ -165,5 +196,7 @@
 	g_test_add_func("/cold_rate/the shares hold with a process that is not "
 			"listed yet",
 	    test_new_process);
+	g_test_add_func("/cold_rate/a restart within the second adds nothing",
+	    test_restart);
 	return g_test_run();
 }
