load_sync: shared limits are divided by the largest number that any gateway knows

What callers saw: nothing; a gateway that starts while the store does not answer took at most 8 gateways to share a cold upstream's rate with it, where its peers knew 31.

Cause: the number came from the store's list and the peers that report to this process, not from what these know. The class: a share of a bound for all that is larger the less its holder knows.

Evidence: the new case of test_load_sync did not end before: a peer that knows 31 gateways did not count. Named rates divide by the same number.

Why it works: reports carry the number already, for the retry budget. It is worked out once per report, and by selection for cold upstreams alone, as it was worked out for each candidate before.

--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -46,7 +46,6 @@
 	struct cold_rate_sharers sharers = {
 	    .upstream = upstream->id,
 	    .self = context->address,
-	    .count_min = load_sync_count(context->load_sync),
 	};
 	double capacity_per_s;
 
@@ -55,6 +54,7 @@
 		return true;
 	capacity_per_s = exchange->profile->cold_per_s * context->cold_ratio +
 	    context->cold_slack;
+	sharers.count_min = load_sync_count(context->load_sync);
 	sharers.others = registry_others(
 	    context->registry, &sharers.other_count);
 	return cold_rate_allows(&upstream->cold_rate,
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -32,6 +32,9 @@
 	size_t reported_peers; /* number at the last full report */
 	uint64_t broadcasts; /* so far */
 	unsigned int change_rounds; /* since the last full report */
+	struct retry_view view; /* of the numbers of gateways */
+	uint64_t view_reports; /* of the peers, when it was worked out */
+	uint32_t view_listed; /* gateways in the list then */
 	bool holds_retry_share; /* as reported */
 	load_sync_round_fn *on_round; /* or NULL */
 	void *round_data;
@@ -213,20 +216,6 @@
 	return members;
 }
 
-/*
- * Returns the number of gateways among which shared limits are divided: those
- * in the list, or those that report if they are more, since one that has just
- * started is in the list only from the next read on.
- */
-uint32_t
-load_sync_count(struct load_sync *sync)
-{
-	size_t alive;
-
-	load_sync_members(sync, &alive);
-	return MAX(registry_count(sync->registry), (uint32_t)alive);
-}
-
 /*
  * Returns the number of gateways that this one knows, itself included: those in
  * the store's list, and those that report and are not in it.
@@ -245,21 +234,48 @@
 	return (uint32_t)known + 1;
 }
 
-/* Describes what this process knows of all gateways. */
-void
-load_sync_retry_view(struct load_sync *sync, struct retry_view *view)
+/* Works out what the reports and the list say, if either has changed. */
+static void
+update_view(struct load_sync *sync)
 {
-	g_autoptr(GArray)
-	    peers = g_array_new(FALSE, FALSE, sizeof(struct retry_peer));
+	uint64_t reports = peer_loads_reports(sync->peers);
+	uint32_t listed = registry_count(sync->registry);
+	g_autoptr(GArray) peers = NULL;
 
+	if (sync->view.known > 0 && reports == sync->view_reports &&
+	    listed == sync->view_listed)
+		return;
+	peers = g_array_new(FALSE, FALSE, sizeof(struct retry_peer));
 	peer_loads_add_retry_peers(sync->peers, peers);
-	retry_view_count(view, count_known(sync),
+	retry_view_count(&sync->view, count_known(sync),
 	    (const struct retry_peer *)(void *)peers->data, peers->len);
+	sync->view_reports = reports;
+	sync->view_listed = listed;
+}
+
+/* Describes what this process knows of all gateways. */
+void
+load_sync_retry_view(struct load_sync *sync, struct retry_view *view)
+{
+	update_view(sync);
+	*view = sync->view;
 	view->is_settled = is_settled(sync) &&
 	    registry_has_list(sync->registry);
 	view->lapse_ms = round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS;
 }
 
+/*
+ * Returns the number of gateways among which shared limits are divided: the
+ * largest that this process or a peer knows, since one that has just started
+ * may know few.
+ */
+uint32_t
+load_sync_count(struct load_sync *sync)
+{
+	update_view(sync);
+	return MAX(registry_count(sync->registry), sync->view.known);
+}
+
 /* Sets whether this process reports that it holds a share of retry slack. */
 void
 load_sync_set_retry_holder(struct load_sync *sync, bool holds)
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -18,6 +18,7 @@
 	struct fleet *fleet;
 	GHashTable *peers; /* process -> struct peer_load */
 	uint64_t generation; /* changes with the peers and their views */
+	uint64_t reports; /* received or lapsed */
 };
 
 /* Adds one peer's fault reports to the upstreams, or removes them. */
@@ -218,6 +219,7 @@
 	struct peer_load *peer_load = get_peer_load(peer_loads, process);
 	size_t rows = count_rows(message);
 
+	peer_loads->reports++;
 	if (!message->changes)
 		remove_peer_load(peer_loads, peer_load);
 	apply_fault_reports(peer_loads, peer_load, false);
@@ -314,6 +316,7 @@
 		remove_peer_load(peer_loads, peer_load);
 		g_hash_table_iter_remove(&iter);
 		peer_loads->generation++;
+		peer_loads->reports++;
 	}
 }
 
@@ -374,6 +377,14 @@
 	return peer_loads->generation;
 }
 
+/* Returns a number that changes with each report that counts or no longer does.
+ */
+uint64_t
+peer_loads_reports(const struct peer_loads *peer_loads)
+{
+	return peer_loads->reports;
+}
+
 /*
  * Appends the peers to an array of struct rate_member, whose ids are valid
  * until the generation changes.
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -33,6 +33,7 @@
 size_t peer_loads_report_ages(
     const struct peer_loads *, struct timespec now, int64_t *oldest_ms);
 uint64_t peer_loads_generation(const struct peer_loads *);
+uint64_t peer_loads_reports(const struct peer_loads *);
 void peer_loads_add_members(const struct peer_loads *, GArray *members);
 void peer_loads_add_retry_peers(const struct peer_loads *, GArray *peers);
 
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -215,6 +215,27 @@
 	tear_down(&t);
 }
 
+/*
+ * Limits that all share are divided among as many as any of them knows: one
+ * that has just started, or does not reach the store, may know few.
+ */
+static void
+test_reported_count(void)
+{
+	static const struct load_case c = {
+	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
+	struct message message = {
+	    .kind = MESSAGE_LOAD, .load = {.gateways = 31}};
+	struct test t = {0};
+
+	set_up(&t, &c);
+	while (load_sync_count(t.first.load_sync) != 31) {
+		mesh_send(t.others[0].mesh, t.first.address, &message);
+		ev_run(t.loop, EVRUN_ONCE);
+	}
+	tear_down(&t);
+}
+
 /*
  * Turns of rejected callers reach another gateway, which keeps them when the
  * one that gave them is gone, and recognises their callers.
@@ -275,6 +296,10 @@
 	g_test_add_func("/load_sync/gateways that are not in the list yet "
 			"count where limits are divided",
 	    test_count);
+	g_test_add_func(
+	    "/load_sync/the largest number that a peer knows counts "
+	    "where limits are divided",
+	    test_reported_count);
 	g_test_add_func("/load_sync/turns of rejected callers outlive the "
 			"gateway that gave them",
 	    test_turns);
