Soak: retries of all gateways stay within the budget while upstreams fail

'fail_upstreams' makes all upstreams fail most requests while gateways are killed and stopped; the check counts what upstreams saw beyond each request's first, in each window of ten seconds.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -24,6 +24,7 @@
 import named_rates
 import planned_stops
 import platform_standin as standin
+import retry_budget
 from planned_stops import DRAIN_MS, GRACE_S
 
 UPSTREAM_COUNT = 5
@@ -75,7 +76,8 @@
           "cut_upstream", "upstream_fault", "crash_upstream", "drain",
           "take_out", "revoke", "change", "restore_store", "leave", "roll",
           "name_rate")
-RARE_FAULTS = ("cut_peer", "crashing_part")  # drawn only if asked for
+# Drawn only if asked for.
+RARE_FAULTS = ("cut_peer", "crashing_part", "fail_upstreams")
 
 
 class Gateway:
@@ -96,6 +98,7 @@
         self.incarnation = 0  # rises with each start and pause
         self.rejected_keys = {}  # key -> (incarnation, wall s of rejection)
         self.bad_exits = []
+        self.retry_settings = ("--retry-slack=1000",)
 
     async def start(self):
         """Starts the process and watches for its exit."""
@@ -114,7 +117,7 @@
                 f"--objects={local}:{self.proxy.port}",
                 f"--peers={local}:{self.seed_port}",
                 f"--grace-s={GRACE_S}", f"--drain-notice-ms={DRAIN_MS}",
-                "--retry-slack=1000", stdout=log, stderr=log)
+                *self.retry_settings, stdout=log, stderr=log)
         self.stopping = False
         self.incarnation += 1
         asyncio.ensure_future(self.watch_exit(self.process))
@@ -222,6 +225,7 @@
         self.attempts = {}  # request id -> (path, status, gateway)
         self.sent = {}  # request id -> (wall s, gateway, its incarnation)
         self.cuts = planned_stops.Cuts()
+        self.retry_budget_used = 0.0  # the largest part in a window
         self.rated_requests = 0  # that upstreams got while they named a rate
         self.rated_allowance = 0.0  # that these rates add up to
         self.statuses = {}
@@ -247,6 +251,8 @@
             await self.publish_upstream(number, "ready")
         for number in range(self.gateway_count):
             self.gateways.append(self.make_gateway(number))
+            if "fail_upstreams" in self.fault_kinds:
+                self.gateways[-1].retry_settings = retry_budget.SETTINGS
             await self.start_peer_proxy(self.gateways[number])
             await self.gateways[number].start()
         end = time.monotonic() + START_TIMEOUT_S
@@ -567,6 +573,10 @@
         await asyncio.sleep(self.random.uniform(1.0, 4.0))
         upstream.faults.pop(kind, None)
 
+    async def fail_upstreams(self):
+        """Makes all upstreams fail most requests for some time."""
+        await retry_budget.fail_upstreams(self)
+
     async def crash_upstream(self):
         """Makes an upstream unreachable for some time."""
         number = self.random.randrange(UPSTREAM_COUNT)
@@ -722,6 +732,8 @@
             one.process.wait(), GRACE_S + 2) for one in self.gateways))
         self.check_upstreams()
         planned_stops.check_answers(self)
+        if "fail_upstreams" in self.fault_kinds:
+            self.retry_budget_used = retry_budget.check(self)
         if self.prompts:
             crashing_part.check(self)
         for gateway in self.gateways:
@@ -734,6 +746,7 @@
                 "faults": self.faults,
                 "rated_requests": self.rated_requests,
                 "rated_allowance": round(self.rated_allowance, 1),
+                "retry_budget_used": self.retry_budget_used,
                 "violations": self.violations,
                 **(self.prompts.counts() if self.prompts else {})}
 
