--- a/src/gateway/retry_sync.h
+++ b/src/gateway/retry_sync.h
@@ -30,11 +30,11 @@
 struct retry_sync *retry_sync_new(struct clock *, struct mesh *,
     struct load_sync *, const struct retry_limits *);
 void retry_sync_free(struct retry_sync *);
-void retry_sync_count_request(struct retry_sync *, const char *service);
-bool retry_sync_allows(struct retry_sync *, const char *service,
-    const char *request, size_t sends);
-bool retry_sync_take(struct retry_sync *, const char *service,
-    const char *request, size_t sends);
+void retry_sync_count_request(struct retry_sync *, const char *name);
+bool retry_sync_allows(
+    struct retry_sync *, const char *name, const char *request, size_t sends);
+bool retry_sync_take(
+    struct retry_sync *, const char *name, const char *request, size_t sends);
 double retry_sync_share(struct retry_sync *);
 size_t retry_sync_service_count(const struct retry_sync *);
 
