--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -377,7 +377,8 @@
 	return peer_loads->generation;
 }
 
-/* Returns a number that changes with each report that counts or no longer does.
+/*
+ * Returns a number that changes with each report that is received or lapses.
  */
 uint64_t
 peer_loads_reports(const struct peer_loads *peer_loads)
--- a/src/policy/retry_share.h
+++ b/src/policy/retry_share.h
@@ -25,8 +25,7 @@
 
 /* What a peer last reported. */
 struct retry_peer {
-	uint32_t known; /* processes that it knows, itself included; 0: not
-			   reported */
+	uint32_t known; /* processes, itself included; 0: not reported */
 	bool holds; /* a share */
 };
 
@@ -34,7 +33,7 @@
 struct retry_view {
 	uint32_t known; /* the largest number that any process knows */
 	uint32_t live; /* processes that report */
-	uint32_t agreeing; /* of these, with that number */
+	uint32_t agreeing; /* of these, that report at least known */
 	bool has_holder; /* a peer holds a share */
 	bool is_settled; /* processes that started with this one are known */
 	int64_t lapse_ms; /* after which a report no longer counts */
