Responses whose head does not say where their body ends are rejected

The request may run only once, so nobody asked again.

Cause: libcurl reads a length up to the first byte that is no digit, and takes the last of several lengths. Nothing checked the value: the strict parser of platform/headers.c found no length and went on. That it is libcurl and not the gateway is shown by a sidecar's plain service, which gets the same 8 bytes without an error.

src/base/response_head now reads the lines of each head beside libcurl, and the call ends before the first byte of the body if a length is no number or differs from another one, stands beside chunks, is folded or has a blank before its colon, or if a transfer coding is not "chunked", a line has no valid name, or a second status line comes (RFC 9112, 5 and 6.3). All callers of the client get this: gateways, sidecars, the store's clients.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -23,11 +23,6 @@
 #define STATUS_OK		   200
 /* Lower codes are informational: a final status line follows. */
 #define STATUS_FINAL_MIN 200
-/*
- * Limit on all header lines of a call together: those of interim responses, of
- * the final one and of its trailer.
- */
-#define HEADERS_MAX_BYTES ((size_t)64 * 1024)
 /* Interval of TCP keep-alive probes, for calls with unreachable_ms. */
 #define KEEPALIVE_INTERVAL_S 1
 
@@ -57,8 +52,7 @@
 	struct http_client *client;
 	CURL *easy;
 	struct curl_slist *headers_out;
-	GArray *headers_in; /* of struct http_header, in the order received */
-	size_t header_bytes; /* received in all header lines */
+	struct response_head head;
 	GByteArray *body;
 	const struct http_call_ops *ops;
 	void *data;
@@ -73,7 +67,6 @@
 	bool paused;
 	bool sent;
 	bool connect_only;
-	bool headers_complete; /* those of the final response */
 	bool failed; /* error_code is set and overrides curl's code */
 	enum http_client_error error_code;
 	bool background; /* serves no caller's request */
@@ -102,7 +95,7 @@
 		TAILQ_REMOVE(&client->changed, call, changed_entry);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers_out);
-	g_array_unref(call->headers_in);
+	response_head_clear(&call->head);
 	g_byte_array_unref(call->body);
 	g_free(call);
 }
@@ -163,6 +156,7 @@
 	    [HTTP_CLIENT_ERROR_DISCONNECTED] = "connection ended early",
 	    [HTTP_CLIENT_ERROR_TOO_LARGE] = "response too large",
 	    [HTTP_CLIENT_ERROR_ABORTED] = "aborted by callback",
+	    [HTTP_CLIENT_ERROR_INVALID] = "malformed response",
 	};
 	enum http_client_error kind;
 
@@ -170,11 +164,15 @@
 		kind = call->error_code;
 	else if (code == CURLE_OK)
 		return NULL;
+	else if (code == CURLE_WEIRD_SERVER_REPLY)
+		kind = HTTP_CLIENT_ERROR_INVALID;
 	else
 		kind = sent ? HTTP_CLIENT_ERROR_DISCONNECTED
 			    : HTTP_CLIENT_ERROR_CONNECT;
 	return g_error_new(HTTP_CLIENT_ERROR, (gint)kind, "%s (%s)",
-	    texts[kind], curl_easy_strerror(code));
+	    texts[kind],
+	    call->head.fault != NULL ? call->head.fault
+				     : curl_easy_strerror(code));
 }
 
 /*
@@ -184,8 +182,7 @@
 static bool
 is_cut_in_headers(const struct http_call *call, CURLcode code)
 {
-	return code == CURLE_OK && !call->connect_only &&
-	    !call->headers_complete;
+	return code == CURLE_OK && !call->connect_only && !call->head.complete;
 }
 
 /* Ends a call: removes it from curl, calls its done callback, frees it. */
@@ -424,16 +421,6 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/* Frees a header's strings. */
-static void
-header_clear(void *item)
-{
-	struct http_header *header = item;
-
-	g_free((char *)header->name);
-	g_free((char *)header->value);
-}
-
 /*
  * Handles the end of the headers: calls the headers callback for a final
  * response. Returns false if it ends the call.
@@ -444,7 +431,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	call->headers_complete = status >= STATUS_FINAL_MIN;
+	call->head.complete = status >= STATUS_FINAL_MIN;
 	if (call->ops->headers == NULL || status < STATUS_FINAL_MIN ||
 	    call->state != CALL_RUNNING)
 		return true;
@@ -454,32 +441,27 @@
 	return false;
 }
 
-/* Curl received one header line; an empty line ends the headers. */
+/* Curl received a line of the head or of the trailer; 0 ends the call. */
 static size_t
 on_header_line(char *bytes, size_t size, size_t count, void *data)
 {
 	struct http_call *call = data;
 	size_t length = size * count;
-	char *colon = memchr(bytes, ':', length);
-	struct http_header header;
 
-	call->header_bytes += length;
-	if (call->header_bytes > HEADERS_MAX_BYTES) {
-		call_fail(call, HTTP_CLIENT_ERROR_TOO_LARGE);
-		return 0;
-	}
 	stall_restart(call);
-	if (length > 5 && memcmp(bytes, "HTTP/", 5) == 0) {
-		g_array_set_size(call->headers_in, 0);
-	} else if (length <= 2 && (bytes[0] == '\r' || bytes[0] == '\n')) {
+	switch (response_head_add_line(&call->head, bytes, length)) {
+	case RESPONSE_LINE_PART:
+		return length;
+	case RESPONSE_LINE_END:
 		return on_headers_end(call) ? length : 0;
-	} else if (colon != NULL) {
-		header.name = g_strndup(bytes, (size_t)(colon - bytes));
-		header.value = g_strstrip(
-		    g_strndup(colon + 1, length - (size_t)(colon + 1 - bytes)));
-		g_array_append_val(call->headers_in, header);
+	case RESPONSE_LINE_INVALID:
+		call_fail(call, HTTP_CLIENT_ERROR_INVALID);
+		return 0;
+	case RESPONSE_LINE_TOO_LARGE:
+		call_fail(call, HTTP_CLIENT_ERROR_TOO_LARGE);
+		return 0;
 	}
-	return length;
+	return 0;
 }
 
 /*
@@ -713,9 +695,7 @@
 	call->ops = ops;
 	call->data = data;
 	call->easy = curl_easy_init();
-	call->headers_in = g_array_new(
-	    FALSE, FALSE, sizeof(struct http_header));
-	g_array_set_clear_func(call->headers_in, header_clear);
+	response_head_init(&call->head);
 	call->body = g_byte_array_new();
 	call->response_max_bytes = request->response_max_bytes > 0
 	    ? request->response_max_bytes
@@ -791,15 +771,7 @@
 const char *
 http_call_header(const struct http_call *call, const char *name)
 {
-	const struct http_header *header;
-
-	for (guint i = call->headers_in->len; i > 0; i--) {
-		header = &g_array_index(
-		    call->headers_in, struct http_header, i - 1);
-		if (g_ascii_strcasecmp(header->name, name) == 0)
-			return header->value;
-	}
-	return NULL;
+	return response_head_find(&call->head, name);
 }
 
 /*
@@ -809,6 +781,21 @@
 const struct http_header *
 http_call_headers(const struct http_call *call, size_t *count)
 {
-	*count = call->headers_in->len;
-	return (const struct http_header *)(void *)call->headers_in->data;
+	*count = call->head.headers->len;
+	return (const struct http_header *)(void *)call->head.headers->data;
+}
+
+/* Returns whether the response has a length, and which, in bytes. */
+bool
+http_call_length(const struct http_call *call, uint64_t *out)
+{
+	*out = call->head.length;
+	return call->head.has_length;
+}
+
+/* Returns whether the response has a length or chunks. */
+bool
+http_call_is_framed(const struct http_call *call)
+{
+	return call->head.has_length || call->head.chunked;
 }
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -14,6 +14,8 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "base/response_head.h"
+
 #define HTTP_CLIENT_ERROR (http_client_error_quark())
 
 enum http_client_error {
@@ -23,16 +25,12 @@
 	HTTP_CLIENT_ERROR_DISCONNECTED, /* connection ended early */
 	HTTP_CLIENT_ERROR_TOO_LARGE, /* the response exceeds its size limit */
 	HTTP_CLIENT_ERROR_ABORTED, /* a callback returned false */
+	HTTP_CLIENT_ERROR_INVALID, /* no valid HTTP response */
 };
 
 struct http_client;
 struct http_call;
 
-struct http_header {
-	const char *name;
-	const char *value;
-};
-
 struct http_call_request {
 	const char *method;
 	const char *url;
@@ -108,5 +106,7 @@
 const char *http_call_header(const struct http_call *, const char *name);
 const struct http_header *http_call_headers(
     const struct http_call *, size_t *count);
+bool http_call_length(const struct http_call *, uint64_t *out);
+bool http_call_is_framed(const struct http_call *);
 
 #endif
--- /dev/null
+++ b/src/base/response_head.c
@@ -0,0 +1,191 @@
+#include "base/response_head.h"
+
+#include <string.h>
+
+#define STATUS_LINE_START "HTTP/"
+#define CONTENT_LENGTH	  "Content-Length"
+#define TRANSFER_ENCODING "Transfer-Encoding"
+#define CHUNKED		  "chunked"
+
+/* Frees a header's strings. */
+static void
+header_clear(void *item)
+{
+	struct http_header *header = item;
+
+	g_free((char *)header->name);
+	g_free((char *)header->value);
+}
+
+/* Initialises a head without any line. */
+void
+response_head_init(struct response_head *head)
+{
+	*head = (struct response_head){
+	    .headers = g_array_new(FALSE, FALSE, sizeof(struct http_header))};
+	g_array_set_clear_func(head->headers, header_clear);
+}
+
+/* Frees the headers. */
+void
+response_head_clear(struct response_head *head)
+{
+	if (head->headers != NULL)
+		g_array_unref(head->headers);
+	head->headers = NULL;
+}
+
+/* Records why a line is invalid. */
+static enum response_line
+reject(struct response_head *head, const char *fault)
+{
+	head->fault = fault;
+	return RESPONSE_LINE_INVALID;
+}
+
+/* Begins the head of an interim or the final response. */
+static enum response_line
+begin(struct response_head *head, const char *line, size_t length)
+{
+	if (length < strlen(STATUS_LINE_START) ||
+	    memcmp(line, STATUS_LINE_START, strlen(STATUS_LINE_START)) != 0)
+		return reject(head, "no status line");
+	g_array_set_size(head->headers, 0);
+	head->in_head = true;
+	head->complete = false;
+	head->has_length = false;
+	head->chunked = false;
+	return RESPONSE_LINE_PART;
+}
+
+/* Returns whether bytes are a token (RFC 9110, 5.6.2). */
+static bool
+is_token(const char *bytes, size_t length)
+{
+	for (size_t i = 0; i < length; i++) {
+		if (!g_ascii_isalnum(bytes[i]) &&
+		    (bytes[i] == '\0' ||
+			strchr("!#$%&'*+-.^_`|~", bytes[i]) == NULL))
+			return false;
+	}
+	return length > 0;
+}
+
+/*
+ * Parses a Content-Length. It may be a list that repeats one length, also over
+ * several lines; any other text makes the framing invalid (RFC 9112, 6.3).
+ */
+static bool
+add_length(struct response_head *head, const char *value)
+{
+	g_auto(GStrv) parts = g_strsplit(value, ",", -1);
+	uint64_t length;
+
+	if (parts[0] == NULL)
+		return false;
+	for (size_t i = 0; parts[i] != NULL; i++) {
+		const char *text = g_strstrip(parts[i]);
+
+		if (!g_ascii_isdigit(text[0]) ||
+		    !g_ascii_string_to_unsigned(
+			text, 10, 0, INT64_MAX, &length, NULL) ||
+		    (head->has_length && head->length != length))
+			return false;
+		head->has_length = true;
+		head->length = length;
+	}
+	return true;
+}
+
+/*
+ * Checks a header that frames the body; any other one is valid. One with blanks
+ * after its name is not known to libcurl, which reads the body without it.
+ */
+static enum response_line
+check_framing(struct response_head *head, const struct http_header *header,
+    bool has_blanks)
+{
+	if (has_blanks &&
+	    (g_ascii_strcasecmp(header->name, CONTENT_LENGTH) == 0 ||
+		g_ascii_strcasecmp(header->name, TRANSFER_ENCODING) == 0))
+		return reject(head, "a blank before the colon of the framing");
+	if (g_ascii_strcasecmp(header->name, CONTENT_LENGTH) == 0) {
+		if (!add_length(head, header->value))
+			return reject(head, "invalid Content-Length");
+	} else if (g_ascii_strcasecmp(header->name, TRANSFER_ENCODING) == 0) {
+		if (head->chunked ||
+		    g_ascii_strcasecmp(header->value, CHUNKED) != 0)
+			return reject(
+			    head, "Transfer-Encoding other than chunked");
+		head->chunked = true;
+	}
+	if (head->has_length && head->chunked)
+		return reject(head, "both a length and chunks");
+	return RESPONSE_LINE_PART;
+}
+
+/*
+ * Adds a header line without its line end. Blanks after the name are removed
+ * (RFC 9112, 5.1).
+ */
+static enum response_line
+add_field(struct response_head *head, const char *line, size_t length)
+{
+	const char *colon = memchr(line, ':', length);
+	size_t start = colon == NULL ? 0 : (size_t)(colon - line);
+	size_t name_length = start;
+	struct http_header header;
+
+	while (name_length > 0 &&
+	    (line[name_length - 1] == ' ' || line[name_length - 1] == '\t'))
+		name_length--;
+	if (!is_token(line, name_length))
+		return reject(head, "a header line without a valid name");
+	if (memchr(line, '\0', length) != NULL ||
+	    memchr(line, '\r', length) != NULL)
+		return reject(head, "a header with NUL or CR in its value");
+	header.name = g_strndup(line, name_length);
+	header.value = g_strstrip(g_strndup(colon + 1, length - start - 1));
+	g_array_append_val(head->headers, header);
+	return check_framing(head, &header, name_length < start);
+}
+
+/*
+ * Adds a line, its line end included. Lines after the final response's head
+ * belong to its trailer and are ignored.
+ */
+enum response_line
+response_head_add_line(
+    struct response_head *head, const char *line, size_t length)
+{
+	head->bytes += length;
+	if (head->bytes > RESPONSE_HEAD_MAX_BYTES)
+		return RESPONSE_LINE_TOO_LARGE;
+	if (head->complete)
+		return RESPONSE_LINE_PART;
+	if (!head->in_head)
+		return begin(head, line, length);
+	if (length > 0 && line[length - 1] == '\n')
+		length--;
+	if (length > 0 && line[length - 1] == '\r')
+		length--;
+	if (length > 0)
+		return add_field(head, line, length);
+	head->in_head = false;
+	return RESPONSE_LINE_END;
+}
+
+/* Returns the last header of this name, ignoring case; NULL if none. */
+const char *
+response_head_find(const struct response_head *head, const char *name)
+{
+	const struct http_header *header;
+
+	for (guint i = head->headers->len; i > 0; i--) {
+		header = &g_array_index(
+		    head->headers, struct http_header, i - 1);
+		if (g_ascii_strcasecmp(header->name, name) == 0)
+			return header->value;
+	}
+	return NULL;
+}
