Events after a wrong id are passed on, and no stream is resumed at it

Cause: forward_event() dropped each event whose id was not above the last one. An id that is too low or comes twice lost an event the same way. By the same cause streams were resumed after a wrong id, with events missing or repeated.

policy/event_position decides now: an event is repeated only at the start of a run that continues a stream, and only if the repetition reaches the last event that the caller has; all others are passed on as they came. An id that does not follow the one before, or data without a readable id, leaves the position in doubt until two ids follow each other again; a stream that breaks off meanwhile is cut, so that its caller sees it. A log line and heatherturn_gateway_events_in_doubt show each. Of several ids of one event the last one counts, and an event is a comment only if all its lines are.

This works as one run has no event twice: what it sends is the response, whatever its ids are.

A case of test_unframed expected that a stream is resumed after events with data but no ids. A resumed run would repeat these, so the case has comments of the same size now, and a new one, which failed before, expects that such a stream is cut.

--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -4,6 +4,8 @@
 
 #define ID_FIELD     "id:"
 #define ID_MAX_BYTES 24
+/* First byte of a comment line. */
+#define COMMENT ':'
 
 /* Initialises a splitter with an empty buffer. */
 void
@@ -40,6 +42,21 @@
 	return false;
 }
 
+/* Returns whether a complete event has no fields: its lines are comments. */
+bool
+event_splitter_is_comment(const uint8_t *bytes, size_t length)
+{
+	bool at_line_start = true;
+
+	for (size_t i = 0; i < length; i++) {
+		if (at_line_start && bytes[i] != COMMENT && bytes[i] != '\r' &&
+		    bytes[i] != '\n')
+			return false;
+		at_line_start = bytes[i] == '\n';
+	}
+	return true;
+}
+
 /* Returns the length of the first complete event, 0 if there is none. */
 static size_t
 first_event_length(const uint8_t *bytes, size_t length)
@@ -71,20 +88,20 @@
 	    g_strstrip(text), 10, 0, UINT64_MAX, id, NULL);
 }
 
-/* Parses the id of an event; false if it has no numeric id. */
+/* Parses the last id of an event; false if it has no numeric one. */
 static bool
 find_id(const uint8_t *bytes, size_t length, uint64_t *id)
 {
 	size_t start = 0;
+	bool found = false;
 
 	for (size_t i = 0; i < length; i++) {
 		if (bytes[i] != '\n')
 			continue;
-		if (read_id(bytes + start, i - start, id))
-			return true;
+		found |= read_id(bytes + start, i - start, id);
 		start = i + 1;
 	}
-	return false;
+	return found;
 }
 
 /*
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -27,6 +27,7 @@
 void event_splitter_clear(struct event_splitter *);
 bool event_splitter_feed(struct event_splitter *, const uint8_t *, size_t,
     event_splitter_fn *, void *data);
+bool event_splitter_is_comment(const uint8_t *bytes, size_t length);
 bool event_splitter_is_in_event(const struct event_splitter *);
 void event_splitter_reset(struct event_splitter *);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -158,7 +158,8 @@
 					   : NULL,
 	    "status", exchange->status, "sends", (int)exchange->sends,
 	    "first_event_ms", (json_int_t)first, "last_event",
-	    exchange->has_last_event ? (json_int_t)exchange->last_event : -1,
+	    exchange->position.has_last ? (json_int_t)exchange->position.last
+					: -1,
 	    "longest_pause_ms", (json_int_t)exchange->longest_gap_ms, "took_ms",
 	    (json_int_t)took);
 }
@@ -368,8 +369,9 @@
 	event_splitter_init(&exchange->splitter);
 	httpd_request_set_data(http, exchange);
 	headers_parse_caller(http, &exchange->caller_headers);
-	exchange->has_last_event = exchange->caller_headers.has_last_event;
-	exchange->last_event = exchange->caller_headers.last_event;
+	if (exchange->caller_headers.has_last_event)
+		event_position_start_after(
+		    &exchange->position, exchange->caller_headers.last_event);
 	log_drain(exchange);
 	if (table == NULL) {
 		exchange_refuse(exchange, REFUSAL_NOT_READY,
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -16,6 +16,7 @@
 #include "gateway/reservations.h"
 #include "platform/headers.h"
 #include "policy/balance.h"
+#include "policy/event_position.h"
 #include "policy/precedence.h"
 #include "routing/service_ranks.h"
 
@@ -157,8 +158,7 @@
 	uint64_t taken_bytes; /* of the response, when last looked at */
 	struct timespec taken_at; /* when the caller was last seen to read */
 	struct event_splitter splitter;
-	bool has_last_event;
-	uint64_t last_event; /* id of the last event sent to the caller */
+	struct event_position position; /* of the events sent to the caller */
 	struct timespec first_event_at;
 	struct timespec last_event_at;
 	int64_t longest_gap_ms; /* longest time between two events */
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -1,3 +1,4 @@
+#include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "policy/part_quarantine.h"
 
@@ -9,14 +10,15 @@
 /* A response that is no event stream is buffered up to this size. */
 #define BODY_BUFFER_MAX_BYTES ((size_t)256 * 1024)
 
-/* First byte of a comment in an event stream. */
-#define COMMENT ':'
-
 #define STATUS_OK	   200
 #define STATUS_MULTIPLE	   300
 #define STATUS_SERVER_MIN  500
 #define STATUS_BAD_GATEWAY 502
 
+METRIC_DEFINE(events_in_doubt, METRIC_COUNTER,
+    "heatherturn_gateway_events_in_doubt", NULL,
+    "Times that a stream's event had no id that follows the last one.");
+
 /* What to do with a response once its headers have been received. */
 enum verdict {
 	VERDICT_PASS, /* forward it to the caller */
@@ -152,11 +154,11 @@
  * unless it is a comment.
  */
 static bool
-is_foreign_event(struct exchange *exchange, const uint8_t *bytes, bool has_id)
+is_foreign_event(struct exchange *exchange, bool is_comment, bool has_id)
 {
 	if (has_id || !exchange->continues || exchange->has_new_event)
 		return false;
-	if (bytes[0] == COMMENT)
+	if (is_comment)
 		return true;
 	exchange->send_outcome = SEND_FAILED;
 	exchange->send_error = "the upstream continued with an event without "
@@ -164,6 +166,37 @@
 	return true;
 }
 
+/*
+ * Returns whether an event is new to the caller; fails the send if its run does
+ * not continue the stream.
+ */
+static bool
+add_event(struct exchange *exchange, bool has_id, uint64_t id)
+{
+	struct event_position *position = &exchange->position;
+	enum event_verdict verdict = EVENT_NEW;
+	bool was_in_doubt = position->in_doubt;
+
+	if (has_id)
+		verdict = event_position_add(position, id);
+	else
+		event_position_add_unnumbered(position);
+	if (verdict == EVENT_MISPLACED) {
+		exchange->send_outcome = SEND_FAILED;
+		exchange->send_error = "the upstream repeated events, but not "
+				       "the last one";
+	}
+	if (position->in_doubt && !was_in_doubt) {
+		metric_add(&events_in_doubt, 1);
+		LOG_INFO("event without an id that follows the last one",
+		    "{s:s?, s:s, s:b, s:I}", "request",
+		    exchange->caller_headers.request_id, "upstream",
+		    exchange->upstream->id, "has_id", has_id, "id",
+		    (json_int_t)id);
+	}
+	return verdict == EVENT_NEW;
+}
+
 /*
  * Forwards a complete event, unless the caller has received it already or the
  * send has failed.
@@ -173,21 +206,18 @@
     void *data, const uint8_t *bytes, size_t length, bool has_id, uint64_t id)
 {
 	struct exchange *exchange = data;
+	bool is_comment = event_splitter_is_comment(bytes, length);
 
 	if (exchange->send_outcome == SEND_FAILED ||
-	    is_foreign_event(exchange, bytes, has_id))
+	    is_foreign_event(exchange, is_comment, has_id))
 		return;
 	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
 		exchange_report_survival(exchange);
 	if (exchange->send_events == 1)
 		exchange_check_prompt(exchange);
-	if (has_id && exchange->has_last_event && id <= exchange->last_event)
+	if (!is_comment && !add_event(exchange, has_id, id))
 		return;
-	if (has_id) {
-		exchange->has_last_event = true;
-		exchange->last_event = id;
-		exchange->has_new_event = true;
-	}
+	exchange->has_new_event |= has_id;
 	record_event_time(exchange);
 	exchange_restart_stall_timer(exchange);
 	exchange_clear_prefill(exchange);
@@ -305,7 +335,7 @@
 	return event_splitter_is_in_event(&exchange->splitter) ||
 	    (exchange->continues && !exchange->has_new_event) ||
 	    (!exchange->response.framed && exchange->send_events == 0 &&
-		!exchange->has_last_event);
+		!exchange->position.has_last);
 }
 
 /* Completes the response, or retries or fails the request after an error. */
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -42,7 +42,7 @@
 /*
  * Returns whether the request may be sent again after this number of sends as
  * far as its route and deadline go. If it may have been executed, its route
- * must allow that.
+ * must allow that; a stream that has begun must have a place to continue at.
  */
 static bool
 may_retry_by_route(
@@ -50,6 +50,9 @@
 {
 	if (may_have_run && !route_is_repeatable(exchange->route))
 		return false;
+	if (exchange->is_event_stream &&
+	    !event_position_can_resume(&exchange->position))
+		return false;
 	return exchange_used_attempts(exchange, sends, may_have_run) <
 	    exchange_sends_max(exchange) &&
 	    exchange->tries < EXCHANGE_TRIES_MAX &&
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -39,6 +39,7 @@
 	exchange->send_events = 0;
 	exchange->continues = exchange->streaming;
 	exchange->has_new_event = false;
+	event_position_begin_run(&exchange->position);
 	exchange->disconnected = false;
 	exchange->tried[exchange->tries++] = g_strdup(upstream->id);
 	fleet_add_request(routing_state_fleet(exchange->context->routing_state),
@@ -120,8 +121,8 @@
 	    .organisation = exchange->organisation != NULL
 		? exchange->organisation->name
 		: NULL,
-	    .has_last_event = exchange->has_last_event,
-	    .last_event = exchange->last_event,
+	    .has_last_event = exchange->position.has_last,
+	    .last_event = exchange->position.last,
 	    .helpers = helpers,
 	    .helper_count = exchange->helper_count,
 	};
--- a/tests/test_event_splitter.c
+++ b/tests/test_event_splitter.c
@@ -23,6 +23,8 @@
     {"an event without id", "data: x\n\n", 1, 0, 0, false},
     {"lines that end with CR LF", "id: 12\r\ndata: x\r\n\r\n", 1, 12, 0, false},
     {"an id after the data", "data: x\nid:7\n\n", 1, 7, 0, false},
+    {"the last id of an event counts", "id: 3\ndata: x\nid: 4\n\n", 1, 4, 0,
+	false},
     {"an id that is not a number", "id: x\ndata: y\n\n", 1, 0, 0, false},
     {"nothing", "", 0, 0, 0, false},
     {"an empty line after an event", "id: 3\ndata: x\n\n\n", 1, 3, 1, false},
@@ -86,10 +88,34 @@
 	}
 }
 
+static const struct comment_case {
+	const char *name;
+	const char *bytes;
+	bool is_comment;
+} comment_cases[] = {
+    {"a comment", ": x\n\n", true},
+    {"two comment lines", ": x\n: y\r\n\r\n", true},
+    {"an empty line", "\n\n", true},
+    {"a field", "data: x\n\n", false},
+    {"a field after a comment line", ": x\ndata: y\n\n", false},
+};
+
+/* Only an event without any field is a comment. */
+static void
+test_comment(gconstpointer data)
+{
+	const struct comment_case *c = &comment_cases[GPOINTER_TO_SIZE(data)];
+
+	g_assert_cmpint(event_splitter_is_comment(
+			    (const uint8_t *)c->bytes, strlen(c->bytes)),
+	    ==, c->is_comment);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/event_splitter", test_split);
+	ADD_CASES(comment_cases, "/event_splitter/comment", test_comment);
 	return g_test_run();
 }
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -328,9 +328,11 @@
 #define FILL_256                                                        \
 	FILL_16 FILL_16 FILL_16 FILL_16 FILL_16 FILL_16 FILL_16 FILL_16 \
 	    FILL_16 FILL_16 FILL_16 FILL_16 FILL_16 FILL_16 FILL_16 FILL_16
-#define LONG_EVENT                                                     \
-	"data: " FILL_256 FILL_256 FILL_256 FILL_256 FILL_256 FILL_256 \
-	    FILL_256 FILL_256 "\n\n"
+#define FILL_2K \
+	FILL_256 FILL_256 FILL_256 FILL_256 FILL_256 FILL_256 FILL_256 FILL_256
+#define LONG_EVENT "data: " FILL_2K "\n\n"
+/* As long; a resumed run has no need to repeat it. */
+#define LONG_COMMENT ":     " FILL_2K "\n\n"
 
 static const struct slow_case {
 	const char *name;
@@ -361,10 +363,18 @@
      "is resumed",
 	"/stream/x",
 	{{.bytes = OK STREAM "\r\n" E1,
-	     .repeated = LONG_EVENT,
+	     .repeated = LONG_COMMENT,
 	     .last = "id: 2\nda"},
 	    {LAST_EVENTS}},
 	2, false, E2 E3},
+    {"an unframed stream that ends after events without ids while its caller "
+     "is slow is cut",
+	"/stream/x",
+	{{.bytes = OK STREAM "\r\n",
+	     .repeated = LONG_EVENT,
+	     .last = "id: 2\nda"},
+	    {LAST_EVENTS}},
+	1, true, NULL},
     {"a long unframed response that ends while its caller is slow is complete",
 	"/once/x",
 	{{.bytes = OK TEXT "\r\n", .repeated = LONG_EVENT, .last = "end"}}, 1,
