--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -478,6 +478,11 @@
 
 	if (call->state != CALL_RUNNING)
 		return 0;
+	/* Bytes of another protocol follow the head of a 101. */
+	if (!call->head.complete) {
+		call_fail(call, HTTP_CLIENT_ERROR_INVALID);
+		return 0;
+	}
 	if (call->pause_wanted) {
 		call->paused = true;
 		return CURL_WRITEFUNC_PAUSE;
