A stop: requests that may run only once are begun only if they surely end

Another operator reported that in a planned stop requests that came late in the grace time were taken, passed on, and cut at its end without an answer, among them ones that may not be repeated.

What comes after the notice is not passed on here: test_gateway_stop sends requests on connections opened or used before the stop, the rest of a body, and one behind an open request, to a real process; these cases hold on the code before too. But a request of a kind of which none had been answered yet was expected to last no time, and one of a known kind as long as most. With a grace time below the notice a stream that can't be resumed was begun a moment before the exit, and its caller got the beginning of a 200.

duration_expected_ms() now expects a request that may run only once to last as long as nearly all of its kind, or until its deadline if none has been answered yet. Gateways and entries (calls to plain services) refuse it as not run if that is after the exit, so that another process can serve it. Other requests are judged as before.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -300,24 +300,17 @@
 				  : &durations->short_prompts;
 }
 
-/* Returns the time that a request is likely to need, by its kind's durations.
- */
-static int64_t
-expected_ms(const struct duration *duration, int64_t remaining_ms)
-{
-	return MIN(remaining_ms, duration_likely_ms(duration));
-}
-
 /*
  * Returns whether a request that has not run may be sent to an upstream, with
- * the time left until its deadline.
+ * the time left until its deadline. A call to a plain service can't be repeated
+ * if it is cut.
  */
 bool
-dispatch_may_begin(const struct dispatch *dispatch,
+dispatch_may_begin(const struct dispatch *dispatch, enum work_kind work,
     const struct duration *duration, int64_t remaining_ms)
 {
 	return drain_may_begin(&dispatch->drain,
-	    expected_ms(duration, remaining_ms),
+	    duration_expected_ms(duration, remaining_ms, work != WORK_CALL),
 	    clock_monotonic(dispatch->settings.clock));
 }
 
@@ -327,7 +320,7 @@
     const struct duration *duration, int64_t remaining_ms)
 {
 	return drain_may_repeat(&dispatch->drain,
-	    expected_ms(duration, remaining_ms),
+	    duration_expected_ms(duration, remaining_ms, true),
 	    clock_monotonic(dispatch->settings.clock));
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -80,8 +80,8 @@
 const struct drain *dispatch_drain(const struct dispatch *);
 struct duration *dispatch_duration(
     struct dispatch *, const char *service, enum work_class);
-bool dispatch_may_begin(
-    const struct dispatch *, const struct duration *, int64_t remaining_ms);
+bool dispatch_may_begin(const struct dispatch *, enum work_kind,
+    const struct duration *, int64_t remaining_ms);
 bool dispatch_may_repeat(
     const struct dispatch *, const struct duration *, int64_t remaining_ms);
 
--- a/src/entry/group_run.c
+++ b/src/entry/group_run.c
@@ -200,7 +200,8 @@
 
 	return may_have_run(run)
 	    ? dispatch_may_repeat(run->dispatch, duration, remaining_ms(run))
-	    : dispatch_may_begin(run->dispatch, duration, remaining_ms(run));
+	    : dispatch_may_begin(
+		  run->dispatch, WORK_GENERATE, duration, remaining_ms(run));
 }
 
 /* Fails a run that can't be completed before this process exits. */
--- a/src/entry/job_state.c
+++ b/src/entry/job_state.c
@@ -272,7 +272,8 @@
 
 	if (job->earlier_attempt_may_have_run
 		? dispatch_may_repeat(job->dispatch, duration, left_ms)
-		: dispatch_may_begin(job->dispatch, duration, left_ms))
+		: dispatch_may_begin(
+		      job->dispatch, job->spec.work, duration, left_ms))
 		return true;
 	job_fail_exiting(job);
 	return false;
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -106,8 +106,10 @@
 
 	if (!drain_is_started(&context->drain) || exchange->streaming)
 		return true;
-	expected_ms = MIN(exchange_remaining_ms(exchange),
-	    duration_likely_ms(route_duration(context, exchange->route->name)));
+	expected_ms = duration_expected_ms(
+	    route_duration(context, exchange->route->name),
+	    exchange_remaining_ms(exchange),
+	    route_is_repeatable(exchange->route));
 	if (exchange->may_have_run)
 		return drain_may_repeat(&context->drain, expected_ms, now);
 	return drain_may_begin(&context->drain, expected_ms, now);
--- a/src/policy/duration.c
+++ b/src/policy/duration.c
@@ -2,9 +2,13 @@
 
 #include <math.h>
 
+#include <glib.h>
+
 /* Weights of a new sample and its deviation, as in RFC 6298. */
 #define MEAN_WEIGHT	 0.125
 #define DEVIATION_WEIGHT 0.25
+/* Mean deviations above the mean that hardly any request exceeds. */
+#define SAFE_DEVIATIONS 4
 
 /* Adds the time in milliseconds that a request has taken. */
 void
@@ -34,3 +38,22 @@
 {
 	return (int64_t)(duration->mean_ms + duration->deviation_ms);
 }
+
+/*
+ * Returns how long a request may last, in milliseconds, that must end before
+ * its process exits; at most the time until its deadline. One that can be
+ * repeated is expected to last as long as most. One that can't is lost if it is
+ * cut, and is refused rather: it may last as long as nearly all, or until its
+ * deadline if none has been answered yet.
+ */
+int64_t
+duration_expected_ms(
+    const struct duration *duration, int64_t remaining_ms, bool repeatable)
+{
+	int64_t safe_ms = (int64_t)(duration->mean_ms +
+	    SAFE_DEVIATIONS * duration->deviation_ms);
+
+	if (repeatable)
+		return MIN(remaining_ms, duration_likely_ms(duration));
+	return duration->known ? MIN(remaining_ms, safe_ms) : remaining_ms;
+}
--- a/src/policy/duration.h
+++ b/src/policy/duration.h
@@ -16,5 +16,7 @@
 
 void duration_add(struct duration *, int64_t ms);
 int64_t duration_likely_ms(const struct duration *);
+int64_t duration_expected_ms(
+    const struct duration *, int64_t remaining_ms, bool repeatable);
 
 #endif
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -34,6 +34,16 @@
 	"/stream/x", 1, NOTICE_MS - 100, 200, 1},
     {"a known short request after the notice is refused", "/stream/x", 1,
 	NOTICE_MS, 503, 0},
+    {"a request that may run once and last until the exit is refused",
+	"/once/x", 0, 2900, 503, 0},
+    {"a request that may run once and ends before the exit is served",
+	"/once/x", 0, 1000, 200, 1},
+    {"a request that may run once and is known to be short is served",
+	"/once/x", 100, 2900, 200, 1},
+    {"a stream that can't be resumed and may last until the exit is refused",
+	"/fragile/x", 0, 2900, 503, 0},
+    {"a stream that can't be resumed and is known to be short is served",
+	"/fragile/x", 100, 2900, 200, 1},
 };
 
 /* Starts the gateway's drain as if it had been asked to stop before. */
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -4,6 +4,7 @@
  */
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <sodium.h>
 
@@ -24,9 +25,15 @@
 	"POST /x HTTP/1.1\r\nHost: h\r\n" \
 	"Heatherturn-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\n"
 
+/* A stream that can't be resumed, with ONCE_CONFIG. */
+#define STREAM_HEAD                         \
+	"POST /v/x HTTP/1.1\r\nHost: h\r\n" \
+	"Heatherturn-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\n"
+
 struct fixture {
 	struct stop_fixture stop;
 	struct fake_platform *platform;
+	const char *config; /* NULL for CONFIG */
 };
 
 /* Starts the platform and a gateway with these limits. */
@@ -39,7 +46,8 @@
 
 	stop_fixture_open(&f->stop);
 	f->platform = fake_platform_new(f->stop.loop);
-	fake_platform_set_config(f->platform, CONFIG);
+	fake_platform_set_config(
+	    f->platform, f->config != NULL ? f->config : CONFIG);
 	fake_platform_set_steps(f->platform, steps, step_count);
 	callers = g_strdup_printf(
 	    "--callers=127.0.0.1:%d", f->stop.ports[STOP_PORT_CALLERS]);
@@ -145,6 +153,102 @@
 	tear_down(&f);
 }
 
+/* The same routes, but their requests may run only once. */
+#define ONCE_CONFIG                                                         \
+	"{\"Version\":3,\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","        \
+	"\"PathPrefix\":\"/\",\"Kind\":\"non_idempotent\",\"Public\":true," \
+	"\"TimeoutMs\":15000,\"Attempts\":1,\"Service\":\"s\"},"            \
+	"{\"Name\":\"v\",\"Host\":\"h\",\"PathPrefix\":\"/v/\","            \
+	"\"Kind\":\"stream\",\"Public\":true,\"TimeoutMs\":15000,"          \
+	"\"Attempts\":1,\"Service\":\"s\"}],"                               \
+	"\"Services\":[{\"Name\":\"s\"}],\"Limits\":{\"BodyBytes\":1000},"  \
+	"\"Tenants\":[]}"
+
+/* What reaches a gateway late in a planned stop, after the notice. */
+enum late_way {
+	LATE_UNUSED, /* on a connection that was opened before the stop */
+	LATE_KEPT, /* on one that had a request before the stop */
+	LATE_BODY, /* the rest of a body that was begun before the stop */
+	LATE_PIPELINED, /* behind a request that is still open */
+	LATE_WAYS,
+};
+
+/* Prepares a connection for each way, before the stop. */
+static void
+open_late_connections(struct fixture *f, int *fds)
+{
+	for (size_t i = 0; i < LATE_WAYS; i++)
+		fds[i] = stop_fixture_connect(&f->stop, STOP_PORT_CALLERS);
+	exchange(f, fds[LATE_KEPT]);
+	stop_fixture_send(fds[LATE_BODY], HEAD "as");
+	stop_fixture_send(fds[LATE_PIPELINED], HEAD "asked");
+	STOP_RUN_UNTIL(&f->stop, fake_platform_request_count(f->platform) == 2);
+}
+
+/*
+ * Requests that come late in a planned stop are not passed on: their callers
+ * learn at once that they have not run. One that is open gets a status.
+ */
+static void
+test_late_requests(void)
+{
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_OK, FAKE_STEP_HANG, FAKE_STEP_OK};
+	static const char *const starts[LATE_WAYS] = {
+	    "HTTP/1.1 503 ", "", "HTTP/1.1 503 ", "HTTP/1.1 502 "};
+	struct fixture f = {.config = ONCE_CONFIG};
+	int fds[LATE_WAYS];
+
+	set_up(&f, "300", "3", steps, G_N_ELEMENTS(steps));
+	open_late_connections(&f, fds);
+	kill(f.stop.process, SIGTERM);
+	stop_fixture_wait_for_port(&f.stop, STOP_PORT_CALLERS, false);
+	stop_fixture_send(fds[LATE_UNUSED], HEAD "asked");
+	stop_fixture_send(fds[LATE_KEPT], HEAD "asked");
+	stop_fixture_send(fds[LATE_BODY], "ked");
+	stop_fixture_send(fds[LATE_PIPELINED], HEAD "asked");
+	for (size_t i = 0; i < LATE_WAYS; i++) {
+		g_autoptr(GString) received = g_string_new(NULL);
+
+		stop_fixture_read_until(&f.stop, fds[i], received, NULL);
+		g_assert_true(g_str_has_prefix(received->str, starts[i]));
+		close(fds[i]);
+	}
+	g_assert_cmpuint(fake_platform_request_count(f.platform), ==, 2);
+	tear_down(&f);
+}
+
+/*
+ * A grace time that is shorter than the notice: a request that may run only
+ * once, of a length that is not known, is not begun a moment before the exit.
+ */
+static void
+test_short_grace(gconstpointer data)
+{
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_OK, FAKE_STEP_BEGIN};
+	const char *head = data;
+	g_autoptr(GString) received = g_string_new(NULL);
+	struct fixture f = {.config = ONCE_CONFIG};
+	int other, fd;
+
+	set_up(&f, "2700", "2", steps, G_N_ELEMENTS(steps));
+	fd = stop_fixture_connect(&f.stop, STOP_PORT_CALLERS);
+	other = stop_fixture_connect(&f.stop, STOP_PORT_CALLERS);
+	exchange(&f, other);
+	kill(f.stop.process, SIGTERM);
+	/* Its end shows that the gateway drains. */
+	stop_fixture_read_until(&f.stop, other, received, NULL);
+	g_string_truncate(received, 0);
+	stop_fixture_send(fd, head);
+	stop_fixture_read_until(&f.stop, fd, received, NULL);
+	close(fd);
+	close(other);
+	g_assert_true(g_str_has_prefix(received->str, "HTTP/1.1 503 "));
+	g_assert_cmpuint(fake_platform_request_count(f.platform), ==, 1);
+	tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -161,5 +265,12 @@
 	g_test_add_func("/gateway_stop/a request without a response at the "
 			"exit gets a status",
 	    test_unanswered);
+	g_test_add_func("/gateway_stop/requests that come late in a stop are "
+			"not passed on",
+	    test_late_requests);
+	g_test_add_data_func(
+	    "/gateway_stop/a stream that can't be resumed is not begun a "
+	    "moment before the exit",
+	    STREAM_HEAD "asked", test_short_grace);
 	return g_test_run();
 }
