A new gateway watches the store if it hears from none that can

Cause: a gateway that is no seed did not watch the store in its first 5 s, whatever it heard; in the case the only other one could not reach the store. Besides, others learn of a new gateway only with their next read of the list, up to 10 s later, and send reports and documents to gateways of the list alone.

policy/watching goes by what a new gateway has heard: without a report of one that can watch for 1.5 s and two rounds it watches, unless three that are as new rank before it; LOAD says who is new. A gateway that reports is a peer at once. So it does not matter whether the others stopped, lost the store, are new or are gone.

--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -29,6 +29,8 @@
 	GHashTable *addresses; /* name -> address, as the peers report them */
 	GArray *members; /* of struct rate_member: this process and the peers */
 	uint64_t members_generation; /* of the peers, when they were listed */
+	uint64_t mesh_generation; /* of the peers, when the mesh got them */
+	bool addresses_changed; /* since then */
 	size_t reported_peers; /* number at the last full report */
 	uint64_t broadcasts; /* so far */
 	unsigned int change_rounds; /* since the last full report */
@@ -92,6 +94,18 @@
 	}
 }
 
+/* Takes a peer's address, which only some reports have. */
+static void
+take_address(struct load_sync *sync, const char *peer, const char *address)
+{
+	if (address == NULL || address[0] == '\0' ||
+	    g_strcmp0(address, g_hash_table_lookup(sync->addresses, peer)) == 0)
+		return;
+	g_hash_table_replace(
+	    sync->addresses, g_strdup(peer), g_strdup(address));
+	sync->addresses_changed = true;
+}
+
 /* Handles a peer's message, which another one may have passed on. */
 static void
 on_message(void *data, struct link *link, const struct message *message)
@@ -106,10 +120,8 @@
 		origin = link_peer(link)->process;
 	if (is_load ? message->load.relay : message->prefill.relay)
 		relay_message(sync, origin, message);
-	if (is_load && message->load.address != NULL &&
-	    message->load.address[0] != '\0')
-		g_hash_table_replace(sync->addresses, g_strdup(origin),
-		    g_strdup(message->load.address));
+	if (is_load)
+		take_address(sync, origin, message->load.address);
 	if (is_load && sync->return_queue != NULL)
 		load_report_apply_returning(&message->load, sync->return_queue,
 		    clock_monotonic(sync->clock));
@@ -225,7 +237,7 @@
 {
 	size_t count;
 	g_autofree struct watcher_candidate
-	    *peers = peer_loads_watcher_candidates(sync->peers, &count);
+	    *peers = peer_loads_watcher_candidates(sync->peers, false, &count);
 	size_t known;
 
 	registry_others(sync->registry, &known);
@@ -338,9 +350,15 @@
 static struct watching_input
 describe_watching(const struct load_sync *sync)
 {
+	struct timespec now = clock_monotonic(sync->clock);
+	struct timespec heard_at = peer_loads_watcher_heard_at(sync->peers);
+
+	if (time_before(heard_at, sync->started_at))
+		heard_at = sync->started_at;
 	return (struct watching_input){
-	    .age_ms = time_diff_ms(
-		clock_monotonic(sync->clock), sync->started_at),
+	    .age_ms = time_diff_ms(now, sync->started_at),
+	    .silence_ms = time_diff_ms(now, heard_at),
+	    .round_ms = round_ms(sync),
 	    .is_seed = sync->is_seed,
 	    .has_seeds = sync->has_seeds,
 	    .complete = routing_state_is_complete(sync->routing_state),
@@ -357,6 +375,16 @@
 	    routing_state_is_store_disconnected(sync->routing_state);
 }
 
+/* Returns whether they must not only because this process has just started. */
+static bool
+is_new(const struct load_sync *sync)
+{
+	const struct watching_input input = describe_watching(sync);
+
+	return !sync->draining && !watching_is_possible(&input) &&
+	    !routing_state_is_store_disconnected(sync->routing_state);
+}
+
 /* Collects our loads, or those that changed, and what we know of upstreams. */
 static void
 collect_report(struct load_sync *sync, struct load_report *report, bool changes)
@@ -455,6 +483,7 @@
 	    .returning = {report.returning, report.returning_count},
 	    .gateways = count_known(sync),
 	    .holds_retry_share = sync->holds_retry_share,
+	    .is_new = is_new(sync),
 	};
 	if (!may_skip(sync, &report, ranks) || !changes)
 		broadcast(sync, &message);
@@ -462,20 +491,21 @@
 }
 
 /*
- * Returns whether enough peers that rank before this process are alive and
- * reach the store, so that this process does not have to watch it.
+ * Returns whether this process is among those that should watch the store, by
+ * rank among the peers that are alive and can; with_new includes those that
+ * have just started.
  */
 static bool
-has_enough_watchers(const struct load_sync *sync)
+is_elected(const struct load_sync *sync, bool with_new)
 {
 	size_t used;
-	g_autofree struct watcher_candidate
-	    *candidates = peer_loads_watcher_candidates(sync->peers, &used);
+	g_autofree struct watcher_candidate *candidates =
+	    peer_loads_watcher_candidates(sync->peers, with_new, &used);
 	const struct watcher_candidate self = {.id = sync->self,
 	    .answers = true,
 	    .cpu_permille = sync->cpu_permille};
 
-	return !watchers_is_preferred(
+	return watchers_is_preferred(
 	    candidates, used, &self, LOAD_SYNC_WATCHERS);
 }
 
@@ -485,11 +515,36 @@
 {
 	struct watching_input input = describe_watching(sync);
 
-	input.elected = !has_enough_watchers(sync);
+	input.elected = is_elected(sync, false);
+	input.elected_new = is_elected(sync, true);
 	routing_state_set_watching(
 	    sync->routing_state, watching_is_needed(&input));
 }
 
+/*
+ * Makes peers of the gateways that report: a new one is not in the list until
+ * the next read, and would get neither reports nor documents until then.
+ */
+static void
+set_reporting_peers(struct load_sync *sync)
+{
+	uint64_t generation = peer_loads_generation(sync->peers);
+	g_autofree struct watcher_candidate *peers = NULL;
+	g_autofree const char **addresses = NULL;
+	size_t count;
+
+	if (generation == sync->mesh_generation && !sync->addresses_changed)
+		return;
+	sync->mesh_generation = generation;
+	sync->addresses_changed = false;
+	peers = peer_loads_watcher_candidates(sync->peers, false, &count);
+	addresses = g_new0(const char *, count + 1);
+	for (size_t i = 0; i < count; i++)
+		addresses[i] = g_hash_table_lookup(
+		    sync->addresses, peers[i].id);
+	mesh_set_peers(sync->mesh, MESH_SOURCE_REPORTS, addresses, count);
+}
+
 /* Runs a round: drops silent peers, decides on watching, reports our load. */
 static void
 on_round_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -506,6 +561,7 @@
 	if (sync->return_queue != NULL)
 		return_queue_expire(
 		    sync->return_queue, clock_monotonic(sync->clock));
+	set_reporting_peers(sync);
 	decide_watching(sync);
 	if (sync->on_round != NULL)
 		sync->on_round(sync->round_data);
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -8,6 +8,7 @@
 	GPtrArray *faulty; /* ids of upstreams */
 	struct timespec received_at;
 	bool cannot_watch; /* the store, as last reported */
+	bool is_new; /* which is the only reason for that */
 	uint32_t cpu_permille; /* as last reported */
 	bool may_coordinate; /* shared rates, as last reported */
 	uint64_t view; /* of the gateways that may */
@@ -232,6 +233,7 @@
 		replace_row(peer_loads, peer_load, message, i);
 	peer_load->received_at = now;
 	peer_load->cannot_watch = message->cannot_watch;
+	peer_load->is_new = message->is_new;
 	peer_load->cpu_permille = message->cpu_permille;
 	if (peer_load->may_coordinate != message->may_coordinate ||
 	    peer_load->view != message->view)
@@ -344,11 +346,12 @@
 
 /*
  * Returns the peers as candidates for watching the store, to be freed with
- * g_free(). Their ids are valid until the next call of this module.
+ * g_free(); those that have just started answer if with_new is set. Their ids
+ * are valid until the next call of this module.
  */
 struct watcher_candidate *
 peer_loads_watcher_candidates(
-    const struct peer_loads *peer_loads, size_t *count)
+    const struct peer_loads *peer_loads, bool with_new, size_t *count)
 {
 	struct watcher_candidate *candidates = g_new(
 	    struct watcher_candidate, g_hash_table_size(peer_loads->peers) + 1);
@@ -363,13 +366,33 @@
 
 		candidates[(*count)++] = (struct watcher_candidate){
 		    .id = process,
-		    .answers = !peer_load->cannot_watch,
+		    .answers = !peer_load->cannot_watch ||
+			(with_new && peer_load->is_new),
 		    .cpu_permille = peer_load->cpu_permille,
 		};
 	}
 	return candidates;
 }
 
+/* Returns when a peer that can watch the store last reported; or unset. */
+struct timespec
+peer_loads_watcher_heard_at(const struct peer_loads *peer_loads)
+{
+	struct timespec heard_at = {0};
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, peer_loads->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer_load *peer_load = value;
+
+		if (!peer_load->cannot_watch &&
+		    time_before(heard_at, peer_load->received_at))
+			heard_at = peer_load->received_at;
+	}
+	return heard_at;
+}
+
 /* Returns a number that changes with the peers and their views. */
 uint64_t
 peer_loads_generation(const struct peer_loads *peer_loads)
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -29,7 +29,8 @@
 void peer_loads_expire(
     struct peer_loads *, int64_t silence_ms, struct timespec now);
 struct watcher_candidate *peer_loads_watcher_candidates(
-    const struct peer_loads *, size_t *count);
+    const struct peer_loads *, bool with_new, size_t *count);
+struct timespec peer_loads_watcher_heard_at(const struct peer_loads *);
 size_t peer_loads_report_ages(
     const struct peer_loads *, struct timespec now, int64_t *oldest_ms);
 uint64_t peer_loads_generation(const struct peer_loads *);
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -30,6 +30,7 @@
 	MESH_SOURCE_SEEDS, /* settings */
 	MESH_SOURCE_HOSTS, /* the platform's host list */
 	MESH_SOURCE_UPSTREAMS, /* sidecar addresses in the configuration */
+	MESH_SOURCE_REPORTS, /* gateways that report their load */
 	MESH_SOURCES,
 };
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -294,6 +294,7 @@
 	struct u64_array returning; /* turns, see gateway/load_report.c */
 	uint32_t gateways; /* that the sender knows, itself included */
 	bool holds_retry_share; /* of the retry slack */
+	bool is_new; /* cannot_watch only because it has just started */
 };
 
 struct message_prefill {
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -106,8 +106,9 @@
 		M(U64_ARRAY, load.rates), M(U64_ARRAY, load.rate_ages_ms),
 		M(STRING, load.address), M(U32, load.cpu_permille),
 		M(U64_ARRAY, load.waiting), M(U64_ARRAY, load.returning),
-		M(U32, load.gateways), M(BOOL, load.holds_retry_share) },
-		.optional_count = 18 },
+		M(U32, load.gateways), M(BOOL, load.holds_retry_share),
+		M(BOOL, load.is_new) },
+		.optional_count = 19 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
--- a/src/policy/watching.c
+++ b/src/policy/watching.c
@@ -20,5 +20,9 @@
 {
 	if (input->is_seed || !input->has_seeds)
 		return !input->complete || input->elected;
-	return watching_is_possible(input) && input->elected;
+	if (watching_is_possible(input))
+		return input->elected;
+	return input->elected_new &&
+	    input->silence_ms >=
+	    WATCHING_SILENCE_MS + WATCHING_SILENCE_ROUNDS * input->round_ms;
 }
--- a/src/policy/watching.h
+++ b/src/policy/watching.h
@@ -5,9 +5,14 @@
  * from a common loss of power. Until they know each other, each lists every
  * kind of object and watches it, and each of the upstreams that also come back
  * then causes one more call of every process. So a process that knows the
- * address of another one lists each kind once, or gets it from there, and does
- * not watch until it knows enough others to tell who does. Until then others
- * must not leave the watching to it.
+ * address of another one lists each kind once, or gets it from there, and
+ * relies on the others while it hears from one that can watch. Until it has run
+ * for a while others must not leave the watching to it.
+ *
+ * The others may also be gone, new themselves, or unable to reach the store. A
+ * new process that has not heard for a time from one that can watch does so
+ * itself, unless enough of those that are as new rank before it: what it listed
+ * at its start is soon outdated.
  */
 #ifndef POLICY_WATCHING_H
 #define POLICY_WATCHING_H
@@ -18,12 +23,23 @@
 /* Time after which the processes that started together know each other. */
 #define WATCHING_SETTLE_MS 5000
 
+/*
+ * How long a new process relies on its peers without a report of one that can
+ * watch. Its list must not be outdated 3 s after its start.
+ */
+#define WATCHING_SILENCE_MS 1500
+/* Intervals of reports by which that is longer; they grow with the peers. */
+#define WATCHING_SILENCE_ROUNDS 2
+
 struct watching_input {
 	int64_t age_ms; /* since the start of this process */
+	int64_t silence_ms; /* since a report of a peer that can watch */
+	int64_t round_ms; /* interval of reports */
 	bool is_seed; /* all others know its address from the start */
 	bool has_seeds; /* it knows the address of another one */
 	bool complete; /* it has received all that it would watch */
-	bool elected; /* by rank among the processes that reach the store */
+	bool elected; /* by rank among the processes that can watch */
+	bool elected_new; /* by rank among these and the new ones */
 };
 
 bool watching_is_possible(const struct watching_input *);
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -11,6 +11,8 @@
 
 #define OTHERS	       LOAD_SYNC_WATCHERS
 #define REPORTS_ENOUGH 6
+/* Age of a new gateway that relies on nobody it has not heard from. */
+#define NEW_MS	       2900
 #define TEST_TIMEOUT_S 20.0
 #define CONFIG	       "{\"Version\":1,\"Routes\":[],\"Services\":[]}"
 
@@ -287,6 +289,87 @@
 	ev_loop_destroy(t.loop);
 }
 
+/* A gateway that is in nobody's list becomes a peer of those it reports to. */
+static void
+test_unlisted(void)
+{
+	static const struct load_case c = {
+	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
+	struct test t = {0};
+	size_t peers = 0;
+
+	set_up(&t, &c);
+	while (peers < OTHERS) {
+		ev_run(t.loop, EVRUN_ONCE);
+		mesh_peers(t.first.mesh, &peers);
+	}
+	g_assert_cmpuint(peers, ==, OTHERS);
+	tear_down(&t);
+}
+
+static const struct alone_case {
+	const char *name;
+	bool hears; /* from a gateway that can watch */
+	bool watches;
+} alone_cases[] = {
+    {"a new gateway that hears from none that can watch does so", false, true},
+    {"a new gateway relies on one that can watch", true, false},
+};
+
+/* Waits for some more reports of the first sender. */
+static void
+wait_for_reports(struct ev_loop *loop, const struct counter *counter)
+{
+	unsigned int enough = counter->reports[0] + REPORTS_ENOUGH;
+
+	while (counter->reports[0] < enough)
+		ev_run(loop, EVRUN_ONCE);
+}
+
+/* A gateway that has just started, and one that has run for long or stops. */
+static void
+test_new_gateway(gconstpointer data)
+{
+	const struct alone_case *c = &alone_cases[GPOINTER_TO_SIZE(data)];
+	const struct load_sync_settings old = {
+	    .self = "old", .failure_domain = "z"};
+	const struct load_sync_settings new = {
+	    .self = "new", .failure_domain = "z", .has_seeds = true};
+	struct counter counter = {
+	    .handler = {.kinds = MESH_KIND(MESSAGE_LOAD),
+		.ops = &counter_ops,
+		.data = &counter},
+	    .names = {"old"},
+	};
+	struct peer_gateway gateways[2] = {0};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct fake_platform *platform = fake_platform_new(loop);
+	const char *seeds[1];
+	ev_timer timeout;
+
+	ev_timer_init(&timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
+	ev_timer_start(loop, &timeout);
+	fake_platform_set_config(platform, CONFIG);
+	peer_gateway_start(&gateways[0], loop, platform, &old);
+	peer_gateway_start(&gateways[1], loop, platform, &new);
+	mesh_add_handler(gateways[1].mesh, &counter.handler);
+	if (!c->hears)
+		load_sync_start_draining(gateways[0].load_sync);
+	seeds[0] = gateways[0].address;
+	mesh_set_peers(gateways[1].mesh, MESH_SOURCE_SEEDS, seeds, 1);
+	wait_for_reports(loop, &counter);
+	clock_manual_advance(&gateways[1].clock, NEW_MS);
+	wait_for_reports(loop, &counter);
+	g_assert_cmpint(routing_state_is_watching(gateways[1].routing_state),
+	    ==, c->watches);
+	mesh_remove_handler(gateways[1].mesh, &counter.handler);
+	for (size_t i = 0; i < G_N_ELEMENTS(gateways); i++)
+		peer_gateway_stop(&gateways[i]);
+	fake_platform_free(platform);
+	ev_timer_stop(loop, &timeout);
+	ev_loop_destroy(loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -303,5 +386,9 @@
 	g_test_add_func("/load_sync/turns of rejected callers outlive the "
 			"gateway that gave them",
 	    test_turns);
+	g_test_add_func("/load_sync/a gateway that is not in the list yet is a "
+			"peer of those that it reports to",
+	    test_unlisted);
+	ADD_CASES(alone_cases, "/load_sync", test_new_gateway);
 	return g_test_run();
 }
--- a/tests/test_watching.c
+++ b/tests/test_watching.c
@@ -16,24 +16,78 @@
 #define CALLS_PER_S (3 * 5) /* of a watching process while upstreams start */
 #define CALLS_MAX   200
 
+/* Interval of reports with a few peers, and with some hundred. */
+#define ROUND_MS      120
+#define ROUND_LONG_MS 1400
+/* Silence after which a new process watches, with a few peers. */
+#define SILENCE_MS (WATCHING_SILENCE_MS + WATCHING_SILENCE_ROUNDS * ROUND_MS)
+
 static const struct watching_case {
 	const char *name;
 	struct watching_input input;
 	bool needed;
 } cases[] = {
-    {"a seed watches at once", {0, true, true, false, false}, true},
-    {"a process without seeds watches at once", {0, false, false, false, false},
-	true},
+    {"a seed watches at once", {.is_seed = true, .has_seeds = true}, true},
+    {"a process without seeds watches at once", {.has_seeds = false}, true},
     {"a process with seeds does not watch at once",
-	{0, false, true, false, true}, false},
-    {"once complete, it does not watch before it knows the others",
-	{WATCHING_SETTLE_MS - 1, false, true, true, true}, false},
+	{.has_seeds = true, .elected = true, .elected_new = true}, false},
+    {"once complete, it does not watch while it hears from one that can",
+	{.age_ms = WATCHING_SETTLE_MS - 1,
+	    .has_seeds = true,
+	    .complete = true,
+	    .elected = true,
+	    .elected_new = true},
+	false},
+    {"a new process that hears from none that can watch does so",
+	{.age_ms = SILENCE_MS,
+	    .silence_ms = SILENCE_MS,
+	    .round_ms = ROUND_MS,
+	    .has_seeds = true,
+	    .complete = true,
+	    .elected = true,
+	    .elected_new = true},
+	true},
+    {"a new process does not watch before it could have heard",
+	{.age_ms = SILENCE_MS - 1,
+	    .silence_ms = SILENCE_MS - 1,
+	    .round_ms = ROUND_MS,
+	    .has_seeds = true,
+	    .complete = true,
+	    .elected = true,
+	    .elected_new = true},
+	false},
+    {"with many peers it waits for longer rounds",
+	{.age_ms = SILENCE_MS,
+	    .silence_ms = SILENCE_MS,
+	    .round_ms = ROUND_LONG_MS,
+	    .has_seeds = true,
+	    .complete = true,
+	    .elected = true,
+	    .elected_new = true},
+	false},
+    {"a new process does not watch if enough new ones rank before it",
+	{.age_ms = SILENCE_MS,
+	    .silence_ms = SILENCE_MS,
+	    .round_ms = ROUND_MS,
+	    .has_seeds = true,
+	    .complete = true,
+	    .elected = true},
+	false},
     {"an elected process watches",
-	{WATCHING_SETTLE_MS, false, true, true, true}, true},
+	{.age_ms = WATCHING_SETTLE_MS,
+	    .has_seeds = true,
+	    .complete = true,
+	    .elected = true},
+	true},
     {"a process that is not elected does not watch",
-	{WATCHING_SETTLE_MS, false, true, true, false}, false},
+	{.age_ms = WATCHING_SETTLE_MS, .has_seeds = true, .complete = true},
+	false},
     {"a seed that is not elected does not watch",
-	{WATCHING_SETTLE_MS, true, true, true, false}, false},
+	{.age_ms = WATCHING_SETTLE_MS,
+	    .is_seed = true,
+	    .has_seeds = true,
+	    .complete = true},
+	false},
 };
 
 /* Runs one case. */
@@ -45,23 +99,35 @@
 	g_assert_cmpint(watching_is_needed(&c->input), ==, c->needed);
 }
 
+/* How all processes start at once. */
+struct start {
+	bool has_seeds;
+	bool seeds_run; /* and report, once they are known */
+};
+
 /*
  * Replays the start of all processes at once, with calls for each upstream that
  * starts too. Without seeds, all watch until they know each other.
  */
 static double
-count_start_calls(bool has_seeds)
+count_start_calls(const struct start *start)
 {
 	double calls = 0.0;
 
-	for (int i = 0; i < GATEWAYS; i++) {
+	for (int i = start->seeds_run ? 0 : SEEDS; i < GATEWAYS; i++) {
 		for (int ms = 0; ms < START_MS; ms += STEP_MS) {
+			bool hears = start->seeds_run && ms >= KNOWN_MS / 2;
 			const struct watching_input input = {
 			    .age_ms = ms,
-			    .is_seed = has_seeds &&
-				i<SEEDS, .has_seeds = has_seeds,
+			    .silence_ms = hears ? 0 : ms,
+			    .round_ms = ROUND_MS,
+			    .is_seed = start->has_seeds &&
+				i<SEEDS, .has_seeds = start->has_seeds,
 				    .complete = ms> 0,
 			    .elected = ms < KNOWN_MS || i < WATCHERS,
+			    /* New processes hear from each other. */
+			    .elected_new = ms < KNOWN_MS / 2 ||
+				i < SEEDS + WATCHERS,
 			};
 
 			if (watching_is_needed(&input) && ms < KNOWN_MS)
@@ -71,13 +137,18 @@
 	return calls;
 }
 
-/* A common start makes few calls. */
+/* A common start makes few calls, also if no seed comes back. */
 static void
 test_start(void)
 {
-	g_assert_cmpfloat(count_start_calls(true), <=, CALLS_MAX);
+	const struct start usual = {.has_seeds = true, .seeds_run = true};
+	const struct start no_seeds = {.has_seeds = false, .seeds_run = true};
+	const struct start seeds_gone = {.has_seeds = true};
+
+	g_assert_cmpfloat(count_start_calls(&usual), <=, CALLS_MAX);
+	g_assert_cmpfloat(count_start_calls(&seeds_gone), <=, CALLS_MAX);
 	g_assert_cmpfloat(
-	    count_start_calls(false), >, 10 * count_start_calls(true));
+	    count_start_calls(&no_seeds), >, 10 * count_start_calls(&usual));
 }
 
 int
