The target of a request reaches the upstream byte for byte

Cause: the gateway gave libcurl a URL made of the upstream's address and the target; libcurl removes dot segments, cuts fragments and encodes octets above 127. The gateway's own HTTP server passes the target as it was sent. Entries also sent the decoded path, without the query.

The target now goes to libcurl beside the URL. One that is no path and query of visible characters, or has a fragment, is refused with 400 before it is routed; of one in absolute form the path, the query and the host count (RFC 9112, 3.2.2). Entries pass on what was sent, and libcurl leaves the path of a plain service's URL as it is. The path that chooses the route is so the one that runs.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -605,6 +605,10 @@
 
 	set_headers(call, request);
 	curl_easy_setopt(call->easy, CURLOPT_URL, request->url);
+	curl_easy_setopt(call->easy, CURLOPT_PATH_AS_IS, 1L);
+	if (request->target != NULL)
+		curl_easy_setopt(
+		    call->easy, CURLOPT_REQUEST_TARGET, request->target);
 	if (request->body_length > 0 || strcmp(request->method, "POST") == 0 ||
 	    strcmp(request->method, "PUT") == 0) {
 		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -34,6 +34,11 @@
 struct http_call_request {
 	const char *method;
 	const char *url;
+	/*
+	 * Path and query, sent byte for byte in place of the URL's; NULL for
+	 * those of the URL.
+	 */
+	const char *target;
 	const struct http_header *headers;
 	size_t header_count;
 	const void *body; /* copied */
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -83,6 +83,8 @@
 const char *httpd_request_method(const struct httpd_request *);
 const char *httpd_request_path(const struct httpd_request *);
 const char *httpd_request_target(const struct httpd_request *);
+char *httpd_request_copy_path(const struct httpd_request *);
+bool httpd_request_has_valid_target(const struct httpd_request *);
 const char *httpd_request_query(const struct httpd_request *, const char *name);
 const char *httpd_request_header(
     const struct httpd_request *, const char *name);
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -27,8 +27,9 @@
 	struct MHD_Connection *connection;
 	struct httpd_peer *peer;
 	void *data;
-	char *target;
-	char *path;
+	char *target; /* path and query, as sent */
+	char *authority; /* of a target in absolute form; or NULL */
+	char *path; /* percent-decoded */
 	char *method;
 	GByteArray *body;
 	size_t body_reserved; /* counted in httpd.stats.body_bytes */
--- a/src/base/httpd_request.c
+++ b/src/base/httpd_request.c
@@ -15,6 +15,29 @@
 /* Sent bytes are removed from a stream's buffer above this. */
 #define STREAM_COMPACT_BYTES (16 * 1024)
 #define RETRY_AFTER_S	     "1"
+/* Start of a target in absolute form. */
+#define SCHEME "http://"
+
+/*
+ * Sets the target. Of one in absolute form, only path and query are passed on;
+ * its authority takes the place of the Host header (RFC 9112, 3.2.2).
+ */
+static void
+set_target(struct httpd_request *request, const char *target)
+{
+	const char *authority;
+	size_t length;
+
+	if (g_ascii_strncasecmp(target, SCHEME, strlen(SCHEME)) != 0) {
+		request->target = g_strdup(target);
+		return;
+	}
+	authority = target + strlen(SCHEME);
+	length = strcspn(authority, "/?#");
+	request->authority = g_strndup(authority, length);
+	request->target = g_strconcat(
+	    authority[length] == '/' ? "" : "/", authority + length, NULL);
+}
 
 /* Creates a request, once its request line has been read. */
 struct httpd_request *
@@ -25,7 +48,7 @@
 
 	request->httpd = httpd;
 	request->connection = connection;
-	request->target = g_strdup(target);
+	set_target(request, target);
 	httpd->stats.open_requests++;
 	TAILQ_INSERT_TAIL(&httpd->requests, request, entry);
 	return request;
@@ -46,6 +69,7 @@
 	if (request->stream != NULL)
 		g_byte_array_unref(request->stream);
 	g_free(request->target);
+	g_free(request->authority);
 	g_free(request->path);
 	g_free(request->method);
 	g_free(request);
@@ -156,6 +180,34 @@
 	return request->target;
 }
 
+/* Returns the path as the caller sent it; free with g_free(). */
+char *
+httpd_request_copy_path(const struct httpd_request *request)
+{
+	return g_strndup(request->target, strcspn(request->target, "?"));
+}
+
+/*
+ * Returns whether the target is a path with or without a query, of visible
+ * characters and without a fragment, so that it can be passed on as it is; "*"
+ * is valid too (RFC 9112, 3.2).
+ */
+bool
+httpd_request_has_valid_target(const struct httpd_request *request)
+{
+	const char *target = request->target;
+
+	if (strcmp(target, "*") == 0)
+		return true;
+	if (target[0] != '/')
+		return false;
+	for (size_t i = 0; target[i] != '\0'; i++) {
+		if (!g_ascii_isgraph(target[i]) || target[i] == '#')
+			return false;
+	}
+	return true;
+}
+
 /* Returns a query parameter, decoded; NULL if missing. */
 const char *
 httpd_request_query(const struct httpd_request *request, const char *name)
@@ -168,12 +220,16 @@
 const char *
 httpd_request_header(const struct httpd_request *request, const char *name)
 {
+	if (request->authority != NULL &&
+	    g_ascii_strcasecmp(name, MHD_HTTP_HEADER_HOST) == 0)
+		return request->authority;
 	return MHD_lookup_connection_value(
 	    request->connection, MHD_HEADER_KIND, name);
 }
 
 /* Arguments of visit_header(). */
 struct header_walk {
+	const struct httpd_request *request;
 	httpd_header_fn *callback;
 	void *data;
 };
@@ -184,8 +240,11 @@
     void *data, enum MHD_ValueKind kind, const char *name, const char *value)
 {
 	const struct header_walk *walk = data;
-	const struct http_header header = {name, value == NULL ? "" : value};
+	struct http_header header = {name, value == NULL ? "" : value};
 
+	if (walk->request->authority != NULL &&
+	    g_ascii_strcasecmp(name, MHD_HTTP_HEADER_HOST) == 0)
+		header.value = walk->request->authority;
 	walk->callback(walk->data, &header);
 	return MHD_YES;
 }
@@ -195,7 +254,8 @@
 httpd_request_for_each_header(
     const struct httpd_request *request, httpd_header_fn *callback, void *data)
 {
-	struct header_walk walk = {.callback = callback, .data = data};
+	struct header_walk walk = {
+	    .request = request, .callback = callback, .data = data};
 
 	MHD_get_connection_values(
 	    request->connection, MHD_HEADER_KIND, visit_header, &walk);
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -244,8 +244,17 @@
 route_request(struct frontend *frontend, const struct frontend_request *request)
 {
 	const char *path = httpd_request_path(request->http);
+	g_autofree char *sent = httpd_request_copy_path(request->http);
 	const Heatherturn__V1__Service *service;
 
+	if (!httpd_request_has_valid_target(request->http)) {
+		httpd_close_after(request->http);
+		frontend_respond_error_code(request->http, request->id,
+		    CALLER_ERROR_INVALID_VALUE, 0,
+		    "the request's target is invalid");
+		return;
+	}
+
 	if (strcmp(path, "/v1/completions") == 0) {
 		if (check_method(request, "POST"))
 			generation_serve(frontend, request, false);
@@ -268,7 +277,7 @@
 		return;
 	}
 	service = config_find_service_by_path(
-	    dispatch_config(frontend->settings.dispatch), path);
+	    dispatch_config(frontend->settings.dispatch), sent);
 	if (service == NULL)
 		frontend_respond_error_code(request->http, request->id,
 		    CALLER_ERROR_PATH_NOT_FOUND, 0, "no service at this path");
--- a/src/entry/plain_call.c
+++ b/src/entry/plain_call.c
@@ -303,7 +303,7 @@
 	call->weight = request->organisation->weight;
 	call->service = g_strdup(service->id);
 	call->method = g_strdup(method);
-	call->path = g_strdup(httpd_request_path(request->http));
+	call->path = g_strdup(httpd_request_target(request->http));
 	call->content_type = copy_header(request->http, "Content-Type");
 	call->key = copy_header(request->http, "Idempotency-Key");
 	body = httpd_request_body(request->http, &length);
--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -37,12 +37,17 @@
 exchange_find_route(
     struct exchange *exchange, const struct routing_table *table)
 {
-	g_autofree char *path = g_strdup(httpd_request_target(exchange->http));
+	g_autofree char *path = httpd_request_copy_path(exchange->http);
 	struct service_profile *profile = NULL;
 	struct route *route;
 	const char *service;
 
-	path[strcspn(path, "?")] = '\0';
+	if (!httpd_request_has_valid_target(exchange->http)) {
+		httpd_close_after(exchange->http);
+		exchange_refuse(exchange, REFUSAL_BAD_REQUEST, 0,
+		    "the request's target is invalid");
+		return false;
+	}
 	if (exchange->caller_headers.request_id == NULL ||
 	    exchange->caller_headers.host == NULL) {
 		exchange_refuse(exchange, REFUSAL_BAD_REQUEST, 0,
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -126,12 +126,12 @@
 	    .helpers = helpers,
 	    .helper_count = exchange->helper_count,
 	};
-	g_autofree char *url = g_strconcat("http://",
-	    exchange->upstream->address, httpd_request_target(exchange->http),
-	    NULL);
+	g_autofree char *url = g_strconcat(
+	    "http://", exchange->upstream->address, "/", NULL);
 	struct http_call_request request = {
 	    .method = httpd_request_method(exchange->http),
 	    .url = url,
+	    .target = httpd_request_target(exchange->http),
 	    .connect_timeout_ms = CONNECT_MS,
 	    .unreachable_ms = UNREACHABLE_MS,
 	    .receive_buffer_bytes = host_monitor_receive_buffer(
