--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -244,7 +244,7 @@
 route_request(struct frontend *frontend, const struct frontend_request *request)
 {
 	const char *path = httpd_request_path(request->http);
-	g_autofree char *sent = httpd_request_copy_path(request->http);
+	g_autofree char *raw_path = httpd_request_copy_path(request->http);
 	const Heatherturn__V1__Service *service;
 
 	if (!httpd_request_has_valid_target(request->http)) {
@@ -277,7 +277,7 @@
 		return;
 	}
 	service = config_find_service_by_path(
-	    dispatch_config(frontend->settings.dispatch), sent);
+	    dispatch_config(frontend->settings.dispatch), raw_path);
 	if (service == NULL)
 		frontend_respond_error_code(request->http, request->id,
 		    CALLER_ERROR_PATH_NOT_FOUND, 0, "no service at this path");
