--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -375,7 +375,7 @@
 	    routing_state_is_store_disconnected(sync->routing_state);
 }
 
-/* Returns whether cannot_watch() holds only since this process is new. */
+/* Returns whether cannot_watch() is true only because this process is new. */
 static bool
 is_new(const struct load_sync *sync)
 {
--- a/src/policy/duration.c
+++ b/src/policy/duration.c
@@ -40,10 +40,10 @@
 }
 
 /*
- * Returns how long a request may last, in milliseconds, that must end before
- * its process exits; at most the time until its deadline. One that can be
- * repeated is expected to last as long as most. One that can't is lost if it is
- * cut, and is refused rather: it may last as long as nearly all, or until its
+ * Returns how long a request is expected to last, in milliseconds, where its
+ * process exits soon; at most the time until its deadline. A repeatable one is
+ * expected to last as long as most. Another one is lost if the exit cuts it, so
+ * the estimate is cautious: as long as nearly all requests last, or until the
  * deadline if none has been answered yet.
  */
 int64_t
