Log where in which run of a stream an event in doubt came

The log line of such an event has these now, and the line of a request's end has both counts. heatherturn_gateway_events_in_doubt counts all events in doubt, as its name says; the log has the first of several in a row. Nothing is decided by them.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -152,14 +152,16 @@
 	if (first >= 0)
 		metric_observe(&first_event_ms, first);
 	LOG_INFO("request ended",
-	    "{s:s?, s:s, s:s?, s:s?, s:i, s:i, s:I, s:I, s:I, s:I}", "request",
-	    exchange->caller_headers.request_id, "how", how, "route",
+	    "{s:s?, s:s, s:s?, s:s?, s:i, s:i, s:i, s:i, s:I, s:I, s:I, s:I}",
+	    "request", exchange->caller_headers.request_id, "how", how, "route",
 	    exchange->route != NULL ? exchange->route->name : NULL,
 	    "organisation",
 	    exchange->organisation != NULL ? exchange->organisation->name
 					   : NULL,
-	    "status", exchange->status, "sends", (int)exchange->sends,
-	    "first_event_ms", (json_int_t)first, "last_event",
+	    "status", exchange->status, "sends", (int)exchange->sends, "events",
+	    (int)exchange->events, "events_in_doubt",
+	    (int)exchange->events_in_doubt, "first_event_ms", (json_int_t)first,
+	    "last_event",
 	    exchange->position.has_last ? (json_int_t)exchange->position.last
 					: -1,
 	    "longest_pause_ms", (json_int_t)exchange->longest_gap_ms, "took_ms",
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -162,6 +162,8 @@
 	struct timespec first_event_at;
 	struct timespec last_event_at;
 	int64_t longest_gap_ms; /* longest time between two events */
+	uint32_t events; /* passed on to the caller */
+	uint32_t events_in_doubt; /* whose id did not follow the last one */
 	TAILQ_ENTRY(exchange) entry;
 };
 
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -17,7 +17,7 @@
 
 METRIC_DEFINE(events_in_doubt, METRIC_COUNTER,
     "heatherturn_gateway_events_in_doubt", NULL,
-    "Times that a stream's event had no id that follows the last one.");
+    "Events of streams that had no id that follows the last one.");
 
 /* What to do with a response once its headers have been received. */
 enum verdict {
@@ -166,16 +166,38 @@
 	return true;
 }
 
+/*
+ * Counts an event whose id does not follow the last one. Logs the first of
+ * several in a row, with its run and its place in it.
+ */
+static void
+count_doubt(struct exchange *exchange, const struct event_position *before,
+    bool has_id, uint64_t id, size_t length)
+{
+	exchange->events_in_doubt++;
+	metric_add(&events_in_doubt, 1);
+	if (before->in_doubt)
+		return;
+	LOG_INFO("event without an id that follows the last one",
+	    "{s:s?, s:s, s:i, s:b, s:i, s:b, s:I, s:I, s:I}", "request",
+	    exchange->caller_headers.request_id, "upstream",
+	    exchange->upstream->id, "try", (int)exchange->tries, "framed",
+	    exchange->response.framed, "event", (int)exchange->send_events,
+	    "has_id", has_id, "id", (json_int_t)(has_id ? id : 0), "last_event",
+	    before->has_last ? (json_int_t)before->last : -1, "bytes",
+	    (json_int_t)length);
+}
+
 /*
  * Returns whether an event is new to the caller; fails the send if its run does
  * not continue the stream.
  */
 static bool
-add_event(struct exchange *exchange, bool has_id, uint64_t id)
+add_event(struct exchange *exchange, bool has_id, uint64_t id, size_t length)
 {
 	struct event_position *position = &exchange->position;
+	const struct event_position before = *position;
 	enum event_verdict verdict = EVENT_NEW;
-	bool was_in_doubt = position->in_doubt;
 
 	if (has_id)
 		verdict = event_position_add(position, id);
@@ -186,14 +208,8 @@
 		exchange->send_error = "the upstream repeated events, but not "
 				       "the last one";
 	}
-	if (position->in_doubt && !was_in_doubt) {
-		metric_add(&events_in_doubt, 1);
-		LOG_INFO("event without an id that follows the last one",
-		    "{s:s?, s:s, s:b, s:I}", "request",
-		    exchange->caller_headers.request_id, "upstream",
-		    exchange->upstream->id, "has_id", has_id, "id",
-		    (json_int_t)id);
-	}
+	if (position->in_doubt)
+		count_doubt(exchange, &before, has_id, id, length);
 	return verdict == EVENT_NEW;
 }
 
@@ -215,8 +231,9 @@
 		exchange_report_survival(exchange);
 	if (exchange->send_events == 1)
 		exchange_check_prompt(exchange);
-	if (!is_comment && !add_event(exchange, has_id, id))
+	if (!is_comment && !add_event(exchange, has_id, id, length))
 		return;
+	exchange->events++;
 	exchange->has_new_event |= has_id;
 	record_event_time(exchange);
 	exchange_restart_stall_timer(exchange);
