--- a/tests/raw_server.c
+++ b/tests/raw_server.c
@@ -11,8 +11,9 @@
 
 #include <glib.h>
 
-#define HELPER_FIELD "Heatherturn-Helpers: "
-#define LENGTH_FIELD "Content-Length: "
+#define LAST_EVENT_FIELD "Last-Event-Id: "
+#define HELPER_FIELD	 "Heatherturn-Helpers: "
+#define LENGTH_FIELD	 "Content-Length: "
 
 struct raw_connection {
 	struct raw_server *server;
@@ -135,6 +136,20 @@
 			    : strtoul(length + strlen(LENGTH_FIELD), NULL, 10));
 }
 
+/* Checks the id of the event after which the request asks for a stream. */
+static void
+check_last_event(const char *request, const char *after)
+{
+	const char *field = strstr(request, LAST_EVENT_FIELD);
+	g_autofree char *line = g_strdup_printf(
+	    LAST_EVENT_FIELD "%s\r\n", after);
+
+	if (after[0] == '\0')
+		g_assert_null(field);
+	else
+		g_assert_true(field != NULL && g_str_has_prefix(field, line));
+}
+
 /* Returns the response to a request. */
 static const struct raw_response *
 next_response(struct raw_server *server, const GString *request)
@@ -144,6 +159,8 @@
 	g_assert_cmpuint(server->requests, <, server->count);
 	response = &server->responses[server->requests++];
 	g_assert_nonnull(response->bytes);
+	if (response->after != NULL)
+		check_last_event(request->str, response->after);
 	server->helped += strstr(request->str, HELPER_FIELD) != NULL;
 	return response;
 }
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -26,6 +26,7 @@
 	const char *repeated; /* sent until raw_server_finish(); or NULL */
 	const char *last; /* sent after all others; or NULL */
 	enum raw_end end;
+	const char *after; /* last event id that is asked; "" none; NULL any */
 };
 
 struct raw_server;
