Events that may be none of the run are not passed on

Callers of numbered streams got events that no run made, as part of complete streams: an upstream adds an event without an id, or with any other one, or a line before an event, and the gateway passed it on.

Cause: since the gateway passes on each event as it came, so that a wrong id hides none. It has no notion of an event that is none of the run. Class: bytes of an upstream go on, or decide something, because nothing says that they are wrong. The same events also counted as survival of a prompt that crashes upstreams, and as its prefill's end.

Change: an event is sure if its id follows the last one and its lines are fields of the event stream format, or the platform's. Any other one is in doubt and held back until the next event or the end. These confirm it (a stream without ids; ids that jump on a route of which nothing is known), or the send fails: the request goes to another upstream after the last sure event where its route may resume, else the stream is cut. What two runs agree on is passed on. An event with the id of the last one puts both in doubt; the next run is asked from the one before and has to repeat the last byte for byte. A run that ended right after an event in doubt is followed by one that is asked for the last event again: if that ends after it, two runs agree on the end. What ids follow each other, and whether a route's streams have ids, is learned from its complete streams (policy/event_numbering), since nothing in a stream tells an event that was added before the first one. Only sure events count as survival.

Why it works: nothing in doubt is written to the caller, and a stream is complete only after a run whose events all follow each other, or on whose other events or end two runs agree.

--- a/review/2/case.c
+++ b/review/2/case.c
@@ -89,8 +89,9 @@
 }
 
 /*
- * Checks one answer: a stream that ends as complete has all pieces that its
- * worker handed out, in their order.
+ * Checks one answer: a stream that ends as complete has all pieces that a run
+ * makes, in their order and with their ids. A piece that is spoilt must not be
+ * among them; another run may go on before it.
  */
 static bool
 is_broken(const char *id, const struct http_message *answered)
@@ -98,7 +99,7 @@
 	char whole[TEXT_MAX];
 	bool spoilt = strcmp(id, spoilt_request) == 0;
 
-	write_body(whole, id, spoilt);
+	write_body(whole, id, false);
 	fleet_record("%s sent, answered %d, %s, %d of %d pieces, %u runs%s", id,
 	    http_status(answered->head),
 	    answered->end == HTTP_COMPLETE ? "complete" : "cut",
--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -2,10 +2,9 @@
 
 #include <string.h>
 
-#define ID_FIELD     "id:"
+#include "platform/headers.h"
+
 #define ID_MAX_BYTES 24
-/* First byte of a comment line. */
-#define COMMENT ':'
 
 /* Initialises a splitter with an empty buffer. */
 void
@@ -42,21 +41,6 @@
 	return false;
 }
 
-/* Returns whether a complete event has no fields: its lines are comments. */
-bool
-event_splitter_is_comment(const uint8_t *bytes, size_t length)
-{
-	bool at_line_start = true;
-
-	for (size_t i = 0; i < length; i++) {
-		if (at_line_start && bytes[i] != COMMENT && bytes[i] != '\r' &&
-		    bytes[i] != '\n')
-			return false;
-		at_line_start = bytes[i] == '\n';
-	}
-	return true;
-}
-
 /* Returns the length of the first complete event, 0 if there is none. */
 static size_t
 first_event_length(const uint8_t *bytes, size_t length)
@@ -72,36 +56,87 @@
 	return 0;
 }
 
-/* Parses a line "id: N"; false for any other line. */
+/* Parses the value of an id; false if it is no number. */
 static bool
-read_id(const uint8_t *line, size_t length, uint64_t *id)
+read_id(const char *value, size_t length, uint64_t *id)
 {
 	char text[ID_MAX_BYTES];
-	size_t skip = strlen(ID_FIELD);
 
-	if (length <= skip || length - skip >= sizeof(text) ||
-	    memcmp(line, ID_FIELD, skip) != 0)
+	if (length >= sizeof(text))
 		return false;
-	memcpy(text, line + skip, length - skip);
-	text[length - skip] = '\0';
+	memcpy(text, value, length);
+	text[length] = '\0';
 	return g_ascii_string_to_unsigned(
 	    g_strstrip(text), 10, 0, UINT64_MAX, id, NULL);
 }
 
-/* Parses the last id of an event; false if it has no numeric one. */
+/* Returns whether a name of some length is this one. */
 static bool
-find_id(const uint8_t *bytes, size_t length, uint64_t *id)
+is_name(const char *name, size_t length, const char *expected)
+{
+	return length == strlen(expected) &&
+	    memcmp(name, expected, length) == 0;
+}
+
+/* What the lines of an event are, beside the event. */
+struct event_lines {
+	size_t ids; /* numeric or not */
+	bool has_data;
+	bool has_inner_comment; /* after an id or data */
+	bool has_unknown; /* a line that is no field, or not one line */
+};
+
+/* Reads one line, without its line end, that is not empty. */
+static void
+read_line(struct stream_event *event, struct event_lines *lines,
+    const char *line, size_t length)
+{
+	const char *colon = memchr(line, ':', length);
+	size_t name = colon == NULL ? length : (size_t)(colon - line);
+	size_t value = MIN(name + 1, length);
+
+	/* Callers take a CR alone for a line end, too. */
+	lines->has_unknown |= memchr(line, '\r', length) != NULL ||
+	    memchr(line, '\0', length) != NULL;
+	if (name == 0) {
+		lines->has_inner_comment |= lines->ids > 0 || lines->has_data;
+	} else if (is_name(line, name, "id")) {
+		lines->ids++;
+		event->has_id = read_id(
+		    line + value, length - value, &event->id);
+	} else if (is_name(line, name, "data")) {
+		lines->has_data = true;
+	} else if (!is_name(line, name, "event") &&
+	    !is_name(line, name, "retry") &&
+	    !headers_is_event_line(line, name)) {
+		lines->has_unknown = true;
+	}
+}
+
+/* Reads the lines of a complete event. */
+static struct stream_event
+read_event(const uint8_t *bytes, size_t length)
 {
+	struct stream_event event = {.bytes = bytes, .length = length};
+	struct event_lines lines = {0};
 	size_t start = 0;
-	bool found = false;
+	size_t end;
 
 	for (size_t i = 0; i < length; i++) {
 		if (bytes[i] != '\n')
 			continue;
-		found |= read_id(bytes + start, i - start, id);
+		end = i > start && bytes[i - 1] == '\r' ? i - 1 : i;
+		if (end > start)
+			read_line(&event, &lines, (const char *)bytes + start,
+			    end - start);
 		start = i + 1;
 	}
-	return found;
+	event.is_blank = lines.ids == 0 && !lines.has_data &&
+	    !lines.has_unknown;
+	/* A comment in an event may be an empty line with a wrong byte. */
+	event.is_odd = lines.has_unknown || lines.ids > 1 ||
+	    (lines.ids > 0 && (!lines.has_data || lines.has_inner_comment));
+	return event;
 }
 
 /*
@@ -112,9 +147,8 @@
 event_splitter_feed(struct event_splitter *splitter, const uint8_t *bytes,
     size_t length, event_splitter_fn *callback, void *data)
 {
+	struct stream_event event;
 	size_t event_length;
-	uint64_t id = 0;
-	bool has_id;
 
 	g_byte_array_append(splitter->buffer, bytes, (guint)length);
 	while (splitter->buffer->len > 0) {
@@ -123,9 +157,8 @@
 		if (event_length == 0)
 			return splitter->buffer->len <=
 			    EVENT_SPLITTER_MAX_BYTES;
-		has_id = find_id(splitter->buffer->data, event_length, &id);
-		callback(
-		    data, splitter->buffer->data, event_length, has_id, id);
+		event = read_event(splitter->buffer->data, event_length);
+		callback(data, &event);
 		g_byte_array_remove_range(
 		    splitter->buffer, 0, (guint)event_length);
 	}
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -1,7 +1,8 @@
 /*
- * Splits a text/event-stream into events, byte for byte as received. Each event
- * is forwarded completely or not at all, so that an interrupted stream can be
- * resumed at another upstream after its last complete event.
+ * Splits a text/event-stream into events, byte for byte as received, and reads
+ * what tells whether an event is one of the run. Each event is forwarded
+ * completely or not at all, so that an interrupted stream can be resumed at
+ * another upstream after its last complete event.
  */
 #ifndef GATEWAY_EVENT_SPLITTER_H
 #define GATEWAY_EVENT_SPLITTER_H
@@ -19,15 +20,22 @@
 	GByteArray *buffer; /* start of an event that is still incomplete */
 };
 
-/* Called with each complete event, its terminating empty line included. */
-typedef void event_splitter_fn(
-    void *data, const uint8_t *bytes, size_t length, bool has_id, uint64_t id);
+struct stream_event {
+	const uint8_t *bytes; /* its terminating empty line included */
+	size_t length;
+	bool is_blank; /* no event to a caller: neither data nor an id */
+	bool has_id; /* that is a number */
+	uint64_t id; /* the last one, if there are several */
+	bool is_odd; /* has a line that no event has */
+};
+
+/* Called with each complete event. */
+typedef void event_splitter_fn(void *data, const struct stream_event *);
 
 void event_splitter_init(struct event_splitter *);
 void event_splitter_clear(struct event_splitter *);
 bool event_splitter_feed(struct event_splitter *, const uint8_t *, size_t,
     event_splitter_fn *, void *data);
-bool event_splitter_is_comment(const uint8_t *bytes, size_t length);
 bool event_splitter_is_in_event(const struct event_splitter *);
 void event_splitter_reset(struct event_splitter *);
 
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -371,6 +371,7 @@
 	ev_set_priority(&exchange->prefill_timer, LOOP_PRIORITY_CALLER);
 	ev_set_priority(&exchange->deadline_timer, LOOP_PRIORITY_CALLER);
 	event_splitter_init(&exchange->splitter);
+	exchange->held = g_byte_array_new();
 	httpd_request_set_data(http, exchange);
 	headers_parse_caller(http, &exchange->caller_headers);
 	if (exchange->caller_headers.has_last_event)
@@ -437,6 +438,7 @@
 	if (exchange->headers != NULL)
 		g_array_unref(exchange->headers);
 	event_splitter_clear(&exchange->splitter);
+	g_byte_array_unref(exchange->held);
 	exchange_release_route(exchange);
 	context->open--;
 	TAILQ_REMOVE(&context->exchanges, exchange, entry);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -133,9 +133,8 @@
 	enum send_outcome send_outcome;
 	struct timespec sent_at; /* start of this send */
 	struct timespec begun_at; /* response of this send; or unset */
-	uint32_t send_events; /* received in this send */
+	uint32_t send_events; /* of the run, in this send */
 	bool continues; /* this send continues a stream that has begun */
-	bool has_new_event; /* that the caller did not have, in this send */
 	bool disconnected; /* the connection broke during the send */
 	const char *send_error; /* why not forwarded; or NULL */
 
@@ -159,11 +158,12 @@
 	struct timespec taken_at; /* when the caller was last seen to read */
 	struct event_splitter splitter;
 	struct event_position position; /* of the events sent to the caller */
+	GByteArray *held; /* event that is in doubt until the next one */
 	struct timespec first_event_at;
 	struct timespec last_event_at;
 	int64_t longest_gap_ms; /* longest time between two events */
 	uint32_t events; /* passed on to the caller */
-	uint32_t events_in_doubt; /* whose id did not follow the last one */
+	uint32_t events_in_doubt; /* held back */
 	TAILQ_ENTRY(exchange) entry;
 };
 
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "policy/part_quarantine.h"
@@ -17,7 +19,7 @@
 
 METRIC_DEFINE(events_in_doubt, METRIC_COUNTER,
     "heatherturn_gateway_events_in_doubt", NULL,
-    "Events of streams that had no id that follows the last one.");
+    "Events of streams that were held back, since they may not be of the run.");
 
 /* What to do with a response once its headers have been received. */
 enum verdict {
@@ -148,97 +150,137 @@
 	exchange->last_event_at = now;
 }
 
-/*
- * Returns whether an event without an id is no part of the stream that a send
- * should continue: an upstream may report an error as an event. Fails the send
- * unless it is a comment.
- */
-static bool
-is_foreign_event(struct exchange *exchange, bool is_comment, bool has_id)
-{
-	if (has_id || !exchange->continues || exchange->has_new_event)
-		return false;
-	if (is_comment)
-		return true;
-	exchange->send_outcome = SEND_FAILED;
-	exchange->send_error = "the upstream continued with an event without "
-			       "an id";
-	return true;
-}
-
-/*
- * Counts an event whose id does not follow the last one. Logs the first of
- * several in a row, with its run and its place in it.
- */
+/* Counts and logs the event that is held back, and why. */
 static void
-count_doubt(struct exchange *exchange, const struct event_position *before,
-    bool has_id, uint64_t id, size_t length)
+count_doubt(struct exchange *exchange, size_t length)
 {
+	static const char *const reasons[] = {
+	    [EVENT_SURE] = "none",
+	    [EVENT_WITHOUT_ID] = "no id that is a number",
+	    [EVENT_NOT_HIGHER] = "id not above the last one",
+	    [EVENT_TOO_FAR] = "id too far above the last one",
+	    [EVENT_OTHER_FIRST] = "not the first id of the route's streams",
+	    [EVENT_ODD] = "lines that no event has",
+	    [EVENT_WITH_ID] = "an id in a stream without ids",
+	};
+	const struct event_position *position = &exchange->position;
+
 	exchange->events_in_doubt++;
 	metric_add(&events_in_doubt, 1);
-	if (before->in_doubt)
-		return;
-	LOG_INFO("event without an id that follows the last one",
-	    "{s:s?, s:s, s:i, s:b, s:i, s:b, s:I, s:I, s:I}", "request",
+	LOG_INFO("event in doubt",
+	    "{s:s?, s:s, s:s, s:i, s:b, s:i, s:b, s:I, s:I, s:I}", "request",
 	    exchange->caller_headers.request_id, "upstream",
-	    exchange->upstream->id, "try", (int)exchange->tries, "framed",
-	    exchange->response.framed, "event", (int)exchange->send_events,
-	    "has_id", has_id, "id", (json_int_t)(has_id ? id : 0), "last_event",
-	    before->has_last ? (json_int_t)before->last : -1, "bytes",
-	    (json_int_t)length);
+	    exchange->upstream->id, "why", reasons[position->held_doubt], "try",
+	    (int)exchange->tries, "framed", exchange->response.framed,
+	    "events_before", (int)exchange->send_events, "has_id",
+	    position->held.has_id, "id", (json_int_t)position->held.id,
+	    "last_event", position->has_last ? (json_int_t)position->last : -1,
+	    "bytes", (json_int_t)length);
+}
+
+/* Passes an event on that the caller does not have. */
+static void
+pass_event(struct exchange *exchange, const uint8_t *bytes, size_t length)
+{
+	exchange->events++;
+	record_event_time(exchange);
+	exchange_restart_stall_timer(exchange);
+	exchange_clear_prefill(exchange);
+	httpd_stream_write(exchange->http, bytes, length);
 }
 
 /*
- * Returns whether an event is new to the caller; fails the send if its run does
- * not continue the stream.
+ * Counts an event that is one of the run: the upstream has survived it, and has
+ * the prompt.
  */
-static bool
-add_event(struct exchange *exchange, bool has_id, uint64_t id, size_t length)
+static void
+count_event(struct exchange *exchange)
 {
-	struct event_position *position = &exchange->position;
-	const struct event_position before = *position;
-	enum event_verdict verdict = EVENT_NEW;
+	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
+		exchange_report_survival(exchange);
+	if (exchange->send_events == 1)
+		exchange_check_prompt(exchange);
+}
 
-	if (has_id)
-		verdict = event_position_add(position, id);
-	else
-		event_position_add_unnumbered(position);
-	if (verdict == EVENT_MISPLACED) {
+/* Passes the event on that was held back, which is no fault. */
+static void
+pass_held(struct exchange *exchange)
+{
+	count_event(exchange);
+	pass_event(exchange, exchange->held->data, exchange->held->len);
+	g_byte_array_set_size(exchange->held, 0);
+}
+
+/* The event that was held back is not passed on: fails the send. */
+static void
+reject_held(struct exchange *exchange, bool ended)
+{
+	event_position_reject_held(&exchange->position, ended);
+	event_numbering_add_doubt(&exchange->route->numbering);
+	exchange->send_outcome = SEND_FAILED;
+	exchange->send_error = "the upstream sent an event that is in doubt";
+}
+
+/* Handles an event that is in its place, or in doubt. */
+static void
+add_event(struct exchange *exchange, const struct stream_event *event)
+{
+	const struct event_numbering *numbering = &exchange->route->numbering;
+	const struct event_mark mark = {
+	    .has_id = event->has_id,
+	    .id = event->id,
+	    .is_odd = event->is_odd,
+	    .hash = XXH3_64bits(event->bytes, event->length),
+	};
+
+	if (exchange->position.held_doubt != EVENT_SURE) {
+		if (!event_position_confirms_held(
+			&exchange->position, numbering, &mark)) {
+			reject_held(exchange, false);
+			return;
+		}
+		pass_held(exchange);
+	}
+	switch (event_position_add(&exchange->position, numbering, &mark)) {
+	case EVENT_NEW:
+		count_event(exchange);
+		pass_event(exchange, event->bytes, event->length);
+		break;
+	case EVENT_REPEATED:
+		count_event(exchange);
+		break;
+	case EVENT_HELD:
+		count_doubt(exchange, event->length);
+		g_byte_array_append(
+		    exchange->held, event->bytes, (guint)event->length);
+		break;
+	case EVENT_MISPLACED:
 		exchange->send_outcome = SEND_FAILED;
-		exchange->send_error = "the upstream repeated events, but not "
-				       "the last one";
+		exchange->send_error = "the upstream does not repeat the last "
+				       "event";
+		break;
 	}
-	if (position->in_doubt)
-		count_doubt(exchange, &before, has_id, id, length);
-	return verdict == EVENT_NEW;
 }
 
 /*
- * Forwards a complete event, unless the caller has received it already or the
- * send has failed.
+ * Handles a complete event, unless the send has failed. Comments are passed on,
+ * but those before the first event of a run that continues the stream.
  */
 static void
-forward_event(
-    void *data, const uint8_t *bytes, size_t length, bool has_id, uint64_t id)
+forward_event(void *data, const struct stream_event *event)
 {
 	struct exchange *exchange = data;
-	bool is_comment = event_splitter_is_comment(bytes, length);
 
-	if (exchange->send_outcome == SEND_FAILED ||
-	    is_foreign_event(exchange, is_comment, has_id))
+	if (exchange->send_outcome == SEND_FAILED)
 		return;
-	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
-		exchange_report_survival(exchange);
-	if (exchange->send_events == 1)
-		exchange_check_prompt(exchange);
-	if (!is_comment && !add_event(exchange, has_id, id, length))
+	if (!event->is_blank) {
+		add_event(exchange, event);
+		return;
+	}
+	if (exchange->continues && !exchange->position.has_new)
 		return;
-	exchange->events++;
-	exchange->has_new_event |= has_id;
-	record_event_time(exchange);
 	exchange_restart_stall_timer(exchange);
-	exchange_clear_prefill(exchange);
-	httpd_stream_write(exchange->http, bytes, length);
+	httpd_stream_write(exchange->http, event->bytes, event->length);
 }
 
 /* Buffers a part of the response; streams it once it is too long to buffer. */
@@ -304,6 +346,9 @@
 	exchange_end_send(exchange,
 	    exchange->status >= STATUS_SERVER_MIN ? SEND_FAILED
 						  : SEND_ANSWERED);
+	if (exchange->is_event_stream)
+		event_position_learn(
+		    &exchange->position, &exchange->route->numbering);
 	ev_timer_stop(exchange->context->loop, &exchange->deadline_timer);
 	if (exchange->streaming) {
 		httpd_stream_end(exchange->http);
@@ -319,6 +364,7 @@
 exchange_discard_partial(struct exchange *exchange)
 {
 	event_splitter_reset(&exchange->splitter);
+	g_byte_array_set_size(exchange->held, 0);
 	if (exchange->body != NULL)
 		g_byte_array_unref(exchange->body);
 	exchange->body = NULL;
@@ -342,7 +388,8 @@
  * Returns whether an event stream broke off though its connection ended without
  * an error: inside an event or, where only the connection frames it, before the
  * first one. One that should continue a stream and has no new event is no end
- * of it: the last event can't be told from the others.
+ * of it, unless two runs agree on that: the last event can't be told from the
+ * others.
  */
 static bool
 is_cut_stream(const struct exchange *exchange)
@@ -350,21 +397,40 @@
 	if (!exchange->is_event_stream)
 		return false;
 	return event_splitter_is_in_event(&exchange->splitter) ||
-	    (exchange->continues && !exchange->has_new_event) ||
+	    (exchange->continues && !exchange->position.has_new &&
+		!event_position_is_end_agreed(&exchange->position)) ||
 	    (!exchange->response.framed && exchange->send_events == 0 &&
 		!exchange->position.has_last);
 }
 
+/* The response has ended as complete after an event that is held back. */
+static void
+end_held(struct exchange *exchange)
+{
+	bool in_event = event_splitter_is_in_event(&exchange->splitter);
+
+	if (!in_event &&
+	    event_position_confirms_end(
+		&exchange->position, &exchange->route->numbering))
+		pass_held(exchange);
+	else
+		reject_held(exchange, !in_event);
+}
+
 /* Completes the response, or retries or fails the request after an error. */
 static void
 on_upstream_done(
     void *data, struct http_call *call, const struct http_result *result)
 {
 	struct exchange *exchange = data;
-	bool is_cut = is_cut_stream(exchange);
 	const char *why = "the response ended inside or before an event";
 	enum send_outcome outcome;
+	bool is_cut;
 
+	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED &&
+	    exchange->position.held_doubt != EVENT_SURE)
+		end_held(exchange);
+	is_cut = is_cut_stream(exchange);
 	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED &&
 	    !is_cut) {
 		finish_response(exchange);
--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -62,6 +62,7 @@
 		return false;
 	}
 	exchange->route = route_ref(route);
+	exchange->position.resumable = route_is_repeatable(route);
 	if (!authenticate(exchange, table))
 		return false;
 	service = route_pick_service(
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -38,7 +38,6 @@
 	exchange->begun_at = (struct timespec){0};
 	exchange->send_events = 0;
 	exchange->continues = exchange->streaming;
-	exchange->has_new_event = false;
 	event_position_begin_run(&exchange->position);
 	exchange->disconnected = false;
 	exchange->tried[exchange->tries++] = g_strdup(upstream->id);
@@ -121,8 +120,6 @@
 	    .organisation = exchange->organisation != NULL
 		? exchange->organisation->name
 		: NULL,
-	    .has_last_event = exchange->position.has_last,
-	    .last_event = exchange->position.last,
 	    .helpers = helpers,
 	    .helper_count = exchange->helper_count,
 	};
@@ -140,6 +137,8 @@
 	};
 	g_autoptr(GArray) headers = NULL;
 
+	values.has_last_event = event_position_resume_after(
+	    &exchange->position, &values.last_event);
 	for (size_t i = 0; i < exchange->helper_count; i++) {
 		const struct send_helper *helper = &exchange->helpers[i];
 
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -16,6 +16,7 @@
 #include <glib.h>
 
 #include "policy/engine_profile.h"
+#include "policy/event_numbering.h"
 #include "policy/locality.h"
 
 struct service_ranks;
@@ -48,6 +49,7 @@
 	bool public; /* needs no API key */
 	bool prompts; /* its requests are prompts for a model */
 	bool resumable; /* a stream can be resumed at another upstream */
+	struct event_numbering numbering; /* of its streams, not configured */
 	struct route_share *shares;
 	size_t share_count;
 };
--- a/tests/test_decode_fuzz.c
+++ b/tests/test_decode_fuzz.c
@@ -144,10 +144,9 @@
 
 /* Appends an event to the output. */
 static void
-on_event(
-    void *data, const uint8_t *bytes, size_t length, bool has_id, uint64_t id)
+on_event(void *data, const struct stream_event *event)
 {
-	g_byte_array_append(data, bytes, (guint)length);
+	g_byte_array_append(data, event->bytes, (guint)event->length);
 }
 
 /* The events of a damaged stream in random pieces are a prefix of its bytes. */
--- a/tests/test_event_splitter.c
+++ b/tests/test_event_splitter.c
@@ -43,16 +43,15 @@
 
 /* Appends one event and counts it. */
 static void
-on_event(
-    void *data, const uint8_t *bytes, size_t length, bool has_id, uint64_t id)
+on_event(void *data, const struct stream_event *event)
 {
 	struct split_events *split_events = data;
 
 	split_events->events++;
-	if (has_id)
-		split_events->last_id = id;
-	g_string_append_len(
-	    split_events->bytes, (const char *)bytes, (gssize)length);
+	if (event->has_id)
+		split_events->last_id = event->id;
+	g_string_append_len(split_events->bytes, (const char *)event->bytes,
+	    (gssize)event->length);
 }
 
 /* Feeds a case's bytes in pieces of every size; the events are the same. */
@@ -88,27 +87,63 @@
 	}
 }
 
-static const struct comment_case {
+static const struct line_case {
 	const char *name;
 	const char *bytes;
-	bool is_comment;
-} comment_cases[] = {
-    {"a comment", ": x\n\n", true},
-    {"two comment lines", ": x\n: y\r\n\r\n", true},
-    {"an empty line", "\n\n", true},
-    {"a field", "data: x\n\n", false},
-    {"a field after a comment line", ": x\ndata: y\n\n", false},
+	bool is_blank;
+	bool is_odd;
+} line_cases[] = {
+    {"a comment is no event", ": x\n\n", true, false},
+    {"two comment lines are no event", ": x\n: y\r\n\r\n", true, false},
+    {"an empty line is no event", "\n\n", true, false},
+    {"a time to retry after is no event", "retry: 10\n\n", true, false},
+    {"a type without data is no event", "event: x\n\n", true, false},
+    {"data is an event", "data: x\n\n", false, false},
+    {"data without a value is an event", "data\n\n", false, false},
+    {"data after a comment line is an event", ": x\ndata: y\n\n", false, false},
+    {"an event may have all fields",
+	"event: x\nid: 1\ndata: y\ndata: z\nretry: 1\n\n", false, false},
+    {"an event may have the platform's line",
+	"heatherturn-weight-versions: 2\nid: 1\ndata: x\n\n", false, false},
+    {"other bytes are odd", "bytes\n\n", false, true},
+    {"a name that only begins with a field's is odd",
+	"idx: 1\nid: 1\ndata: x\n\n", false, true},
+    {"a line before an event is odd", "bytes\r\nid: 1\r\ndata: x\r\n\r\n",
+	false, true},
+    {"bytes before the first line are odd", "bytesid: 1\ndata: x\n\n", false,
+	true},
+    {"two ids are odd", "id: 1\ndata: x\nid: 2\n\n", false, true},
+    {"a comment in an event with an id is odd",
+	"id: 1\ndata: x\n:id: 2\ndata: y\n\n", false, true},
+    {"a line with a CR inside is odd", "id: 1\ndata: x\rid: 2\n\n", false,
+	true},
+    {"an id without data is odd", "id: 1\n\n", false, true},
+    {"an id without data and value is odd", "id\n\n", false, true},
 };
 
-/* Only an event without any field is a comment. */
+/* Checks what the lines of one event say of it. */
+static void
+check_lines(void *data, const struct stream_event *event)
+{
+	const struct line_case *c = data;
+
+	g_assert_cmpint(event->is_blank, ==, c->is_blank);
+	g_assert_cmpint(event->is_odd, ==, c->is_odd);
+	g_assert_cmpuint(event->length, ==, strlen(c->bytes));
+}
+
+/* Reads the lines of an event. */
 static void
-test_comment(gconstpointer data)
+test_lines(gconstpointer data)
 {
-	const struct comment_case *c = &comment_cases[GPOINTER_TO_SIZE(data)];
+	struct line_case c = line_cases[GPOINTER_TO_SIZE(data)];
+	struct event_splitter splitter;
 
-	g_assert_cmpint(event_splitter_is_comment(
-			    (const uint8_t *)c->bytes, strlen(c->bytes)),
-	    ==, c->is_comment);
+	event_splitter_init(&splitter);
+	g_assert_true(event_splitter_feed(&splitter, (const uint8_t *)c.bytes,
+	    strlen(c.bytes), check_lines, &c));
+	g_assert_cmpuint(splitter.buffer->len, ==, 0);
+	event_splitter_clear(&splitter);
 }
 
 int
@@ -116,6 +151,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/event_splitter", test_split);
-	ADD_CASES(comment_cases, "/event_splitter/comment", test_comment);
+	ADD_CASES(line_cases, "/event_splitter", test_lines);
 	return g_test_run();
 }
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -344,8 +344,10 @@
 } slow_cases[] = {
     {"an unframed stream that ends while its caller is slow is complete",
 	"/fragile/x",
-	{{.bytes = OK STREAM "\r\n", .repeated = LONG_EVENT, .last = E3}}, 1,
-	false, E3},
+	{{.bytes = OK STREAM "\r\n",
+	    .repeated = LONG_EVENT,
+	    .last = "data: 3\n\n"}},
+	1, false, "data: 3\n\n"},
     {"an unframed stream that is reset while its caller is slow is cut",
 	"/fragile/x",
 	{{.bytes = OK STREAM "\r\n",
--- a/tests/test_wrong_event_id.c
+++ b/tests/test_wrong_event_id.c
@@ -1,7 +1,7 @@
 /*
  * Streams of which one event's id has a wrong byte, through a whole gateway.
- * Guards against later events that are dropped as repeated, and against a
- * stream that is resumed after a wrong id.
+ * Guards against events that are hidden by it or passed on with it, and against
+ * a stream that is resumed after a wrong id.
  */
 #include <string.h>
 
@@ -20,15 +20,20 @@
 #define E3_NO_ID    "ie: 3\ndata: 3\n\n"
 #define E3_LETTER   "id: 3x\ndata: 3\n\n"
 /* A comment by its first byte, but it has data. */
-#define E3_COMMENT ":d: 3\ndata: 3\n\n"
-#define E4	   "id: 4\ndata: 4\n\n"
-#define E5	   "id: 5\ndata: 5\n\n"
-#define COMMENT	   ": none\n\n"
-#define HEAD	   OK STREAM "\r\n"
-/* The rest of the stream as another upstream would send it, if asked. */
-#define REST                        \
-	{                           \
-		.bytes = HEAD E4 E5 \
+#define E3_COMMENT   ":d: 3\ndata: 3\n\n"
+#define E4	     "id: 4\ndata: 4\n\n"
+#define E5	     "id: 5\ndata: 5\n\n"
+#define COMMENT	     ": none\n\n"
+#define HEAD	     OK STREAM "\r\n"
+#define WHOLE_STREAM E1 E2 E3 E4 E5
+/* The rest of the stream as another upstream sends it, if asked. */
+#define REST_AFTER_1                                    \
+	{                                               \
+		.bytes = HEAD E2 E3 E4 E5, .after = "1" \
+	}
+#define REST_AFTER_2                                 \
+	{                                            \
+		.bytes = HEAD E3 E4 E5, .after = "2" \
 	}
 
 static const struct id_case {
@@ -40,60 +45,66 @@
 	const char *body; /* whole, or all that was sent before the cut */
 } cases[] = {
     {"an id that is too high hides no event", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3_TOO_HIGH E4 E5}}, 1, false,
-	E1 E2 E3_TOO_HIGH E4 E5},
-    {"an id that is too high hides no event of a stream that can't be resumed",
-	"/fragile/x", {{.bytes = HEAD E1 E2 E3_TOO_HIGH E4 E5}}, 1, false,
-	E1 E2 E3_TOO_HIGH E4 E5},
+	{{.bytes = HEAD E1 E2 E3_TOO_HIGH E4 E5}, REST_AFTER_2}, 2, false,
+	WHOLE_STREAM},
+    {"an id that is too high ends a stream that can't be resumed", "/fragile/x",
+	{{.bytes = HEAD E1 E2 E3_TOO_HIGH E4 E5}}, 1, true, E1 E2},
     {"an id that is too low hides no event", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3_TOO_LOW E4 E5}}, 1, false,
-	E1 E2 E3_TOO_LOW E4 E5},
+	{{.bytes = HEAD E1 E2 E3_TOO_LOW E4 E5}, REST_AFTER_2}, 2, false,
+	WHOLE_STREAM},
     {"an id that comes twice hides no event", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3_TWICE E4 E5}}, 1, false, E1 E2 E3_TWICE E4 E5},
+	{{.bytes = HEAD E1 E2 E3_TWICE E4 E5}, REST_AFTER_1}, 2, false,
+	WHOLE_STREAM},
     {"an id that can't be read hides no event", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3_LETTER E4 E5}}, 1, false,
-	E1 E2 E3_LETTER E4 E5},
-    {"the last event is passed on whatever its id is", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3_TOO_LOW}}, 1, false, E1 E2 E3_TOO_LOW},
-    {"a stream that breaks off after an id that is too high is cut",
+	{{.bytes = HEAD E1 E2 E3_LETTER E4 E5}, REST_AFTER_2}, 2, false,
+	WHOLE_STREAM},
+    {"the last event is not lost by its id", "/stream/x",
+	{{.bytes = HEAD E1 E2 E3_TOO_LOW}, {.bytes = HEAD E2 E3, .after = "1"}},
+	2, false, E1 E2 E3},
+    {"a stream that breaks off after an id that is too high is resumed before "
+     "it",
+	"/stream/x",
+	{{.bytes = HEAD E1 E2 E3_TOO_HIGH, .end = RAW_END_RESET}, REST_AFTER_2},
+	2, false, WHOLE_STREAM},
+    {"a stream that breaks off after an id that is too low is resumed before "
+     "it",
 	"/stream/x",
-	{{.bytes = HEAD E1 E2 E3_TOO_HIGH, .end = RAW_END_RESET}, REST}, 1,
-	true, E1 E2 E3_TOO_HIGH},
-    {"a stream that breaks off after an id that is too low is cut", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3_TOO_LOW, .end = RAW_END_RESET},
-	    {.bytes = HEAD E2 E3 E4 E5}},
-	1, true, E1 E2 E3_TOO_LOW},
-    {"a stream that breaks off after an id that comes twice is cut",
+	{{.bytes = HEAD E1 E2 E3_TOO_LOW, .end = RAW_END_RESET}, REST_AFTER_2},
+	2, false, WHOLE_STREAM},
+    {"a stream that breaks off after an id that comes twice is resumed before "
+     "both",
 	"/stream/x",
 	{{.bytes = HEAD E1 E2 E3_TWICE "id", .end = RAW_END_CLOSE},
-	    {.bytes = HEAD E3 E4 E5}},
-	1, true, E1 E2 E3_TWICE},
-    {"a stream that breaks off after an event without an id is cut",
+	    REST_AFTER_1},
+	2, false, WHOLE_STREAM},
+    {"a stream that breaks off after an event without an id is resumed before "
+     "it",
+	"/stream/x",
+	{{.bytes = HEAD E1 E2 E3_NO_ID, .end = RAW_END_RESET}, REST_AFTER_2}, 2,
+	false, WHOLE_STREAM},
+    {"a stream that breaks off after data behind a colon is resumed before it",
 	"/stream/x",
-	{{.bytes = HEAD E1 E2 E3_NO_ID, .end = RAW_END_RESET},
-	    {.bytes = HEAD E3 E4 E5}},
-	1, true, E1 E2 E3_NO_ID},
-    {"a stream that breaks off after data behind a colon is cut", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3_COMMENT, .end = RAW_END_RESET},
-	    {.bytes = HEAD E3 E4 E5}},
-	1, true, E1 E2 E3_COMMENT},
+	{{.bytes = HEAD E1 E2 E3_COMMENT, .end = RAW_END_RESET}, REST_AFTER_2},
+	2, false, WHOLE_STREAM},
     {"a stream that breaks off after a comment is resumed", "/stream/x",
-	{{.bytes = HEAD E1 E2 E3 COMMENT, .end = RAW_END_RESET}, REST}, 2,
-	false, E1 E2 E3 COMMENT E4 E5},
-    {"a stream that breaks off once ids follow again is resumed", "/stream/x",
+	{{.bytes = HEAD E1 E2 E3 COMMENT, .end = RAW_END_RESET},
+	    {.bytes = HEAD E4 E5, .after = "3"}},
+	2, false, E1 E2 E3 COMMENT E4 E5},
+    {"events after a wrong id are asked for again", "/stream/x",
 	{{.bytes = HEAD E1 E2 "id: 30\ndata: 3\n\n" E4 E5,
 	     .end = RAW_END_RESET},
-	    {.bytes = HEAD "id: 6\ndata: 6\n\n"}},
-	2, false, E1 E2 "id: 30\ndata: 3\n\n" E4 E5 "id: 6\ndata: 6\n\n"},
+	    REST_AFTER_2},
+	2, false, WHOLE_STREAM},
     {"a run that repeats events but not the last one does not continue",
 	"/last/x",
 	{{.bytes = HEAD E1 E2 E3, .end = RAW_END_RESET},
-	    {.bytes = HEAD E1 E2 E4 E5}},
+	    {.bytes = HEAD E1 E2 E4 E5, .after = "3"}},
 	2, true, E1 E2 E3},
     {"an id that is too low in a resumed run hides no event", "/stream/x",
 	{{.bytes = HEAD E1 E2 E3, .end = RAW_END_RESET},
-	    {.bytes = HEAD E4 "id: 1\ndata: 5\n\n"}},
-	2, false, E1 E2 E3 E4 "id: 1\ndata: 5\n\n"},
+	    {.bytes = HEAD E4 "id: 1\ndata: 5\n\n", .after = "3"},
+	    {.bytes = HEAD E4 E5, .after = "3"}},
+	3, false, WHOLE_STREAM},
 };
 
 /* Starts a gateway whose upstreams send these responses. */
