Soak: upstreams that add bytes to their streams

The fault foreign_events, drawn only if named, makes an upstream add bytes to 20 to 70% of its streams for 1 to 4 s: an event without an id, with an empty one, with one of letters, one far too high, the last one again, plain bytes, or a line before an event; before the first event, between two or after the last; in a chunk of their own, in the chunk of an event, or in a body that ends with its connection. Short requests then also go to /live/, a route that can't be resumed, whose streams run at most once.

Cut streams and those that their callers left are now checked in all soaks: they must be a beginning of what upstreams sent. A resumable stream with bytes added in one run, and no other fault, must go on at another upstream: any other end is a violation. The result counts, by kind and place, the streams with added bytes, those whose caller got them, and those that ended as complete.

Streams with a spoilt id are judged in the same way, and a complete stream must not have the spoilt event any more, but for a first id of 0.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -2,12 +2,12 @@
 
 Checks what callers and upstreams see: a non-idempotent request runs at most
 once, a request refused as not run did not run, a response is complete and
-belongs to its request, a stream has each event once, upstreams that drain or
-are in a taken-out failure domain get no new requests, revoked keys are
-rejected, a key that a process has rejected as revoked is not accepted by it
-again, upstreams that say that they leave or want no requests get none, those
-that name a rate get no more than that, endless responses are not read on, and
-no process exits unexpectedly.
+belongs to its request, a stream has each event once, no caller gets bytes of a
+stream that no run made, upstreams that drain or are in a taken-out failure
+domain get no new requests, revoked keys are rejected, a key that a process has
+rejected as revoked is not accepted by it again, upstreams that say that they
+leave or want no requests get none, those that name a rate get no more than
+that, endless responses are not read on, and no process exits unexpectedly.
 """
 
 import asyncio
@@ -21,6 +21,7 @@
 import time
 
 import crashing_part
+import foreign_events
 import named_rates
 import planned_stops
 import platform_standin as standin
@@ -48,7 +49,7 @@
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 ROUTES = (("/stream/", "stream", True), ("/once/", "non_idempotent", False),
           ("/again/", "idempotent", False), ("/long/", "stream", True),
-          ("/prompt/", "stream", True))
+          ("/prompt/", "stream", True), (foreign_events.PATH, "stream", False))
 SHORT_PATHS = ("/stream/", "/once/", "/again/")
 
 
@@ -77,7 +78,8 @@
           "take_out", "revoke", "change", "restore_store", "leave", "roll",
           "name_rate")
 # Drawn only if asked for.
-RARE_FAULTS = ("cut_peer", "crashing_part", "fail_upstreams", "spoil_bytes")
+RARE_FAULTS = ("cut_peer", "crashing_part", "fail_upstreams", "spoil_bytes",
+               "foreign_events")
 
 
 class Gateway:
@@ -202,6 +204,9 @@
         self.fault_kinds = [one for one in faults if one != "crashing_part"]
         self.prompts = (crashing_part.Prompts(seed)
                         if "crashing_part" in faults else None)
+        self.paths = SHORT_PATHS
+        if "foreign_events" in faults:
+            self.paths += (foreign_events.PATH,)
         self.seed, self.seconds = seed, seconds
         self.end = 0.0
         self.store = standin.Store()
@@ -224,6 +229,8 @@
         self.violations = []
         self.attempts = {}  # request id -> (path, status, gateway)
         self.sent = {}  # request id -> (wall s, gateway, its incarnation)
+        self.received = {}  # request id -> bytes of a body in chunks
+        self.completed = {}  # request id -> wall s of its complete response
         self.cuts = planned_stops.Cuts()
         self.retry_budget_used = 0.0  # the largest part in a window
         self.rated_requests = 0  # that upstreams got while they named a rate
@@ -307,7 +314,7 @@
                 await asyncio.sleep(0.05)
                 continue
             path = ("/long/" if number >= CALLER_COUNT
-                    else rng.choice(SHORT_PATHS))
+                    else rng.choice(self.paths))
             try:
                 keep_alive = await asyncio.wait_for(
                     self.request(path, rng, connected_gateway, *connection),
@@ -336,7 +343,7 @@
         key = rng.choice(self.keys + list(self.revoked))
         if path == "/long/":
             path += str(rng.randint(*LONG_EVENTS))
-        elif path == "/stream/":
+        elif path in ("/stream/", foreign_events.PATH):
             path += str(standin.EVENTS)
         elif path == "/prompt/":
             path += f"{request_id}/{standin.EVENTS}"
@@ -352,6 +359,7 @@
         headers, body = await self.cuts.watch(
             request_id, self.read_response(request_id, reader, rng),
             self.attempts)
+        self.completed[request_id] = time.time()
         self.check_response(request_id, key, sent, headers, body)
         if self.prompts and self.attempts[request_id][1] == 503:
             await asyncio.sleep(REFUSED_PAUSE_S)
@@ -373,6 +381,7 @@
         body = b""
         async for chunk in standin.read_chunks(reader):
             body += chunk
+            self.received[request_id] = body
             if self.prompts:
                 self.prompts.begun.add(request_id)
             if rng.random() < 0.01:
@@ -407,18 +416,34 @@
                 and gateway.was_undisturbed(sent, sent)):
             self.add_violation("valid key rejected", request=request_id)
 
-    def is_whole_stream(self, request_id, path, body):
-        """Whether a body has each event once, as an upstream has sent it."""
+    def is_whole_stream(self, request_id, path, body, is_cut=False):
+        """Whether a body has each event of a run once.
+
+        A gateway that knows nothing of the route can't tell a first id of 0 from
+        1. A stream that was cut may end after any byte of them.
+        """
         for number in range(1, standin.event_count(path) + 1):
             events = [b"id: %d\ndata: %d\n\n" % (number, number)]
             events += [one.spoilt[request_id][1] for one in self.upstreams
-                       if one.spoilt.get(request_id, (0,))[0] == number]
+                       if one.spoilt.get(request_id, (0,))[0] == number == 1]
             event = next((one for one in events if body.startswith(one)), None)
             if event is None:
-                return False
+                return is_cut and any(one.startswith(body) for one in events)
             body = body[len(event):]
         return body == b""
 
+    def check_cut_streams(self):
+        """Checks that streams without an end have no bytes but their runs'."""
+        for request_id, body in self.received.items():
+            path, status, _ = self.attempts[request_id]
+            if (status == 200 and standin.is_stream(path)
+                    and request_id not in self.completed
+                    and not self.is_whole_stream(request_id, path, body,
+                                                 True)):
+                self.add_violation("bytes that no run made in a cut stream",
+                                   request=request_id,
+                                   got=body.decode("latin-1"))
+
     def check_rollback(self, request_id, key):
         """Checks that a process does not accept a key that it has rejected."""
         sent, gateway, incarnation = self.sent[request_id]
@@ -592,6 +617,10 @@
         await asyncio.sleep(self.random.uniform(1.0, 4.0))
         upstream.faults.pop("spoil", None)
 
+    async def foreign_events(self):
+        """Makes an upstream add bytes to some streams."""
+        await foreign_events.add(self)
+
     async def fail_upstreams(self):
         """Makes all upstreams fail most requests for some time."""
         await retry_budget.fail_upstreams(self)
@@ -710,10 +739,11 @@
             if path is None:
                 self.add_violation("unknown request ran", request=request_id)
                 continue
-            if path.startswith("/once/") and times > 1:
+            once = path.startswith(("/once/", foreign_events.PATH))
+            if once and times > 1:
                 self.add_violation("non-idempotent request ran twice",
                                    request=request_id, times=times)
-            if path.startswith("/once/") and status in NOT_RUN_STATUSES:
+            if once and status in NOT_RUN_STATUSES:
                 self.add_violation("request refused as not run had run",
                                    request=request_id)
         self.check_excluded()
@@ -750,6 +780,8 @@
         await asyncio.gather(*(asyncio.wait_for(
             one.process.wait(), GRACE_S + 2) for one in self.gateways))
         self.check_upstreams()
+        self.check_cut_streams()
+        added = foreign_events.check(self)
         planned_stops.check_answers(self)
         if "fail_upstreams" in self.fault_kinds:
             self.retry_budget_used = retry_budget.check(self)
@@ -767,6 +799,7 @@
                 "rated_allowance": round(self.rated_allowance, 1),
                 "retry_budget_used": self.retry_budget_used,
                 "violations": self.violations,
+                **({"foreign_events": added} if added else {}),
                 **(self.prompts.counts() if self.prompts else {})}
 
 
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -14,6 +14,8 @@
 import time
 import urllib.parse
 
+import foreign_events
+
 EVENTS = 8
 EVENT_GAP_S = 0.08
 HEADER_MAX_BYTES = 65536
@@ -76,7 +78,8 @@
 
 def is_stream(path):
     """Whether the response to a request with this path is a stream."""
-    return path.startswith(("/stream/", "/long/", "/prompt/"))
+    return path.startswith(("/stream/", "/long/", "/prompt/",
+                            foreign_events.PATH))
 
 
 def spoil_digit(data, rng):
@@ -281,6 +284,8 @@
         self.crashed = False
         self.read_on = 0  # endless responses that were read to the end
         self.spoilt = {}  # request id -> (number of an event, its bytes)
+        self.additions = []  # (request id, bytes that its run did not make)
+        self.failed = set()  # ids of requests that it answered with 500
 
     def rejection_status(self, headers):
         """Returns the status of a rejection, 0 if the request is run."""
@@ -333,6 +338,7 @@
                             "Heatherturn-Server-Seal": self.name,
                             **self.own_headers(request_id)}
         if self.draws_fault("fail"):
+            self.failed.add(request_id)
             writer.write(make_response(500, response_headers, b"failed"))
         elif is_stream(request[1]):
             await self.stream(
@@ -388,12 +394,27 @@
         request_id = response_headers["Heatherturn-Attempt-Id"]
         spoils = self.draws_fault("spoil") and first <= count
         wrong = self.random.randint(first, count) if spoils else None
+        added = None
+        if not spoils and "foreign" in self.faults and \
+                self.draws_fault("foreign"):
+            added = foreign_events.draw(self.random, first, count)
+            self.additions.append((request_id, added))
+        framed = not added or added.framing != foreign_events.UNFRAMED
+        joined = added and added.framing == foreign_events.JOINED
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream",
-                 "Transfer-Encoding: chunked",
+                 "Transfer-Encoding: chunked" if framed
+                 else "Connection: close",
                  *(f"{name}: {value}"
                    for name, value in response_headers.items())]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+        def write(data):
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data) if framed
+                         else data)
+
         for number in range(first, count + 1):
+            if added and number == added.before and not joined:
+                write(added.data)
             await asyncio.sleep(EVENT_GAP_S)
             if self.crashes_under(headers):
                 self.crash()
@@ -403,13 +424,21 @@
                 line, end, rest = event.partition(b"\n")
                 event = spoil_digit(line, self.random) + end + rest
                 self.spoilt[request_id] = (number, event)
-            if not spoils and self.draws_fault("cut"):
+            if not spoils and not added and self.draws_fault("cut"):
                 writer.write(b"%x\r\n%s" % (len(event), event[:4]))
                 self.broken_off.add(request_id)
                 raise BrokenConnection
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if joined and number == added.before:
+                event = added.data + event
+            elif joined and number == count < added.before:
+                event += added.data
+            write(event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if added and added.before > count and not (joined and first <= count):
+            write(added.data)
+        if not framed:
+            raise BrokenConnection
+        write(b"")
 
 
 class Proxy(Server):
