An engine's event counts only once it is valid as a whole

Callers behind sidecars got responses without the text of one event, as complete ones; an event with a negative token count was passed on, and an end that had text, or a negative count, was taken as the end.

Cause: on_event() advanced last_sequence before it had read the event. One without readable text ended the connection, and the run was resumed after it. Members of an end were not checked, and "tokens" was only cast.

engine_event_decode() now reads an event and checks it as a whole: a part of the text or an end, never both, with types and ranges. Only a valid event with the next number advances last_sequence, so the run is resumed after the last valid one, and the engine sends the event again. A member that the dialect lacks is ignored as before. `engine's event rejected` in the log has the run, its last event and the member at fault.

Evidence: five cases of test_upstream failed before, such as an event without text is not skipped: assertion failed ("POST a1 after=2 end stop 9/2/4" == "POST a1 after=1 b2 end stop 9/2/4") an event with a negative token count is not passed on: assertion failed ("POST a1 x2 end stop 9/2/4" == "POST a1 after=1 b2 end stop 9/2/4") an end that has text does not hide it: assertion failed ("POST a1 end stop 0/0/0" == "POST a1 after=1 b2 end stop 9/2/4") All 22 cases pass now.

--- a/src/upstream/engine_run.c
+++ b/src/upstream/engine_run.c
@@ -1,8 +1,12 @@
 #include <string.h>
 
 #include "upstream/engine.h"
+#include "upstream/engine_event.h"
 #include "upstream/event_stream.h"
 
+#define LOG_MODULE "engine"
+#include "base/log.h"
+
 /* A stream without data for this time is resumed on a new connection. */
 #define STREAM_STALL_MS 3000
 /* Consecutive resumes without an event. */
@@ -80,59 +84,76 @@
 	g_clear_error(&error);
 }
 
-/* Handles the next event of the run. Returns false to end the stream. */
+/* Keeps what the end of the run says. */
+static void
+keep_end(struct engine_run *run, const struct engine_event *event)
+{
+	run->finished = true;
+	run->finish_reason = g_strdup(event->finish_reason);
+	run->prompt_tokens = event->prompt_tokens;
+	run->output_tokens = event->output_tokens;
+	run->cached_tokens = event->cached_tokens;
+}
+
+/* Passes on a part of the text. Returns false if the run was dropped. */
 static bool
-handle_event(struct engine_run *run, json_t *json)
+pass_on(struct engine_run *run, const struct engine_event *event)
 {
-	struct upstream_event event = {.sequence = run->last_sequence};
-	json_int_t tokens = 0;
-	json_t *text = NULL;
-
-	if (json_is_true(json_object_get(json, "done"))) {
-		run->finished = true;
-		run->finish_reason = g_strdup(
-		    json_string_value(json_object_get(json, "finish_reason")));
-		json_unpack(json, "{s?I, s?I, s?I}", "prompt_tokens",
-		    &run->prompt_tokens, "output_tokens", &run->output_tokens,
-		    "cached_tokens", &run->cached_tokens);
-		return true;
-	}
-	if (json_unpack(json, "{s:o, s?I}", "text", &text, "tokens", &tokens) !=
-		0 ||
-	    !json_is_string(text))
-		return false;
-	event.data = (const uint8_t *)json_string_value(text);
-	event.length = json_string_length(text);
-	event.tokens = (uint32_t)tokens;
+	struct upstream_event part = {.sequence = run->last_sequence,
+	    .tokens = (uint32_t)event->tokens,
+	    .data = (const uint8_t *)event->text,
+	    .length = event->length};
+
 	run->in_callback = true;
-	run->ops->event(run->data, &event);
+	run->ops->event(run->data, &part);
 	run->in_callback = false;
 	return !run->dropped;
 }
 
-/* Handles one event of the stream; false if one before it is missing. */
+/* Logs why an event is not accepted. Returns false, to end the stream. */
+static bool
+reject_event(const struct engine_run *run, const char *why)
+{
+	LOG_WARN("engine's event rejected", "{s:s, s:I, s:s}", "run", run->id,
+	    "last_event", (json_int_t)run->last_sequence, "why", why);
+	return false;
+}
+
+/* Handles a valid event. Returns false to end the stream. */
+static bool
+handle_event(struct engine_run *run, const struct engine_event *event)
+{
+	uint64_t sequence = (uint64_t)event->sequence;
+
+	if (sequence <= run->last_sequence)
+		return true;
+	if (sequence != run->last_sequence + 1)
+		return reject_event(run, "an event before it is missing");
+	run->last_sequence = sequence;
+	run->resumes = 0;
+	run->liveness_checks = 0;
+	if (!event->is_end)
+		return pass_on(run, event);
+	keep_end(run, event);
+	return true;
+}
+
+/* Handles one event of the stream; false if the run can't go on from it. */
 static bool
 on_event(void *data, const char *text, size_t length)
 {
 	struct engine_run *run = data;
-	json_t *json = json_loadb(text, length, 0, NULL);
-	json_int_t sequence = 0;
-	bool go_on = false;
-
-	if (json_unpack(json, "{s:I}", "seq", &sequence) != 0)
-		goto out;
-	if ((uint64_t)sequence <= run->last_sequence) {
-		go_on = true;
-		goto out;
+	struct engine_event event;
+	GError *error = NULL;
+	bool go_on;
+
+	if (!engine_event_decode(&event, text, length, &error)) {
+		reject_event(run, error->message);
+		g_clear_error(&error);
+		return false;
 	}
-	if ((uint64_t)sequence != run->last_sequence + 1)
-		goto out;
-	run->last_sequence = (uint64_t)sequence;
-	run->resumes = 0;
-	run->liveness_checks = 0;
-	go_on = handle_event(run, json);
-out:
-	json_decref(json);
+	go_on = handle_event(run, &event);
+	engine_event_clear(&event);
 	return go_on;
 }
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -30,6 +30,10 @@
 	int status_failures; /* of status queries during the run */
 };
 
+#define END_OF(seq, counts) \
+	"{\"seq\":" #seq ",\"done\":true,\"finish_reason\":\"stop\"," counts "}"
+#define REST EVENT(2, "b") "\n" DONE
+
 static const struct engine_case cases[] = {
     {"a stream is passed on in order", WORK_GENERATE,
 	{EVENT(1, "a") "\n" EVENT(2, "b") "\n" DONE}, {1, 1},
@@ -46,6 +50,22 @@
     {"an event that is no JSON is requested again", WORK_GENERATE,
 	{EVENT(1, "a") "\nnonsense", EVENT(2, "b") "\n" DONE}, {1, 1},
 	.expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an event without text is not skipped", WORK_GENERATE,
+	{EVENT(1, "a") "\n{\"seq\":2,\"tezt\":\"b\"}\n" DONE, REST}, {1, 1},
+	.expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an event whose text is no string is not skipped", WORK_GENERATE,
+	{EVENT(1, "a") "\n{\"seq\":2,\"text\":7}\n" DONE, REST}, {1, 1},
+	.expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an event with a negative token count is not passed on", WORK_GENERATE,
+	{EVENT(1, "a") "\n{\"seq\":2,\"text\":\"x\",\"tokens\":-1}\n" DONE,
+	    REST},
+	{1, 1}, .expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an end that has text does not hide it", WORK_GENERATE,
+	{EVENT(1, "a") "\n" END_OF(2, "\"text\":\"b\""), REST}, {1, 1},
+	.expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an end with a negative count is no end", WORK_GENERATE,
+	{EVENT(1, "a") "\n" END_OF(2, "\"prompt_tokens\":-9"), REST}, {1, 1},
+	.expected = "POST a1 after=1 b2 end stop 9/2/4"},
     {"a run that exists already is resumed from its start", WORK_GENERATE,
 	{"!409 {\"error\":{\"type\":\"duplicate\",\"message\":\"\"}}",
 	    EVENT(1, "a") "\n" EVENT(2, "b") "\n" DONE},
