Nothing is valid behind the end of an engine's run

Callers behind sidecars got text that followed the end of a run, and a response that an end in the middle of its run had cut, both as complete ones.

Cause: on_event() went on to count events after `done`; the run ended as complete when the stream did, and a second `done` overwrote and leaked the finish reason.

An end now counts once its stream has ended and nothing but repeated numbers followed it: a new event, bytes that are none, or a part of one put it in doubt. It is taken back then, since nothing has been handed on of it, and the run is resumed after the last event before it. An end does not reset the count of resumptions, so a run whose engine sends something behind each end is lost. `engine's event rejected` in the log says why.

Evidence: four cases of test_upstream and one of test_wrong_event_id failed before, such as an event behind the end is not passed on: assertion failed ("POST a1 b2 x4 end stop 9/2/4" == "POST a1 b2 after=2 end stop 9/2/4") an end before the last event does not hide it: assertion failed ("POST a1 end stop 9/2/4" == "POST a1 after=1 b2 end stop 9/2/4") an end before a part of an event does not hide it: assertion failed (result.text->str == "abc"): ("a" == "abc") All pass now, and "an end that comes twice is one end" passes before and after.

--- a/src/upstream/engine_run.c
+++ b/src/upstream/engine_run.c
@@ -84,9 +84,9 @@
 	g_clear_error(&error);
 }
 
-/* Keeps what the end of the run says. */
+/* Takes an end, which counts if nothing but itself follows in its stream. */
 static void
-keep_end(struct engine_run *run, const struct engine_event *event)
+take_end(struct engine_run *run, const struct engine_event *event)
 {
 	run->finished = true;
 	run->finish_reason = g_strdup(event->finish_reason);
@@ -95,6 +95,18 @@
 	run->cached_tokens = event->cached_tokens;
 }
 
+/* Takes an end in doubt back; a resumption goes on before it. */
+static void
+take_end_back(struct engine_run *run)
+{
+	if (!run->finished)
+		return;
+	run->finished = false;
+	run->last_sequence--;
+	g_clear_pointer(&run->finish_reason, g_free);
+	run->prompt_tokens = run->output_tokens = run->cached_tokens = 0;
+}
+
 /* Passes on a part of the text. Returns false if the run was dropped. */
 static bool
 pass_on(struct engine_run *run, const struct engine_event *event)
@@ -127,15 +139,18 @@
 
 	if (sequence <= run->last_sequence)
 		return true;
+	if (run->finished)
+		return reject_event(run, "it follows the end");
 	if (sequence != run->last_sequence + 1)
 		return reject_event(run, "an event before it is missing");
 	run->last_sequence = sequence;
+	if (event->is_end) {
+		take_end(run, event);
+		return true;
+	}
 	run->resumes = 0;
 	run->liveness_checks = 0;
-	if (!event->is_end)
-		return pass_on(run, event);
-	keep_end(run, event);
-	return true;
+	return pass_on(run, event);
 }
 
 /* Handles one event of the stream; false if the run can't go on from it. */
@@ -163,7 +178,10 @@
 {
 	struct engine_run *run = data;
 
-	return event_stream_feed(&run->stream, bytes, length, on_event, run);
+	if (event_stream_feed(&run->stream, bytes, length, on_event, run))
+		return true;
+	take_end_back(run);
+	return false;
 }
 
 /*
@@ -235,6 +253,10 @@
 
 	run->http = NULL;
 	run->sent |= result->may_have_sent;
+	if (run->finished && !event_stream_is_between_events(&run->stream)) {
+		reject_event(run, "a part of one follows the end");
+		take_end_back(run);
+	}
 	if (run->dropped) {
 		run_free(run);
 	} else if (run->finished) {
--- a/src/upstream/event_stream.c
+++ b/src/upstream/event_stream.c
@@ -76,6 +76,13 @@
 	return true;
 }
 
+/* Returns whether no event or line has begun and not ended. */
+bool
+event_stream_is_between_events(const struct event_stream *stream)
+{
+	return stream->line->len == 0 && stream->data->len == 0;
+}
+
 /* Moves a position past the next bytes of its stream. */
 void
 event_stream_advance(
--- a/src/upstream/event_stream.h
+++ b/src/upstream/event_stream.h
@@ -29,6 +29,7 @@
 void event_stream_clear(struct event_stream *);
 bool event_stream_feed(struct event_stream *, const uint8_t *, size_t,
     event_stream_fn *, void *data);
+bool event_stream_is_between_events(const struct event_stream *);
 void event_stream_advance(
     struct event_stream_position *, const uint8_t *, size_t length);
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -33,6 +33,7 @@
 #define END_OF(seq, counts) \
 	"{\"seq\":" #seq ",\"done\":true,\"finish_reason\":\"stop\"," counts "}"
 #define REST EVENT(2, "b") "\n" DONE
+#define GOOD EVENT(1, "a") "\n" REST
 
 static const struct engine_case cases[] = {
     {"a stream is passed on in order", WORK_GENERATE,
@@ -66,6 +67,22 @@
     {"an end with a negative count is no end", WORK_GENERATE,
 	{EVENT(1, "a") "\n" END_OF(2, "\"prompt_tokens\":-9"), REST}, {1, 1},
 	.expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an event behind the end is not passed on", WORK_GENERATE,
+	{GOOD "\n" EVENT(4, "x"), DONE}, {1, 1},
+	.expected = "POST a1 b2 after=2 end stop 9/2/4"},
+    {"an end before the last event does not hide it", WORK_GENERATE,
+	{EVENT(1, "a") "\n" END_OF(2, "\"cached_tokens\":7") "\n" DONE, REST},
+	{1, 1}, .expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"bytes behind the end that are no event put the end in doubt",
+	WORK_GENERATE,
+	{EVENT(1, "a") "\n" END_OF(2, "\"cached_tokens\":7") "\nnonsense",
+	    REST},
+	{1, 1}, .expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an end that something follows each time is no end", WORK_GENERATE,
+	{GOOD "\n" EVENT(4, "x"), DONE "\nx", DONE "\nx", DONE "\nx"}, {1, 1},
+	.expected = "POST a1 b2 after=2 after=2 after=2 error lost sent"},
+    {"an end that comes twice is one end", WORK_GENERATE, {GOOD "\n" DONE},
+	{1, 1}, .expected = "POST a1 b2 end stop 9/2/4"},
     {"a run that exists already is resumed from its start", WORK_GENERATE,
 	{"!409 {\"error\":{\"type\":\"duplicate\",\"message\":\"\"}}",
 	    EVENT(1, "a") "\n" EVENT(2, "b") "\n" DONE},
--- a/tests/test_wrong_event_id.c
+++ b/tests/test_wrong_event_id.c
@@ -154,7 +154,8 @@
 #define ENGINE_END                                                   \
 	"data: {\"seq\":4,\"done\":true,\"finish_reason\":\"stop\"}" \
 	"\n\n"
-#define ALIVE .bytes = OK "\r\n{\"state\":\"warm\"}"
+#define ENGINE_EARLY_END "data: {\"seq\":2,\"done\":true}\n\n"
+#define ALIVE		 .bytes = OK "\r\n{\"state\":\"warm\"}"
 
 /* A sidecar's engine: the POST of a run, a status query, a resumption. */
 static const struct engine_case {
@@ -167,6 +168,9 @@
     {"an engine's sequence number that is too high hides no text",
 	{{.bytes = OK "\r\n" ENGINE_1 ENGINE_HIGH ENGINE_3 ENGINE_END}, {ALIVE},
 	    {.bytes = OK "\r\n" ENGINE_2 ENGINE_3 ENGINE_END}}},
+    {"an end before a part of an event does not hide it",
+	{{.bytes = OK "\r\n" ENGINE_1 ENGINE_EARLY_END "data: {\"seq\":2"},
+	    {ALIVE}, {.bytes = OK "\r\n" ENGINE_2 ENGINE_3 ENGINE_END}}},
 };
 
 /* A run at an engine. */
