A number that comes again with other content puts its event in doubt

Callers behind sidecars got an event that no run had made in place of the real one, in a complete response: "a x" where the engine had sent "a b", with x under the number of b before it.

Cause: on_event() ignored every event whose number had come before, whatever it said; the first one with a number won.

A run now keeps a hash of what each event said, eight bytes an event. An event that repeats a number with the same content is ignored as before. With other content it puts the event of this number in doubt: an end is taken back; a part of the text can't be, so the run is resumed before it and goes on only once the engine has sent the same part again. If the engine sends another one, the run ends as lost with "engine sent another event under the number of one passed on"; if it sends none, as lost after the usual number of resumptions. What an earlier process passed on can't be compared and is ignored as before.

The content is compared, not the JSON or the `id` line, so an engine may write an event differently in a resumption.

A script of test_wrong_event_id is changed, not what it asserts. Its server plays its responses whatever is asked; with "seq 1 a, seq 1 b, seq 3 c" its third one was the answer to after=1. The run asks after=0 now, because a is in doubt, and the script has what an engine answers to that: the same events with event 1 before them.

--- a/src/upstream/engine_event.c
+++ b/src/upstream/engine_event.c
@@ -1,5 +1,9 @@
 #include "upstream/engine_event.h"
 
+#include <string.h>
+
+#include <xxhash.h>
+
 #include "upstream/upstream.h"
 
 /* Sets the error of a member with a wrong type or value. */
@@ -102,6 +106,22 @@
 	return false;
 }
 
+/* Returns a hash of what an event says, whatever its number and its JSON. */
+uint64_t
+engine_event_digest(const struct engine_event *event)
+{
+	const json_int_t counts[] = {
+	    event->prompt_tokens, event->output_tokens, event->cached_tokens};
+	const char *reason = event->finish_reason != NULL ? event->finish_reason
+							  : "";
+
+	if (!event->is_end)
+		return XXH3_64bits_withSeed(
+		    event->text, event->length, (XXH64_hash_t)event->tokens);
+	return XXH3_64bits_withSeed(
+	    reason, strlen(reason), XXH3_64bits(counts, sizeof(counts)));
+}
+
 /* Frees what a decoded event holds. */
 void
 engine_event_clear(struct engine_event *event)
--- a/src/upstream/engine_event.h
+++ b/src/upstream/engine_event.h
@@ -25,6 +25,7 @@
 
 bool engine_event_decode(
     struct engine_event *, const char *data, size_t length, GError **);
+uint64_t engine_event_digest(const struct engine_event *);
 void engine_event_clear(struct engine_event *);
 
 #endif
--- a/src/upstream/engine_run.c
+++ b/src/upstream/engine_run.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "upstream/engine.h"
-#include "upstream/engine_event.h"
+#include "upstream/engine_position.h"
 #include "upstream/event_stream.h"
 
 #define LOG_MODULE "engine"
@@ -23,14 +23,14 @@
 	void *data;
 	char *id;
 	struct event_stream stream;
-	uint64_t last_sequence;
+	struct engine_position position;
+	const char *failure; /* why the run can't be resumed, or NULL */
 	uint64_t start_count; /* the engine's, when the run was sent */
 	unsigned int resumes; /* since the last event */
 	unsigned int liveness_checks; /* since the last event */
 	bool paused;
 	bool shard;
 	bool sent;
-	bool finished; /* the final event has arrived */
 	bool in_callback;
 	bool dropped; /* freed once no callback refers to it */
 	bool liveness_check_pending; /* a status call is pending */
@@ -52,6 +52,7 @@
 
 	TAILQ_REMOVE(&engine->runs, run, entry);
 	event_stream_clear(&run->stream);
+	engine_position_clear(&run->position);
 	g_free(run->finish_reason);
 	g_free(run->id);
 	g_free(run);
@@ -84,11 +85,10 @@
 	g_clear_error(&error);
 }
 
-/* Takes an end, which counts if nothing but itself follows in its stream. */
+/* Takes an end, which counts if nothing new follows in its stream. */
 static void
 take_end(struct engine_run *run, const struct engine_event *event)
 {
-	run->finished = true;
 	run->finish_reason = g_strdup(event->finish_reason);
 	run->prompt_tokens = event->prompt_tokens;
 	run->output_tokens = event->output_tokens;
@@ -99,10 +99,7 @@
 static void
 take_end_back(struct engine_run *run)
 {
-	if (!run->finished)
-		return;
-	run->finished = false;
-	run->last_sequence--;
+	engine_position_take_end_back(&run->position);
 	g_clear_pointer(&run->finish_reason, g_free);
 	run->prompt_tokens = run->output_tokens = run->cached_tokens = 0;
 }
@@ -111,7 +108,7 @@
 static bool
 pass_on(struct engine_run *run, const struct engine_event *event)
 {
-	struct upstream_event part = {.sequence = run->last_sequence,
+	struct upstream_event part = {.sequence = run->position.last_sequence,
 	    .tokens = (uint32_t)event->tokens,
 	    .data = (const uint8_t *)event->text,
 	    .length = event->length};
@@ -127,7 +124,7 @@
 reject_event(const struct engine_run *run, const char *why)
 {
 	LOG_WARN("engine's event rejected", "{s:s, s:I, s:s}", "run", run->id,
-	    "last_event", (json_int_t)run->last_sequence, "why", why);
+	    "last_event", (json_int_t)run->position.last_sequence, "why", why);
 	return false;
 }
 
@@ -135,15 +132,17 @@
 static bool
 handle_event(struct engine_run *run, const struct engine_event *event)
 {
-	uint64_t sequence = (uint64_t)event->sequence;
+	const char *why = NULL;
+	enum engine_verdict verdict = engine_position_take(
+	    &run->position, event, &why);
 
-	if (sequence <= run->last_sequence)
+	if (verdict == ENGINE_EVENT_REPEATED)
 		return true;
-	if (run->finished)
-		return reject_event(run, "it follows the end");
-	if (sequence != run->last_sequence + 1)
-		return reject_event(run, "an event before it is missing");
-	run->last_sequence = sequence;
+	if (verdict == ENGINE_EVENT_DENIED)
+		run->failure = "engine sent another event under the number of "
+			       "one passed on";
+	if (verdict != ENGINE_EVENT_NEXT)
+		return reject_event(run, why);
 	if (event->is_end) {
 		take_end(run, event);
 		return true;
@@ -192,7 +191,8 @@
 static bool
 should_keep_waiting(struct engine_run *run, const GError *error)
 {
-	return error->code != UPSTREAM_ERROR_DIED && run->last_sequence > 0 &&
+	return error->code != UPSTREAM_ERROR_DIED &&
+	    run->position.last_sequence > 0 &&
 	    ++run->liveness_checks <= LIVENESS_CHECKS_MAX;
 }
 
@@ -253,14 +253,17 @@
 
 	run->http = NULL;
 	run->sent |= result->may_have_sent;
-	if (run->finished && !event_stream_is_between_events(&run->stream)) {
+	if (run->position.at_end &&
+	    !event_stream_is_between_events(&run->stream)) {
 		reject_event(run, "a part of one follows the end");
 		take_end_back(run);
 	}
 	if (run->dropped) {
 		run_free(run);
-	} else if (run->finished) {
+	} else if (run->position.at_end) {
 		run_end(run, NULL);
+	} else if (run->failure != NULL) {
+		run_fail(run, UPSTREAM_ERROR_LOST, run->failure);
 	} else if (result->error == NULL && result->status == 404) {
 		run_fail(
 		    run, UPSTREAM_ERROR_LOST, "engine no longer has the run");
@@ -301,13 +304,13 @@
 	g_free(url);
 }
 
-/* Resumes the run's events after the last one received. */
+/* Resumes the run's events after the last one that is not in doubt. */
 static void
 run_resume(struct engine_run *run)
 {
 	char *path = g_strdup_printf(
 	    "/v1/runs/%s/events?after=%" G_GUINT64_FORMAT, run->id,
-	    run->last_sequence);
+	    engine_position_resume_after(&run->position));
 
 	event_stream_clear(&run->stream);
 	event_stream_init(&run->stream);
@@ -362,9 +365,9 @@
 	json_object_set_new(body, "imports", imports);
 }
 
-/* Creates a run without an HTTP call. */
+/* Creates a run without an HTTP call, whose events up to after are known. */
 static struct engine_run *
-run_new(struct upstream *upstream, const char *id,
+run_new(struct upstream *upstream, const char *id, uint64_t after,
     const struct upstream_call_ops *ops, void *data)
 {
 	struct engine *engine = (struct engine *)upstream;
@@ -375,6 +378,7 @@
 	run->data = data;
 	run->id = g_strdup(id);
 	run->start_count = engine->start_count;
+	engine_position_init(&run->position, after);
 	event_stream_init(&run->stream);
 	TAILQ_INSERT_TAIL(&engine->runs, run, entry);
 	return run;
@@ -386,7 +390,7 @@
     const struct upstream_request *request, const struct upstream_call_ops *ops,
     void *data)
 {
-	struct engine_run *run = run_new(upstream, request->id, ops, data);
+	struct engine_run *run = run_new(upstream, request->id, 0, ops, data);
 	json_t *body = json_object();
 	char *text;
 
@@ -410,10 +414,9 @@
 engine_run_resume(struct upstream *upstream, const char *id, uint64_t after,
     const struct upstream_call_ops *ops, void *data)
 {
-	struct engine_run *run = run_new(upstream, id, ops, data);
+	struct engine_run *run = run_new(upstream, id, after, ops, data);
 
 	run->sent = true;
-	run->last_sequence = after;
 	run_resume(run);
 	return &run->call;
 }
--- a/tests/test_wrong_event_id.c
+++ b/tests/test_wrong_event_id.c
@@ -164,7 +164,7 @@
 } engine_cases[] = {
     {"an engine's sequence number that is too low hides no text",
 	{{.bytes = OK "\r\n" ENGINE_1 ENGINE_LOW ENGINE_3 ENGINE_END}, {ALIVE},
-	    {.bytes = OK "\r\n" ENGINE_2 ENGINE_3 ENGINE_END}}},
+	    {.bytes = OK "\r\n" ENGINE_1 ENGINE_2 ENGINE_3 ENGINE_END}}},
     {"an engine's sequence number that is too high hides no text",
 	{{.bytes = OK "\r\n" ENGINE_1 ENGINE_HIGH ENGINE_3 ENGINE_END}, {ALIVE},
 	    {.bytes = OK "\r\n" ENGINE_2 ENGINE_3 ENGINE_END}}},
