A NUL byte or a member that comes twice makes an engine's event invalid

Callers behind sidecars got the second of two texts of an event, and what stood before a NUL byte in a line, as parts of complete responses.

Cause: the decoder of event streams handles lines as C strings, so it cut a line at its first NUL without notice; jansson takes the last of several members of one name unless it is told to reject them.

The decoder now stops at a line with a NUL byte, and says so, as at a line that is too long; the engine's events are decoded with JSON_REJECT_DUPLICATES. Both lead to a resumption after the last valid event, with a log line that says why.

Evidence: three cases of test_upstream failed before: bytes behind a NUL are not cut off: 'event_stream_feed( &stream, bytes, sizeof(bytes) - 1, count_event, &events)' should be FALSE an event with two texts is not passed on: assertion failed ("POST a1 x2 end stop 9/2/4" == "POST a1 after=1 b2 end stop 9/2/4") an event with two numbers is not passed on: assertion failed ("POST a1 x2 end stop 9/2/4" == "POST a1 after=1 b2 end stop 9/2/4") All pass now.

--- a/src/upstream/engine_event.c
+++ b/src/upstream/engine_event.c
@@ -93,10 +93,14 @@
 	json_error_t json_error;
 
 	*event = (struct engine_event){
-	    .json = json_loadb(data, length, 0, &json_error)};
+	    .json = json_loadb(
+		data, length, JSON_REJECT_DUPLICATES, &json_error)};
 	if (event->json == NULL) {
 		g_set_error(error, UPSTREAM_ERROR, UPSTREAM_ERROR_MALFORMED,
-		    "engine's event is malformed: it is no JSON at byte %d",
+		    "engine's event is malformed: %s at byte %d",
+		    json_error_code(&json_error) == json_error_duplicate_key
+			? "a member comes twice"
+			: "it is no JSON",
 		    json_error.position);
 		return false;
 	}
--- a/src/upstream/engine_run.c
+++ b/src/upstream/engine_run.c
@@ -179,6 +179,8 @@
 
 	if (event_stream_feed(&run->stream, bytes, length, on_event, run))
 		return true;
+	if (run->stream.fault != NULL)
+		reject_event(run, run->stream.fault);
 	take_end_back(run);
 	return false;
 }
--- a/src/upstream/event_stream.c
+++ b/src/upstream/event_stream.c
@@ -8,6 +8,7 @@
 {
 	stream->line = g_string_new(NULL);
 	stream->data = g_string_new(NULL);
+	stream->fault = NULL;
 }
 
 /* Frees a decoder's buffers. */
@@ -18,6 +19,14 @@
 	g_string_free(stream->data, TRUE);
 }
 
+/* Sets why the decoder stops. */
+static bool
+set_fault(struct event_stream *stream, const char *fault)
+{
+	stream->fault = fault;
+	return false;
+}
+
 /* Handles one line; an empty one ends an event. */
 static bool
 parse_line(struct event_stream *stream, event_stream_fn *fn, void *data)
@@ -45,8 +54,8 @@
 
 /*
  * Decodes bytes and calls fn for each completed event. Returns false if fn
- * returned false or a line exceeds the limit; the decoder must not be used
- * then.
+ * returned false, or with a fault if a line exceeds the limit or has a NUL
+ * byte; the decoder must not be used then.
  */
 bool
 event_stream_feed(struct event_stream *stream, const uint8_t *bytes,
@@ -59,7 +68,9 @@
 		end = memchr(bytes, '\n', length);
 		part = end != NULL ? (size_t)(end - bytes) : length;
 		if (stream->line->len + part > EVENT_STREAM_LINE_MAX_BYTES)
-			return false;
+			return set_fault(stream, "a line is too long");
+		if (memchr(bytes, '\0', part) != NULL)
+			return set_fault(stream, "a line has a NUL byte");
 		g_string_append_len(
 		    stream->line, (const char *)bytes, (gssize)part);
 		if (end == NULL)
--- a/src/upstream/event_stream.h
+++ b/src/upstream/event_stream.h
@@ -14,6 +14,7 @@
 struct event_stream {
 	GString *line;
 	GString *data;
+	const char *fault; /* of the bytes, if they stopped the decoder */
 };
 
 /* Where a stream that is not decoded stands; zero before its first byte. */
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/httpd.h"
+#include "upstream/event_stream.h"
 #include "upstream/upstream.h"
 
 #define TEST_TIMEOUT_S 30.0
@@ -101,6 +102,13 @@
     {"an event in doubt that no resumption has does not end as complete",
 	WORK_GENERATE, {EVENT(1, "a") "\n" EVENT(1, "x"), REST, REST, REST},
 	{1, 1}, .expected = "POST a1 after=0 after=0 after=0 error lost sent"},
+    {"an event with two texts is not passed on", WORK_GENERATE,
+	{EVENT(1, "a") "\n{\"seq\":2,\"text\":\"b\",\"text\":\"x\"}\n" DONE,
+	    REST},
+	{1, 1}, .expected = "POST a1 after=1 b2 end stop 9/2/4"},
+    {"an event with two numbers is not passed on", WORK_GENERATE,
+	{EVENT(1, "a") "\n{\"seq\":9,\"seq\":2,\"text\":\"x\"}\n" DONE, REST},
+	{1, 1}, .expected = "POST a1 after=1 b2 end stop 9/2/4"},
     {"a run that exists already is resumed from its start", WORK_GENERATE,
 	{"!409 {\"error\":{\"type\":\"duplicate\",\"message\":\"\"}}",
 	    EVENT(1, "a") "\n" EVENT(2, "b") "\n" DONE},
@@ -338,6 +346,29 @@
 	tear_down(&f);
 }
 
+/* Counts an event. */
+static bool
+count_event(void *data, const char *text, size_t length)
+{
+	++*(int *)data;
+	return true;
+}
+
+/* A line with a NUL byte stops the decoder. */
+static void
+test_nul(void)
+{
+	static const uint8_t bytes[] = "data: {}\0 wrong\n\n";
+	struct event_stream stream;
+	int events = 0;
+
+	event_stream_init(&stream);
+	g_assert_false(event_stream_feed(
+	    &stream, bytes, sizeof(bytes) - 1, count_event, &events));
+	g_assert_cmpint(events, ==, 0);
+	event_stream_clear(&stream);
+}
+
 /* Serves requests as a plain service; returns what it received. */
 static void
 serve_plain(void *data, struct httpd_request *request)
@@ -400,6 +431,9 @@
 	g_test_add_func(
 	    "/upstream/plain/requests and responses are passed on unchanged",
 	    test_plain);
+	g_test_add_func(
+	    "/upstream/event_stream/bytes behind a NUL are not cut off",
+	    test_nul);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		g_autofree char *path = g_strdup_printf(
 		    "/upstream/engine/%s", cases[i].name);
