A success that is no event stream is doubted where streams have ids

Callers of a stream got bytes that no run made, or half an event as the end of a complete response, where the upstream's Content-Type had a wrong byte or was another one: the body was passed on without being split.

Cause: the type that an upstream names, and not the route, decided whether events are checked.

On a route whose complete streams have ids, a success of another type makes the send fail once, if another upstream may be asked; the second one is passed on, since two runs agree. Routes that can't be resumed, and those of which no stream is known, stay as they were.

Evidence: two cases of test_foreign_event failed before: "half a stream of another type is not passed on ...: complete with status 200 after 1 arrivals: id: 1\ndata: 1\n\nid: 2\nda".

--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -36,6 +36,23 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/*
+ * Returns whether a success is no event stream though the route is known for
+ * streams of events with ids: nothing would tell where its events end. Another
+ * run is asked once; what two runs agree on is no fault.
+ */
+static bool
+is_other_type(struct exchange *exchange, bool success)
+{
+	if (!success || exchange->response.event_stream ||
+	    exchange->had_other_type || exchange->route->kind != CALL_STREAM ||
+	    exchange->route->numbering.kind != EVENT_NUMBERING_IDS ||
+	    !exchange_may_retry(exchange, exchange->sends + 1, true))
+		return false;
+	exchange->had_other_type = true;
+	return true;
+}
+
 /* Decides what to do with a response. */
 static enum verdict
 classify(struct exchange *exchange, int status)
@@ -54,6 +71,8 @@
 	if (status >= STATUS_SERVER_MIN &&
 	    exchange_may_retry(exchange, exchange->sends + 1, true))
 		return VERDICT_FAILED;
+	if (is_other_type(exchange, success))
+		return VERDICT_FAILED;
 	return VERDICT_PASS;
 }
 
@@ -114,7 +133,9 @@
 		return false;
 	case VERDICT_FAILED:
 		exchange->send_outcome = SEND_FAILED;
-		exchange->send_error = "the upstream responded with an error";
+		exchange->send_error = status < STATUS_MULTIPLE
+		    ? "the upstream responded with no event stream"
+		    : "the upstream responded with an error";
 		return false;
 	case VERDICT_MISMATCH:
 		exchange->send_outcome = SEND_LOST;
--- a/tests/test_foreign_event.c
+++ b/tests/test_foreign_event.c
@@ -135,6 +135,18 @@
 	g_ptr_array_add(s->texts, text);
 }
 
+/* Starts a gateway whose upstreams send the responses. */
+static void
+start(struct stream_fixture *s)
+{
+	fixture_set_up(&s->f);
+	s->server = raw_server_new(s->f.loop, s->responses, SENDS_MAX);
+	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
+		fake_platform_set_upstream_port(
+		    s->f.fake_platform, i, raw_server_port(s->server, i));
+	fixture_wait_for_routing_state(&s->f);
+}
+
 /* Starts a gateway whose upstreams send a stream and then others. */
 static void
 set_up(struct stream_fixture *s, const struct sent *sent)
@@ -148,12 +160,7 @@
 	s->responses[s->texts->len].after = sent->after;
 	while (s->texts->len < SENDS_MAX)
 		add_response(s, FRAMING_LENGTH, &other);
-	fixture_set_up(&s->f);
-	s->server = raw_server_new(s->f.loop, s->responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    s->f.fake_platform, i, raw_server_port(s->server, i));
-	fixture_wait_for_routing_state(&s->f);
+	start(s);
 }
 
 /*
@@ -445,6 +452,48 @@
 	}
 }
 
+/* Responses to a request for a stream that are of another type. */
+static const struct type_case {
+	const char *name;
+	const char *first;
+	const char *second;
+	bool is_known; /* the route has had a complete stream before */
+	const char *body;
+	size_t arrivals;
+} type_cases[] = {
+    {"half a stream of another type is not passed on",
+	OK TEXT "\r\n" E1 "id: 2\nda", OK STREAM "\r\n" E1 E2 E3, true,
+	E1 E2 E3, 2},
+    {"a response of another type is passed on if runs agree",
+	OK TEXT "\r\nwhole", OK TEXT "\r\nwhole", true, "whole", 2},
+    {"a response of another type is passed on where no stream was before",
+	OK TEXT "\r\nwhole", NULL, false, "whole", 1},
+};
+
+/* Runs one case on a route that can be resumed. */
+static void
+test_type(gconstpointer data)
+{
+	const struct type_case *c = &type_cases[GPOINTER_TO_SIZE(data)];
+	const struct sent sent = {.path = "/stream/x"};
+	const struct expected complete = {run_events, END_COMPLETE, 1, 1};
+	const struct expected expected = {
+	    c->body, END_COMPLETE, c->arrivals, c->arrivals};
+	struct stream_fixture s = {0};
+	size_t count = 0;
+
+	if (c->is_known)
+		s.responses[count++].bytes = OK STREAM "\r\n" E1 E2 E3;
+	s.responses[count++].bytes = c->first;
+	s.responses[count].bytes = c->second;
+	start(&s);
+	if (c->is_known)
+		check_stream(&s, &sent, &complete, "complete run");
+	check_stream(&s, &sent, &expected, c->name);
+	raw_server_free(s.server);
+	fixture_tear_down(&s.f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -453,5 +502,6 @@
 	ADD_CASES(added_cases, "/foreign_event", test_added);
 	ADD_CASES(kept_cases, "/foreign_event", test_kept);
 	ADD_CASES(learned_cases, "/foreign_event", test_learned);
+	ADD_CASES(type_cases, "/foreign_event", test_type);
 	return g_test_run();
 }
