Two runs agree only on what neither of them contradicts

The review of found, with a model of the policy and by runs through a gateway, streams that ended as complete with an event that no run made, or without one of theirs:

- an added event that takes the next id, followed by an added line: the true event is in doubt by the line, and was asked for after its id.
Any event in doubt with the last id now puts the last one in doubt too.
- two runs "agreed" on an event whose id goes back, or that the next event of the first run had shown to be added.
Neither counts any more.
- an id that comes twice at the start of a resumed run was taken for a repetition.
Repeated ids have to increase.
- a second run without frames that died after the last event was taken for the end.
It has to be framed.
- the route's numbering was learned from one stream and never narrowed, and three sends in doubt made it forget: beside faulty upstreams, far ids then passed.
First ids that differ say nothing of the next stream.
What a caller asks for (Last-Event-Id) teaches nothing, nor does one stream without ids on a route with them.
First ids are learned when the second event confirms them, so that streams without an end are not held back for ever.
- a comment behind an event that was held back overtook it, and kept the stall timer from expiring.
- an unframed response that died right after an event in doubt was not checked for a crash.

Cause: agreement compared one event of two runs, and not what else these had shown; and what one stream shows was taken for the route's.

Evidence: in test_event_position four cases of two runs and six of a route's streams; "a run without frames is no evidence of the end" of test_wrong_event_id (2 requests where 3 are due) and "a comment keeps its place ..." of test_foreign_event failed on the code before.

Not told apart: an added event with the next id where nothing follows or the next line hides the true one; an event dropped by two runs alike.

--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -134,7 +134,7 @@
 	event.is_blank = lines.ids == 0 && !lines.has_data &&
 	    !lines.has_unknown;
 	/* A comment in an event may be an empty line with a wrong byte. */
-	event.is_odd = lines.has_unknown || lines.ids > 1 ||
+	event.is_malformed = lines.has_unknown || lines.ids > 1 ||
 	    (lines.ids > 0 && (!lines.has_data || lines.has_inner_comment));
 	return event;
 }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -26,7 +26,7 @@
 	bool is_blank; /* no event to a caller: neither data nor an id */
 	bool has_id; /* that is a number */
 	uint64_t id; /* the last one, if there are several */
-	bool is_odd; /* has a line that no event has */
+	bool is_malformed; /* has a line that no event has */
 };
 
 /* Called with each complete event. */
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -12,6 +12,8 @@
 /* A response that is no event stream is buffered up to this size. */
 #define BODY_BUFFER_MAX_BYTES ((size_t)256 * 1024)
 
+#define ERROR_IN_DOUBT "the upstream sent an event that is in doubt"
+
 #define STATUS_OK	   200
 #define STATUS_MULTIPLE	   300
 #define STATUS_SERVER_MIN  500
@@ -46,7 +48,7 @@
 {
 	if (!success || exchange->response.event_stream ||
 	    exchange->had_other_type || exchange->route->kind != CALL_STREAM ||
-	    exchange->route->numbering.kind != EVENT_NUMBERING_IDS ||
+	    !event_numbering_has_ids(&exchange->route->numbering) ||
 	    !exchange_may_retry(exchange, exchange->sends + 1, true))
 		return false;
 	exchange->had_other_type = true;
@@ -181,7 +183,7 @@
 	    [EVENT_NOT_HIGHER] = "id not above the last one",
 	    [EVENT_TOO_FAR] = "id too far above the last one",
 	    [EVENT_OTHER_FIRST] = "not the first id of the route's streams",
-	    [EVENT_ODD] = "lines that no event has",
+	    [EVENT_MALFORMED] = "lines that no event has",
 	    [EVENT_WITH_ID] = "an id in a stream without ids",
 	};
 	const struct event_position *position = &exchange->position;
@@ -227,6 +229,8 @@
 static void
 pass_held(struct exchange *exchange)
 {
+	event_position_learn_begin(
+	    &exchange->position, &exchange->route->numbering);
 	count_event(exchange);
 	pass_event(exchange, exchange->held->data, exchange->held->len);
 	g_byte_array_set_size(exchange->held, 0);
@@ -234,12 +238,11 @@
 
 /* The event that was held back is not passed on: fails the send. */
 static void
-reject_held(struct exchange *exchange, bool ended)
+reject_held(struct exchange *exchange)
 {
-	event_position_reject_held(&exchange->position, ended);
-	event_numbering_add_doubt(&exchange->route->numbering);
+	event_position_reject_held(&exchange->position, false);
 	exchange->send_outcome = SEND_FAILED;
-	exchange->send_error = "the upstream sent an event that is in doubt";
+	exchange->send_error = ERROR_IN_DOUBT;
 }
 
 /* Handles an event that is in its place, or in doubt. */
@@ -250,14 +253,14 @@
 	const struct event_mark mark = {
 	    .has_id = event->has_id,
 	    .id = event->id,
-	    .is_odd = event->is_odd,
+	    .is_malformed = event->is_malformed,
 	    .hash = XXH3_64bits(event->bytes, event->length),
 	};
 
 	if (exchange->position.held_doubt != EVENT_SURE) {
-		if (!event_position_confirms_held(
+		if (!event_position_accept_held(
 			&exchange->position, numbering, &mark)) {
-			reject_held(exchange, false);
+			reject_held(exchange);
 			return;
 		}
 		pass_held(exchange);
@@ -285,7 +288,8 @@
 
 /*
  * Handles a complete event, unless the send has failed. Comments are passed on,
- * but those before the first event of a run that continues the stream.
+ * but those before the first event of a run that continues the stream. Those
+ * after an event that is held back wait for it.
  */
 static void
 forward_event(void *data, const struct stream_event *event)
@@ -298,6 +302,13 @@
 		add_event(exchange, event);
 		return;
 	}
+	if (exchange->position.held_doubt != EVENT_SURE) {
+		if (exchange->held->len >= EVENT_SPLITTER_MAX_BYTES)
+			reject_held(exchange);
+		g_byte_array_append(
+		    exchange->held, event->bytes, (guint)event->length);
+		return;
+	}
 	if (exchange->continues && !exchange->position.has_new)
 		return;
 	exchange_restart_stall_timer(exchange);
@@ -368,7 +379,7 @@
 	    exchange->status >= STATUS_SERVER_MIN ? SEND_FAILED
 						  : SEND_ANSWERED);
 	if (exchange->is_event_stream)
-		event_position_learn(
+		event_position_learn_end(
 		    &exchange->position, &exchange->route->numbering);
 	ev_timer_stop(exchange->context->loop, &exchange->deadline_timer);
 	if (exchange->streaming) {
@@ -408,34 +419,46 @@
 /*
  * Returns whether an event stream broke off though its connection ended without
  * an error: inside an event or, where only the connection frames it, before the
- * first one. One that should continue a stream and has no new event is no end
- * of it, unless two runs agree on that: the last event can't be told from the
- * others.
+ * first one. A run that should continue the stream and has no new event is no
+ * evidence that it has ended, unless two runs agree on that.
  */
 static bool
 is_cut_stream(const struct exchange *exchange)
 {
+	bool is_end_agreed = exchange->response.framed &&
+	    event_position_is_end_agreed(&exchange->position);
+
 	if (!exchange->is_event_stream)
 		return false;
 	return event_splitter_is_in_event(&exchange->splitter) ||
 	    (exchange->continues && !exchange->position.has_new &&
-		!event_position_is_end_agreed(&exchange->position)) ||
+		!is_end_agreed) ||
 	    (!exchange->response.framed && exchange->send_events == 0 &&
 		!exchange->position.has_last);
 }
 
-/* The response has ended as complete after an event that is held back. */
-static void
+/*
+ * The response has ended without an error. Returns whether an event that is
+ * held back, if any, is no fault. One without frames may have broken off there.
+ */
+static bool
 end_held(struct exchange *exchange)
 {
 	bool in_event = event_splitter_is_in_event(&exchange->splitter);
 
+	if (exchange->position.held_doubt == EVENT_SURE)
+		return true;
 	if (!in_event &&
-	    event_position_confirms_end(
-		&exchange->position, &exchange->route->numbering))
+	    event_position_accept_held_at_end(
+		&exchange->position, &exchange->route->numbering)) {
 		pass_held(exchange);
-	else
-		reject_held(exchange, !in_event);
+		return true;
+	}
+	event_position_reject_held(&exchange->position, !in_event);
+	exchange->send_error = ERROR_IN_DOUBT;
+	if (exchange->response.framed)
+		exchange->send_outcome = SEND_FAILED;
+	return false;
 }
 
 /* Completes the response, or retries or fails the request after an error. */
@@ -446,12 +469,10 @@
 	struct exchange *exchange = data;
 	const char *why = "the response ended inside or before an event";
 	enum send_outcome outcome;
-	bool is_cut;
+	bool is_cut = false;
 
-	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED &&
-	    exchange->position.held_doubt != EVENT_SURE)
-		end_held(exchange);
-	is_cut = is_cut_stream(exchange);
+	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED)
+		is_cut = !end_held(exchange) || is_cut_stream(exchange);
 	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED &&
 	    !is_cut) {
 		finish_response(exchange);
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -186,6 +186,8 @@
     int64_t retry_after_ms, const char *why)
 {
 	if (exchange->streaming) {
+		if (exchange->position.has_doubted)
+			event_numbering_add_doubt(&exchange->route->numbering);
 		httpd_abort(exchange->http);
 		exchange_finish(exchange, "broken_off");
 	} else if (exchange->may_have_run) {
--- a/src/policy/event_position.c
+++ b/src/policy/event_position.c
@@ -32,14 +32,17 @@
 {
 	const struct event_mark *doubted = &position->doubted;
 
-	if (!position->has_doubted || event->has_id != doubted->has_id ||
-	    event->is_odd != doubted->is_odd)
+	if (!position->has_doubted || position->was_refuted ||
+	    event->has_id != doubted->has_id ||
+	    event->is_malformed != doubted->is_malformed)
+		return false;
+	if (event->has_id && position->has_last && event->id <= position->last)
 		return false;
 	if (!event->has_id)
 		return event->hash == doubted->hash &&
 		    position->ended_in_doubt && position->has_repeat;
-	return event->is_odd ? event->hash == doubted->hash
-			     : event->id == doubted->id;
+	return event->is_malformed ? event->hash == doubted->hash
+				   : event->id == doubted->id;
 }
 
 /* Returns whether this event of the current run is in doubt, and why. */
@@ -50,12 +53,11 @@
 	if (position->unnumbered)
 		return event->has_id ? EVENT_WITH_ID : EVENT_SURE;
 	if (!event->has_id)
-		return !position->begun &&
-			numbering->kind == EVENT_NUMBERING_NONE
+		return !position->begun && event_numbering_has_none(numbering)
 		    ? EVENT_SURE
 		    : EVENT_WITHOUT_ID;
-	if (event->is_odd && !position->allows_odd)
-		return EVENT_ODD;
+	if (event->is_malformed && !position->allows_malformed)
+		return EVENT_MALFORMED;
 	if (!position->has_last)
 		return event_numbering_is_first(numbering, event->id)
 		    ? EVENT_SURE
@@ -68,6 +70,16 @@
 	    : EVENT_TOO_FAR;
 }
 
+/* Adds the distance of two ids of the stream. */
+static void
+add_step(struct event_position *position, uint64_t step)
+{
+	position->step_min = position->step == 0
+	    ? step
+	    : MIN(step, position->step_min);
+	position->step = MAX(step, position->step);
+}
+
 /* The event is passed on to the caller. */
 static void
 accept_event(struct event_position *position, const struct event_mark *event)
@@ -83,9 +95,8 @@
 		position->begun = true;
 		return;
 	}
-	if (position->has_last && event->id > position->last)
-		position->step = MAX(
-		    position->step, event->id - position->last);
+	if (position->begun && position->has_last)
+		add_step(position, event->id - position->last);
 	if (!position->has_last) {
 		position->has_first = true;
 		position->first = event->id;
@@ -112,17 +123,17 @@
 	if (position->held_doubt == EVENT_OTHER_FIRST)
 		return !event_numbering_has_one_first(numbering);
 	return position->jumps ||
-	    (!position->resumable &&
-		numbering->kind == EVENT_NUMBERING_UNKNOWN);
+	    (!position->resumable && !event_numbering_has_ids(numbering));
 }
 
 /*
- * Returns whether the next event of the run shows that the one held back is no
- * fault; that one is then to be passed on before. An event that would follow
- * without the one held back shows that it was added.
+ * Accepts the event held back if the next one of the run shows that it is no
+ * fault; it is then to be passed on before that one. An event that would follow
+ * without the one held back shows that it was added. Returns false if it is not
+ * accepted.
  */
 bool
-event_position_confirms_held(struct event_position *position,
+event_position_accept_held(struct event_position *position,
     const struct event_numbering *numbering, const struct event_mark *next)
 {
 	const struct event_mark *held = &position->held;
@@ -135,20 +146,25 @@
 		confirmed = may_jump(position, numbering) && next->has_id &&
 		    next->id > held->id &&
 		    judge(position, numbering, next) != EVENT_SURE;
-	if (!confirmed)
+	if (!confirmed) {
+		position->is_refuted = next->has_id &&
+		    ((held->has_id && next->id <= held->id) ||
+			judge(position, numbering, next) == EVENT_SURE);
 		return false;
+	}
 	position->held_doubt = EVENT_SURE;
 	accept_event(position, held);
 	return true;
 }
 
 /*
- * Returns whether the event held back, if any, is no fault though the stream
- * ends after it; it is then to be passed on: a stream of one event without an
- * id, or a second id where nothing tells how far apart ids are.
+ * Accepts the event held back, if any, though the stream ends after it: a
+ * stream of one event without an id, or a second id where nothing tells how far
+ * apart ids are. It is then to be passed on. Returns false if it is not
+ * accepted.
  */
 bool
-event_position_confirms_end(
+event_position_accept_held_at_end(
     struct event_position *position, const struct event_numbering *numbering)
 {
 	bool confirmed = false;
@@ -157,11 +173,10 @@
 		return true;
 	if (position->held_doubt == EVENT_WITHOUT_ID)
 		confirmed = !position->begun &&
-		    numbering->kind != EVENT_NUMBERING_IDS;
+		    !event_numbering_has_ids(numbering);
 	else if (position->held_doubt == EVENT_TOO_FAR)
 		confirmed = may_jump(position, numbering) &&
-		    (position->step == 0 ||
-			event_numbering_is_outdated(numbering));
+		    position->step == 0;
 	else if (position->held_doubt == EVENT_OTHER_FIRST)
 		confirmed = may_jump(position, numbering);
 	if (!confirmed)
@@ -208,8 +223,9 @@
 	enum event_doubt doubt;
 
 	if (position->repeating && event->has_id &&
-	    (!event->is_odd || position->allows_odd) &&
-	    event->id <= position->last)
+	    (!event->is_malformed || position->allows_malformed) &&
+	    event->id <= position->last &&
+	    (!position->has_repeat || event->id > position->repeat))
 		return add_repeated(position, event);
 	if (position->repeating && event->has_id &&
 	    (position->has_repeat ? position->repeat != position->last
@@ -218,7 +234,7 @@
 	doubt = judge(position, numbering, event);
 	if (doubt != EVENT_SURE && is_agreed(position, event)) {
 		position->jumps |= doubt == EVENT_TOO_FAR;
-		position->allows_odd |= doubt == EVENT_ODD;
+		position->allows_malformed |= doubt == EVENT_MALFORMED;
 		doubt = EVENT_SURE;
 	}
 	if (doubt != EVENT_SURE) {
@@ -233,16 +249,17 @@
 /*
  * The event held back is not passed on: the run goes on in a way that does not
  * confirm it, or has ended as complete right after it. If its id is the last
- * one, either of the two events may be wrong.
+ * one, either of the two events may be the one that was added.
  */
 void
 event_position_reject_held(struct event_position *position, bool ended)
 {
 	position->ended_in_doubt |= ended && position->has_new;
-	position->is_last_in_doubt |= position->has_new &&
-	    position->held_doubt == EVENT_NOT_HIGHER &&
-	    position->held.id == position->last;
+	position->is_last_in_doubt |= position->has_new && position->has_last &&
+	    position->held.has_id && position->held.id == position->last;
 	position->has_doubted = true;
+	position->was_refuted = position->is_refuted;
+	position->is_refuted = false;
 	position->doubted = position->held;
 	position->held_doubt = EVENT_SURE;
 }
@@ -280,14 +297,31 @@
 	return repeats ? position->has_previous : position->has_last;
 }
 
-/* The stream is complete: its ids are those of the route. */
+/*
+ * An event was accepted since the next one confirmed it: the stream shows how
+ * streams of a route begin that was not known.
+ */
 void
-event_position_learn(
+event_position_learn_begin(
     const struct event_position *position, struct event_numbering *numbering)
 {
 	if (position->unnumbered)
 		event_numbering_add_unnumbered(numbering);
-	else if (position->has_last)
-		event_numbering_add_stream(numbering, position->has_first,
-		    position->first, position->step);
+	else if (position->has_first && !numbering->has_first)
+		event_numbering_add_first(numbering, position->first);
+}
+
+/* The stream is complete: its ids are those of the route. */
+void
+event_position_learn_end(
+    const struct event_position *position, struct event_numbering *numbering)
+{
+	if (position->unnumbered) {
+		event_numbering_add_unnumbered(numbering);
+	} else if (position->begun && position->has_last) {
+		if (position->has_first)
+			event_numbering_add_first(numbering, position->first);
+		event_numbering_add_stream(
+		    numbering, position->step_min, position->step);
+	}
 }
--- a/src/policy/event_position.h
+++ b/src/policy/event_position.h
@@ -26,7 +26,7 @@
 struct event_mark {
 	bool has_id; /* that is a number */
 	uint64_t id;
-	bool is_odd; /* has lines that no event has */
+	bool is_malformed; /* has lines that no event has */
 	uint64_t hash; /* of its bytes */
 };
 
@@ -36,7 +36,7 @@
 	EVENT_NOT_HIGHER, /* than the last id */
 	EVENT_TOO_FAR, /* from the last id */
 	EVENT_OTHER_FIRST, /* streams of the route begin with another id */
-	EVENT_ODD, /* has lines that no event has */
+	EVENT_MALFORMED, /* has lines that no event has */
 	EVENT_WITH_ID, /* in a stream without ids */
 };
 
@@ -47,7 +47,7 @@
 	EVENT_MISPLACED, /* the run does not join what the caller has */
 };
 
-/* Zero-initialised: a stream without any event that can't be resumed. */
+/* Zero-initialised: a stream that can't be resumed, without events so far. */
 struct event_position {
 	bool resumable; /* another upstream may continue the stream */
 	bool begun; /* an event was passed on to the caller */
@@ -57,12 +57,13 @@
 	bool has_previous; /* the one before, also with an id */
 	uint64_t previous;
 	uint64_t step; /* largest distance of two ids so far; 0 if unknown */
+	uint64_t step_min; /* smallest one */
 	bool has_first; /* the stream did not begin after a caller's event */
 	uint64_t first;
 	bool unnumbered; /* its events have no ids */
 	bool after_unnumbered; /* the caller's last event has no id */
 	bool jumps; /* two runs agreed that an id was far from the last one */
-	bool allows_odd; /* two runs agreed on such lines */
+	bool allows_malformed; /* two runs agreed on such an event */
 
 	/* The current run. */
 	bool repeating; /* a resumed run without a new event so far */
@@ -71,20 +72,22 @@
 	bool has_new; /* a new event */
 	enum event_doubt held_doubt; /* why held; EVENT_SURE for none held */
 	struct event_mark held;
+	bool is_refuted; /* the next event shows that the held one was added */
 
-	/* The run before, if it ended in doubt at the same place. */
+	/* Earlier runs, of which one had an event in doubt at this place. */
 	bool has_doubted;
-	struct event_mark doubted; /* the event that was held */
-	bool ended_in_doubt; /* as complete, right after that event */
+	struct event_mark doubted; /* the last such event */
+	bool was_refuted; /* that one */
+	bool ended_in_doubt; /* as complete, right after such an event */
 	bool is_last_in_doubt; /* another event had the same id */
 	bool contradicted; /* a later run has another last event */
 };
 
 void event_position_start_after(struct event_position *, uint64_t id);
 void event_position_begin_run(struct event_position *);
-bool event_position_confirms_held(struct event_position *,
+bool event_position_accept_held(struct event_position *,
     const struct event_numbering *, const struct event_mark *next);
-bool event_position_confirms_end(
+bool event_position_accept_held_at_end(
     struct event_position *, const struct event_numbering *);
 enum event_verdict event_position_add(struct event_position *,
     const struct event_numbering *, const struct event_mark *);
@@ -92,7 +95,9 @@
 bool event_position_is_end_agreed(const struct event_position *);
 bool event_position_can_resume(const struct event_position *);
 bool event_position_resume_after(const struct event_position *, uint64_t *id);
-void event_position_learn(
+void event_position_learn_begin(
+    const struct event_position *, struct event_numbering *);
+void event_position_learn_end(
     const struct event_position *, struct event_numbering *);
 
 #endif
--- a/tests/test_event_position.c
+++ b/tests/test_event_position.c
@@ -15,10 +15,10 @@
  * other data than usual; ! for lines that no event has. NEXT_RUN: the stream
  * breaks off and is resumed; END: the run ends as complete.
  */
-#define NO_ID	 '?'
-#define ODD	 '!'
-#define NEXT_RUN "/"
-#define END	 "."
+#define NO_ID	  '?'
+#define MALFORMED '!'
+#define NEXT_RUN  "/"
+#define END	  "."
 
 /* What is known of the route. */
 #define NEW_ROUTE ""
@@ -116,10 +116,18 @@
 	"? ? ?", "hcnn", -2},
     {"an id in a stream without ids is rejected", NO_IDS, true, "? 1 ?", "nhx",
 	-2},
-    {"an event with odd lines is rejected", NEW_ROUTE, true, "1 2! 3", "nhx",
-	1},
-    {"two runs agree on odd lines", NEW_ROUTE, true, "1 2! 3! / 2! 3! 4",
-	"nhxnnn", 4},
+    {"an event with lines that no event has is rejected", NEW_ROUTE, true,
+	"1 2! 3", "nhx", 1},
+    {"two runs agree on lines that no event has", NEW_ROUTE, true,
+	"1 2! 3! / 2! 3! 4", "nhxnnn", 4},
+    {"an added event that takes the next id is not confirmed by one after it",
+	NEW_ROUTE, true, "1 2a 2! 3 / 2 3", "nnhxm", -2},
+    {"two runs don't agree on an id that goes back", NEW_ROUTE, true,
+	"1 2 1! 3 / 1! 3 / 3", "nnhxhxn", 3},
+    {"two runs don't agree on an event that the next one shows to be added",
+	FROM_ONE, true, "2a 1 / 2a 1 / 1 2", "hxhxnn", 2},
+    {"an id that comes twice in a resumed run hides no event", NEW_ROUTE, true,
+	"1 2 2a . / 2 2a .", "nnhxrhx", 1},
     {"a resumed run goes on", NEW_ROUTE, true, "1 2 / 3 4", "nnnn", 4},
     {"a resumed run may repeat all events", NEW_ROUTE, true, "1 2 / 1 2 3",
 	"nnrrn", 3},
@@ -148,14 +156,17 @@
 learn_route(const char *route)
 {
 	struct event_numbering numbering = {0};
+	uint64_t step = strcmp(route, BY_TEN) == 0 ? 10 : 1;
 	uint64_t first, second;
 
 	if (strcmp(route, NO_IDS) == 0)
 		event_numbering_add_unnumbered(&numbering);
 	else if (sscanf(route, "%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
 		     &first, &second) == 2)
-		event_numbering_add_stream(&numbering, true, first,
-		    strcmp(route, BY_TEN) == 0 ? second - first : 1);
+		for (int i = 0; i < EVENT_NUMBERING_STREAMS_MIN; i++) {
+			event_numbering_add_first(&numbering, first);
+			event_numbering_add_stream(&numbering, step, step);
+		}
 	return numbering;
 }
 
@@ -168,7 +179,7 @@
 
 	if (event.has_id)
 		event.id = g_ascii_strtoull(word, &rest, 10);
-	event.is_odd = *rest == ODD;
+	event.is_malformed = *rest == MALFORMED;
 	event.hash = 1 + event.id * 1000 + (uint64_t)*rest;
 	return event;
 }
@@ -187,7 +198,7 @@
 	bool confirmed;
 
 	if (position->held_doubt != EVENT_SURE) {
-		confirmed = event_position_confirms_held(
+		confirmed = event_position_accept_held(
 		    position, numbering, &event);
 		g_string_append_c(verdicts, confirmed ? 'c' : 'x');
 		if (!confirmed) {
@@ -207,7 +218,7 @@
 {
 	if (position->held_doubt == EVENT_SURE)
 		return;
-	if (event_position_confirms_end(position, numbering)) {
+	if (event_position_accept_held_at_end(position, numbering)) {
 		g_string_append_c(verdicts, 'c');
 	} else {
 		g_string_append_c(verdicts, 'x');
@@ -309,29 +320,76 @@
 	g_assert_cmpuint(after, ==, 5);
 }
 
-/* A route whose streams change is learned anew after some in doubt. */
+/* Plays a stream without resumption on a route; returns whether it is whole. */
+static bool
+play_stream(struct event_numbering *numbering, const char *events)
+{
+	struct event_position position = {0};
+	g_auto(GStrv) words = g_strsplit(events, " ", -1);
+	g_autoptr(GString) verdicts = g_string_new(NULL);
+	bool whole = true;
+
+	event_position_begin_run(&position);
+	for (size_t i = 0; words[i] != NULL && whole; i++)
+		whole = add(&position, numbering, words[i], verdicts);
+	if (whole)
+		end(&position, numbering, verdicts);
+	whole = whole && strchr(verdicts->str, 'x') == NULL;
+	if (whole)
+		event_position_learn_end(&position, numbering);
+	else
+		event_numbering_add_doubt(numbering);
+	return whole;
+}
+
+static const struct route_case {
+	const char *name;
+	const char *streams[4]; /* played in turn */
+	const char *last; /* then this one */
+	bool whole;
+} route_cases[] = {
+    {"streams that are not in a row do not tell how far apart ids are",
+	{"1 9 17", "1 2 3", "1 9 17", "1 2 3"}, "1 2 10 11", false},
+    {"streams in a row tell how far apart ids are",
+	{"1 9 17", "1 9 17", "1 9 17"}, "1 9 17", true},
+    {"a distance says little where distances vary",
+	{"1 2 9", "1 3 11", "1 6 7"}, "1 2 41 42", true},
+    {"an id that is far too high is rejected though distances vary",
+	{"1 2 9", "1 3 11", "1 6 7"}, "1 2 900 3", false},
+    {"streams that begin with different ids may begin with another one",
+	{"40 41", "57 58", "90 91"}, "99 100", true},
+    {"an added first event is rejected though first ids differ",
+	{"40 41", "57 58", "59 60"}, "90 61 62", false},
+    {"a stream without ids does not make an event without one the first",
+	{"1 2 3", "1 2 3", "1 2 3", "? ? ?"}, "? 1 2", false},
+    {"a stream without ids stays whole on a route with ids",
+	{"1 2 3", "1 2 3", "1 2 3"}, "? ? ?", true},
+};
+
+/* Plays the streams of a route often, and then one more. */
+static void
+test_route(gconstpointer data)
+{
+	const struct route_case *c = &route_cases[GPOINTER_TO_SIZE(data)];
+	struct event_numbering numbering = {0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(c->streams); i++) {
+		if (c->streams[i] != NULL)
+			play_stream(&numbering, c->streams[i]);
+	}
+	g_assert_cmpint(play_stream(&numbering, c->last), ==, c->whole);
+}
+
+/* A route whose streams change is learned anew after some were cut. */
 static void
 test_changed_route(void)
 {
 	struct event_numbering numbering = learn_route(FROM_ONE);
 
-	for (int i = 0; i <= EVENT_NUMBERING_DOUBTS_MAX; i++) {
-		struct event_position position = {0};
-		g_autoptr(GString) verdicts = g_string_new(NULL);
-		bool passed;
-
-		event_position_begin_run(&position);
-		passed = add(&position, &numbering, "100", verdicts) &&
-		    add(&position, &numbering, "120", verdicts) &&
-		    add(&position, &numbering, "150", verdicts);
-		g_assert_cmpint(passed, ==, i == EVENT_NUMBERING_DOUBTS_MAX);
-		if (!passed) {
-			event_numbering_add_doubt(&numbering);
-			continue;
-		}
-		end(&position, &numbering, verdicts);
-		event_position_learn(&position, &numbering);
-	}
+	for (int i = 0; i < EVENT_NUMBERING_DOUBTS_MAX; i++)
+		g_assert_false(play_stream(&numbering, "100 120 150 180"));
+	for (int i = 0; i <= EVENT_NUMBERING_STREAMS_MIN; i++)
+		g_assert_true(play_stream(&numbering, "100 120 150 180"));
 	g_assert_true(event_numbering_is_first(&numbering, 100));
 	g_assert_false(event_numbering_is_first(&numbering, 1));
 	g_assert_true(event_numbering_is_next(&numbering, 120, 0, 150));
@@ -346,6 +404,7 @@
 	ADD_CASES(end_cases, "/event_position", test_end);
 	g_test_add_func(
 	    "/event_position/a caller resumes its stream", test_start_after);
+	ADD_CASES(route_cases, "/event_position", test_route);
 	g_test_add_func(
 	    "/event_position/a changed route is learned", test_changed_route);
 	return g_test_run();
--- a/tests/test_event_splitter.c
+++ b/tests/test_event_splitter.c
@@ -91,7 +91,7 @@
 	const char *name;
 	const char *bytes;
 	bool is_blank;
-	bool is_odd;
+	bool is_malformed;
 } line_cases[] = {
     {"a comment is no event", ": x\n\n", true, false},
     {"two comment lines are no event", ": x\n: y\r\n\r\n", true, false},
@@ -105,20 +105,20 @@
 	"event: x\nid: 1\ndata: y\ndata: z\nretry: 1\n\n", false, false},
     {"an event may have the platform's line",
 	"heatherturn-weight-versions: 2\nid: 1\ndata: x\n\n", false, false},
-    {"other bytes are odd", "bytes\n\n", false, true},
-    {"a name that only begins with a field's is odd",
+    {"other bytes are malformed", "bytes\n\n", false, true},
+    {"a name that only begins with a field's is malformed",
 	"idx: 1\nid: 1\ndata: x\n\n", false, true},
-    {"a line before an event is odd", "bytes\r\nid: 1\r\ndata: x\r\n\r\n",
+    {"a line before an event is malformed", "bytes\r\nid: 1\r\ndata: x\r\n\r\n",
 	false, true},
-    {"bytes before the first line are odd", "bytesid: 1\ndata: x\n\n", false,
-	true},
-    {"two ids are odd", "id: 1\ndata: x\nid: 2\n\n", false, true},
-    {"a comment in an event with an id is odd",
+    {"bytes before the first line are malformed", "bytesid: 1\ndata: x\n\n",
+	false, true},
+    {"two ids are malformed", "id: 1\ndata: x\nid: 2\n\n", false, true},
+    {"a comment in an event with an id is malformed",
 	"id: 1\ndata: x\n:id: 2\ndata: y\n\n", false, true},
-    {"a line with a CR inside is odd", "id: 1\ndata: x\rid: 2\n\n", false,
+    {"a line with a CR inside is malformed", "id: 1\ndata: x\rid: 2\n\n", false,
 	true},
-    {"an id without data is odd", "id: 1\n\n", false, true},
-    {"an id without data and value is odd", "id\n\n", false, true},
+    {"an id without data is malformed", "id: 1\n\n", false, true},
+    {"an id without data and value is malformed", "id\n\n", false, true},
 };
 
 /* Checks what the lines of one event say of it. */
@@ -128,7 +128,7 @@
 	const struct line_case *c = data;
 
 	g_assert_cmpint(event->is_blank, ==, c->is_blank);
-	g_assert_cmpint(event->is_odd, ==, c->is_odd);
+	g_assert_cmpint(event->is_malformed, ==, c->is_malformed);
 	g_assert_cmpuint(event->length, ==, strlen(c->bytes));
 }
 
--- a/tests/test_foreign_event.c
+++ b/tests/test_foreign_event.c
@@ -13,13 +13,15 @@
 #include "raw_responses.h"
 #include "raw_server.h"
 
-#define SENDS_MAX   5
-#define EVENTS	    3
-#define EVENT_BYTES (sizeof(E1) - 1)
-#define EVENT(id)   "id: " #id "\ndata: " #id "\n\n"
-#define FOREIGN	    "data: x\n\n"
-#define E1_CR_LF    "id: 1\r\ndata: 1\r\n\r\n"
-#define WEIGHTS	    "heatherturn-weight-versions: 2\n"
+#define SENDS_MAX 6
+#define EVENTS	  3
+/* After so many complete streams it is known how a route numbers events. */
+#define LEARNED_STREAMS EVENT_NUMBERING_STREAMS_MIN
+#define EVENT_BYTES	(sizeof(E1) - 1)
+#define EVENT(id)	"id: " #id "\ndata: " #id "\n\n"
+#define FOREIGN		"data: x\n\n"
+#define E1_CR_LF	"id: 1\r\ndata: 1\r\n\r\n"
+#define WEIGHTS		"heatherturn-weight-versions: 2\n"
 
 /* How the upstream frames a response whose body has three parts. */
 enum framing {
@@ -58,7 +60,7 @@
 	const char *after; /* last event id that the second one is asked */
 	enum framing framing;
 	const char *path;
-	bool is_learned; /* the route has had the complete run before */
+	bool is_learned; /* the route has had complete runs before */
 };
 
 enum end {
@@ -154,7 +156,7 @@
 	const struct parts other = {sent->other_run, "", ""};
 
 	s->texts = g_ptr_array_new_with_free_func(g_free);
-	if (sent->is_learned)
+	for (int i = 0; sent->is_learned && i < LEARNED_STREAMS; i++)
 		add_response(s, FRAMING_LENGTH, &(struct parts){E1, E2, E3});
 	add_response(s, sent->framing, &sent->parts);
 	s->responses[s->texts->len].after = sent->after;
@@ -215,7 +217,7 @@
 	struct stream_fixture s = {0};
 
 	set_up(&s, sent);
-	if (sent->is_learned)
+	for (int i = 0; sent->is_learned && i < LEARNED_STREAMS; i++)
 		check_stream(&s, sent, &complete, "complete run");
 	check_stream(&s, sent, expected, place);
 	raw_server_free(s.server);
@@ -356,6 +358,8 @@
     {"a comment between events is passed on", .parts = {E1, ": c\n\n", E2 E3}},
     {"a comment after the last event is passed on",
 	.parts = {E1 E2 E3, ": c\n\n", ""}},
+    {"a comment keeps its place behind a first event without an id",
+	.parts = {"data: a\n\n", ": c\n\n", "data: b\n\n"}},
     {"a retry time before the first event is passed on",
 	.parts = {"retry: 10\n\n", E1, E2 E3}},
     {"a retry time between events is passed on",
@@ -418,7 +422,7 @@
 	}
 }
 
-/* The route has had a complete stream whose ids start at 1. */
+/* The route has had complete streams whose ids start at 1. */
 static const struct learned_case {
 	const char *name;
 	struct parts parts;
@@ -457,7 +461,7 @@
 	const char *name;
 	const char *first;
 	const char *second;
-	bool is_known; /* the route has had a complete stream before */
+	bool is_known; /* the route has had complete streams before */
 	const char *body;
 	size_t arrivals;
 } type_cases[] = {
@@ -482,12 +486,12 @@
 	struct stream_fixture s = {0};
 	size_t count = 0;
 
-	if (c->is_known)
+	while (c->is_known && count < LEARNED_STREAMS)
 		s.responses[count++].bytes = OK STREAM "\r\n" E1 E2 E3;
 	s.responses[count++].bytes = c->first;
 	s.responses[count].bytes = c->second;
 	start(&s);
-	if (c->is_known)
+	for (int i = 0; c->is_known && i < LEARNED_STREAMS; i++)
 		check_stream(&s, &sent, &complete, "complete run");
 	check_stream(&s, &sent, &expected, c->name);
 	raw_server_free(s.server);
--- a/tests/test_wrong_event_id.c
+++ b/tests/test_wrong_event_id.c
@@ -61,6 +61,10 @@
     {"the last event is not lost by its id", "/stream/x",
 	{{.bytes = HEAD E1 E2 E3_TOO_LOW}, {.bytes = HEAD E2 E3, .after = "1"}},
 	2, false, E1 E2 E3},
+    {"a run without frames is no evidence of the end", "/stream/x",
+	{{.bytes = HEAD E1 E2 E3_TOO_HIGH}, {.bytes = HEAD E2, .after = "1"},
+	    {.bytes = HEAD E2 E3, .after = "1"}},
+	3, false, E1 E2 E3},
     {"a stream that breaks off after an id that is too high is resumed before "
      "it",
 	"/stream/x",
