A success without the upstream's seal does not reach the caller

Callers got a 200 without Heatherturn-Server-Seal where the upstream's Connection header named it, and one with an empty seal.

Cause: headers_build_caller() removed whatever the Connection header of the upstream names, after the seal had been checked; and any header of that name counted as a seal, whatever its value.

Two of the three cases of test_wrong_headers failed before: a seal that was NULL at the caller, and status 200 where 502 is due. The third one, no seal at all, held. All hold now.

--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -141,8 +141,7 @@
 		return false;
 	case VERDICT_MISMATCH:
 		exchange->send_outcome = SEND_LOST;
-		exchange->send_error =
-		    "the response does not belong to this request";
+		exchange->send_error = exchange->response.mismatch;
 		return false;
 	case VERDICT_PASS:
 		break;
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -178,9 +178,11 @@
 	ev_loop_destroy(f->loop);
 	g_byte_array_unref(f->body);
 	g_free(f->retry_after);
+	g_free(f->seal);
+	g_free(f->request_id);
 }
 
-/* Keeps the response's status and Retry-After. */
+/* Keeps the response's status and the headers that tests look at. */
 static bool
 on_headers(void *data, struct http_call *call, int status)
 {
@@ -189,6 +191,11 @@
 	f->status = status;
 	g_free(f->retry_after);
 	f->retry_after = g_strdup(http_call_header(call, "Retry-After"));
+	g_free(f->seal);
+	f->seal = g_strdup(http_call_header(call, "Heatherturn-Server-Seal"));
+	g_free(f->request_id);
+	f->request_id = g_strdup(
+	    http_call_header(call, "Heatherturn-Attempt-Id"));
 	return true;
 }
 
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -34,6 +34,8 @@
 	bool done;
 	bool aborted;
 	char *retry_after;
+	char *seal; /* received by the caller; or NULL */
+	char *request_id; /* likewise */
 	struct clock *clock; /* of the state shared with peers; NULL: system */
 	const char *tokens; /* token count sent; NULL for none */
 	const char *parts; /* prompt parts sent; NULL for none */
--- /dev/null
+++ b/tests/test_wrong_headers.c
@@ -0,0 +1,155 @@
+/*
+ * Responses whose headers are missing, wrong or contradict each other. Guards
+ * against a response that reaches the caller though nothing says for sure that
+ * it is the upstream's to this request, and against requests that are sent
+ * again, or elsewhere, because of it.
+ */
+#include <string.h>
+
+#include <sodium.h>
+
+#include "cases.h"
+#include "gateway_fixture.h"
+#include "raw_responses.h"
+#include "raw_server.h"
+
+#define SENDS_MAX 2
+/* Requests that each other upstream already has, so that i-0 is preferred. */
+#define OTHERS_RUNNING 2
+/* Of a prompt that several upstreams prefill. */
+#define PARTS_TOKENS "120000, 10"
+#define ID	     "Heatherturn-Attempt-Id: r1\r\n"
+#define OTHER_ID     "Heatherturn-Attempt-Id: r0\r\n"
+#define OTHER_SEAL   "Heatherturn-Server-Seal: s0\r\n"
+#define NOT_RUN	     "Heatherturn-Not-Executed: 1\r\n"
+#define FULL	     "HTTP/1.1 503 Full\r\n" ID NOT_RUN
+/* Body of the second response, also an event. */
+#define SECOND E1
+#define NOTICES                                                      \
+	"Retry-After: 9\r\nServer-Leaving: 1\r\nServer-Limit: 1\r\n" \
+	"At-Server: i-1\r\n"
+
+/* What becomes of the first response of a request. */
+enum outcome {
+	OUTCOME_PASSED, /* to the caller */
+	OUTCOME_NOT_RUN, /* sent again, also if it may run only once */
+	OUTCOME_UNKNOWN, /* as if the response had been lost */
+};
+
+static const struct header_case {
+	const char *name;
+	const char *head; /* of the response, without its empty line */
+	enum outcome outcome;
+	const char *tokens; /* of a prompt read in parts; or NULL */
+	int faulty; /* upstreams that are taken for faulty then */
+	int64_t quiet_ms; /* time for which i-0 gets no requests then */
+} cases[] = {
+    {"a Connection header does not remove the seal or the request id",
+	OK TEXT "Connection: heatherturn-server-seal, close, "
+		"Heatherturn-Attempt-Id\r\n",
+	.outcome = OUTCOME_PASSED},
+    {"a success with an empty seal is not passed on",
+	OK ID "Heatherturn-Server-Seal:\r\n", .outcome = OUTCOME_UNKNOWN},
+    {"a success without a seal is not passed on", OK ID,
+	.outcome = OUTCOME_UNKNOWN},
+};
+
+/* Starts a gateway whose upstreams send these responses, i-0 the first one. */
+static struct raw_server *
+set_up(struct fixture *f, const struct raw_response *responses)
+{
+	struct raw_server *server;
+	struct fleet_upstream *upstream;
+
+	fixture_set_up(f);
+	server = raw_server_new(f->loop, responses, SENDS_MAX);
+	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
+		fake_platform_set_upstream_port(
+		    f->fake_platform, i, raw_server_port(server, i));
+	fixture_wait_for_routing_state(f);
+	TAILQ_FOREACH (upstream,
+	    &routing_state_fleet(f->exchange_context.routing_state)->upstreams,
+	    entry) {
+		if (strcmp(upstream->id, "i-0") != 0)
+			upstream->peers.running = OTHERS_RUNNING;
+	}
+	return server;
+}
+
+/* Asserts what is believed of the upstreams; of i-0 that it named no rate. */
+static void
+assert_beliefs(const struct fixture *f, const struct header_case *c)
+{
+	const struct fleet *fleet = routing_state_fleet(
+	    f->exchange_context.routing_state);
+	struct timespec now = clock_monotonic(clock_system());
+	const struct fleet_upstream *upstream;
+	int64_t quiet_ms = 0;
+	int faulty = 0;
+
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
+		faulty += time_before(now, upstream->faulty_until);
+		quiet_ms += quiet_left_ms(&upstream->quiet, now);
+		g_assert_false(upstream->named_rate.named);
+		g_assert_false(fleet_upstream_announces(upstream, now));
+	}
+	g_assert_cmpint(faulty, ==, c->faulty);
+	g_assert_cmpint(quiet_ms, <=, c->quiet_ms);
+	g_assert_cmpint(quiet_ms > 0, ==, c->quiet_ms > 0);
+}
+
+/* Sends a request whose second response is whole, if there is one. */
+static void
+check(const struct header_case *c, const char *path, bool sent_again,
+    int status, const char *body)
+{
+	g_autofree char *first = g_strconcat(c->head, "\r\nfirst", NULL);
+	g_autofree char *second = g_strconcat(
+	    c->tokens != NULL ? OK STREAM "\r\n" : OK TEXT "\r\n", SECOND,
+	    NULL);
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = first}, {.bytes = second}};
+	struct fixture f = {.tokens = c->tokens};
+	struct raw_server *server = set_up(&f, responses);
+
+	fixture_call(&f, path, FIXTURE_KEY);
+	RUN_UNTIL(&f, f.done);
+	g_assert_false(f.aborted);
+	g_assert_cmpint(f.status, ==, status);
+	g_assert_cmpuint(
+	    raw_server_requests(server), ==, sent_again ? SENDS_MAX : 1);
+	g_assert_cmpint(raw_server_helped(server) > 0, ==, c->tokens != NULL);
+	if (body != NULL)
+		g_assert_cmpmem(f.body->data, f.body->len, body, strlen(body));
+	g_assert_cmpstr(f.seal, ==, status == 200 ? "seal" : NULL);
+	g_assert_cmpstr(f.request_id, ==, status == 200 ? "r1" : NULL);
+	assert_beliefs(&f, c);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
+/* Runs one case for a request that may run once, and for one that may repeat.
+ */
+static void
+test_headers(gconstpointer data)
+{
+	const struct header_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	const char *once = c->tokens != NULL ? "/prompt/x" : "/once/x";
+	bool again = c->outcome != OUTCOME_PASSED;
+	const char *body = again ? SECOND : "first";
+
+	if (c->outcome == OUTCOME_UNKNOWN)
+		check(c, once, false, 502, NULL);
+	else
+		check(c, once, again, 200, body);
+	check(c, c->tokens != NULL ? "/parts/x" : "/again/x", again, 200, body);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	ADD_CASES(cases, "/wrong_headers", test_headers);
+	return g_test_run();
+}
