A success that says it was not executed is no promise

A request that may run only once was sent to a second upstream after a 2xx response with seal, body and Heatherturn-Not-Executed: the first one had run it.

Cause: Heatherturn-Not-Executed counted with any status. A success contradicts it, and nothing says which of the two is right.

--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -52,6 +52,10 @@
 	OK ID "Heatherturn-Server-Seal:\r\n", .outcome = OUTCOME_UNKNOWN},
     {"a success without a seal is not passed on", OK ID,
 	.outcome = OUTCOME_UNKNOWN},
+    {"a success that says it was not executed may have run", OK TEXT NOT_RUN,
+	.outcome = OUTCOME_UNKNOWN},
+    {"an error that says it was not executed has not run",
+	"HTTP/1.1 500 Failed\r\n" SEAL NOT_RUN, .outcome = OUTCOME_NOT_RUN},
 };
 
 /* Starts a gateway whose upstreams send these responses, i-0 the first one. */
