--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -776,11 +776,24 @@
 
 /*
  * Returns the last response header of this name, ignoring case; NULL if none.
+ * What decides by a header asks http_call_find_header(), which tells if there
+ * are others.
  */
 const char *
 http_call_header(const struct http_call *call, const char *name)
 {
-	return response_head_find(&call->head, name);
+	const char *value;
+
+	response_head_find(&call->head, name, &value);
+	return value;
+}
+
+/* Finds the response headers of this name; see response_head_find(). */
+enum header_match
+http_call_find_header(
+    const struct http_call *call, const char *name, const char **value)
+{
+	return response_head_find(&call->head, name, value);
 }
 
 /*
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -109,6 +109,8 @@
 void http_call_pause(struct http_call *);
 void http_call_resume(struct http_call *);
 const char *http_call_header(const struct http_call *, const char *name);
+enum header_match http_call_find_header(
+    const struct http_call *, const char *name, const char **value);
 const struct http_header *http_call_headers(
     const struct http_call *, size_t *count);
 bool http_call_length(const struct http_call *, uint64_t *out);
--- a/src/base/response_head.c
+++ b/src/base/response_head.c
@@ -159,7 +159,10 @@
 static enum response_line
 check_trailer(struct response_head *head, size_t length)
 {
-	if (length > 0 && response_head_find(head, TRAILER) == NULL)
+	const char *names;
+
+	if (length > 0 &&
+	    response_head_find(head, TRAILER, &names) == HEADER_ABSENT)
 		return reject(head, "a trailer that was not announced");
 	return RESPONSE_LINE_PART;
 }
@@ -186,17 +189,27 @@
 	return RESPONSE_LINE_END;
 }
 
-/* Returns the last header of this name, ignoring case; NULL if none. */
-const char *
-response_head_find(const struct response_head *head, const char *name)
+/*
+ * Finds the headers of this name, ignoring case. The value is that of the last
+ * one; NULL if there is none.
+ */
+enum header_match
+response_head_find(
+    const struct response_head *head, const char *name, const char **value)
 {
+	enum header_match match = HEADER_ABSENT;
 	const struct http_header *header;
 
-	for (guint i = head->headers->len; i > 0; i--) {
-		header = &g_array_index(
-		    head->headers, struct http_header, i - 1);
-		if (g_ascii_strcasecmp(header->name, name) == 0)
-			return header->value;
+	*value = NULL;
+	for (guint i = 0; i < head->headers->len; i++) {
+		header = &g_array_index(head->headers, struct http_header, i);
+		if (g_ascii_strcasecmp(header->name, name) != 0)
+			continue;
+		if (*value != NULL && strcmp(*value, header->value) != 0)
+			match = HEADER_CONTRADICTORY;
+		else if (match == HEADER_ABSENT)
+			match = HEADER_ONE_VALUE;
+		*value = header->value;
 	}
-	return NULL;
+	return match;
 }
--- a/src/base/response_head.h
+++ b/src/base/response_head.h
@@ -25,6 +25,13 @@
 	const char *value;
 };
 
+/* What the headers of one name say together. */
+enum header_match {
+	HEADER_ABSENT,
+	HEADER_ONE_VALUE, /* also if it is repeated */
+	HEADER_CONTRADICTORY, /* several values */
+};
+
 enum response_line {
 	RESPONSE_LINE_PART, /* more lines follow */
 	RESPONSE_LINE_END, /* empty: the head is complete */
@@ -47,6 +54,7 @@
 void response_head_clear(struct response_head *);
 enum response_line response_head_add_line(
     struct response_head *, const char *line, size_t length);
-const char *response_head_find(const struct response_head *, const char *name);
+enum header_match response_head_find(
+    const struct response_head *, const char *name, const char **value);
 
 #endif
--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -56,6 +56,25 @@
 	.outcome = OUTCOME_UNKNOWN},
     {"an error that says it was not executed has not run",
 	"HTTP/1.1 500 Failed\r\n" SEAL NOT_RUN, .outcome = OUTCOME_NOT_RUN},
+    {"a success with another request's id first is not passed on",
+	OK OTHER_ID TEXT, .outcome = OUTCOME_UNKNOWN},
+    {"a success with another request's id last is not passed on",
+	OK TEXT OTHER_ID, .outcome = OUTCOME_UNKNOWN},
+    {"a success with two seals is not passed on", OK OTHER_SEAL TEXT,
+	.outcome = OUTCOME_UNKNOWN},
+    {"a success with two types is not passed on", OK STREAM TEXT,
+	.outcome = OUTCOME_UNKNOWN},
+    {"a success that repeats its headers is passed on", OK TEXT TEXT,
+	.outcome = OUTCOME_PASSED},
+    {"a rejection with two request ids may have run, and says nothing",
+	"HTTP/1.1 503 Full\r\n" OTHER_ID ID NOT_RUN NOTICES,
+	.outcome = OUTCOME_UNKNOWN},
+    {"a rejection with two seals may have run, and says nothing",
+	FULL SEAL OTHER_SEAL NOTICES, .outcome = OUTCOME_UNKNOWN},
+    {"a rejection with two times and two rates says none",
+	FULL "Retry-After: 9\r\nRetry-After: 2\r\n"
+	     "Server-Limit: 5\r\nServer-Limit: 3\r\n",
+	.outcome = OUTCOME_NOT_RUN},
 };
 
 /* Starts a gateway whose upstreams send these responses, i-0 the first one. */
