A success with a content coding is not taken for the upstream's body

Callers got bodies with a Content-Encoding as complete responses. They ask for bodies without any, so such a body is not the upstream's, as the users' page says.

Cause: nothing looked at the header.

Callers that ask for a coding themselves (Accept-Encoding is passed on) get 502 from an upstream that does as they ask; the page has no such callers.

--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -75,6 +75,13 @@
 	FULL "Retry-After: 9\r\nRetry-After: 2\r\n"
 	     "Server-Limit: 5\r\nServer-Limit: 3\r\n",
 	.outcome = OUTCOME_NOT_RUN},
+    {"a success with a content coding is not passed on",
+	OK TEXT "Content-Encoding: gzip\r\n", .outcome = OUTCOME_UNKNOWN},
+    {"a success with several content codings is not passed on",
+	OK TEXT "Content-Encoding: gzip\r\nContent-Encoding: identity\r\n",
+	.outcome = OUTCOME_UNKNOWN},
+    {"a success with the coding identity is passed on",
+	OK TEXT "Content-Encoding: Identity\r\n", .outcome = OUTCOME_PASSED},
 };
 
 /* Starts a gateway whose upstreams send these responses, i-0 the first one. */
