--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -73,31 +73,62 @@
 		fleet_upstream_on_quiet(upstream, notice->quiet_ms, now);
 }
 
+/* Returns the helper of the current send with this id or address; or NULL. */
+static const struct send_helper *
+find_helper(const struct exchange *exchange, const char *id_or_address)
+{
+	for (size_t i = 0; i < exchange->helper_count; i++) {
+		const struct send_helper *helper = &exchange->helpers[i];
+
+		if (strcmp(helper->upstream, id_or_address) == 0 ||
+		    strcmp(helper->address, id_or_address) == 0)
+			return helper;
+	}
+	return NULL;
+}
+
+/* Logs a report of an upstream that does not help, unless it reports itself. */
+static void
+log_no_helper(const struct exchange *exchange, const char *faulty_upstream)
+{
+	const struct fleet_upstream *upstream = exchange->upstream;
+
+	if (strcmp(upstream->id, faulty_upstream) == 0 ||
+	    strcmp(upstream->address, faulty_upstream) == 0)
+		return;
+	LOG_INFO("upstream reported as faulty does not help with the request",
+	    "{s:s, s:s, s:s}", "request", exchange->caller_headers.request_id,
+	    "upstream", upstream->id, "reported", faulty_upstream);
+}
+
 /*
- * Avoids the upstream that the current one reported, by id or address, as
- * unable to prefill with it. The current upstream is not marked.
+ * Avoids the helper that the current upstream reported, by id or address, as
+ * unable to prefill with it. The request depends on no other upstream: none is
+ * marked, and the current one is not either.
  */
 void
 exchange_mark_faulty(struct exchange *exchange, const char *faulty_upstream)
 {
 	const struct fleet *fleet = routing_state_fleet(
 	    exchange->context->routing_state);
+	const struct send_helper *helper;
 	struct fleet_upstream *upstream;
 
 	g_clear_pointer(&exchange->faulty_upstream, g_free);
 	if (faulty_upstream == NULL)
 		return;
-	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		if (upstream == exchange->upstream ||
-		    (strcmp(upstream->id, faulty_upstream) != 0 &&
-			strcmp(upstream->address, faulty_upstream) != 0))
-			continue;
-		exchange->faulty_upstream = g_strdup(upstream->id);
-		avoid(exchange, upstream);
-		upstream->faulty_until = time_add_ms(
-		    clock_monotonic(exchange->context->clock), FLEET_FAULTY_MS);
+	helper = find_helper(exchange, faulty_upstream);
+	if (helper == NULL) {
+		log_no_helper(exchange, faulty_upstream);
 		return;
 	}
+	upstream = fleet_find(fleet, helper->upstream);
+	if (upstream == NULL)
+		return;
+	exchange->faulty_upstream = g_strdup(upstream->id);
+	avoid(exchange, upstream);
+	upstream->faulty_until = time_add_ms(
+	    clock_monotonic(exchange->context->clock), FLEET_FAULTY_MS);
 }
 
 /* Checks whether an upstream died when its connection broke. */
--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -82,6 +82,12 @@
 	.outcome = OUTCOME_UNKNOWN},
     {"a success with the coding identity is passed on",
 	OK TEXT "Content-Encoding: Identity\r\n", .outcome = OUTCOME_PASSED},
+    {"an upstream that does not help is not at fault",
+	FULL "At-Server: i-1\r\n", .outcome = OUTCOME_NOT_RUN},
+    {"an upstream that helps is at fault", FULL "At-Server: i-1\r\n",
+	.outcome = OUTCOME_NOT_RUN, .tokens = PARTS_TOKENS, .faulty = 1},
+    {"an unknown upstream is not at fault", FULL "At-Server: i-9\r\n",
+	.outcome = OUTCOME_NOT_RUN, .tokens = PARTS_TOKENS},
 };
 
 /* Starts a gateway whose upstreams send these responses, i-0 the first one. */
