A Retry-After of an upstream is a decimal number of seconds

An upstream got no requests for an hour, the longest time that is kept, after a rejection with "Retry-After: 1e50" or "inf", and for 153 s after "0x99".

Cause: read_seconds() took whatever strtod does; read_rate() checked the characters first.

--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -88,6 +88,22 @@
 	.outcome = OUTCOME_NOT_RUN, .tokens = PARTS_TOKENS, .faulty = 1},
     {"an unknown upstream is not at fault", FULL "At-Server: i-9\r\n",
 	.outcome = OUTCOME_NOT_RUN, .tokens = PARTS_TOKENS},
+    {"a time is a decimal number", FULL "Retry-After: 9\r\n",
+	.outcome = OUTCOME_NOT_RUN, .quiet_ms = 9000},
+    {"a time may have a fraction", FULL "Retry-After: 8.50\r\n",
+	.outcome = OUTCOME_NOT_RUN, .quiet_ms = 8500},
+    {"a time with an exponent is ignored", FULL "Retry-After: 1e50\r\n",
+	.outcome = OUTCOME_NOT_RUN},
+    {"a time that is not finite is ignored", FULL "Retry-After: inf\r\n",
+	.outcome = OUTCOME_NOT_RUN},
+    {"a hexadecimal time is ignored", FULL "Retry-After: 0x99\r\n",
+	.outcome = OUTCOME_NOT_RUN},
+    {"a time with a sign is ignored", FULL "Retry-After: +9\r\n",
+	.outcome = OUTCOME_NOT_RUN},
+    {"a time of two numbers is ignored", FULL "Retry-After: 9.1.2\r\n",
+	.outcome = OUTCOME_NOT_RUN},
+    {"a time without a digit is ignored", FULL "Retry-After: .\r\n",
+	.outcome = OUTCOME_NOT_RUN},
 };
 
 /* Starts a gateway whose upstreams send these responses, i-0 the first one. */
