--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -4,8 +4,8 @@
  * prefilled and its KV cache kept; _prompt.c, which upstreams are believed to
  * hold a prefix of it; _rank.c, how urgent it is; _return.c, when it comes back
  * and in which turn; _send.c, sending it; _response.c, forwarding the response;
- * _health.c, what the outcome says about an upstream; _retry.c, whether it is
- * sent again; _explain.c, where it would go.
+ * _events.c, its events; _health.c, what the outcome says about an upstream;
+ * _retry.c, whether it is sent again; _explain.c, where it would go.
  */
 #ifndef GATEWAY_EXCHANGE_INTERNAL_H
 #define GATEWAY_EXCHANGE_INTERNAL_H
@@ -205,6 +205,8 @@
     struct exchange *, const struct fleet_upstream *, enum send_outcome);
 void exchange_on_prefill_timer(struct ev_loop *, ev_timer *, int events);
 void exchange_discard_partial(struct exchange *);
+event_splitter_fn exchange_forward_event;
+bool exchange_end_held(struct exchange *);
 void exchange_restart_stall_timer(struct exchange *);
 void exchange_on_stall_timeout(struct ev_loop *, ev_timer *, int events);
 void exchange_apply_notice(
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -1,6 +1,3 @@
-#include <xxhash.h>
-
-#include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "policy/part_quarantine.h"
 
@@ -12,17 +9,11 @@
 /* A response that is no event stream is buffered up to this size. */
 #define BODY_BUFFER_MAX_BYTES ((size_t)256 * 1024)
 
-#define ERROR_IN_DOUBT "the upstream sent an event that is in doubt"
-
 #define STATUS_OK	   200
 #define STATUS_MULTIPLE	   300
 #define STATUS_SERVER_MIN  500
 #define STATUS_BAD_GATEWAY 502
 
-METRIC_DEFINE(events_in_doubt, METRIC_COUNTER,
-    "heatherturn_gateway_events_in_doubt", NULL,
-    "Events of streams that were held back, since they may not be of the run.");
-
 /* What to do with a response once its headers have been received. */
 enum verdict {
 	VERDICT_PASS, /* forward it to the caller */
@@ -158,162 +149,6 @@
 	return true;
 }
 
-/* Records the time of an event and the longest gap between two. */
-static void
-record_event_time(struct exchange *exchange)
-{
-	struct timespec now = clock_monotonic(exchange->context->clock);
-
-	if (!time_is_set(exchange->first_event_at))
-		exchange->first_event_at = now;
-	else
-		exchange->longest_gap_ms = MAX(exchange->longest_gap_ms,
-		    time_diff_ms(now, exchange->last_event_at));
-	exchange->last_event_at = now;
-}
-
-/* Counts and logs the event that is held back, and why. */
-static void
-count_doubt(struct exchange *exchange, size_t length)
-{
-	static const char *const reasons[] = {
-	    [EVENT_SURE] = "none",
-	    [EVENT_WITHOUT_ID] = "no id that is a number",
-	    [EVENT_NOT_HIGHER] = "id not above the last one",
-	    [EVENT_TOO_FAR] = "id too far above the last one",
-	    [EVENT_OTHER_FIRST] = "not the first id of the route's streams",
-	    [EVENT_MALFORMED] = "lines that no event has",
-	    [EVENT_WITH_ID] = "an id in a stream without ids",
-	};
-	const struct event_position *position = &exchange->position;
-
-	exchange->events_in_doubt++;
-	metric_add(&events_in_doubt, 1);
-	LOG_INFO("event in doubt",
-	    "{s:s?, s:s, s:s, s:i, s:b, s:i, s:b, s:I, s:I, s:I}", "request",
-	    exchange->caller_headers.request_id, "upstream",
-	    exchange->upstream->id, "why", reasons[position->held_doubt], "try",
-	    (int)exchange->tries, "framed", exchange->response.framed,
-	    "events_before", (int)exchange->send_events, "has_id",
-	    position->held.has_id, "id", (json_int_t)position->held.id,
-	    "last_event", position->has_last ? (json_int_t)position->last : -1,
-	    "bytes", (json_int_t)length);
-}
-
-/* Passes an event on that the caller does not have. */
-static void
-pass_event(struct exchange *exchange, const uint8_t *bytes, size_t length)
-{
-	exchange->events++;
-	record_event_time(exchange);
-	exchange_restart_stall_timer(exchange);
-	exchange_clear_prefill(exchange);
-	httpd_stream_write(exchange->http, bytes, length);
-}
-
-/*
- * Counts an event that is one of the run: the upstream has survived it, and has
- * the prompt.
- */
-static void
-count_event(struct exchange *exchange)
-{
-	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
-		exchange_report_survival(exchange);
-	if (exchange->send_events == 1)
-		exchange_check_prompt(exchange);
-}
-
-/* Passes the event on that was held back, which is no fault. */
-static void
-pass_held(struct exchange *exchange)
-{
-	event_position_learn_begin(
-	    &exchange->position, &exchange->route->numbering);
-	count_event(exchange);
-	pass_event(exchange, exchange->held->data, exchange->held->len);
-	g_byte_array_set_size(exchange->held, 0);
-}
-
-/* The event that was held back is not passed on: fails the send. */
-static void
-reject_held(struct exchange *exchange)
-{
-	event_position_reject_held(&exchange->position, false);
-	exchange->send_outcome = SEND_FAILED;
-	exchange->send_error = ERROR_IN_DOUBT;
-}
-
-/* Handles an event that is in its place, or in doubt. */
-static void
-add_event(struct exchange *exchange, const struct stream_event *event)
-{
-	const struct event_numbering *numbering = &exchange->route->numbering;
-	const struct event_mark mark = {
-	    .has_id = event->has_id,
-	    .id = event->id,
-	    .is_malformed = event->is_malformed,
-	    .hash = XXH3_64bits(event->bytes, event->length),
-	};
-
-	if (exchange->position.held_doubt != EVENT_SURE) {
-		if (!event_position_accept_held(
-			&exchange->position, numbering, &mark)) {
-			reject_held(exchange);
-			return;
-		}
-		pass_held(exchange);
-	}
-	switch (event_position_add(&exchange->position, numbering, &mark)) {
-	case EVENT_NEW:
-		count_event(exchange);
-		pass_event(exchange, event->bytes, event->length);
-		break;
-	case EVENT_REPEATED:
-		count_event(exchange);
-		break;
-	case EVENT_HELD:
-		count_doubt(exchange, event->length);
-		g_byte_array_append(
-		    exchange->held, event->bytes, (guint)event->length);
-		break;
-	case EVENT_MISPLACED:
-		exchange->send_outcome = SEND_FAILED;
-		exchange->send_error = "the upstream does not repeat the last "
-				       "event";
-		break;
-	}
-}
-
-/*
- * Handles a complete event, unless the send has failed. Comments are passed on,
- * but those before the first event of a run that continues the stream. Those
- * after an event that is held back wait for it.
- */
-static void
-forward_event(void *data, const struct stream_event *event)
-{
-	struct exchange *exchange = data;
-
-	if (exchange->send_outcome == SEND_FAILED)
-		return;
-	if (!event->is_blank) {
-		add_event(exchange, event);
-		return;
-	}
-	if (exchange->position.held_doubt != EVENT_SURE) {
-		if (exchange->held->len >= EVENT_SPLITTER_MAX_BYTES)
-			reject_held(exchange);
-		g_byte_array_append(
-		    exchange->held, event->bytes, (guint)event->length);
-		return;
-	}
-	if (exchange->continues && !exchange->position.has_new)
-		return;
-	exchange_restart_stall_timer(exchange);
-	httpd_stream_write(exchange->http, event->bytes, event->length);
-}
-
 /* Buffers a part of the response; streams it once it is too long to buffer. */
 static void
 append_part(struct exchange *exchange, const uint8_t *bytes, size_t length)
@@ -345,7 +180,7 @@
 	if (!exchange->is_event_stream) {
 		append_part(exchange, bytes, length);
 	} else if (!event_splitter_feed(&exchange->splitter, bytes, length,
-		       forward_event, exchange)) {
+		       exchange_forward_event, exchange)) {
 		exchange->send_outcome = SEND_LOST;
 		exchange->send_error = "the upstream sent an event without end";
 		return false;
@@ -436,30 +271,6 @@
 		!exchange->position.has_last);
 }
 
-/*
- * The response has ended without an error. Returns whether an event that is
- * held back, if any, is no fault. One without frames may have broken off there.
- */
-static bool
-end_held(struct exchange *exchange)
-{
-	bool in_event = event_splitter_is_in_event(&exchange->splitter);
-
-	if (exchange->position.held_doubt == EVENT_SURE)
-		return true;
-	if (!in_event &&
-	    event_position_accept_held_at_end(
-		&exchange->position, &exchange->route->numbering)) {
-		pass_held(exchange);
-		return true;
-	}
-	event_position_reject_held(&exchange->position, !in_event);
-	exchange->send_error = ERROR_IN_DOUBT;
-	if (exchange->response.framed)
-		exchange->send_outcome = SEND_FAILED;
-	return false;
-}
-
 /* Completes the response, or retries or fails the request after an error. */
 static void
 on_upstream_done(
@@ -471,7 +282,8 @@
 	bool is_cut = false;
 
 	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED)
-		is_cut = !end_held(exchange) || is_cut_stream(exchange);
+		is_cut = !exchange_end_held(exchange) ||
+		    is_cut_stream(exchange);
 	if (result->error == NULL && exchange->send_outcome == SEND_ANSWERED &&
 	    !is_cut) {
 		finish_response(exchange);
