A failure or a refusal does not clear a prompt part that crashes upstreams

Beside failing upstreams, prompts with a part that crashes upstreams went on to crash them, and ended all else that ran there: no gateway refused the part.

Cause: finish_response() reported that the part had been survived for each complete response with a length, whatever its status.

What shows survival is now that an upstream began to answer: two events of the run, as before, or a complete 2xx. Failures, refusals and redirects show nothing. Failures that are sent to another upstream (VERDICT_FAILED) never reported anything, which is right; they have a case too. An unframed response is still checked for the death of its upstream, whatever its status.

A probe of a refused part that is answered with a failure no longer accepts it again, which a 500 did before. It is not sent again, as each further try would be one more arrival of a part that may crash; a part that was refused by mistake then stays so for the rest of its ten minutes.

Evidence: eight cases of test_crash_parts failed before, such as an upstream that fails does not clear a part that crashes: assertion failed (crash_sync_refused_ms(sync, &part, 1) == 0 == c->clears): (1 == 0) a part whose probe is answered with a failure stays refused: assertion failed (f.status == c->then): (500 == 503) and pass now. Four others hold that sound answers clear a part: a complete success, one after a failure, a complete stream of one event, and one that breaks off after two.

--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -204,7 +204,7 @@
 	http_client_start(exchange->context->http, &request, &ops, check);
 }
 
-/* Reports that the request's response has survived its first events. */
+/* Reports that the upstream has survived the begin of its answer. */
 void
 exchange_report_survival(struct exchange *exchange)
 {
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -29,15 +29,22 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/* Returns whether a status says that the request was executed. */
+static bool
+is_success(int status)
+{
+	return status >= STATUS_OK && status < STATUS_MULTIPLE;
+}
+
 /*
  * Returns whether a success is no event stream though the route is known for
  * streams of events with ids: nothing would tell where its events end. Another
  * run is asked once; what two runs agree on is no fault.
  */
 static bool
-is_other_type(struct exchange *exchange, bool success)
+is_other_type(struct exchange *exchange, int status)
 {
-	if (!success || exchange->response.event_stream ||
+	if (!is_success(status) || exchange->response.event_stream ||
 	    exchange->had_other_type || exchange->route->kind != CALL_STREAM ||
 	    !event_numbering_has_ids(&exchange->route->numbering) ||
 	    !exchange_may_retry(exchange, exchange->sends + 1, true))
@@ -51,12 +58,11 @@
 classify(struct exchange *exchange, int status)
 {
 	const struct response_headers *response = &exchange->response;
-	bool success = status >= STATUS_OK && status < STATUS_MULTIPLE;
 
 	if (response->not_run)
 		return VERDICT_NOT_RUN;
 	if (!response->request_id_matches ||
-	    (success && !response->has_server_seal))
+	    (is_success(status) && !response->has_server_seal))
 		return VERDICT_MISMATCH;
 	if (exchange->streaming &&
 	    (status != STATUS_OK || !response->event_stream))
@@ -64,7 +70,7 @@
 	if (status >= STATUS_SERVER_MIN &&
 	    exchange_may_retry(exchange, exchange->sends + 1, true))
 		return VERDICT_FAILED;
-	if (is_other_type(exchange, success))
+	if (is_other_type(exchange, status))
 		return VERDICT_FAILED;
 	return VERDICT_PASS;
 }
@@ -197,18 +203,29 @@
 	return true;
 }
 
+/*
+ * Checks whether the upstream has survived the prompt, of which a complete
+ * response has fewer events than show that. An upstream that fails or refuses
+ * a request has not begun to answer it.
+ */
+static void
+check_survival(struct exchange *exchange)
+{
+	/* The upstream may have died in an unframed response. */
+	if (!exchange->response.framed)
+		exchange_check_death(exchange);
+	else if (is_success(exchange->status))
+		exchange_report_survival(exchange);
+}
+
 /* Completes a response that has been received completely. */
 static void
 finish_response(struct exchange *exchange)
 {
 	const struct http_header *headers;
 
-	/* The upstream may have died in an unframed response. */
-	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS &&
-	    exchange->response.framed)
-		exchange_report_survival(exchange);
-	else if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS)
-		exchange_check_death(exchange);
+	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS)
+		check_survival(exchange);
 	exchange_end_send(exchange,
 	    exchange->status >= STATUS_SERVER_MIN ? SEND_FAILED
 						  : SEND_ANSWERED);
--- a/tests/test_crash_parts.c
+++ b/tests/test_crash_parts.c
@@ -9,9 +9,17 @@
 #include "cases.h"
 #include "gateway_fixture.h"
 #include "policy/part_quarantine.h"
+#include "raw_responses.h"
+#include "raw_server.h"
 
 #define CRASHES	      3
 #define SETTLE_ROUNDS 20
+#define SENDS_MAX     3
+/* Longer than a response that the gateway buffers. */
+#define LONG_BYTES ((size_t)300 * 1024)
+
+/* The rest of a complete response with a length, in place of TEXT. */
+#define REST TEXT "Content-Length: 5\r\n\r\nwhole"
 
 static const struct probe_case {
 	const char *name;
@@ -22,6 +30,50 @@
     {"a part whose probe survives is accepted again", FAKE_STEP_STREAM, 200, 2},
     {"a part whose probe crashes an upstream is not probed again",
 	FAKE_STEP_CRASH, 503, 1},
+    {"a part whose probe is answered with a failure stays refused",
+	FAKE_STEP_ERROR, 503, 1},
+};
+
+static const struct answer_case {
+	const char *name;
+	const char *path;
+	struct raw_response responses[SENDS_MAX];
+	size_t requests; /* that upstreams get */
+	int status; /* that the caller gets */
+	bool clears; /* the part, of the crashes so far */
+} answer_cases[] = {
+    {"an upstream that fails does not clear a part that crashes", "/once/x",
+	{{.bytes = "HTTP/1.1 500 X\r\n" REST}}, 1, 500, false},
+    {"an upstream that fails on a stream does not clear a part that crashes",
+	"/fragile/x", {{.bytes = "HTTP/1.1 500 X\r\n" REST}}, 1, 500, false},
+    {"upstreams that fail one after the other do not clear a part that crashes",
+	"/again/x",
+	{{.bytes = "HTTP/1.1 500 X\r\n" REST},
+	    {.bytes = "HTTP/1.1 502 X\r\n" REST}},
+	2, 502, false},
+    {"a failure that is too long to buffer does not clear a part that crashes",
+	"/once/x",
+	{{.bytes = "HTTP/1.1 500 X\r\n" TEXT "Content-Length: 307200\r\n\r\n",
+	    .filler = LONG_BYTES}},
+	1, 500, false},
+    {"a 503 that may have run does not clear a part that crashes", "/once/x",
+	{{.bytes = "HTTP/1.1 503 X\r\n" REST}}, 1, 502, false},
+    {"an upstream that refuses does not clear a part that crashes", "/once/x",
+	{{.bytes = "HTTP/1.1 400 X\r\n" REST}}, 1, 400, false},
+    {"an upstream that redirects does not clear a part that crashes", "/once/x",
+	{{.bytes = "HTTP/1.1 302 X\r\n" REST}}, 1, 302, false},
+    {"an unframed stream of one event does not clear a part that crashes",
+	"/fragile/x", {{.bytes = OK STREAM "\r\n" E1}}, 1, 200, false},
+    {"a complete success clears a part", "/once/x", {{.bytes = OK REST}}, 1,
+	200, true},
+    {"a success after a failure clears a part", "/again/x",
+	{{.bytes = "HTTP/1.1 500 X\r\n" REST}, {.bytes = OK REST}}, 2, 200,
+	true},
+    {"a complete stream of one event clears a part", "/fragile/x",
+	{{.bytes = OK STREAM CHUNKED "\r\n" E1_CHUNK "0\r\n\r\n"}}, 1, 200,
+	true},
+    {"a stream that breaks off after two events clears a part", "/fragile/x",
+	{{.bytes = OK STREAM "\r\n" E1 E2 "id: 3\nda"}}, 1, 200, true},
 };
 
 /* Sends a request whose path and last part no other has. */
@@ -147,6 +199,40 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * A part of whose crashes one is missing until it is refused is refused by it,
+ * unless an upstream has begun to answer a request with the part in between: a
+ * complete success, or the first events.
+ */
+static void
+test_answer(gconstpointer data)
+{
+	const struct answer_case *c = &answer_cases[GPOINTER_TO_SIZE(data)];
+	const uint64_t part = UINT64_C(0xf7c170336e83ce9a);
+	struct fixture f = {.parts = "f1:40,bad:100,e0:5"};
+	struct raw_server *server;
+	struct crash_sync *sync;
+
+	fixture_set_up(&f);
+	sync = f.exchange_context.crash_sync;
+	server = raw_server_new(f.loop, c->responses, SENDS_MAX);
+	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
+		fake_platform_set_upstream_port(
+		    f.fake_platform, i, raw_server_port(server, i));
+	fixture_wait_for_routing_state(&f);
+	for (uint64_t death = 1; death < CRASHES; death++)
+		crash_sync_report_death(sync, death, &part, 1, true);
+	fixture_call(&f, c->path, FIXTURE_KEY);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpint(f.status, ==, c->status);
+	g_assert_cmpuint(raw_server_requests(server), ==, c->requests);
+	crash_sync_report_death(sync, CRASHES, &part, 1, true);
+	g_assert_cmpint(
+	    crash_sync_refused_ms(sync, &part, 1) == 0, ==, c->clears);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,6 +244,7 @@
 	g_test_add_func("/crash parts/a request at an upstream is cancelled "
 			"once a part of it is refused",
 	    test_cancelled);
+	ADD_CASES(answer_cases, "/crash parts", test_answer);
 	ADD_CASES(probe_cases, "/crash parts", test_probe);
 	return g_test_run();
 }
