Tests that start processes take ports that no outgoing connection gets

Cause: stop_fixture.c bound sockets to any free port, closed them and gave the ports to the process under test. These are ports of the range that the system gives to outgoing connections, so a connection of another test could take one before the process listened.

A test now reserves a block of 30 ports from 4000 to 9999, below that range (32768 on) and below the ports of script/soak (10000 to 31999). The socket that is bound to the first port of the block stays bound until the test exits, so that no other test takes the block; a test begins its search at a block by its process id. A port of the block that something listens on is passed over.

--- a/tests/stop_fixture.c
+++ b/tests/stop_fixture.c
@@ -12,6 +12,15 @@
 #include <spawn.h>
 
 #define TEST_TIMEOUT_S 20.0
+/*
+ * Ports below those that the system gives to outgoing connections, one of which
+ * could otherwise take a port before the process listens, and below those of
+ * script/soak.
+ */
+#define PORT_FIRST  4000
+#define PORT_END    10000
+#define BLOCK_PORTS 30
+#define BLOCKS	    ((PORT_END - PORT_FIRST) / BLOCK_PORTS)
 
 /* Fails a test that does not end within TEST_TIMEOUT_S. */
 static void
@@ -42,24 +51,69 @@
 	};
 }
 
-/* Finds ports that nothing listens on. */
+/*
+ * Returns a socket that is bound to a port; -1 if the port is in use. Several
+ * can be bound to a port that may be shared, while none of them listens.
+ */
+static int
+bind_port(int port, int may_share)
+{
+	struct sockaddr_in address = loopback(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpint(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &may_share,
+			    sizeof(may_share)),
+	    ==, 0);
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	g_assert_cmpint(errno, ==, EADDRINUSE);
+	close(fd);
+	return -1;
+}
+
+/*
+ * Reserves a block of ports for this test and returns the first one, whose
+ * socket stays bound until the test exits: tests that run at once use different
+ * blocks. Each begins its search elsewhere.
+ */
+static int
+reserve_block(void)
+{
+	int start = (int)getpid() % BLOCKS;
+
+	for (int i = 0; i < BLOCKS; i++) {
+		int port = PORT_FIRST + (start + i) % BLOCKS * BLOCK_PORTS;
+
+		if (bind_port(port, false) >= 0)
+			return port;
+	}
+	g_error("no block of ports is free from %d to %d", PORT_FIRST,
+	    PORT_END - 1);
+}
+
+/*
+ * Finds ports that nothing listens on, the next ones of this test's block. Like
+ * the process that is to listen, it ignores a port's closed connections.
+ */
 static void
 find_ports(struct stop_fixture *f)
 {
-	int fds[STOP_PORT_COUNT];
+	static int block, used;
+	size_t count = 0;
 
-	for (size_t i = 0; i < STOP_PORT_COUNT; i++) {
-		struct sockaddr_in address = loopback(0);
-		socklen_t length = sizeof(address);
+	if (block == 0)
+		block = reserve_block();
+	for (int i = 1; i < BLOCK_PORTS && count < STOP_PORT_COUNT; i++) {
+		int port = block + 1 + used++ % (BLOCK_PORTS - 1);
+		int fd = bind_port(port, true);
 
-		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
-		g_assert_cmpint(
-		    bind(fds[i], (struct sockaddr *)&address, length), ==, 0);
-		getsockname(fds[i], (struct sockaddr *)&address, &length);
-		f->ports[i] = ntohs(address.sin_port);
+		if (fd < 0)
+			continue;
+		close(fd);
+		f->ports[count++] = port;
 	}
-	for (size_t i = 0; i < STOP_PORT_COUNT; i++)
-		close(fds[i]);
+	g_assert_cmpuint(count, ==, STOP_PORT_COUNT);
 }
 
 /* Connects to a port of the process; -1 if that is refused. */
