Each call to a plain service has a connection of its own

Callers behind a sidecar got the response to another request: a service that answers a GET twice, the second time late, had its second response taken for that to the next GET on the kept connection.

Cause: nothing tells a response on a kept connection from the one that is due; plain services echo no id.

Evidence: test_upstream, "a response that comes twice is not the next one's", failed before: ("first1 first1" == "first1 other1").

--- a/src/upstream/plain.c
+++ b/src/upstream/plain.c
@@ -115,6 +115,7 @@
 	char *url = g_strconcat(plain->url, request->path[0] == '/' ? "" : "/",
 	    request->path, NULL);
 	struct http_call_request http = {.method = request->method,
+	    .dedicated_connection = true,
 	    .url = url,
 	    .headers = headers,
 	    .body = request->body,
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -2,7 +2,11 @@
  * The dialects, tested with a server that sends one scripted response for each
  * stream that is requested.
  */
+#include <sys/socket.h>
+
+#include <netinet/in.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/httpd.h"
 #include "upstream/event_stream.h"
@@ -424,6 +428,89 @@
 	tear_down(&f);
 }
 
+#define WHOLE(text) "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" text
+
+/* Reads one request, or what there is of it. */
+static void
+read_request(int fd)
+{
+	char text[4096];
+
+	g_assert_cmpint(read(fd, text, sizeof(text)), >, 0);
+}
+
+/*
+ * Serves two requests. A second one on the first connection gets the response
+ * to the first one again.
+ */
+static void *
+serve_twice(void *data)
+{
+	static const char again[] = WHOLE("first") WHOLE("other");
+	int listener = GPOINTER_TO_INT(data);
+	int first = accept(listener, NULL, NULL);
+	char byte;
+
+	read_request(first);
+	g_assert_cmpint(write(first, again, strlen(again) / 2), >, 0);
+	if (read(first, &byte, 1) > 0) {
+		g_assert_cmpint(write(first, again, strlen(again)), >, 0);
+		return NULL;
+	}
+	close(first);
+	first = accept(listener, NULL, NULL);
+	read_request(first);
+	g_assert_cmpint(
+	    write(first, again + strlen(again) / 2, strlen(again) / 2), >, 0);
+	close(first);
+	return NULL;
+}
+
+/* The response is complete. */
+static void
+on_call_end(void *data, const struct upstream_end *end)
+{
+	g_assert_no_error(end->error);
+	ev_break(((struct fixture *)data)->loop, EVBREAK_ALL);
+}
+
+/* One more response to a request is not taken for the next one's. */
+static void
+test_extra_response(void)
+{
+	static const struct upstream_call_ops ops = {on_event, on_call_end};
+	static const struct upstream_request request = {
+	    .work = WORK_CALL, .id = "r7", .method = "GET", .path = "/a"};
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct fixture f = {
+	    .loop = ev_loop_new(EVFLAG_AUTO), .log = g_string_new(NULL)};
+	GThread *server;
+
+	g_assert_cmpint(
+	    bind(listener, (struct sockaddr *)&address, length), ==, 0);
+	g_assert_cmpint(listen(listener, 2), ==, 0);
+	getsockname(listener, (struct sockaddr *)&address, &length);
+	server = g_thread_new("server", serve_twice, GINT_TO_POINTER(listener));
+	f.http = http_client_new(f.loop, NULL);
+	g_snprintf(f.url, sizeof(f.url), "http://127.0.0.1:%d",
+	    ntohs(address.sin_port));
+	f.upstream = upstream_plain_new(f.http, f.url);
+	for (int i = 0; i < 2; i++) {
+		upstream_start(f.upstream, &request, &ops, &f);
+		ev_run(f.loop, 0);
+	}
+	g_assert_cmpstr(f.log->str, ==, "first1 other1");
+	g_thread_join(server);
+	close(listener);
+	upstream_free(f.upstream);
+	http_client_free(f.http);
+	ev_loop_destroy(f.loop);
+	g_string_free(f.log, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -431,6 +518,9 @@
 	g_test_add_func(
 	    "/upstream/plain/requests and responses are passed on unchanged",
 	    test_plain);
+	g_test_add_func("/upstream/plain/a response that comes twice is not "
+			"the next one's",
+	    test_extra_response);
 	g_test_add_func(
 	    "/upstream/event_stream/bytes behind a NUL are not cut off",
 	    test_nul);
