Names and comments of events in doubt, after reading the diff

The header of event_numbering said that a distance counts once two streams have had it; it is three in a row. request_id_matches was another word for "no mismatch", and classify() asked for the seal a second time, which headers_parse_response() has done: a success without one is a mismatch. No logic is changed.

--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -78,12 +78,12 @@
 	    memcmp(name, expected, length) == 0;
 }
 
-/* What the lines of an event are, beside the event. */
+/* Lines of an event so far, by kind. */
 struct event_lines {
 	size_t ids; /* numeric or not */
 	bool has_data;
 	bool has_inner_comment; /* after an id or data */
-	bool has_unknown; /* a line that is no field, or not one line */
+	bool has_unknown; /* a line that is no field, or has a CR or NUL */
 };
 
 /* Reads one line, without its line end, that is not empty. */
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -23,10 +23,10 @@
 struct stream_event {
 	const uint8_t *bytes; /* its terminating empty line included */
 	size_t length;
-	bool is_blank; /* no event to a caller: neither data nor an id */
+	bool is_blank; /* comments and settings only; callers see no event */
 	bool has_id; /* that is a number */
 	uint64_t id; /* the last one, if there are several */
-	bool is_malformed; /* has a line that no event has */
+	bool is_malformed; /* has lines that no event of an upstream has */
 };
 
 /* Called with each complete event. */
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -50,7 +50,7 @@
 
 	return upstream == exchange->upstream &&
 	    (response->not_run ||
-		(response->request_id_matches && response->has_server_seal));
+		(response->mismatch == NULL && response->has_server_seal));
 }
 
 /* Applies what an upstream says of itself in the headers of a response. */
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -61,8 +61,7 @@
 
 	if (response->not_run)
 		return VERDICT_NOT_RUN;
-	if (!response->request_id_matches ||
-	    (is_success(status) && !response->has_server_seal))
+	if (response->mismatch != NULL)
 		return VERDICT_MISMATCH;
 	if (exchange->streaming &&
 	    (status != STATUS_OK || !response->event_stream))
--- a/src/policy/event_numbering.h
+++ b/src/policy/event_numbering.h
@@ -4,10 +4,10 @@
  *
  * Load pattern: an upstream now and then adds bytes to a stream that its run
  * did not make, also before the first event. Nothing in that stream tells an
- * event that was added from the first one; earlier streams of the route do. One
- * stream alone may be wrong, so what widens the route's ids counts once two
- * have had it. A route whose streams change is learned anew after some that
- * were cut.
+ * event that was added from the first one; earlier streams of the route do. Any
+ * of them may be wrong too, so a larger distance of ids counts only once
+ * EVENT_NUMBERING_STREAMS_MIN streams in a row have had it. A route whose
+ * streams change is learned anew after some that were cut.
  */
 #ifndef POLICY_EVENT_NUMBERING_H
 #define POLICY_EVENT_NUMBERING_H
@@ -15,11 +15,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* So many streams cut in a row without a complete one: the route has changed.
+/*
+ * The route has changed if so many streams in a row were cut because of an
+ * event in doubt.
  */
 #define EVENT_NUMBERING_DOUBTS_MAX 8
 
-/* So many complete streams, in a row for distances, tell what is usual. */
+/*
+ * Complete streams of which a route is known; for a distance of ids, so many in
+ * a row.
+ */
 #define EVENT_NUMBERING_STREAMS_MIN 3
 /*
  * Where distances vary, an id may be so many times further from the last one
--- a/src/policy/event_position.c
+++ b/src/policy/event_position.c
@@ -110,9 +110,9 @@
 }
 
 /*
- * Returns whether an id that streams of the route don't have at this place is
- * no fault if the next one is higher: another run can't be asked and the route
- * is not known, or ids are known to jump here.
+ * Returns whether the next event may confirm an id that is unusual for the
+ * route: if ids are known to jump or to begin anywhere, or if neither the route
+ * is known nor another run can be asked.
  */
 static bool
 may_jump(const struct event_position *position,
@@ -298,8 +298,8 @@
 }
 
 /*
- * An event was accepted since the next one confirmed it: the stream shows how
- * streams of a route begin that was not known.
+ * The first event was confirmed by the next one. That teaches how a route's
+ * streams begin before one of them has ended, which may take long.
  */
 void
 event_position_learn_begin(
