A new caller is not rejected for one that may come back

One that did come back was served at 1.5 to 2 times the cost that a new one may have, and one above such a ratio was not told to come back at all.

Cause: policy/return_queue recognised callers by their requests, kept capacity for them and judged them by ratios of its own. No promise tells a first try from a repeat; what differs is the time that is left, and that is judged for everybody.

Change: the queue, its setting, its rows in load reports and what judged by it go. policy/return_time tells a rejected caller when there is room, a random part later, within its patience where the room is, and nothing where it could not be served by then (before: the backlog and 500 ms for all).

The turns in load reports went from test_load_sync and test_message with the messages.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -65,7 +65,6 @@
 	double cold_slack; /* requests per second */
 	int64_t hold_ms; /* duration of one memory reservation */
 	double cpu_share; /* cores that this host has; 0 if unknown */
-	char *return_queue; /* on or off */
 	int64_t memory_mb; /* of the host; 0 for unknown */
 	double link_mbps; /* of the host; 0 for unknown */
 	int64_t prompt_cache_ms; /* engines keep a prompt; 0: they don't */
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -109,10 +109,6 @@
 	.default_value = "0", .max = CPU_SHARE_MAX, .argument = "CORES",
 	.help = "CPU time that this host has, 0.09 for 9% of a core; 0 if "
 		"unknown"},
-    {"return-queue", SETTING_CHOICE, FOR_GATEWAY, AT(return_queue),
-	.default_value = "off", .choices = "on|off", .argument = "on|off",
-	.help = "give callers rejected for lack of capacity a turn to return, "
-		"which all gateways keep"},
     {"memory-mb", SETTING_NUMBER, FOR_GATEWAY, AT(memory_mb),
 	.default_value = "0", .max = MEMORY_MAX_MB, .argument = "MB",
 	.help = "memory of this host; 0 for unknown"},
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -145,7 +145,6 @@
 	if (exchange->finished)
 		return;
 	exchange->finished = true;
-	exchange_return_end(exchange);
 	ev_timer_stop(exchange->context->loop, &exchange->deadline_timer);
 	ev_timer_stop(exchange->context->loop, &exchange->wait_timer);
 	metric_observe(&answer_ms, took);
@@ -199,12 +198,10 @@
 	}
 	exchange->status = kind->status;
 	metric_add(&refused, 1);
-	LOG_INFO("request refused", "{s:s?, s:s, s:s, s:i, s:I, s:i, s:I, s:f}",
+	LOG_INFO("request refused", "{s:s?, s:s, s:s, s:i, s:I, s:i}",
 	    "request", exchange->caller_headers.request_id, "code", kind->code,
 	    "why", why, "status", kind->status, "retry_after_ms",
-	    (json_int_t)retry_after_ms, "tries", (int)exchange->tries, "turn",
-	    (json_int_t)exchange->turn.ticket, "ahead_ms",
-	    exchange->turn.ahead_ms);
+	    (json_int_t)retry_after_ms, "tries", (int)exchange->tries);
 	httpd_respond(
 	    exchange->http, kind->status, headers, count, text, strlen(text));
 	exchange_finish(exchange, kind->code);
@@ -393,7 +390,6 @@
 	    exchange_reject_if_host_short(exchange))
 		return;
 	set_deadline(exchange);
-	exchange_return_arrive(exchange);
 	exchange_send(exchange);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -25,7 +25,6 @@
 #include "gateway/retry_sync.h"
 #include "gateway/routing_state.h"
 #include "policy/drain.h"
-#include "policy/return_queue.h"
 #include "policy/return_slots.h"
 
 struct exchange;
@@ -50,8 +49,6 @@
 	double cold_ratio;
 	double cold_slack;
 	int64_t hold_ms; /* reservation lifetime between renewals */
-	struct return_queue
-	    *return_queue; /* NULL: rejected callers get no turn */
 	GHashTable *durations; /* route -> struct duration */
 	GHashTable *return_slots; /* service -> struct return_slots */
 	struct host_monitor *host; /* NULL if no limits are known */
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -2,8 +2,8 @@
  * Shared by the files of an exchange: exchange.c, its start, end and refusals;
  * _selection.c, which upstreams it may use; _prefill.c, where its prompt is
  * prefilled and its KV cache kept; _prompt.c, which upstreams are believed to
- * hold a prefix of it; _rank.c, how urgent it is; _return.c, when it comes back
- * and in which turn; _send.c, sending it; _response.c, forwarding the response;
+ * hold a prefix of it; _rank.c, how urgent it is; _return.c, when it comes
+ * back; _send.c, sending it; _response.c, forwarding the response;
  * _events.c, its events; _health.c, what the outcome says about an upstream;
  * _retry.c, whether it is sent again; _explain.c, where it would go.
  */
@@ -138,13 +138,6 @@
 	bool disconnected; /* the connection broke during the send */
 	const char *send_error; /* why not forwarded; or NULL */
 
-	/* Queue of rejected callers. */
-	struct return_status return_status; /* if it came back */
-	struct return_turn turn; /* given with a rejection */
-	bool returned; /* it came back after a rejection */
-	bool yields; /* to requests that come back */
-	bool misses_deadline; /* can't be served before its deadline */
-
 	/* Response. */
 	int status; /* sent to the caller; 0 before that */
 	struct response_headers response;
@@ -215,12 +208,9 @@
 void exchange_retry_or_fail(
     struct exchange *, enum send_outcome, const char *why);
 int64_t exchange_retry_after_ms(struct exchange *);
-void exchange_return_arrive(struct exchange *);
-void exchange_return_on_send(struct exchange *);
-void exchange_return_end(struct exchange *);
-int64_t exchange_return_after_ms(struct exchange *, double room_ms,
-    const struct balance_plan *, int64_t default_ms);
-int64_t exchange_return_after_backlog_ms(struct exchange *, int64_t default_ms);
+int64_t exchange_return_after_ms(
+    const struct exchange *, double room_ms, const struct balance_plan *);
+double exchange_mean_backlog_ms(const struct exchange *);
 void exchange_fail(struct exchange *, enum refusal not_run,
     int64_t retry_after_ms, const char *why);
 void exchange_finish(struct exchange *, const char *how);
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -298,12 +298,8 @@
 	struct exchange_context *context = exchange->context;
 	int64_t left_ms = EXCHANGE_RETRY_AFTER_MS;
 	struct selection selection;
-	bool may_queue;
 
 	selection_collect(exchange, SELECTION_ANY, &selection);
-	/* Named rates and upstreams that want no requests have own times. */
-	may_queue = selection.eligible > 0 && selection.deferred == 0 &&
-	    selection.rate_per_s <= 0.0;
 	if (selection_is_deferred(&selection))
 		left_ms = selection.deferred_ms;
 	if (selection_is_deferred(&selection) && selection.rate_per_s > 0.0)
@@ -311,9 +307,7 @@
 		    selection.rate_per_s / load_sync_count(context->load_sync),
 		    clock_monotonic(context->clock));
 	selection_clear(&selection);
-	left_ms = quiet_retry_after_ms(left_ms, context->random);
-	return may_queue ? exchange_return_after_backlog_ms(exchange, left_ms)
-			 : left_ms;
+	return quiet_retry_after_ms(left_ms, context->random);
 }
 
 /* Returns the stream class for the route's gap target. */
@@ -398,22 +392,6 @@
 	return verdict;
 }
 
-/*
- * Returns whether a prompt would be too costly for these candidates, as far as
- * their load goes. Changes nothing.
- */
-bool
-selection_is_too_costly(
-    const struct exchange *exchange, const struct selection *selection)
-{
-	const struct balance_prompt prompt = make_balance_prompt(exchange);
-	struct balance_plan ignored;
-
-	return has_predictable_prompt(exchange) &&
-	    plan_prompt(exchange, selection, &prompt, &ignored) ==
-	    BALANCE_TOO_COSTLY;
-}
-
 /* Plans which upstreams serve the request, or returns why none does. */
 enum balance_verdict
 selection_plan(struct exchange *exchange, const struct selection *selection,
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -61,13 +61,9 @@
 enum stream_class exchange_stream_class(const struct exchange *);
 bool exchange_has_reliable_upstream(struct exchange *);
 bool exchange_may_wait(const struct exchange *, enum balance_verdict);
-bool selection_is_too_costly(const struct exchange *, const struct selection *);
 enum balance_verdict selection_plan(
     struct exchange *, const struct selection *, struct balance_plan *);
 
-bool exchange_return_holds(struct exchange *, const struct selection *,
-    const struct balance_plan *, enum balance_verdict *);
-
 void exchange_add_prefill(
     struct exchange *, const struct selection *, const struct balance_plan *);
 uint64_t exchange_reserved_tokens(const struct balance_plan *);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -29,7 +29,6 @@
 	struct timespec now = clock_monotonic(exchange->context->clock);
 	struct fleet_upstream *upstream = selection->upstreams[plan->first];
 
-	exchange_return_on_send(exchange);
 	exchange_begin_prompt(exchange, selection, plan);
 	exchange->upstream = upstream;
 	exchange->send_outcome = SEND_OPEN;
@@ -179,8 +178,8 @@
 		    "an engine did not reserve memory for the prompt");
 	else
 		exchange_fail(exchange, REFUSAL_OVERLOADED,
-		    exchange_return_after_backlog_ms(
-			exchange, EXCHANGE_RETRY_AFTER_MS),
+		    exchange_return_after_ms(
+			exchange, exchange_mean_backlog_ms(exchange), NULL),
 		    "the engines did not reserve memory for the prompt");
 }
 
@@ -317,19 +316,14 @@
 {
 	const char *why;
 	enum refusal refusal = exchange_refusal(selection, verdict, &why);
-	int64_t wait_ms = (int64_t)plan->wait_ms + EXCHANGE_RETRY_AFTER_MS;
+	int64_t wait_ms;
 
-	if (refusal == REFUSAL_OVERLOADED && !exchange->yields)
+	if (refusal == REFUSAL_OVERLOADED) {
 		log_rejected_prompt(exchange, selection, plan);
-	if (exchange->yields)
-		why = "requests that were rejected before come first now";
-	if (refusal != REFUSAL_OVERLOADED)
+		wait_ms = exchange_return_after_ms(
+		    exchange, plan->wait_ms, plan);
+	} else
 		wait_ms = exchange_retry_after_ms(exchange);
-	else
-		wait_ms = exchange_return_after_ms(exchange,
-		    verdict == BALANCE_NO_MEMORY ? (double)wait_ms
-						 : plan->wait_ms,
-		    plan, wait_ms);
 	exchange_fail(exchange, refusal, wait_ms, why);
 }
 
@@ -368,10 +362,7 @@
 	/* A request that was sent before continues at any cost. */
 	if (*verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
 		*verdict = BALANCE_SERVE;
-	if (exchange_return_holds(exchange, selection, plan, verdict))
-		return DECISION_WAIT;
-	if (exchange->tries == 0 && !exchange->misses_deadline &&
-	    exchange_may_wait(exchange, *verdict))
+	if (exchange->tries == 0 && exchange_may_wait(exchange, *verdict))
 		return DECISION_WAIT;
 	if (*verdict == BALANCE_SERVE)
 		return DECISION_SEND;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -51,7 +51,6 @@
 	struct load_sync *load_sync;
 	struct crash_sync *crash_sync;
 	struct rate_sync *rate_sync;
-	struct return_queue *return_queue; /* NULL if it is off */
 	struct exchange_context exchange_context;
 	struct httpd *callers;
 	struct ev_timer start_timer;
@@ -220,7 +219,6 @@
 	    .cold_ratio = settings->cold_ratio,
 	    .cold_slack = settings->cold_slack,
 	    .hold_ms = settings->hold_ms - HOLD_RESERVE_MS,
-	    .return_queue = gateway->return_queue,
 	};
 	gateway->exchange_context.retry_sync = retry_sync_new(gateway->clock,
 	    node_mesh(gateway->node), gateway->load_sync,
@@ -337,9 +335,6 @@
 	gateway->rate_sync = rate_sync_new(gateway->loop, gateway->clock,
 	    node_mesh(gateway->node), gateway->load_sync,
 	    routing_state_fleet(gateway->routing_state));
-	if (strcmp(settings->return_queue, "on") == 0)
-		gateway->return_queue = return_queue_new();
-	load_sync_set_return_queue(gateway->load_sync, gateway->return_queue);
 	init_exchange_context(gateway);
 	return open_callers(gateway, error);
 }
@@ -360,7 +355,6 @@
 	rate_sync_free(gateway->rate_sync);
 	crash_sync_free(gateway->crash_sync);
 	load_sync_free(gateway->load_sync);
-	return_queue_free(gateway->return_queue);
 	registry_free(gateway->registry);
 	routing_state_free(gateway->routing_state);
 	object_store_free(gateway->store);
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -6,9 +6,6 @@
 
 #include "base/clock.h"
 
-/* Numbers of a turn in a report: see load_report_add_returning(). */
-#define TURN_NUMBERS 5
-
 /* Allocates the arrays of a report. */
 void
 load_report_init(struct load_report *report, size_t max)
@@ -47,7 +44,6 @@
 	g_free(report->rated_starts);
 	g_free(report->rates);
 	g_free(report->rate_ages_ms);
-	g_free(report->returning);
 }
 
 /* Adds our load on an upstream to a report. */
@@ -81,61 +77,6 @@
 	    time_diff_ms(now, rate->seen_at), 0);
 }
 
-/*
- * Adds the turns of rejected callers that are new since the last report, or all
- * of this gateway's. They share one array, so that a report without turns is
- * only one byte longer.
- */
-void
-load_report_add_returning(struct load_report *report,
-    struct return_queue *queue, bool changes, struct timespec now)
-{
-	struct return_row rows[RETURN_QUEUE_REPORT_MAX];
-	size_t count = return_queue_collect(queue, changes, rows, now);
-
-	if (count == 0)
-		return;
-	report->returning = g_new(uint64_t, count * TURN_NUMBERS);
-	report->returning_count = count * TURN_NUMBERS;
-	for (size_t i = 0; i < count; i++) {
-		uint64_t *numbers = &report->returning[i * TURN_NUMBERS];
-
-		numbers[0] = rows[i].ticket;
-		numbers[1] = rows[i].fingerprint;
-		numbers[2] = (uint64_t)rows[i].class.service * RETURN_RANKS +
-		    MIN(rows[i].class.rank, RETURN_RANKS - 1);
-		numbers[3] = rows[i].lapse_ms;
-		numbers[4] = rows[i].work_ms;
-	}
-}
-
-/* Applies the turns of rejected callers that a peer has reported. */
-void
-load_report_apply_returning(const struct message_load *message,
-    struct return_queue *queue, struct timespec now)
-{
-	size_t count = MIN(
-	    message->returning.count / TURN_NUMBERS, RETURN_QUEUE_REPORT_MAX);
-
-	for (size_t i = 0; i < count; i++) {
-		const uint64_t *numbers = message->returning.items +
-		    i * TURN_NUMBERS;
-		const struct return_row row = {
-		    .ticket = (uint32_t)numbers[0],
-		    .fingerprint = numbers[1],
-		    .class =
-			{
-			    .service = (uint32_t)(numbers[2] / RETURN_RANKS),
-			    .rank = (uint32_t)(numbers[2] % RETURN_RANKS),
-			},
-		    .lapse_ms = numbers[3],
-		    .work_ms = numbers[4],
-		};
-
-		return_queue_on_report(queue, &row, now);
-	}
-}
-
 /* Returns whether there is no load. */
 bool
 load_report_is_idle(const struct upstream_load *load)
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -11,7 +11,6 @@
 #include <time.h>
 
 #include "peer/message.h"
-#include "policy/return_queue.h"
 #include "routing/fleet.h"
 
 /* Rows of a report; the arrays have room for all upstreams. */
@@ -32,8 +31,6 @@
 	uint64_t *rates;
 	uint64_t *rate_ages_ms;
 	size_t rated_count;
-	uint64_t *returning; /* several numbers a turn; NULL for none */
-	size_t returning_count; /* of the numbers */
 };
 
 void load_report_init(struct load_report *, size_t max);
@@ -41,10 +38,6 @@
 void load_report_add_load(struct load_report *, struct fleet_upstream *);
 void load_report_add_rate(
     struct load_report *, const struct fleet_upstream *, struct timespec now);
-void load_report_add_returning(struct load_report *, struct return_queue *,
-    bool changes, struct timespec now);
-void load_report_apply_returning(
-    const struct message_load *, struct return_queue *, struct timespec now);
 bool load_report_is_idle(const struct upstream_load *);
 bool load_report_is_known(const struct fleet_upstream *);
 
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -24,7 +24,6 @@
 	struct fleet *fleet;
 	struct mesh_handler handler;
 	struct peer_loads *peers;
-	struct return_queue *return_queue; /* or NULL */
 	struct rank_sync *ranks;
 	GHashTable *addresses; /* name -> address, as the peers report them */
 	GArray *members; /* of struct rate_member: this process and the peers */
@@ -122,9 +121,6 @@
 		relay_message(sync, origin, message);
 	if (is_load)
 		take_address(sync, origin, message->load.address);
-	if (is_load && sync->return_queue != NULL)
-		load_report_apply_returning(&message->load, sync->return_queue,
-		    clock_monotonic(sync->clock));
 	if (is_load) {
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
@@ -322,16 +318,6 @@
 	return shared_rate_view(members, count);
 }
 
-/*
- * Exchanges the turns of rejected callers too. The queue must outlive the
- * exchange of loads; NULL for none.
- */
-void
-load_sync_set_return_queue(struct load_sync *sync, struct return_queue *queue)
-{
-	sync->return_queue = queue;
-}
-
 /* Returns the name of this process among the gateways. */
 const char *
 load_sync_self(const struct load_sync *sync)
@@ -416,7 +402,7 @@
 {
 	bool empty = report->rows == 0 && report->faulty_count == 0 &&
 	    report->leaving_count == 0 && report->rated_count == 0 &&
-	    report->returning_count == 0 && ranks->len == 0;
+	    ranks->len == 0;
 
 	if (empty && sync->idle_rounds > 0 &&
 	    sync->idle_rounds++ < LOAD_SYNC_IDLE_ROUNDS)
@@ -455,9 +441,6 @@
 
 	load_report_init(&report, fleet_count(sync->fleet));
 	collect_report(sync, &report, changes);
-	if (sync->return_queue != NULL)
-		load_report_add_returning(&report, sync->return_queue, changes,
-		    clock_monotonic(sync->clock));
 	message.load = (struct message_load){
 	    .cannot_watch = cannot_watch(sync),
 	    .upstreams = {report.ids, report.rows},
@@ -480,7 +463,6 @@
 	    .address = changes && is_settled(sync) ? NULL : sync->address,
 	    .cpu_permille = sync->cpu_permille,
 	    .waiting = {(uint64_t *)(void *)ranks->data, ranks->len},
-	    .returning = {report.returning, report.returning_count},
 	    .gateways = count_known(sync),
 	    .holds_retry_share = sync->holds_retry_share,
 	    .is_new = is_new(sync),
@@ -558,9 +540,6 @@
 	rank_sync_expire(sync->ranks, round_ms(sync) * LOAD_SYNC_TIMEOUT_ROUNDS,
 	    clock_monotonic(sync->clock));
 	fleet_expire(sync->fleet, clock_monotonic(sync->clock));
-	if (sync->return_queue != NULL)
-		return_queue_expire(
-		    sync->return_queue, clock_monotonic(sync->clock));
 	set_reporting_peers(sync);
 	decide_watching(sync);
 	if (sync->on_round != NULL)
--- a/src/gateway/load_sync.h
+++ b/src/gateway/load_sync.h
@@ -17,7 +17,6 @@
 #include "gateway/routing_state.h"
 #include "peer/mesh.h"
 #include "policy/retry_share.h"
-#include "policy/return_queue.h"
 #include "policy/shared_rate.h"
 
 /* Interval between rounds, and what each peer adds to it. */
@@ -76,7 +75,6 @@
     struct routing_state *);
 void load_sync_free(struct load_sync *);
 void load_sync_start_draining(struct load_sync *);
-void load_sync_set_return_queue(struct load_sync *, struct return_queue *);
 struct rank_sync *load_sync_ranks(const struct load_sync *);
 const char *load_sync_self(const struct load_sync *);
 const char *load_sync_address(const struct load_sync *, const char *name);
--- a/tests/experiment/engine.h
+++ b/tests/experiment/engine.h
@@ -41,8 +41,6 @@
 	bool is_large; /* among the prompts of its rank */
 	bool waiting; /* counted as such by its gateway */
 	bool noticed; /* the other gateways know of it */
-	uint32_t ticket; /* of its turn to return; 0: none */
-	bool is_back; /* its turn is known to the gateway */
 	bool decoding; /* its prefill is complete */
 	bool ended; /* complete, or abandoned by its caller */
 	bool released; /* ended and no longer counted by its gateway */
--- a/tests/experiment/experiment.c
+++ b/tests/experiment/experiment.c
@@ -30,10 +30,9 @@
 	gboolean by_rank;
 	gboolean prompts;
 	gboolean patience;
-	gboolean return_queue;
 	char *reuse;
 } options = {NULL, SEEDS_DEFAULT, SECONDS_DEFAULT, ENGINES_DEFAULT,
-    GATEWAYS_DEFAULT, NULL, NULL, 0, FALSE, FALSE, FALSE, FALSE, NULL};
+    GATEWAYS_DEFAULT, NULL, NULL, 0, FALSE, FALSE, FALSE, NULL};
 
 static const GOptionEntry entries[] = {
     {"loads", 0, 0, G_OPTION_ARG_STRING, &options.loads,
@@ -59,8 +58,6 @@
 	"Compare the model with a gateway's log", "FILE"},
     {"patience", 0, 0, G_OPTION_ARG_NONE, &options.patience,
 	"Callers wait for at most a third of their time left", NULL},
-    {"return-queue", 0, 0, G_OPTION_ARG_NONE, &options.return_queue,
-	"Refused callers get turns to return", NULL},
     {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
 };
 
@@ -145,7 +142,6 @@
 	    .notice_ms = options.notice_ms,
 	    .by_rank = options.by_rank,
 	    .patience = options.patience,
-	    .return_queue = options.return_queue,
 	};
 	struct outcome outcomes[STREAM_CLASSES] = {0};
 
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -7,15 +7,15 @@
 #include "policy/affinity.h"
 #include "policy/precedence.h"
 #include "policy/rank_ledger.h"
-#include "policy/return_queue.h"
+#include "policy/return_time.h"
 #include "traffic.h"
 
 /* Tick of the model's clock. */
 #define TICK_MS 5.0
 /* Latency between a gateway and an engine. */
 #define NETWORK_LATENCY_MS 1.0
-/* Added to the backlog in the retry time of a refusal, as a gateway does. */
-#define RETRY_AFTER_EXTRA_MS 500.0
+/* Share of their time left for which callers wait, with patience. */
+#define PATIENCE_SHARE (1.0 / 3.0)
 /* A caller retries once. */
 #define REFUSALS_MAX 2
 
@@ -35,7 +35,6 @@
 	struct rank_counts published_counts[PRECEDENCE_RANKS];
 	double last_publish_ms;
 	double next_publish_ms;
-	struct return_queue *queue; /* NULL: off */
 };
 
 struct model {
@@ -170,134 +169,31 @@
 	notice(model, gateway, prompt);
 }
 
-/* Returns the load of all gateways, or of one, in running requests. */
-static double
-count_running(const struct model *model, const struct gateway *only)
-{
-	double total = 0.0;
-
-	for (size_t i = 0; i < model->settings->gateways; i++) {
-		const struct gateway *gateway = &model->gateways[i];
-
-		for (size_t j = 0; j < model->settings->engines; j++)
-			if (only == NULL || gateway == only)
-				total += gateway->own[j].running;
-	}
-	return total;
-}
-
-/*
- * Returns a refused prompt's turn in milliseconds; below 0 if it gets none.
- */
-static double
-take_turn(struct model *model, struct gateway *gateway, struct prompt *prompt,
-    const struct balance_plan *plan)
+/* Refuses a prompt: its caller retries later, or gives up the last time. */
+static void
+refuse(
+    struct model *model, struct prompt *prompt, const struct balance_plan *plan)
 {
+	double left_ms = prompt->arrived_ms +
+	    prompt_classes[prompt->class].deadline_ms - model->now_ms;
 	const struct return_ask ask = {
-	    .fingerprint = (uint64_t)(uintptr_t)prompt,
-	    .class = {.service = 1},
-	    .work_ms = engine_profile_prefill_ms(
-		model->settings->profile, prompt->tokens),
-	    .servers = (double)model->settings->engines,
 	    .room_ms = plan->wait_ms,
-	    .left_ms = prompt->arrived_ms +
-		prompt_classes[prompt->class].deadline_ms - model->now_ms,
+	    .left_ms = left_ms,
 	    .serve_ms = plan->part_ms,
-	    .cost_ratio = plan->cost / plan->worth,
-	    .share = (count_running(model, gateway) + 1.0) /
-		(count_running(model, NULL) + 1.0),
-	    .ticket = g_rand_int(model->random),
 	    .phase = g_rand_double(model->random),
 	};
-	const struct return_turn turn = return_queue_take(
-	    gateway->queue, &ask, time_from_ms((int64_t)model->now_ms));
-
-	prompt->ticket = turn.ticket;
-	return turn.ticket != 0 ? (double)turn.wait_ms : -1.0;
-}
-
-/* Refuses a prompt: its caller retries later, or gives up the last time. */
-static void
-refuse(struct model *model, struct gateway *gateway, struct prompt *prompt,
-    const struct balance_plan *plan)
-{
-	double wait_ms = plan->wait_ms + RETRY_AFTER_EXTRA_MS;
-	double left_ms = prompt->arrived_ms +
-	    prompt_classes[prompt->class].deadline_ms - model->now_ms;
+	double wait_ms = (double)return_time_ms(&ask);
 
 	if (prompt->refusals == 0)
 		prompt->refused_ms = model->now_ms;
-	if (gateway->queue != NULL && prompt->is_back)
-		return_queue_end(gateway->queue, prompt->ticket);
-	prompt->is_back = false;
-	prompt->ticket = 0;
 	prompt->ended = ++prompt->refusals >= REFUSALS_MAX;
-	if (!prompt->ended && gateway->queue != NULL)
-		wait_ms = take_turn(model, gateway, prompt, plan);
-	if (wait_ms < 0.0 ||
-	    (model->settings->patience && wait_ms > left_ms / 3.0))
+	if (wait_ms <= 0.0 ||
+	    (model->settings->patience && wait_ms > left_ms * PATIENCE_SHARE))
 		prompt->ended = true;
 	prompt->released = prompt->ended;
 	prompt->last_try_ms = model->now_ms + wait_ms;
 }
 
-/*
- * Returns whether a prompt would not be served if those of the callers that go
- * before it were being prefilled.
- */
-static bool
-must_yield(struct model *model, struct gateway *gateway,
-    const struct prompt *prompt, const struct balance_prompt *wanted,
-    struct balance_candidate *candidates)
-{
-	size_t count = model->settings->engines;
-	double kept_ms = return_queue_kept_ms(gateway->queue,
-	    (struct return_class){.service = 1},
-	    prompt->is_back ? prompt->ticket : 0,
-	    time_from_ms((int64_t)model->now_ms));
-	struct balance_plan ignored;
-
-	if (kept_ms <= 0.0 ||
-	    !balance_is_divisible(model->settings->profile, wanted))
-		return false;
-	for (size_t i = 0; i < count; i++)
-		candidates[i].backlog_ms += kept_ms / (double)count;
-	return balance_plan_prompt(model->settings->profile, candidates, count,
-		   wanted, &ignored) == BALANCE_TOO_COSTLY;
-}
-
-/*
- * Applies the turns to the verdict on a prompt as a gateway does; returns
- * whether it is held.
- */
-static bool
-apply_turns(struct model *model, struct gateway *gateway, struct prompt *prompt,
-    const struct balance_prompt *wanted, const struct balance_plan *plan,
-    struct balance_candidate *candidates, enum balance_verdict *verdict)
-{
-	double left_ms = prompt->arrived_ms +
-	    prompt_classes[prompt->class].deadline_ms - model->now_ms;
-	bool holds = return_queue_may_hold(
-	    wanted->waited_ms, wanted->target_ms, left_ms);
-
-	if (prompt->ticket != 0 && !prompt->is_back)
-		prompt->is_back = return_queue_arrive(gateway->queue,
-				      (uint64_t)(uintptr_t)prompt, 1,
-				      time_from_ms((int64_t)model->now_ms))
-				      .ticket != 0;
-	if (prompt->is_back) {
-		if (*verdict == BALANCE_TOO_COSTLY &&
-		    plan->first_token_ms < left_ms &&
-		    return_queue_admits(plan->cost, plan->worth, holds))
-			*verdict = BALANCE_SERVE;
-		return *verdict != BALANCE_SERVE && holds;
-	}
-	if (*verdict == BALANCE_SERVE &&
-	    must_yield(model, gateway, prompt, wanted, candidates))
-		*verdict = BALANCE_TOO_COSTLY;
-	return false;
-}
-
 /* Returns the ranks of the classes. */
 static struct precedence_ranks
 describe_ranks(void)
@@ -407,15 +303,9 @@
 	planned = verdict;
 	if (settings->by_rank)
 		verdict = rank_counts_rule(sums, &wanted, verdict);
-	if (gateway->queue != NULL &&
-	    apply_turns(
-		model, gateway, prompt, &wanted, &plan, candidates, &verdict))
-		return;
 	if (verdict == BALANCE_SERVE) {
 		affinity_adjust_plan(settings->profile, candidates,
 		    settings->engines, &wanted, &plan);
-		if (prompt->is_back)
-			return_queue_end(gateway->queue, prompt->ticket);
 		count_outcome(model, gateway, prompt,
 		    planned == BALANCE_SERVE ? RANK_SERVED : RANK_FORCED);
 		send(model, gateway, prompt, &plan);
@@ -423,7 +313,7 @@
 		count_waiting(gateway, prompt);
 	} else {
 		count_outcome(model, gateway, prompt, RANK_REJECTED);
-		refuse(model, gateway, prompt, &plan);
+		refuse(model, prompt, &plan);
 	}
 }
 
@@ -464,23 +354,6 @@
 	prompt->released = true;
 }
 
-/* Publishes a gateway's turns. */
-static void
-publish_turns(struct model *model, struct gateway *gateway)
-{
-	struct return_row rows[RETURN_QUEUE_REPORT_MAX];
-	struct timespec now = time_from_ms((int64_t)model->now_ms);
-	size_t count = return_queue_collect(gateway->queue, true, rows, now);
-
-	for (size_t i = 0; i < model->settings->gateways; i++) {
-		struct gateway *other = &model->gateways[i];
-
-		for (size_t j = 0; j < count && other != gateway; j++)
-			return_queue_on_report(other->queue, &rows[j], now);
-	}
-	return_queue_expire(gateway->queue, now);
-}
-
 /* Publishes a gateway's load to the others when due. */
 static void
 publish_load(struct model *model, struct gateway *gateway)
@@ -493,8 +366,6 @@
 	gateway->next_publish_ms = model->now_ms + model->settings->round_ms;
 	memcpy(gateway->published, gateway->own,
 	    model->settings->engines * sizeof(*gateway->own));
-	if (gateway->queue != NULL)
-		publish_turns(model, gateway);
 }
 
 /* Creates gateways and engines. */
@@ -513,8 +384,6 @@
 		gateway->own = g_new0(struct account, settings->engines);
 		gateway->published = g_new0(struct account, settings->engines);
 		gateway->prefill_until_ms = g_new0(double, settings->engines);
-		if (settings->return_queue)
-			gateway->queue = return_queue_new();
 		gateway->next_publish_ms = g_rand_double_range(
 		    model->random, 0.0, settings->round_ms);
 	}
@@ -530,7 +399,6 @@
 		g_free(model->gateways[i].own);
 		g_free(model->gateways[i].published);
 		g_free(model->gateways[i].prefill_until_ms);
-		return_queue_free(model->gateways[i].queue);
 	}
 	g_free(model->engines);
 	g_free(model->gateways);
--- a/tests/experiment/fleet_model.h
+++ b/tests/experiment/fleet_model.h
@@ -32,7 +32,6 @@
 	double notice_ms; /* until the others know of a prompt that was sent */
 	bool by_rank; /* placed by the ranks of the classes */
 	bool patience; /* callers wait for a third of their time left */
-	bool return_queue; /* they get turns, see policy/return_queue.h */
 	bool sticky; /* a session's requests all reach one gateway */
 	const struct fleet_model_ops *ops; /* NULL for none */
 	void *data; /* of these */
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -238,57 +238,6 @@
 	tear_down(&t);
 }
 
-/*
- * Turns of rejected callers reach another gateway, which keeps them when the
- * one that gave them is gone, and recognises their callers.
- */
-static void
-test_turns(void)
-{
-	static const struct load_case c = {
-	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
-	struct return_ask ask = {
-	    .class = {.service = return_queue_service("s", true), .rank = 2},
-	    .work_ms = 100.0,
-	    .servers = 10.0,
-	    .left_ms = 10000.0,
-	    .share = 1.0,
-	};
-	struct return_queue *first = return_queue_new();
-	struct return_queue *queues[OTHERS];
-	struct return_status status;
-	struct test t = {0};
-
-	set_up(&t, &c);
-	load_sync_set_return_queue(t.first.load_sync, first);
-	for (size_t i = 0; i < OTHERS; i++) {
-		ask.fingerprint = UINT64_MAX - i;
-		ask.ticket = UINT32_MAX - (uint32_t)i;
-		queues[i] = return_queue_new();
-		load_sync_set_return_queue(t.others[i].load_sync, queues[i]);
-		return_queue_take(
-		    queues[i], &ask, clock_monotonic(&t.others[i].clock.clock));
-	}
-	while (return_queue_count(first) < OTHERS)
-		ev_run(t.loop, EVRUN_ONCE);
-	for (size_t i = 0; i < OTHERS; i++) {
-		peer_gateway_stop(&t.others[i]);
-		return_queue_free(queues[i]);
-	}
-	for (size_t i = 0; i < OTHERS; i++) {
-		status = return_queue_arrive(first, UINT64_MAX - i,
-		    ask.class.service, clock_monotonic(&t.first.clock.clock));
-		g_assert_cmpuint(status.ticket, ==, UINT32_MAX - i);
-		g_assert_cmpint(status.early_ms, ==, RETURN_WAIT_MIN_MS);
-	}
-	mesh_remove_handler(t.first.mesh, &t.counter.handler);
-	peer_gateway_stop(&t.first);
-	return_queue_free(first);
-	fake_platform_free(t.platform);
-	ev_timer_stop(t.loop, &t.timeout);
-	ev_loop_destroy(t.loop);
-}
-
 /* A gateway that is in nobody's list becomes a peer of those it reports to. */
 static void
 test_unlisted(void)
@@ -383,9 +332,6 @@
 	    "/load_sync/the largest number that a peer knows counts "
 	    "where limits are divided",
 	    test_reported_count);
-	g_test_add_func("/load_sync/turns of rejected callers outlive the "
-			"gateway that gave them",
-	    test_turns);
 	g_test_add_func("/load_sync/a gateway that is not in the list yet is a "
 			"peer of those that it reports to",
 	    test_unlisted);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -7,7 +7,6 @@
 #include <glib.h>
 
 #include "peer/message.h"
-#include "policy/return_queue.h"
 
 #define FUZZ_ROUNDS    20000
 #define FUZZ_MAX_BYTES 256
@@ -180,35 +179,6 @@
 	}
 }
 
-/* A load report with the most turns of rejected callers stays small. */
-static void
-test_turns(void)
-{
-	static uint64_t values[RETURN_QUEUE_REPORT_MAX * 5];
-	struct message message = {.kind = MESSAGE_LOAD};
-	g_autoptr(GByteArray) empty = message_encode(&message, NULL);
-	g_autoptr(GByteArray) full = NULL;
-	struct message *decoded;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(values); i += 5) {
-		values[i] = UINT32_MAX;
-		values[i + 1] = UINT64_MAX - i;
-		values[i + 2] = UINT32_MAX;
-		values[i + 3] = 30000;
-		values[i + 4] = 4000;
-	}
-	message.load.returning = (struct u64_array){
-	    values, G_N_ELEMENTS(values)};
-	full = message_encode(&message, NULL);
-	g_test_message("%u bytes without, %u with", empty->len, full->len);
-	g_assert_cmpuint(full->len - empty->len, <=,
-	    RETURN_QUEUE_REPORT_MAX * RETURN_QUEUE_ROW_BYTES + 10);
-	decoded = message_decode(full->data, full->len, NULL);
-	g_assert_nonnull(decoded);
-	g_assert_cmpuint(decoded->load.returning.items[6], ==, UINT64_MAX - 5);
-	message_free(decoded);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -222,7 +192,6 @@
 	    test_cpu_time);
 	g_test_add_func(
 	    "/message/a damaged frame gives a message or an error", test_fuzz);
-	g_test_add_func("/message/turns of rejected callers", test_turns);
 	g_test_add_func("/message/random bytes give a message or an error",
 	    test_random_bytes);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad_frames); i++) {
