Model runs count what became of callers, each once

What was wrong: the model's trials, by which the policy's limits were chosen, judged a run by an amount for each kind of request and its length. One refused prompt of 700,000 tokens weighed as much as some sixty short ones, a late answer a fixed part of that, and one that came after its caller had left as much as one a moment late.

Cause: traffic_worth() and traffic_earned() took the amounts of a data sheet. No caller's engineer would weigh callers by them.

Change: traffic_outcome() tells whether a caller was served in time, late, refused, or failed since it had left (its deadline, or the gap after which callers abandon a stream, now in policy/caller_time, where the gateway's stall timeout takes it from too).

Result: the measure only; the gateway decides as before.

--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -1,19 +1,16 @@
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/exchange_selection.h"
+#include "policy/caller_time.h"
 
 #define LOG_MODULE "retry"
 #include "base/log.h"
 
 /*
- * Callers abandon a stream after a gap of 2 s, four times the route's target or
- * eight times its gap target, whichever is longest. An upstream may be silent
- * for this percentage of that time.
+ * Percentage of the time after which callers abandon a stream for which an
+ * upstream may be silent.
  */
-#define CALLER_TIMEOUT_MIN_MS  2000
-#define CALLER_TIMEOUT_TARGETS 4
-#define CALLER_TIMEOUT_GAPS    8
-#define STALL_TIMEOUT_PERCENT  65
+#define STALL_TIMEOUT_PERCENT 65
 /* With less time left, another send could not complete in time. */
 #define SEND_REMAINING_MIN_MS 20
 
@@ -96,11 +93,9 @@
 static int64_t
 caller_timeout_ms(const struct exchange *exchange)
 {
-	const struct route *route = exchange->route;
-
-	return MAX(CALLER_TIMEOUT_MIN_MS,
-	    MAX(route->target_ms * CALLER_TIMEOUT_TARGETS,
-		route->gap_target_ms * CALLER_TIMEOUT_GAPS));
+	return (int64_t)caller_time_stream_ms(
+	    (double)exchange->route->target_ms,
+	    (double)exchange->route->gap_target_ms);
 }
 
 /*
--- a/tests/experiment/experiment.c
+++ b/tests/experiment/experiment.c
@@ -63,11 +63,8 @@
 
 /* Results of the prompts of one class. */
 struct outcome {
-	double offered; /* worth of all prompts */
-	double earned;
 	size_t count;
-	size_t in_time;
-	size_t refused;
+	size_t outcomes[TRAFFIC_OUTCOMES];
 	size_t returned; /* after one refusal */
 	size_t again; /* of these: refused */
 };
@@ -81,10 +78,7 @@
 		struct outcome *outcome = &outcomes[prompt->class];
 
 		outcome->count++;
-		outcome->offered += traffic_worth(prompt);
-		outcome->earned += traffic_earned(prompt);
-		outcome->in_time += traffic_is_in_time(prompt);
-		outcome->refused += prompt->planned_ms < 0.0;
+		outcome->outcomes[traffic_outcome(prompt)]++;
 		outcome->again += prompt->refusals > 1;
 		outcome->returned += prompt->refusals > 1 ||
 		    (prompt->refusals == 1 && prompt->planned_ms >= 0.0);
@@ -111,19 +105,20 @@
 static void
 print_load(double load, const struct outcome outcomes[STREAM_CLASSES])
 {
-	double offered = 0.0;
-	double earned = 0.0;
+	size_t count = 0;
+	size_t in_time = 0;
 
 	for (size_t i = 0; i < STREAM_CLASSES; i++) {
-		offered += outcomes[i].offered;
-		earned += outcomes[i].earned;
+		count += outcomes[i].count;
+		in_time += outcomes[i].outcomes[TRAFFIC_IN_TIME];
+	}
+	printf("%.2f\t%.4f", load, (double)in_time / (double)count);
+	for (size_t i = 0; i < STREAM_CLASSES; i++) {
+		for (size_t j = 0; j < TRAFFIC_OUTCOMES; j++)
+			printf("\t%.4f",
+			    (double)outcomes[i].outcomes[j] /
+				(double)outcomes[i].count);
 	}
-	printf("%.2f\t%.4f", load, earned / offered);
-	for (size_t i = 0; i < STREAM_CLASSES; i++)
-		printf("\t%.4f\t%.4f\t%.4f",
-		    outcomes[i].earned / outcomes[i].offered,
-		    (double)outcomes[i].in_time / (double)outcomes[i].count,
-		    (double)outcomes[i].refused / (double)outcomes[i].count);
 	for (size_t i = 0; i < STREAM_CLASSES && options.patience; i++)
 		printf("\t%zu\t%zu", outcomes[i].returned, outcomes[i].again);
 	printf("\n");
@@ -168,9 +163,9 @@
 		printf("load\tclass\ttokens\tfirst_ms\tpause_ms\trefusals\n");
 		return;
 	}
-	printf("load\tworth");
+	printf("load\tin_time");
 	for (size_t i = 0; i < STREAM_CLASSES; i++)
-		printf("\t%s\tin_time\trefused", prompt_classes[i].name);
+		printf("\t%s\tlate\trefused\tfailed", prompt_classes[i].name);
 	for (size_t i = 0; i < STREAM_CLASSES && options.patience; i++)
 		printf("\treturned\tagain");
 	printf("\n");
--- a/tests/experiment/traffic.c
+++ b/tests/experiment/traffic.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "policy/caller_time.h"
 #include "users_engine.h"
 
 /* Periodic change of the load: relative amplitude and period. */
@@ -23,18 +24,18 @@
 static const struct traffic_mix mixes[] = {
     {"even", &users_engine,
 	{[STREAM_SHORT] = {"short", 0.925, 4960, 0.9, 23800, 33, 300, 250,
-	     10000, 1.3, 0.33, 0, 0.0},
+	     10000, 0, 0.0},
 	    [STREAM_MEDIUM] = {"medium", 0.047, 45000, 0.5, 110000, 20, 1500,
-		600, 10000, 4.2, 1.0, 0, 0.0},
+		600, 10000, 0, 0.0},
 	    [STREAM_LONG] = {"long", 0.028, 154000, 0.55, 700000, 16, 3000,
-		1000, 15000, 21.0, 5.2, 0, 0.0}}},
+		1000, 15000, 0, 0.0}}},
     {"ranked", &ranked_engine,
 	{[STREAM_SHORT] = {"short", 0.862, 5000, 0.9, 24000, 33, 250, 250,
-	     10000, 1.8, 0.18, 0, 0.0},
+	     10000, 0, 0.0},
 	    [STREAM_MEDIUM] = {"medium", 0.102, 45000, 0.5, 110000, 20, 1500,
-		600, 10000, 2.4, 0.61, 1, 0.0},
+		600, 10000, 1, 0.0},
 	    [STREAM_LONG] = {"long", 0.036, 190000, 0.55, 600000, 16, 6000,
-		1000, 20000, 7.3, 2.8, 2, 4.0}}},
+		1000, 20000, 2, 4.0}}},
 };
 
 const struct prompt_class *prompt_classes = mixes[0].classes;
@@ -162,17 +163,6 @@
 	return prompts;
 }
 
-/* Returns the worth of a prompt that is answered in time. */
-double
-traffic_worth(const struct prompt *prompt)
-{
-	const struct prompt_class *class = &prompt_classes[prompt->class];
-	double size = WORTH_FIXED +
-	    (1.0 - WORTH_FIXED) * (double)prompt->tokens / class->tokens;
-
-	return class->worth * MIN(size, WORTH_TIMES_MAX);
-}
-
 /* Whether the first event and all gaps of a prompt were within the limits. */
 bool
 traffic_is_in_time(const struct prompt *prompt)
@@ -184,16 +174,23 @@
 	    prompt->max_gap_ms <= class->gap_ms;
 }
 
-/* Returns the worth that a prompt earned. */
-double
-traffic_earned(const struct prompt *prompt)
+/*
+ * Returns what became of a prompt's caller. One leaves at its deadline, or when
+ * it has got no event for too long.
+ */
+enum traffic_outcome
+traffic_outcome(const struct prompt *prompt)
 {
 	const struct prompt_class *class = &prompt_classes[prompt->class];
+	double patience_ms = caller_time_stream_ms(
+	    class->target_ms, class->gap_ms);
 
+	if (prompt->planned_ms < 0.0)
+		return TRAFFIC_REFUSED;
 	if (prompt->first_ms < 0.0 ||
-	    prompt->first_ms - prompt->arrived_ms > class->deadline_ms)
-		return 0.0;
-	return traffic_worth(prompt) *
-	    (traffic_is_in_time(prompt) ? 1.0
-					: class->late_worth / class->worth);
+	    prompt->first_ms - prompt->arrived_ms > class->deadline_ms ||
+	    prompt->first_ms - prompt->last_try_ms > patience_ms ||
+	    prompt->max_gap_ms > patience_ms)
+		return TRAFFIC_FAILED;
+	return traffic_is_in_time(prompt) ? TRAFFIC_IN_TIME : TRAFFIC_LATE;
 }
--- a/tests/experiment/traffic.h
+++ b/tests/experiment/traffic.h
@@ -1,6 +1,7 @@
 /*
  * Seeded loads: prompts of three classes in the proportions of the users'
- * deployments, with a periodic rate and random arrivals, and the worth of each.
+ * deployments, with a periodic rate and random arrivals, and what becomes of
+ * their callers.
  */
 #ifndef EXPERIMENT_TRAFFIC_H
 #define EXPERIMENT_TRAFFIC_H
@@ -20,8 +21,6 @@
 	double target_ms; /* to the first token */
 	double gap_ms; /* longest time between two events */
 	double deadline_ms; /* after which its caller gives up */
-	double worth;
-	double late_worth;
 	uint32_t rank; /* of its route; 0 is the most urgent */
 	double burst; /* its rate during bursts, in multiples; 0 for none */
 };
@@ -33,10 +32,14 @@
 	struct prompt_class classes[STREAM_CLASSES];
 };
 
-/* Part of the worth that does not grow with the size. */
-#define WORTH_FIXED 0.3
-/* Maximum worth of a prompt, in multiples of its class's worth. */
-#define WORTH_TIMES_MAX 4.0
+/* What became of a prompt's caller. */
+enum traffic_outcome {
+	TRAFFIC_IN_TIME, /* first event and all gaps within the limits */
+	TRAFFIC_LATE,
+	TRAFFIC_REFUSED, /* told so, and not served later */
+	TRAFFIC_FAILED, /* served so late that its caller had left */
+	TRAFFIC_OUTCOMES,
+};
 
 /* Classes of the mix in use. */
 extern const struct prompt_class *prompt_classes;
@@ -46,8 +49,7 @@
 double traffic_mean_prefill_ms(const struct engine_profile *);
 GPtrArray *traffic_make(const struct engine_profile *, size_t engines,
     double load, double length_ms, GRand *);
-double traffic_worth(const struct prompt *);
-double traffic_earned(const struct prompt *);
+enum traffic_outcome traffic_outcome(const struct prompt *);
 bool traffic_is_in_time(const struct prompt *);
 
 #endif
--- a/tests/test_precedence_replay.c
+++ b/tests/test_precedence_replay.c
@@ -33,20 +33,20 @@
 /* Time over which the order of ranks is to hold. */
 #define ORDER_WINDOW_MS 5000.0
 
-#define SHORT_KIND(share, burst)                                            \
-	{                                                                   \
-		"short", share, 5000, 0.9, 24000, 33, 250, 250, 10000, 1.8, \
-		    0.18, 0, burst                                          \
+#define SHORT_KIND(share, burst)                                          \
+	{                                                                 \
+		"short", share, 5000, 0.9, 24000, 33, 250, 250, 10000, 0, \
+		    burst                                                 \
 	}
-#define MEDIUM_KIND(share, burst)                                          \
-	{                                                                  \
-		"medium", share, 45000, 0.5, 110000, 20, 1500, 600, 10000, \
-		    2.4, 0.61, 1, burst                                    \
+#define MEDIUM_KIND(share, burst)                                             \
+	{                                                                     \
+		"medium", share, 45000, 0.5, 110000, 20, 1500, 600, 10000, 1, \
+		    burst                                                     \
 	}
-#define LONG_KIND(share, tokens, burst)                                     \
-	{                                                                   \
-		"long", share, tokens, 0.55, 600000, 16, 6000, 1000, 20000, \
-		    7.3, 2.8, 2, burst                                      \
+#define LONG_KIND(share, tokens, burst)                                        \
+	{                                                                      \
+		"long", share, tokens, 0.55, 600000, 16, 6000, 1000, 20000, 2, \
+		    burst                                                      \
 	}
 
 static const struct replay_case {
