Prompts are admitted by the callers that they make late, each counted once

What callers saw: a prompt of 150,000 tokens was let in at the price of up to a dozen short streams of its own rank, which all became late; one whose engines would have been free a second later was rejected after a fifth of its target; another that would have made nobody late was rejected because its own first token came after a fifth of the target. Where ranks differ, a less urgent prompt was served at the cost of more urgent streams once its target ran out.

Change: a prompt's plan counts the callers that would be late because of it, each once: streams beyond the gap that their route allows, and prompts whose prefill is pushed back. None may be of a more urgent rank; of its own rank one may be late for one in time. A prompt waits while it can be in time with a gap to spare, then it is served late if that delays nobody, or rejected while its caller has most of its time. There is one way to judge: gaps, late first tokens and parts are the same with and without ranks, and streams of the same rank whose callers have less time are avoided first.

--- a/src/gateway/exchange_explain.c
+++ b/src/gateway/exchange_explain.c
@@ -163,8 +163,10 @@
 	json_object_set_new(chosen, "part_ms", json_real(plan->part_ms));
 	json_object_set_new(
 	    chosen, "expected_ms", json_real(plan->first_token_ms));
-	json_object_set_new(chosen, "cost", json_real(plan->cost));
-	json_object_set_new(chosen, "worth", json_real(plan->worth));
+	json_object_set_new(
+	    chosen, "late_urgent", json_real(plan->late_urgent));
+	json_object_set_new(
+	    chosen, "late_others", json_real(plan->late_others));
 	return chosen;
 }
 
@@ -303,8 +305,12 @@
 	} else {
 		exchange_refusal(&selection, verdict, &why);
 		json_object_set_new(answer, "why", json_string(why));
-		json_object_set_new(answer, "cost", json_real(plan.cost));
-		json_object_set_new(answer, "worth", json_real(plan.worth));
+		json_object_set_new(
+		    answer, "expected_ms", json_real(plan.first_token_ms));
+		json_object_set_new(
+		    answer, "late_urgent", json_real(plan.late_urgent));
+		json_object_set_new(
+		    answer, "late_others", json_real(plan.late_others));
 		json_object_set_new(answer, "wait_ms",
 		    json_integer((json_int_t)(selection_is_deferred(&selection)
 			    ? (double)selection.deferred_ms
--- a/src/gateway/exchange_rank.c
+++ b/src/gateway/exchange_rank.c
@@ -26,9 +26,7 @@
 exchange_describe_rank(
     const struct exchange *exchange, struct balance_prompt *prompt)
 {
-	prompt->has_ranks = exchange->ranks.has_ranks;
 	prompt->rank = exchange->rank;
-	prompt->slack_ms = prompt->target_ms - prompt->waited_ms;
 	prompt->gap_ms = (double)exchange->route->gap_target_ms;
 }
 
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "gateway/exchange_internal.h"
+#include "policy/caller_time.h"
 
 /*
  * Maximum number of upstreams that prefill a prompt after one of them failed:
@@ -114,11 +115,9 @@
 		upstream->peers.context_tokens,
 	    .error_share = upstream->error_share,
 	    .tie = g_rand_int(exchange->context->random),
+	    .order = (uint32_t)XXH3_64bits(upstream->id, strlen(upstream->id)),
 	};
 
-	if (exchange->ranks.has_ranks)
-		candidate.order = (uint32_t)XXH3_64bits(
-		    upstream->id, strlen(upstream->id));
 	for (size_t i = 0; i < STREAM_CLASSES; i++)
 		candidate.streams[i] = upstream->own.streams[i] +
 		    upstream->peers.streams[i];
@@ -321,12 +320,21 @@
 static struct balance_prompt
 make_balance_prompt(const struct exchange *exchange)
 {
+	const struct caller_time_ask ask = {
+	    .target_ms = (double)exchange->route->target_ms,
+	    .gap_ms = (double)exchange->route->gap_target_ms,
+	    .waited_ms = (double)exchange_age_ms(exchange),
+	    .remaining_ms = (double)exchange_remaining_ms(exchange),
+	    .is_stream = exchange->route->kind == CALL_STREAM,
+	};
+	const struct caller_time time = caller_time_left(&ask);
 	struct balance_prompt prompt = {
 	    .tokens = exchange->caller_headers.prompt_tokens,
 	    .output_tokens = exchange->caller_headers.output_tokens,
 	    .class = exchange_stream_class(exchange),
-	    .target_ms = (double)exchange->route->target_ms,
-	    .waited_ms = (double)exchange_age_ms(exchange),
+	    .target_ms = time.target_ms,
+	    .slack_ms = time.slack_ms,
+	    .left_ms = time.left_ms,
 	    .engines_max = exchange->faulty_upstream != NULL
 		? RETRY_PREFILL_UPSTREAMS_MAX
 		: 0,
@@ -418,9 +426,10 @@
 
 /* Returns whether a request that no upstream can take now may wait. */
 bool
-exchange_may_wait(const struct exchange *exchange, enum balance_verdict verdict)
+exchange_may_wait(const struct exchange *exchange, enum balance_verdict verdict,
+    const struct balance_plan *plan)
 {
 	const struct balance_prompt prompt = make_balance_prompt(exchange);
 
-	return balance_prompt_may_wait(&prompt, verdict);
+	return balance_prompt_may_wait(&prompt, verdict, plan);
 }
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -60,7 +60,8 @@
 bool selection_is_deferred(const struct selection *);
 enum stream_class exchange_stream_class(const struct exchange *);
 bool exchange_has_reliable_upstream(struct exchange *);
-bool exchange_may_wait(const struct exchange *, enum balance_verdict);
+bool exchange_may_wait(
+    const struct exchange *, enum balance_verdict, const struct balance_plan *);
 enum balance_verdict selection_plan(
     struct exchange *, const struct selection *, struct balance_plan *);
 
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -274,16 +274,18 @@
 	}
 }
 
-/* Logs a prompt that is rejected because of its cost or memory. */
+/* Logs a prompt that is rejected for lack of time or memory. */
 static void
 log_rejected_prompt(const struct exchange *exchange,
     const struct selection *selection, const struct balance_plan *plan)
 {
-	LOG_INFO("prompt rejected", "{s:s, s:I, s:f, s:f, s:i, s:i, s:i, s:i}",
-	    "request", exchange->caller_headers.request_id, "prompt_tokens",
-	    (json_int_t)exchange->caller_headers.prompt_tokens, "cost",
-	    plan->cost, "worth", plan->worth, "backlog_ms", (int)plan->wait_ms,
-	    "expected_ms", (int)plan->first_token_ms, "helpers",
+	LOG_INFO("prompt rejected",
+	    "{s:s, s:I, s:f, s:f, s:i, s:i, s:I, s:i, s:i}", "request",
+	    exchange->caller_headers.request_id, "prompt_tokens",
+	    (json_int_t)exchange->caller_headers.prompt_tokens, "late_urgent",
+	    plan->late_urgent, "late_others", plan->late_others, "wait_ms",
+	    (int)plan->wait_ms, "expected_ms", (int)plan->first_token_ms,
+	    "left_ms", (json_int_t)exchange_remaining_ms(exchange), "helpers",
 	    (int)plan->helper_count, "candidates", (int)selection->count);
 }
 
@@ -293,8 +295,8 @@
     enum balance_verdict verdict, const char **why)
 {
 	switch (verdict) {
-	case BALANCE_TOO_COSTLY:
-		*why = "the engines' time is worth more to other prompts now";
+	case BALANCE_DELAYS_OTHERS:
+		*why = "other callers would be late because of the prompt";
 		return REFUSAL_OVERLOADED;
 	case BALANCE_NO_MEMORY:
 		*why = "the engines have no memory for the prompt now";
@@ -360,9 +362,9 @@
 	}
 	*verdict = selection_plan(exchange, selection, plan);
 	/* A request that was sent before continues at any cost. */
-	if (*verdict == BALANCE_TOO_COSTLY && exchange->sends > 0)
+	if (*verdict == BALANCE_DELAYS_OTHERS && exchange->sends > 0)
 		*verdict = BALANCE_SERVE;
-	if (exchange->tries == 0 && exchange_may_wait(exchange, *verdict))
+	if (exchange->tries == 0 && exchange_may_wait(exchange, *verdict, plan))
 		return DECISION_WAIT;
 	if (*verdict == BALANCE_SERVE)
 		return DECISION_SEND;
--- a/src/policy/affinity.c
+++ b/src/policy/affinity.c
@@ -150,7 +150,7 @@
  * Adjusts the plan of a prompt that is served to what its engines hold. A
  * prompt that would be divided is prefilled at a holder of its beginning
  * instead, if that costs no more and the first token comes no later or still
- * early enough not to count as late. A prompt that one engine prefills takes as
+ * in time. A prompt that one engine prefills takes as
  * much less time as the engine saves. Without anything saved the plan remains.
  */
 void
@@ -158,16 +158,14 @@
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	double early_ms = prompt->target_ms * BALANCE_LATE_FROM_SHARE -
-	    prompt->waited_ms;
 	struct balance_plan whole;
 	double saved_ms;
 
 	if (balance_is_divisible(profile, prompt) &&
 	    plan_for_holder(profile, candidates, count, prompt, &whole) &&
 	    whole.cost <= plan->cost &&
-	    whole.first_token_ms <= MAX(plan->first_token_ms, early_ms)) {
-		whole.worth = plan->worth;
+	    whole.first_token_ms <=
+		MAX(plan->first_token_ms, prompt->slack_ms)) {
 		*plan = whole;
 		return;
 	}
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -124,89 +124,60 @@
 	g_autofree struct rank *ranks = rank_all(
 	    candidates, count, packing_cost_ms);
 	const struct balance_candidate *first = &candidates[ranks[0].index];
+	double alone_ms = prefill_ms + first->distance_ms +
+	    engine_profile_pass_ms(
+		profile, first->running + 1, first->context_tokens);
 
 	*plan = (struct balance_plan){
 	    .first = ranks[0].index,
 	    .part_ms = prefill_ms,
-	    .first_token_ms = first->backlog_ms + prefill_ms +
-		first->distance_ms +
-		engine_profile_pass_ms(
-		    profile, first->running + 1, first->context_tokens),
+	    .alone_ms = alone_ms,
+	    .first_token_ms = first->backlog_ms + alone_ms,
 	};
 }
 
-/* Returns the worth of serving a prompt in time, in cost units. */
-static double
-prompt_worth(const struct balance_prompt *prompt)
-{
-	double tokens = (double)prompt->tokens;
-
-	return prompt->class == STREAM_SHORT
-	    ? tokens / BALANCE_SHORT_UNIT_TOKENS
-	    : tokens / BALANCE_LONG_UNIT_TOKENS;
-}
-
-/*
- * Returns the time after a prompt's arrival from which its first token begins
- * to count as late. With ranks that is near its target: the parts of others may
- * delay it by one gap that its route allows.
- */
-static double
-late_from_ms(const struct balance_prompt *prompt)
-{
-	double from = prompt->target_ms * BALANCE_LATE_FROM_SHARE;
-
-	return prompt->has_ranks ? MAX(from, prompt->target_ms - prompt->gap_ms)
-				 : from;
-}
-
-/*
- * Returns how late a prompt's first token is: 0 if in time, 1 at the target,
- * more after it.
- */
-static double
-lateness(const struct balance_prompt *prompt, double first_token_ms)
-{
-	double target_ms = prompt->target_ms;
-	double from = late_from_ms(prompt);
-
-	if (target_ms <= 0.0 || first_token_ms <= from)
-		return 0.0;
-	return (first_token_ms - from) / (target_ms - from);
-}
+/* Streams that a part would delay beyond the gaps that their routes allow. */
+struct delayed {
+	double urgent; /* of more urgent ranks than the prompt's */
+	double equal; /* of its rank */
+	double all; /* less urgent ones too */
+};
 
-/*
- * Returns the cost of the streams that a part would delay beyond their planned
- * gap, in cost units.
- */
-static double
-delayed_streams(const struct engine_profile *profile,
+/* Adds the streams that a part would delay on an engine. */
+static void
+add_delayed(const struct engine_profile *profile,
     const struct balance_candidate *candidate,
-    const struct balance_prompt *prompt, double part_ms)
+    const struct balance_prompt *prompt, double part_ms,
+    struct delayed *delayed)
 {
-	static const struct {
-		double gap_ms;
-		double worth;
-	} classes[STREAM_CLASSES] = {
-	    [STREAM_SHORT] = {BALANCE_SHORT_PLANNED_GAP_MS, 1.0},
-	    [STREAM_MEDIUM] = {BALANCE_MEDIUM_PLANNED_GAP_MS,
-		BALANCE_MEDIUM_WEIGHT},
-	    [STREAM_LONG] = {BALANCE_LONG_PLANNED_GAP_MS, BALANCE_LONG_WEIGHT},
-	};
 	double gap_ms = candidate->backlog_ms + part_ms +
 	    engine_profile_pass_ms(
 		profile, candidate->running, candidate->context_tokens);
-	double streams = 0.0;
 
 	for (size_t i = 0; i < STREAM_CLASSES; i++) {
-		double planned_ms = prompt->planned_gap_ms[i] > 0.0
-		    ? prompt->planned_gap_ms[i]
-		    : classes[i].gap_ms;
+		double allowed_ms = prompt->streams[i].gap_ms;
+		uint32_t rank = prompt->streams[i].rank;
 
-		if (gap_ms > planned_ms)
-			streams += candidate->streams[i] * classes[i].worth;
+		if (allowed_ms <= 0.0 || gap_ms <= allowed_ms)
+			continue;
+		delayed->all += candidate->streams[i];
+		if (rank < prompt->rank)
+			delayed->urgent += candidate->streams[i];
+		else if (rank == prompt->rank)
+			delayed->equal += candidate->streams[i];
 	}
-	return streams;
+}
+
+/* Returns the streams that a part would delay on one engine. */
+static struct delayed
+count_delayed(const struct engine_profile *profile,
+    const struct balance_candidate *candidate,
+    const struct balance_prompt *prompt, double part_ms)
+{
+	struct delayed delayed = {0};
+
+	add_delayed(profile, candidate, prompt, part_ms, &delayed);
+	return delayed;
 }
 
 /*
@@ -222,7 +193,8 @@
 
 		ranks[i] = (struct rank){
 		    .index = i,
-		    .cost = delayed_streams(profile, engine, prompt, part_ms) *
+		    .cost = count_delayed(profile, engine, prompt, part_ms)
+				.all *
 			    BALANCE_DELAYED_STREAM_MS +
 			engine->streams[STREAM_SHORT] *
 			    BALANCE_SHORT_STREAM_MS +
@@ -236,54 +208,88 @@
 }
 
 /*
- * Returns the cost of preempting the prompts that are being prefilled, in cost
- * units.
+ * Returns how many callers would be late because a prompt's parts go before the
+ * prompts that are being prefilled: all of those together are pushed back by
+ * about their own work, the backlog, which makes one of them late for each time
+ * that it takes what they have left of their targets.
  */
 static double
-preemption_cost(double backlog_ms, double part_ms)
+preempted_callers(double backlog_ms, const struct balance_prompt *prompt)
+{
+	return prompt->target_ms > 0.0
+	    ? backlog_ms / (prompt->target_ms * BALANCE_SLACK_SHARE)
+	    : 0.0;
+}
+
+/*
+ * Returns whether a prompt would be late itself: by its first token, or because
+ * its stream waits for the prefill of others at the engine that decodes.
+ */
+static bool
+is_late(const struct engine_profile *profile,
+    const struct balance_candidate *decoder,
+    const struct balance_prompt *prompt, const struct balance_plan *plan)
 {
-	double prompts = MIN(backlog_ms / BALANCE_PREEMPT_BACKLOG_MS,
-	    BALANCE_PREEMPT_PROMPTS_MAX);
+	double gap_ms = decoder->backlog_ms +
+	    engine_profile_pass_ms(
+		profile, decoder->running + 1, decoder->context_tokens);
 
-	return BALANCE_PREEMPT_COST_PER_MS * part_ms * prompts;
+	return plan->first_token_ms > prompt->slack_ms ||
+	    (prompt->gap_ms > 0.0 && gap_ms > prompt->gap_ms);
 }
 
 /*
- * Returns the cost of dividing a prompt among the first engines of a ranking,
- * in cost units, and sets the expected time to the first token.
+ * Returns what dividing a prompt into that many parts does; ranks gets the
+ * order of the engines for it.
  */
-static double
-plan_cost(const struct engine_profile *profile,
-    const struct balance_candidate *candidates, const struct rank *ranks,
-    size_t parts, double prefill_ms, const struct balance_prompt *prompt,
-    double *first_token_ms)
+static struct balance_plan
+assess_division(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count, size_t parts,
+    double prefill_ms, const struct balance_prompt *prompt, struct rank *ranks)
 {
 	double part_ms = prefill_ms / (double)parts;
 	double backlog_ms = 0.0;
-	double weight = part_ms / BALANCE_MEDIUM_PLANNED_GAP_MS;
-	double total = (double)parts *
-	    (BALANCE_ENGINE_COST +
-		BALANCE_PART_COST *
-		    (prompt->has_ranks ? weight
-				       : MIN(weight * weight, weight)));
+	double weight = prompt->gap_ms > 0.0 ? part_ms / prompt->gap_ms : 0.0;
+	struct delayed delayed = {0};
+	struct balance_plan out = {.part_ms = part_ms};
+	struct balance_plan *plan = &out;
 
+	rank_engines(profile, candidates, count, prompt, part_ms, ranks);
 	for (size_t i = 0; i < parts; i++) {
 		const struct balance_candidate
 		    *engine = &candidates[ranks[i].index];
 
 		backlog_ms = MAX(backlog_ms, engine->backlog_ms);
-		total += delayed_streams(profile, engine, prompt, part_ms);
+		add_delayed(profile, engine, prompt, part_ms, &delayed);
 	}
-	*first_token_ms = part_ms +
-	    backlog_ms * (parts == 1 ? 1.0 : BALANCE_BACKLOG_SHARE) +
+	plan->alone_ms = part_ms +
 	    engine_profile_pass_ms(profile,
 		candidates[ranks[0].index].running + 1,
 		candidates[ranks[0].index].context_tokens);
-	if (parts > 1)
-		total += preemption_cost(backlog_ms, part_ms);
-	return total +
-	    lateness(prompt, prompt->waited_ms + *first_token_ms) *
-	    prompt_worth(prompt);
+	plan->first_token_ms = plan->alone_ms +
+	    backlog_ms * (parts == 1 ? 1.0 : BALANCE_BACKLOG_SHARE);
+	plan->late_urgent = delayed.urgent;
+	plan->late_others = delayed.equal +
+	    (parts > 1 ? preempted_callers(backlog_ms, prompt) : 0.0);
+	plan->late = is_late(
+	    profile, &candidates[ranks[0].index], prompt, plan);
+	plan->cost = plan->late_others + (plan->late ? 1.0 : 0.0) +
+	    (double)parts *
+		(BALANCE_ENGINE_COST + BALANCE_PART_COST * weight * weight);
+	return out;
+}
+
+/*
+ * Returns whether a division is better than another: first by more urgent
+ * callers that are late, then by cost.
+ */
+static bool
+is_better_division(
+    const struct balance_plan *plan, const struct balance_plan *other)
+{
+	if (plan->late_urgent != other->late_urgent)
+		return plan->late_urgent < other->late_urgent;
+	return plan->cost < other->cost;
 }
 
 /*
@@ -320,7 +326,7 @@
 	return candidate->streams[STREAM_SHORT] > 0 &&
 	    candidate->running < candidate->slots * BALANCE_PACK_SHARE &&
 	    candidate->backlog_ms <= BALANCE_PACK_BACKLOG_MS &&
-	    delayed_streams(profile, candidate, prompt, part_ms) == 0.0 &&
+	    count_delayed(profile, candidate, prompt, part_ms).all == 0.0 &&
 	    balance_fits_memory(profile, candidate, prompt);
 }
 
@@ -360,28 +366,58 @@
 }
 
 /*
- * Returns the fewest parts into which a prompt is divided. With ranks a part is
- * no longer than the gap that the route allows, less a decode pass, so that it
- * delays no streams of its own kind.
+ * Returns the fewest parts of a prompt that take no more than a share of the
+ * gap that its route allows, less a decode pass.
  */
 static size_t
 fewest_parts(const struct engine_profile *profile,
-    const struct balance_prompt *prompt, double prefill_ms)
+    const struct balance_prompt *prompt, double prefill_ms, double gap_share)
 {
-	double part_ms = prompt->gap_ms -
-	    engine_profile_pass_ms(profile, profile->slots, 0);
+	double part_ms = gap_share *
+	    (prompt->gap_ms -
+		engine_profile_pass_ms(profile, profile->slots, 0));
 
-	if (!prompt->has_ranks || part_ms <= 0.0)
+	if (part_ms <= 0.0)
 		return 1;
-	return MAX((size_t)ceil(2.0 * prefill_ms / part_ms), 1);
+	return MAX((size_t)ceil(prefill_ms / part_ms), 1);
+}
+
+/*
+ * Returns whether too many other callers would be late because of a prompt. One
+ * may be, if the prompt is in time for it and can't be later.
+ */
+static bool
+delays_others(
+    const struct balance_prompt *prompt, const struct balance_plan *plan)
+{
+	if (plan->late_urgent > 0.0)
+		return true;
+	if (plan->late ||
+	    balance_prompt_may_wait(prompt, BALANCE_DELAYS_OTHERS, plan))
+		return plan->late_others >= 1.0;
+	return plan->late_others > 1.0;
+}
+
+/* Returns whether any streams of the service are more urgent than a prompt. */
+static bool
+has_more_urgent(const struct balance_prompt *prompt)
+{
+	for (size_t i = 0; i < STREAM_CLASSES; i++) {
+		if (prompt->streams[i].gap_ms > 0.0 &&
+		    prompt->streams[i].rank < prompt->rank)
+			return true;
+	}
+	return false;
 }
 
 /*
  * Plans a prompt that may be divided. Takes the engines that delay the fewest
- * streams, and as many of them as give the lowest cost, counting the delay of
- * others and the prompt's own lateness. Returns that cost, in cost units.
+ * streams, and as many of them as make the fewest callers late, itself
+ * included. Takes fewer where others would be late, with longer parts, for
+ * which requests that reach their engines meanwhile have to wait: beside more
+ * urgent streams, or parts longer than a gap, only when it can't wait any more.
  */
-static double
+static void
 plan_divided(const struct engine_profile *profile,
     const struct balance_candidate *candidates, size_t count, double prefill_ms,
     const struct balance_prompt *prompt, struct balance_plan *plan)
@@ -389,50 +425,52 @@
 	g_autofree struct rank *ranks = g_new(struct rank, count);
 	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
 	size_t fewest;
+	size_t least;
 	size_t best;
 	size_t decoder;
-	double least_cost = 0.0;
-	double first_token_ms = 0.0;
-	double delayed = 0.0;
 
 	if (prompt->engines_max > 0)
 		max = MIN(max, prompt->engines_max);
 	if (prompt->undivided)
 		max = 1;
-	fewest = MIN(fewest_parts(profile, prompt, prefill_ms), max);
+	fewest = MIN(
+	    fewest_parts(profile, prompt, prefill_ms, BALANCE_PART_GAP_SHARE),
+	    max);
 	best = fewest;
 	for (size_t parts = fewest; parts <= max; parts++) {
-		double expected_ms;
-		double cost;
+		struct balance_plan division = assess_division(profile,
+		    candidates, count, parts, prefill_ms, prompt, ranks);
 
-		rank_engines(profile, candidates, count, prompt,
-		    prefill_ms / (double)parts, ranks);
-		cost = plan_cost(profile, candidates, ranks, parts, prefill_ms,
-		    prompt, &expected_ms);
-		if (parts > fewest && cost >= least_cost)
+		if (parts > fewest && !is_better_division(&division, plan))
 			continue;
-		least_cost = cost;
 		best = parts;
-		first_token_ms = expected_ms;
+		*plan = division;
+	}
+	if (!balance_prompt_may_wait(prompt, BALANCE_DELAYS_OTHERS, plan))
+		least = 1;
+	else if (has_more_urgent(prompt))
+		least = fewest;
+	else
+		least = fewest_parts(profile, prompt, prefill_ms, 1.0);
+	for (size_t parts = fewest;
+	     parts-- > least && delays_others(prompt, plan);) {
+		struct balance_plan division = assess_division(profile,
+		    candidates, count, parts, prefill_ms, prompt, ranks);
+
+		if (!is_better_division(&division, plan))
+			continue;
+		best = parts;
+		*plan = division;
 	}
 	rank_engines(profile, candidates, count, prompt,
 	    prefill_ms / (double)best, ranks);
-	for (size_t i = 0; i < best; i++)
-		delayed += delayed_streams(profile, &candidates[ranks[i].index],
-		    prompt, prefill_ms / (double)best);
 	decoder = find_medium_decoder(profile, candidates, ranks, count,
 	    prefill_ms / (double)best, prompt);
 	if (decoder == 0)
 		decoder = choose_decoder(
 		    profile, candidates, ranks, best, prompt);
-	*plan = (struct balance_plan){
-	    .first = ranks[decoder].index,
-	    .part_ms = prefill_ms / (double)best,
-	    .first_token_ms = first_token_ms,
-	    .delayed = delayed,
-	};
+	plan->first = ranks[decoder].index;
 	add_helpers(ranks, best, decoder, plan);
-	return least_cost;
 }
 
 /*
@@ -484,6 +522,14 @@
 	    BALANCE_UNDIVIDED_MS;
 }
 
+/* Returns the verdict on a plan as far as the callers' time goes. */
+static enum balance_verdict
+judge(const struct balance_prompt *prompt, const struct balance_plan *plan)
+{
+	return delays_others(prompt, plan) ? BALANCE_DELAYS_OTHERS
+					   : BALANCE_SERVE;
+}
+
 /*
  * Plans which engines prefill a prompt and which one decodes the answer. If it
  * is not served now, the verdict says why and plan->wait_ms when it may be.
@@ -494,8 +540,7 @@
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
 	double prefill_ms = engine_profile_prefill_ms(profile, prompt->tokens);
-	double worth = prompt_worth(prompt);
-	double cost = 0.0;
+	enum balance_verdict verdict;
 
 	*plan = (struct balance_plan){0};
 	if (count == 0)
@@ -503,13 +548,12 @@
 	if (!balance_is_divisible(profile, prompt))
 		plan_short_stream(profile, candidates, count, prefill_ms, plan);
 	else
-		cost = plan_divided(
+		plan_divided(
 		    profile, candidates, count, prefill_ms, prompt, plan);
-	plan->wait_ms = mean_backlog_ms(candidates, count);
-	plan->cost = cost;
-	plan->worth = worth;
-	if (cost > worth * BALANCE_ADMIT_COST_RATIO)
-		return BALANCE_TOO_COSTLY;
+	plan->wait_ms = mean_backlog_ms(candidates, count) + prompt->ahead_ms;
+	verdict = judge(prompt, plan);
+	if (verdict != BALANCE_SERVE)
+		return verdict;
 	if (balance_divide_memory(profile, candidates, prompt, plan))
 		return BALANCE_SERVE;
 	return !prompt->undivided &&
@@ -521,16 +565,21 @@
 
 /*
  * Returns whether a prompt that is not served now may wait and be planned
- * again: in bursts of long prompts the engines are free again within a part of
- * its target time.
+ * again: while it is still in time if the engines are free by then and others
+ * delay it by a gap that its route allows, or half of its target if that is
+ * less.
  */
 bool
-balance_prompt_may_wait(
-    const struct balance_prompt *prompt, enum balance_verdict verdict)
+balance_prompt_may_wait(const struct balance_prompt *prompt,
+    enum balance_verdict verdict, const struct balance_plan *plan)
 {
+	double margin_ms = MIN(
+	    prompt->gap_ms, prompt->target_ms * BALANCE_SLACK_SHARE);
+
 	if (verdict == BALANCE_HELD_BACK)
 		return true;
-	return (verdict == BALANCE_TOO_COSTLY ||
+	return (verdict == BALANCE_DELAYS_OTHERS ||
 		   verdict == BALANCE_NO_MEMORY) &&
-	    prompt->waited_ms < prompt->target_ms * BALANCE_WAIT_SHARE;
+	    plan->alone_ms + margin_ms + BALANCE_WAIT_INTERVAL_MS <
+	    MIN(prompt->slack_ms, prompt->left_ms);
 }
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -11,10 +11,16 @@
  * during a burst a long prompt is held back here until the prompts before it
  * are prefilled.
  *
- * Cost unit: the cost of one short stream of the usual length (a prompt of
- * BALANCE_SHORT_UNIT_TOKENS tokens) that misses its target. The cost and the
- * worth of a prompt are in this unit. Values that only rank engines against
- * each other are in milliseconds of waiting instead; their names end in _MS.
+ * Admission: a prompt is served if no caller of a more urgent rank is late
+ * because of it, and at most one other caller for one that is in time. Each
+ * caller counts once, however
+ * long its prompt is. A caller is late if its first token comes after its
+ * target or an event after the gap that its route allows. A prompt that would
+ * make others late waits while it can still be in time; then it is rejected,
+ * when its caller has most of its time left.
+ *
+ * Cost unit: a caller that is late. Values that only rank engines against each
+ * other are in milliseconds of waiting instead; their names end in _MS.
  */
 #ifndef POLICY_BALANCE_H
 #define POLICY_BALANCE_H
@@ -40,50 +46,22 @@
 #define BALANCE_PACK_SHARE 0.75
 /* Milliseconds of backlog above which no short streams are packed there. */
 #define BALANCE_PACK_BACKLOG_MS 60.0
-/*
- * Milliseconds of gap above which a stream of each class counts as delayed;
- * lower than the gap targets of the routes, to leave a margin.
- */
-#define BALANCE_SHORT_PLANNED_GAP_MS  240.0
-#define BALANCE_MEDIUM_PLANNED_GAP_MS 520.0
-#define BALANCE_LONG_PLANNED_GAP_MS   900.0
-/* Cost units of one delayed stream of the other classes. */
-#define BALANCE_MEDIUM_WEIGHT 4.0
-#define BALANCE_LONG_WEIGHT   12.0
 /* Maximum number of engines, besides the first, that prefill one prompt. */
 #define BALANCE_HELPERS_MAX 16
-/*
- * Prompt tokens that are worth one cost unit, in a short stream and in the
- * other classes. A prompt's worth grows with its length; longer prompts are
- * worth less per token.
- */
-#define BALANCE_SHORT_UNIT_TOKENS 5000.0
-#define BALANCE_LONG_UNIT_TOKENS  10000.0
-/*
- * Ratio of a prompt's cost to its worth above which it is rejected: its prefill
- * time grows with the square of its length, and under high load it would make
- * several others late.
- */
-#define BALANCE_ADMIT_COST_RATIO 1.0
-/* Share of the target time from which a first token begins to count as late. */
-#define BALANCE_LATE_FROM_SHARE 0.2
 /*
  * Share of the backlog that a divided prompt is expected to wait for. Engines
  * prefill the latest part first, so it waits only for parts that arrive later.
  */
 #define BALANCE_BACKLOG_SHARE 0.5
 /*
- * Cost units for each millisecond by which a part preempts a prompt that is
- * being prefilled there; milliseconds of backlog that count as one such prompt;
- * and the largest number of them that is counted.
+ * Share of its target that a prompt that is being prefilled still has on
+ * average: it has just been sent, or is nearly done.
  */
-#define BALANCE_PREEMPT_COST_PER_MS 0.012
-#define BALANCE_PREEMPT_BACKLOG_MS  400.0
-#define BALANCE_PREEMPT_PROMPTS_MAX 3.0
+#define BALANCE_SLACK_SHARE 0.5
 /*
- * Cost units of a part that takes BALANCE_MEDIUM_PLANNED_GAP_MS. The cost grows
- * with the square of the length up to that, since requests that reach the
- * engine next would wait, and linearly above it, since others then avoid it.
+ * Cost units of a part that takes as long as the gap that the route allows. The
+ * cost grows with the square of the length: requests that reach the engine
+ * meanwhile are more, and wait longer.
  */
 #define BALANCE_PART_COST 0.5
 /*
@@ -92,6 +70,12 @@
  */
 #define BALANCE_DELAYED_STREAM_MS 240.0
 #define BALANCE_SHORT_STREAM_MS	  60.0
+/*
+ * Share of the gap that the route allows, less a decode pass, that a part takes
+ * at most: a stream that starts may wait for the rest of one pass and all of
+ * the next.
+ */
+#define BALANCE_PART_GAP_SHARE 0.5
 /* Cost units of each engine that takes part, since any of them may fail. */
 #define BALANCE_ENGINE_COST 0.03
 /* Milliseconds by which each short stream makes an engine preferable. */
@@ -109,12 +93,7 @@
  */
 #define BALANCE_MEMORY_SHARE 0.9
 
-/*
- * A prompt that cannot be served now waits for up to this share of its target
- * time and is planned again at this interval, in milliseconds. After that it is
- * rejected with a time to retry after.
- */
-#define BALANCE_WAIT_SHARE	 0.2
+/* Milliseconds after which a prompt that waits is planned again. */
 #define BALANCE_WAIT_INTERVAL_MS 50
 
 /* An upstream that may be chosen, with its current state. */
@@ -127,7 +106,7 @@
 	double error_share; /* share of recent answers that failed */
 	double saved_ms; /* of the prompt's prefill, see policy/affinity.h */
 	uint32_t tie; /* random; breaks ties */
-	uint32_t order; /* the same at all gateways; used with ranks */
+	uint32_t order; /* the same at all gateways */
 	double distance_ms; /* cost of the way, see policy/locality.h */
 };
 
@@ -136,15 +115,17 @@
 	uint64_t output_tokens;
 	enum stream_class class;
 	double target_ms; /* target time to the first token */
-	double waited_ms; /* time since it arrived */
+	double slack_ms; /* time left until its target */
+	double left_ms; /* time left until its caller gives up */
 	size_t engines_max; /* unless memory needs more; 0: no limit */
 	bool undivided; /* one engine prefills it, or none */
-	bool has_ranks; /* ranks of its service differ, see policy/precedence */
 	uint32_t rank; /* 0 is the most urgent */
-	double slack_ms; /* time left until its target */
 	double ahead_ms; /* prefill of more urgent prompts that wait */
-	double gap_ms; /* gap target of its route; used with ranks */
-	double planned_gap_ms[STREAM_CLASSES]; /* 0: as by the constants */
+	double gap_ms; /* gap target of its route; 0: none */
+	struct {
+		double gap_ms; /* longest gap that is no delay; 0: none */
+		uint32_t rank; /* of the most urgent of them */
+	} streams[STREAM_CLASSES]; /* of its service */
 };
 
 /* Whether a prompt is served now, and the reason if not. */
@@ -152,7 +133,7 @@
 	BALANCE_SERVE,
 	BALANCE_NO_ENGINE, /* there is no engine */
 	BALANCE_NO_MEMORY, /* the engines together lack memory for it now */
-	BALANCE_TOO_COSTLY, /* its cost exceeds its worth */
+	BALANCE_DELAYS_OTHERS, /* too many others would be late */
 	BALANCE_HELD_BACK, /* it has time and would delay more urgent streams */
 };
 
@@ -165,17 +146,19 @@
 	double part_ms; /* prefill time of each part */
 	double first_token_ms; /* expected time to the first token */
 	double wait_ms; /* if not served: expected time until it can be */
-	double cost; /* in cost units: delay of others and its own lateness */
-	double delayed; /* of the cost: streams delayed beyond their gaps */
-	double worth; /* worth of the prompt, in cost units */
+	double alone_ms; /* first_token_ms if the engines had no backlog */
+	bool late; /* the prompt itself, by its first token or its gaps */
+	double late_urgent; /* callers of more urgent ranks that would be */
+	double late_others; /* callers of its rank that would be */
+	double cost; /* of the division, in cost units; ranks plans */
 };
 
 enum stream_class balance_stream_class(double gap_target_ms);
 bool balance_is_divisible(
     const struct engine_profile *, const struct balance_prompt *);
 ssize_t balance_choose(const struct balance_candidate *, size_t count);
-bool balance_prompt_may_wait(
-    const struct balance_prompt *, enum balance_verdict);
+bool balance_prompt_may_wait(const struct balance_prompt *,
+    enum balance_verdict, const struct balance_plan *);
 enum balance_verdict balance_plan_prompt(const struct engine_profile *,
     const struct balance_candidate *, size_t count,
     const struct balance_prompt *, struct balance_plan *);
--- a/src/policy/caller_time.c
+++ b/src/policy/caller_time.c
@@ -20,3 +20,27 @@
 	return MAX(STREAM_MIN_MS,
 	    MAX(target_ms * STREAM_TARGETS, gap_ms * STREAM_GAPS));
 }
+
+/*
+ * Returns what is left of the time of a caller that waits for the first event.
+ * Without a target of its route it is told of a rejection as long as it still
+ * honours Retry-After.
+ */
+struct caller_time
+caller_time_left(const struct caller_time_ask *ask)
+{
+	struct caller_time out = {
+	    .target_ms = ask->target_ms,
+	    .left_ms = ask->remaining_ms,
+	};
+
+	if (ask->is_stream)
+		out.left_ms = MIN(out.left_ms,
+		    caller_time_stream_ms(ask->target_ms, ask->gap_ms) -
+			ask->waited_ms);
+	if (out.target_ms <= 0.0)
+		out.target_ms = (ask->waited_ms + ask->remaining_ms) *
+		    CALLER_TIME_RETRY_SHARE;
+	out.slack_ms = out.target_ms - ask->waited_ms;
+	return out;
+}
--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -1,6 +1,7 @@
 #include "policy/precedence.h"
 
 #include <math.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -50,46 +51,80 @@
 	    URGENCIES - 1);
 }
 
-/* Returns the streams of an engine whose class has a more urgent rank. */
+/* Returns whether a class of streams is of a more urgent rank than a prompt. */
+static bool
+is_more_urgent(const struct precedence_ranks *ranks, size_t class,
+    const struct balance_prompt *prompt)
+{
+	return ranks->classes[class].used &&
+	    ranks->classes[class].rank < prompt->rank;
+}
+
+/*
+ * Returns whether a class of streams goes before a prompt: its rank is more
+ * urgent, or the same and its streams have less time.
+ */
+static bool
+goes_before(const struct precedence_ranks *ranks, size_t class,
+    const struct balance_prompt *prompt)
+{
+	return is_more_urgent(ranks, class, prompt) ||
+	    (ranks->classes[class].used &&
+		ranks->classes[class].rank == prompt->rank &&
+		class < prompt->class);
+}
+
+/* Returns the streams of an engine in the classes for which a test holds. */
 static uint32_t
-count_more_urgent(const struct precedence_ranks *ranks,
-    const struct balance_candidate *candidate, uint32_t rank)
+count_streams(bool (*test)(const struct precedence_ranks *, size_t class,
+		  const struct balance_prompt *),
+    const struct precedence_ranks *ranks,
+    const struct balance_candidate *candidate,
+    const struct balance_prompt *prompt)
 {
 	uint32_t count = 0;
 
 	for (size_t i = 0; i < STREAM_CLASSES; i++) {
-		if (ranks->classes[i].used && ranks->classes[i].rank < rank)
+		if (test(ranks, i, prompt))
 			count += candidate->streams[i];
 	}
 	return count;
 }
 
-/* Returns whether an engine decodes streams of a more urgent rank. */
-bool
-precedence_has_more_urgent(const struct precedence_ranks *ranks,
-    const struct balance_candidate *candidate, uint32_t rank)
+/* Returns whether a test holds for any class of streams of the service. */
+static bool
+has_class(bool (*test)(const struct precedence_ranks *, size_t class,
+	      const struct balance_prompt *),
+    const struct precedence_ranks *ranks, const struct balance_prompt *prompt)
 {
-	return count_more_urgent(ranks, candidate, rank) > 0;
+	for (size_t i = 0; i < STREAM_CLASSES; i++) {
+		if (test(ranks, i, prompt))
+			return true;
+	}
+	return false;
 }
 
 /*
- * Returns the number of idle engines to be kept clear for more urgent streams:
- * those of the present ones that have no room for the streams by which their
- * number may rise.
+ * Returns the number of engines to be kept clear for more urgent streams that
+ * come next: as many as the present ones have no room for the streams by which
+ * their number may rise.
  */
 static size_t
 count_reserved(const struct precedence_ranks *ranks,
-    const struct balance_candidate *candidates, size_t count, uint32_t rank)
+    const struct balance_candidate *candidates, size_t count,
+    const struct balance_prompt *prompt)
 {
 	double streams = 0.0;
 	double room = 0.0;
 	double slots = 1.0;
 	double wanted;
 
+	if (!has_class(is_more_urgent, ranks, prompt))
+		return 0;
 	for (size_t i = 0; i < count; i++) {
 		double packed = candidates[i].slots * BALANCE_PACK_SHARE;
-		uint32_t urgent = count_more_urgent(
-		    ranks, &candidates[i], rank);
+		uint32_t urgent = count_streams(
+		    is_more_urgent, ranks, &candidates[i], prompt);
 
 		slots = MAX(slots, packed);
 		streams += urgent;
@@ -101,39 +136,6 @@
 	return wanted <= room ? 0 : (size_t)ceil((wanted - room) / slots);
 }
 
-/* Returns whether an engine has neither streams nor prefill. */
-static bool
-is_idle(const struct balance_candidate *candidate)
-{
-	return candidate->running == 0 && candidate->backlog_ms <= 0.0;
-}
-
-/*
- * Returns the order of the last idle engine that is kept clear, or -1. More
- * urgent streams that need another engine use the idle one that comes first in
- * the order that all gateways know, so these are the engines to be kept clear.
- */
-static int64_t
-last_reserved_order(
-    const struct balance_candidate *candidates, size_t count, size_t reserved)
-{
-	int64_t last = -1;
-
-	for (size_t i = 0; i < reserved; i++) {
-		int64_t next = INT64_MAX;
-
-		for (size_t j = 0; j < count; j++) {
-			if (is_idle(&candidates[j]) &&
-			    candidates[j].order > last)
-				next = MIN(next, candidates[j].order);
-		}
-		if (next == INT64_MAX)
-			break;
-		last = next;
-	}
-	return last;
-}
-
 /* A part of the candidates, and the index of each among all of them. */
 struct subset {
 	struct balance_candidate *candidates;
@@ -168,23 +170,64 @@
 	g_free(subset->indexes);
 }
 
+/* Returns whether an engine is free before another one. */
+static bool
+is_freer(
+    const struct balance_candidate *left, const struct balance_candidate *right)
+{
+	if (left->backlog_ms != right->backlog_ms)
+		return left->backlog_ms < right->backlog_ms;
+	return left->order < right->order;
+}
+
+/*
+ * Marks the engines that are to be kept clear for more urgent streams that come
+ * next: of those without streams that go before the prompt the ones that are
+ * free first, in an order that all gateways know.
+ */
+static void
+mark_reserved(const struct precedence_ranks *ranks,
+    const struct balance_candidate *candidates, size_t count,
+    const struct balance_prompt *prompt, bool *reserved)
+{
+	size_t left = count_reserved(ranks, candidates, count, prompt);
+
+	memset(reserved, 0, count * sizeof(*reserved));
+	for (; left > 0; left--) {
+		size_t freest = count;
+
+		for (size_t i = 0; i < count; i++) {
+			if (!reserved[i] &&
+			    count_streams(goes_before, ranks, &candidates[i],
+				prompt) == 0 &&
+			    (freest == count ||
+				is_freer(&candidates[i], &candidates[freest])))
+				freest = i;
+		}
+		if (freest == count)
+			return;
+		reserved[freest] = true;
+	}
+}
+
 /*
- * Collects the engines that a prompt may use without delaying more urgent
- * streams, those of now and those that come next.
+ * Collects the engines that are not kept clear for more urgent streams; with
+ * only_clear those without streams that go before the prompt.
  */
 static void
-collect_clear(const struct precedence_ranks *ranks,
-    const struct balance_candidate *candidates, size_t count, uint32_t rank,
-    struct subset *subset)
+collect_unreserved(const struct precedence_ranks *ranks,
+    const struct balance_candidate *candidates, size_t count,
+    const struct balance_prompt *prompt, bool only_clear, struct subset *subset)
 {
-	int64_t reserved = last_reserved_order(
-	    candidates, count, count_reserved(ranks, candidates, count, rank));
+	g_autofree bool *reserved = g_new(bool, count + 1);
 
+	mark_reserved(ranks, candidates, count, prompt, reserved);
 	subset_init(subset, count);
 	for (size_t i = 0; i < count; i++) {
-		if (count_more_urgent(ranks, &candidates[i], rank) > 0 ||
-		    (is_idle(&candidates[i]) &&
-			candidates[i].order <= reserved))
+		if (reserved[i] ||
+		    (only_clear &&
+			count_streams(
+			    goes_before, ranks, &candidates[i], prompt) > 0))
 			continue;
 		subset_add(subset, candidates, i);
 	}
@@ -270,17 +313,6 @@
 	    prompt->slack_ms;
 }
 
-/* Returns whether a rank is more urgent than another one of the service. */
-static bool
-has_more_urgent_rank(const struct precedence_ranks *ranks, uint32_t rank)
-{
-	for (uint32_t i = 0; i < rank && i < PRECEDENCE_RANKS; i++) {
-		if (ranks->used[i])
-			return true;
-	}
-	return false;
-}
-
 /*
  * Plans a prompt on these engines. If those that would be the best have no
  * memory for it, plans it on those that have.
@@ -306,21 +338,24 @@
 }
 
 /*
- * Plans a prompt on engines without more urgent streams; BALANCE_NO_ENGINE if
- * there are none.
+ * Plans a prompt on engines that are not kept clear, see above;
+ * BALANCE_NO_ENGINE if there are none.
  */
 static enum balance_verdict
-plan_clear(const struct engine_profile *profile,
+plan_unreserved(const struct engine_profile *profile,
     const struct precedence_ranks *ranks,
     const struct balance_candidate *candidates, size_t count,
-    const struct balance_prompt *prompt, struct balance_plan *plan)
+    const struct balance_prompt *prompt, bool only_clear,
+    struct balance_plan *plan)
 {
 	struct subset subset;
 	enum balance_verdict verdict = BALANCE_NO_ENGINE;
 
-	collect_clear(ranks, candidates, count, prompt->rank, &subset);
+	*plan = (struct balance_plan){0};
+	collect_unreserved(
+	    ranks, candidates, count, prompt, only_clear, &subset);
 	if (subset.count > 0)
-		verdict = balance_plan_prompt(
+		verdict = plan_engines(
 		    profile, subset.candidates, subset.count, prompt, plan);
 	if (verdict != BALANCE_NO_ENGINE)
 		convert_plan(&subset, plan);
@@ -330,7 +365,8 @@
 
 /*
  * Returns whether a plan for engines without more urgent streams is carried
- * out: the prompt meets its target, and delays no streams while it has time.
+ * out: the prompt meets its target, and no more urgent prompts wait while it
+ * has time.
  */
 static bool
 is_accepted(const struct balance_prompt *prompt, enum balance_verdict verdict,
@@ -338,8 +374,7 @@
 {
 	if (verdict != BALANCE_SERVE || plan->first_token_ms > prompt->slack_ms)
 		return false;
-	return (plan->delayed == 0.0 && prompt->ahead_ms == 0.0) ||
-	    !has_time_after(prompt, plan);
+	return prompt->ahead_ms == 0.0 || !has_time_after(prompt, plan);
 }
 
 /*
@@ -365,11 +400,14 @@
 }
 
 /*
- * Sets the gaps above which streams count as delayed: those that the routes
- * allow, less the rest of the decode pass during which a part arrives.
+ * Describes the streams of the prompt's service: the gaps above which they
+ * count as delayed are those that their routes allow, less the rest of the
+ * decode pass during which a part arrives. Of more urgent ones it is half of
+ * that: those that start meanwhile wait for the rest of one pass and all of the
+ * next.
  */
 static void
-set_planned_gaps(const struct engine_profile *profile,
+describe_streams(const struct engine_profile *profile,
     const struct precedence_ranks *ranks, struct balance_prompt *prompt)
 {
 	double pass_ms = engine_profile_pass_ms(profile, profile->slots, 0);
@@ -378,15 +416,34 @@
 		double gap_ms = ranks->classes[i].gap_ms;
 
 		if (gap_ms > pass_ms)
-			prompt->planned_gap_ms[i] = gap_ms - pass_ms;
+			gap_ms -= pass_ms;
+		if (is_more_urgent(ranks, i, prompt))
+			gap_ms /= 2.0;
+		prompt->streams[i].rank = ranks->classes[i].rank;
+		prompt->streams[i].gap_ms = gap_ms;
 	}
 }
 
+/*
+ * Plans a prompt that one engine prefills: where it meets its target, or else
+ * anywhere.
+ */
+static enum balance_verdict
+plan_undivided(const struct engine_profile *profile,
+    const struct balance_candidate *candidates, size_t count,
+    const struct balance_prompt *prompt, struct balance_plan *plan)
+{
+	if (plan_quick(profile, candidates, count, prompt, plan))
+		return BALANCE_SERVE;
+	return plan_engines(profile, candidates, count, prompt, plan);
+}
+
 /*
  * Plans a prompt on the engines that its rank and slack allow. A less urgent
- * prompt that would delay more urgent streams is held back for as long as it
- * meets its target on the engines that it could use now. A more urgent one
- * avoids engines that prefill others for longer than its target allows.
+ * prompt that would use engines with more urgent streams, or those that these
+ * need next, is held back for as long as it meets its target on the engines
+ * that it could use now. Without such engines it is served late on others, or
+ * not at all.
  */
 enum balance_verdict
 precedence_plan_prompt(const struct engine_profile *profile,
@@ -400,31 +457,27 @@
 	enum balance_verdict clear_verdict;
 	enum balance_verdict verdict;
 
-	if (!prompt->has_ranks || ranks == NULL)
-		return balance_plan_prompt(
-		    profile, candidates, count, prompt, plan);
-	set_planned_gaps(profile, ranks, &copy);
-	if (!has_more_urgent_rank(ranks, prompt->rank) ||
-	    !balance_is_divisible(profile, prompt))
-		return plan_quick(profile, candidates, count, prompt, plan)
-		    ? BALANCE_SERVE
-		    : plan_engines(profile, candidates, count, prompt, plan);
-	clear_verdict = plan_clear(
-	    profile, ranks, candidates, count, prompt, &clear);
+	describe_streams(profile, ranks, &copy);
+	if (!balance_is_divisible(profile, prompt))
+		return plan_undivided(profile, candidates, count, prompt, plan);
+	if (!has_class(goes_before, ranks, prompt))
+		return plan_engines(profile, candidates, count, prompt, plan);
+	clear_verdict = plan_unreserved(
+	    profile, ranks, candidates, count, prompt, true, &clear);
 	if (is_accepted(prompt, clear_verdict, &clear)) {
 		*plan = clear;
 		return BALANCE_SERVE;
 	}
-	verdict = plan_engines(profile, candidates, count, prompt, plan);
-	plan->wait_ms += prompt->ahead_ms;
-	if (verdict == BALANCE_SERVE && has_time_after(prompt, plan))
+	verdict = plan_unreserved(
+	    profile, ranks, candidates, count, prompt, false, plan);
+	if (verdict == BALANCE_SERVE && has_time_after(prompt, plan) &&
+	    has_class(is_more_urgent, ranks, prompt))
 		return BALANCE_HELD_BACK;
-	/* If it is served at any cost, it is not at that of urgent streams. */
-	if (verdict == BALANCE_TOO_COSTLY &&
-	    (clear_verdict == BALANCE_SERVE ||
-		clear_verdict == BALANCE_TOO_COSTLY)) {
-		clear.wait_ms = plan->wait_ms;
+	if (verdict != BALANCE_SERVE && clear_verdict == BALANCE_SERVE &&
+	    !balance_prompt_may_wait(prompt, verdict, plan)) {
 		*plan = clear;
+		return BALANCE_SERVE;
 	}
-	return verdict;
+	return verdict == BALANCE_NO_ENGINE && count > 0 ? BALANCE_DELAYS_OTHERS
+							 : verdict;
 }
--- a/src/policy/precedence.h
+++ b/src/policy/precedence.h
@@ -53,8 +53,6 @@
     uint32_t route_rank, bool has_own_rank, uint32_t own_rank);
 uint32_t precedence_urgency(const struct precedence_ranks *, uint32_t rank,
     double target_ms, double waited_ms);
-bool precedence_has_more_urgent(const struct precedence_ranks *,
-    const struct balance_candidate *, uint32_t rank);
 enum balance_verdict precedence_plan_prompt(const struct engine_profile *,
     const struct precedence_ranks *, const struct balance_candidate *,
     size_t count, const struct balance_prompt *, struct balance_plan *);
--- a/tests/test_affinity.c
+++ b/tests/test_affinity.c
@@ -65,6 +65,9 @@
 	    .tokens = c->tokens,
 	    .class = c->class,
 	    .target_ms = c->class == STREAM_SHORT ? 300.0 : 3000.0,
+	    .slack_ms = c->class == STREAM_SHORT ? 300.0 : 3000.0,
+	    .left_ms = 10000.0,
+	    .gap_ms = c->class == STREAM_SHORT ? 250.0 : 1000.0,
 	};
 	struct balance_plan plan;
 
@@ -101,6 +104,8 @@
 		    .tokens = (uint64_t)g_rand_int_range(random, 100, 200000),
 		    .class = (enum stream_class)(run % STREAM_CLASSES),
 		    .target_ms = 1000.0,
+		    .slack_ms = 1000.0,
+		    .left_ms = 10000.0,
 		};
 		struct balance_plan plan;
 		struct balance_plan adjusted;
