A prompt whose caller would give up before its first token is rejected at once

What callers saw: in an overload a short prompt was never rejected. It was sent to an engine with seconds of prefill or a queue for its slots, its caller left after two seconds without an event, and nobody told it to come back while that could have helped. A long prompt that could not begin before its deadline waited until then.

Cause: nothing in the plan asked for the time that the caller has. A short stream's plan had no verdict at all.

Change: the plan knows the time until the caller gives up: the deadline, or the gap after which callers abandon a stream. A first token expected after that is BALANCE_TOO_LATE, for prompts of any length, and no wait follows. The expectation counts the wait for a slot where all are taken. The answer has a Retry-After if the caller can be served when the backlog is done.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -298,6 +298,10 @@
 	case BALANCE_DELAYS_OTHERS:
 		*why = "other callers would be late because of the prompt";
 		return REFUSAL_OVERLOADED;
+	case BALANCE_TOO_LATE:
+		*why = "the engines can't begin to answer before the caller "
+		       "gives up";
+		return REFUSAL_OVERLOADED;
 	case BALANCE_NO_MEMORY:
 		*why = "the engines have no memory for the prompt now";
 		return REFUSAL_OVERLOADED;
@@ -362,7 +366,9 @@
 	}
 	*verdict = selection_plan(exchange, selection, plan);
 	/* A request that was sent before continues at any cost. */
-	if (*verdict == BALANCE_DELAYS_OTHERS && exchange->sends > 0)
+	if ((*verdict == BALANCE_DELAYS_OTHERS ||
+		*verdict == BALANCE_TOO_LATE) &&
+	    exchange->sends > 0)
 		*verdict = BALANCE_SERVE;
 	if (exchange->tries == 0 && exchange_may_wait(exchange, *verdict, plan))
 		return DECISION_WAIT;
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -115,11 +115,31 @@
 	    affinity_credit_ms(candidate, false);
 }
 
+/*
+ * Returns how long a stream waits for a slot of a full engine: the streams
+ * there end one after the other, evenly, and last as long as this one will.
+ */
+static double
+slot_wait_ms(const struct engine_profile *profile,
+    const struct balance_candidate *candidate,
+    const struct balance_prompt *prompt)
+{
+	double passes = (double)prompt->output_tokens / MAX(profile->stride, 1);
+	double stream_ms = passes *
+	    engine_profile_pass_ms(
+		profile, candidate->slots, candidate->context_tokens);
+
+	if (candidate->running < candidate->slots)
+		return 0.0;
+	return (candidate->running + 1 - candidate->slots) * stream_ms /
+	    MAX(candidate->slots, 1);
+}
+
 /* Plans a short stream's prompt, which one engine prefills. */
 static void
 plan_short_stream(const struct engine_profile *profile,
     const struct balance_candidate *candidates, size_t count, double prefill_ms,
-    struct balance_plan *plan)
+    const struct balance_prompt *prompt, struct balance_plan *plan)
 {
 	g_autofree struct rank *ranks = rank_all(
 	    candidates, count, packing_cost_ms);
@@ -132,7 +152,8 @@
 	    .first = ranks[0].index,
 	    .part_ms = prefill_ms,
 	    .alone_ms = alone_ms,
-	    .first_token_ms = first->backlog_ms + alone_ms,
+	    .first_token_ms = first->backlog_ms + alone_ms +
+		slot_wait_ms(profile, first, prompt),
 	};
 }
 
@@ -279,16 +300,28 @@
 	return out;
 }
 
+/* Returns whether a prompt's first token comes after its caller has left. */
+static bool
+is_too_late(
+    const struct balance_prompt *prompt, const struct balance_plan *plan)
+{
+	return plan->first_token_ms >= prompt->left_ms;
+}
+
 /*
  * Returns whether a division is better than another: first by more urgent
- * callers that are late, then by cost.
+ * callers that are late and by whether the prompt is served at all, then by
+ * cost.
  */
 static bool
-is_better_division(
+is_better_division(const struct balance_prompt *prompt,
     const struct balance_plan *plan, const struct balance_plan *other)
 {
-	if (plan->late_urgent != other->late_urgent)
-		return plan->late_urgent < other->late_urgent;
+	double harm = plan->late_urgent + is_too_late(prompt, plan);
+	double other_harm = other->late_urgent + is_too_late(prompt, other);
+
+	if (harm != other_harm)
+		return harm < other_harm;
 	return plan->cost < other->cost;
 }
 
@@ -441,7 +474,8 @@
 		struct balance_plan division = assess_division(profile,
 		    candidates, count, parts, prefill_ms, prompt, ranks);
 
-		if (parts > fewest && !is_better_division(&division, plan))
+		if (parts > fewest &&
+		    !is_better_division(prompt, &division, plan))
 			continue;
 		best = parts;
 		*plan = division;
@@ -457,7 +491,7 @@
 		struct balance_plan division = assess_division(profile,
 		    candidates, count, parts, prefill_ms, prompt, ranks);
 
-		if (!is_better_division(&division, plan))
+		if (!is_better_division(prompt, &division, plan))
 			continue;
 		best = parts;
 		*plan = division;
@@ -526,6 +560,8 @@
 static enum balance_verdict
 judge(const struct balance_prompt *prompt, const struct balance_plan *plan)
 {
+	if (is_too_late(prompt, plan))
+		return BALANCE_TOO_LATE;
 	return delays_others(prompt, plan) ? BALANCE_DELAYS_OTHERS
 					   : BALANCE_SERVE;
 }
@@ -546,7 +582,8 @@
 	if (count == 0)
 		return BALANCE_NO_ENGINE;
 	if (!balance_is_divisible(profile, prompt))
-		plan_short_stream(profile, candidates, count, prefill_ms, plan);
+		plan_short_stream(
+		    profile, candidates, count, prefill_ms, prompt, plan);
 	else
 		plan_divided(
 		    profile, candidates, count, prefill_ms, prompt, plan);
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -11,9 +11,9 @@
  * during a burst a long prompt is held back here until the prompts before it
  * are prefilled.
  *
- * Admission: a prompt is served if no caller of a more urgent rank is late
- * because of it, and at most one other caller for one that is in time. Each
- * caller counts once, however
+ * Admission: a prompt is served if its first token comes before its caller
+ * gives up, no caller of a more urgent rank is late because of it, and at most
+ * one other caller for one that is in time. Each caller counts once, however
  * long its prompt is. A caller is late if its first token comes after its
  * target or an event after the gap that its route allows. A prompt that would
  * make others late waits while it can still be in time; then it is rejected,
@@ -134,6 +134,7 @@
 	BALANCE_NO_ENGINE, /* there is no engine */
 	BALANCE_NO_MEMORY, /* the engines together lack memory for it now */
 	BALANCE_DELAYS_OTHERS, /* too many others would be late */
+	BALANCE_TOO_LATE, /* its caller gives up before its first token */
 	BALANCE_HELD_BACK, /* it has time and would delay more urgent streams */
 };
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -253,6 +253,8 @@
 	"/prompt/x", 2, 2.0, 503, true},
     {"a prompt that delays nobody is served late while its caller waits",
 	"/prompt/x", 0, 2.0, 200, false},
+    {"a prompt whose caller gives up before that is rejected at once",
+	"/hasty/x", 0, 2.0, 503, false},
 };
 
 /* Sets the streams without a gap target that peers report at each upstream. */
--- a/tests/test_precedence_replay.c
+++ b/tests/test_precedence_replay.c
@@ -175,6 +175,18 @@
 	}
 }
 
+/* Runs one case, for the short prompts, which engines queue themselves. */
+static void
+test_short(gconstpointer data)
+{
+	const struct replay_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	g_autoptr(GPtrArray) all = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++)
+		g_ptr_array_extend_and_steal(all, replay(c, true, seed));
+	assert_answered(all, STREAM_SHORT, STREAM_SHORT + 1);
+}
+
 /* Returns the share of the most urgent prompts that were not in time. */
 static double
 late_share(const GPtrArray *prompts)
@@ -226,6 +238,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/precedence/replay", test_replay);
+	ADD_CASES(cases, "/precedence/short", test_short);
 	g_test_add_func(
 	    "/precedence/less urgent prompts make few urgent ones late",
 	    test_late_share);
--- a/tests/test_ranks.c
+++ b/tests/test_ranks.c
@@ -32,6 +32,8 @@
 
 /* Prefill at each engine for which no caller of a quick route has time. */
 #define BUSY_US 1500000
+/* The same, for a caller that abandons its stream after 2 s. */
+#define TOO_LATE_US 2500000
 /* Less than any time for which a prompt waits; one that idle engines get. */
 #define AT_ONCE_MS 1000
 
@@ -278,6 +280,27 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * A short prompt whose first token would come after its caller has left is
+ * rejected at once, and told when the engines will have time again.
+ */
+static void
+test_short_too_late(void)
+{
+	struct fixture f = {.tokens = "1000,10",
+	    .config = CONFIG(QUICK_ROUTE("b", ""), OWNER(""))};
+
+	fixture_set_up(&f);
+	fake_platform_repeat_step(f.fake_platform, FAKE_STEP_STREAM);
+	fixture_wait_for_routing_state(&f);
+	set_peer_prefill(&f, TOO_LATE_US);
+	request(&f, "/b/x");
+	g_assert_cmpint(f.status, ==, 503);
+	g_assert_nonnull(f.retry_after);
+	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 0);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -293,5 +316,8 @@
 	g_test_add_func("/ranks/a prompt that engines can serve is served, "
 			"whoever was rejected before",
 	    test_served_after_rejection);
+	g_test_add_func("/ranks/a short prompt whose caller would have left is "
+			"rejected at once",
+	    test_short_too_late);
 	return g_test_run();
 }
