An organisation's own rank counts where its routes are all alike

What callers saw: an organisation with a Priority of its own was served as everybody else where the routes of a service have one rank, and upstreams were told no urgency there, although the protocol says that an organisation's priority goes before its route's.

Change: an organisation's rank is one of the service's, and each request carries its urgency; there is no other way for services of one rank.

Evidence: /ranks/decoded/an organisation's rank goes before that of routes of one rank: on "'ranks.has_ranks == c->has_ranks' should be TRUE".

--- a/src/gateway/exchange_rank.c
+++ b/src/gateway/exchange_rank.c
@@ -121,16 +121,14 @@
 }
 
 /*
- * Sets the urgency that upstreams are told. Without different ranks none is
- * sent: upstreams then treat all requests of the service alike.
+ * Sets the urgency that upstreams are told: by rank, and within a rank by how
+ * much of its target a request has left.
  */
 void
 exchange_set_urgency(
     const struct exchange *exchange, struct upstream_headers *values)
 {
-	values->has_urgency = exchange->ranks.has_ranks;
-	if (values->has_urgency)
-		values->urgency = precedence_urgency(&exchange->ranks,
-		    exchange->rank, (double)exchange->route->target_ms,
-		    (double)exchange_age_ms(exchange));
+	values->urgency = precedence_urgency(&exchange->ranks, exchange->rank,
+	    (double)exchange->route->target_ms,
+	    (double)exchange_age_ms(exchange));
 }
--- a/src/routing/service_ranks.c
+++ b/src/routing/service_ranks.c
@@ -158,10 +158,8 @@
 }
 
 /*
- * Returns the ranks of a service; without ranks if its routes have the same one
- * or there are none. An organisation's own rank counts only beside different
- * ranks of routes: alone, it would change how every service is served that the
- * organisation calls.
+ * Returns the ranks of a service: those of its routes, and those that
+ * organisations have of their own, since these go before the routes'.
  */
 struct precedence_ranks
 service_ranks_find(const struct service_ranks *ranks, const char *service)
@@ -175,17 +173,16 @@
 	for (guint i = 0; i < kinds->len; i++) {
 		uint32_t rank = g_array_index(kinds, struct kind, i).rank;
 
-		if (rank > PRECEDENCE_RANK_MAX)
-			continue;
-		count += !out.used[rank];
-		out.used[rank] = true;
+		if (rank <= PRECEDENCE_RANK_MAX)
+			out.used[rank] = true;
 	}
-	out.has_ranks = count > 1;
 	for (uint32_t i = 0; i < PRECEDENCE_RANKS; i++) {
 		out.used[i] |= ranks->organisations[i] > 0;
+		count += out.used[i];
 		if (out.used[i])
 			out.least_urgent = i;
 	}
+	out.has_ranks = count > 1;
 	for (guint i = 0; i < kinds->len; i++)
 		add_class(&out, &g_array_index(kinds, struct kind, i));
 	return out;
