No caller is told to come back when it can't be served by then

What callers saw: a request that upstreams rejected 80 ms before its deadline was told to come back in half a second or more, and one beyond the rates that upstreams name up to 30 s later, whatever time it had. It came back for nothing, or gave up without knowing that it had to.

Cause: only prompts' rejections asked for the caller's time; other rejections took a fixed time or the upstreams' one. A time slot was used up even for a caller that would have left before it.

Change: exchange_retry_after_ms() goes by policy/return_time too, and return_slots does not take a slot that is later than the caller's deadline.

--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -28,9 +28,6 @@
 /* Used if neither the caller nor the route sets a time limit. */
 #define EXCHANGE_DEADLINE_DEFAULT_MS 60000
 
-/* Retry-After of a request that no upstream can take now. */
-#define EXCHANGE_RETRY_AFTER_MS 500
-
 /* Reasons for which the gateway itself answers a request. */
 enum refusal {
 	REFUSAL_NOT_READY, /* no routing table received yet */
--- a/src/gateway/exchange_return.c
+++ b/src/gateway/exchange_return.c
@@ -4,10 +4,9 @@
 #include "policy/return_time.h"
 
 /*
- * Returns when the caller of a request that is rejected for lack of capacity
- * should come back, in milliseconds; 0 if it can't be served by then. room_ms
- * is the time until there is room for more work than the upstreams have now;
- * plan is how it would have been served, or NULL.
+ * Returns when the caller of a rejected request should come back, in
+ * milliseconds; 0 if it can't be served by then. room_ms is the time until
+ * there is room for it; plan is how it would have been served, or NULL.
  */
 int64_t
 exchange_return_after_ms(const struct exchange *exchange, double room_ms,
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -6,6 +6,7 @@
 
 #include "gateway/exchange_internal.h"
 #include "policy/caller_time.h"
+#include "policy/return_time.h"
 
 /*
  * Maximum number of upstreams that prefill a prompt after one of them failed:
@@ -289,13 +290,13 @@
 /*
  * Returns when the caller of a rejected request should come back, in
  * milliseconds: soon, or once the first upstream accepts requests again, and
- * not together with the others.
+ * not together with the others; 0 if it can't be served by then.
  */
 int64_t
 exchange_retry_after_ms(struct exchange *exchange)
 {
 	struct exchange_context *context = exchange->context;
-	int64_t left_ms = EXCHANGE_RETRY_AFTER_MS;
+	int64_t left_ms = RETURN_TIME_ROOM_MIN_MS;
 	struct selection selection;
 
 	selection_collect(exchange, SELECTION_ANY, &selection);
@@ -304,9 +305,10 @@
 	if (selection_is_deferred(&selection) && selection.rate_per_s > 0.0)
 		left_ms = return_slots_take(service_slots(exchange), left_ms,
 		    selection.rate_per_s / load_sync_count(context->load_sync),
+		    exchange_remaining_ms(exchange),
 		    clock_monotonic(context->clock));
 	selection_clear(&selection);
-	return quiet_retry_after_ms(left_ms, context->random);
+	return exchange_return_after_ms(exchange, (double)left_ms, NULL);
 }
 
 /* Returns the stream class for the route's gap target. */
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/exchange_selection.h"
+#include "policy/return_time.h"
 
 #define LOG_MODULE "send"
 #include "base/log.h"
@@ -178,8 +179,10 @@
 		    "an engine did not reserve memory for the prompt");
 	else
 		exchange_fail(exchange, REFUSAL_OVERLOADED,
-		    exchange_return_after_ms(
-			exchange, exchange_mean_backlog_ms(exchange), NULL),
+		    exchange_return_after_ms(exchange,
+			MAX(exchange_mean_backlog_ms(exchange),
+			    RETURN_TIME_ROOM_MIN_MS),
+			NULL),
 		    "the engines did not reserve memory for the prompt");
 }
 
@@ -326,8 +329,8 @@
 
 	if (refusal == REFUSAL_OVERLOADED) {
 		log_rejected_prompt(exchange, selection, plan);
-		wait_ms = exchange_return_after_ms(
-		    exchange, plan->wait_ms, plan);
+		wait_ms = exchange_return_after_ms(exchange,
+		    MAX(plan->wait_ms, RETURN_TIME_ROOM_MIN_MS), plan);
 	} else
 		wait_ms = exchange_retry_after_ms(exchange);
 	exchange_fail(exchange, refusal, wait_ms, why);
--- a/src/policy/quiet.c
+++ b/src/policy/quiet.c
@@ -28,15 +28,3 @@
 		return 0;
 	return MAX(time_diff_ms(quiet->until, now), 1);
 }
-
-/*
- * Returns when a rejected caller should come back, if the first upstream
- * accepts requests again in left_ms.
- */
-int64_t
-quiet_retry_after_ms(int64_t left_ms, GRand *random)
-{
-	int64_t spread_ms = MAX(left_ms / 2, QUIET_SPREAD_MIN_MS);
-
-	return left_ms + (int64_t)(g_rand_double(random) * (double)spread_ms);
-}
--- a/src/policy/quiet.h
+++ b/src/policy/quiet.h
@@ -20,11 +20,6 @@
 
 /* An upstream can't ask for more. */
 #define QUIET_MAX_MS (INT64_C(3600) * 1000)
-/*
- * Callers are spread over half of the time to wait, and over at least this
- * time.
- */
-#define QUIET_SPREAD_MIN_MS 250
 
 /* Zero-initialised: an upstream that has not asked for quiet. */
 struct quiet {
@@ -34,6 +29,5 @@
 void quiet_on_request(struct quiet *, int64_t quiet_ms, struct timespec now);
 bool quiet_is_wanted(const struct quiet *, struct timespec now);
 int64_t quiet_left_ms(const struct quiet *, struct timespec now);
-int64_t quiet_retry_after_ms(int64_t left_ms, GRand *);
 
 #endif
--- a/src/policy/return_slots.h
+++ b/src/policy/return_slots.h
@@ -21,7 +21,7 @@
 	struct timespec next;
 };
 
-int64_t return_slots_take(
-    struct return_slots *, int64_t left_ms, double per_s, struct timespec now);
+int64_t return_slots_take(struct return_slots *, int64_t left_ms, double per_s,
+    int64_t most_ms, struct timespec now);
 
 #endif
--- a/src/policy/return_time.c
+++ b/src/policy/return_time.c
@@ -12,7 +12,7 @@
 int64_t
 return_time_ms(const struct return_ask *ask)
 {
-	double room_ms = MAX(ask->room_ms, RETURN_TIME_MIN_MS);
+	double room_ms = ask->room_ms;
 	double patience_ms = ask->left_ms * RETURN_TIME_PATIENCE_SHARE;
 	double spread_ms = MAX(room_ms / 2.0, RETURN_TIME_SPREAD_MIN_MS);
 	double wait_ms;
--- a/src/policy/return_time.h
+++ b/src/policy/return_time.h
@@ -18,9 +18,11 @@
  * third; the margin covers the way to them.
  */
 #define RETURN_TIME_PATIENCE_SHARE 0.3
-/* Least time in milliseconds: what there is no room for now has just changed.
+/*
+ * Milliseconds after which there may be room where nothing tells when: the
+ * state that led to the rejection has just been looked at.
  */
-#define RETURN_TIME_MIN_MS 500
+#define RETURN_TIME_ROOM_MIN_MS 500
 /*
  * Callers are spread over half of the time until there is room, and over at
  * least this many milliseconds.
--- a/tests/test_returning.c
+++ b/tests/test_returning.c
@@ -163,6 +163,22 @@
 	tear_down(&r);
 }
 
+/*
+ * A request that the upstreams reject shortly before its deadline is not told
+ * to come back: it could not be served by then.
+ */
+static void
+test_rejected_late(void)
+{
+	struct returning r = {0};
+
+	set_up(&r);
+	request(&r, "/quick/x", FAKE_STEP_NOT_RUN);
+	g_assert_cmpint(r.f.status, ==, 503);
+	g_assert_null(r.f.retry_after);
+	tear_down(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -178,5 +194,8 @@
 	g_test_add_func("/returning/a prompt without enough time is not told "
 			"to come back",
 	    test_hopeless);
+	g_test_add_func("/returning/a request without time left is not told to "
+			"come back",
+	    test_rejected_late);
 	return g_test_run();
 }
