A prompt larger than all engines together is rejected at once

What callers saw: a prompt that does not fit into the memory of all engines that it may use waited for memory, planned again every 50 ms, and was told to come back when the backlog is done, although no wait could help.

Cause: BALANCE_NO_MEMORY did not tell memory that is taken from memory that there is not.

Change: BALANCE_TOO_LARGE, if the prompt and its answer exceed the empty engines' memory: no wait, no Retry-After.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -305,6 +305,9 @@
 		*why = "the engines can't begin to answer before the caller "
 		       "gives up";
 		return REFUSAL_OVERLOADED;
+	case BALANCE_TOO_LARGE:
+		*why = "the engines together have no memory for the prompt";
+		return REFUSAL_OVERLOADED;
 	case BALANCE_NO_MEMORY:
 		*why = "the engines have no memory for the prompt now";
 		return REFUSAL_OVERLOADED;
@@ -327,11 +330,14 @@
 	enum refusal refusal = exchange_refusal(selection, verdict, &why);
 	int64_t wait_ms;
 
-	if (refusal == REFUSAL_OVERLOADED) {
+	if (refusal == REFUSAL_OVERLOADED)
 		log_rejected_prompt(exchange, selection, plan);
+	if (verdict == BALANCE_TOO_LARGE)
+		wait_ms = 0;
+	else if (refusal == REFUSAL_OVERLOADED)
 		wait_ms = exchange_return_after_ms(exchange,
 		    MAX(plan->wait_ms, RETURN_TIME_ROOM_MIN_MS), plan);
-	} else
+	else
 		wait_ms = exchange_retry_after_ms(exchange);
 	exchange_fail(exchange, refusal, wait_ms, why);
 }
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -593,11 +593,13 @@
 		return verdict;
 	if (balance_divide_memory(profile, candidates, prompt, plan))
 		return BALANCE_SERVE;
-	return !prompt->undivided &&
-		plan_for_memory(
-		    profile, candidates, count, prefill_ms, prompt, plan)
-	    ? BALANCE_SERVE
-	    : BALANCE_NO_MEMORY;
+	if (!prompt->undivided &&
+	    plan_for_memory(
+		profile, candidates, count, prefill_ms, prompt, plan))
+		return BALANCE_SERVE;
+	return balance_ever_fits_memory(profile, count, prompt)
+	    ? BALANCE_NO_MEMORY
+	    : BALANCE_TOO_LARGE;
 }
 
 /*
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -133,6 +133,7 @@
 	BALANCE_SERVE,
 	BALANCE_NO_ENGINE, /* there is no engine */
 	BALANCE_NO_MEMORY, /* the engines together lack memory for it now */
+	BALANCE_TOO_LARGE, /* it would not fit if they were empty */
 	BALANCE_DELAYS_OTHERS, /* too many others would be late */
 	BALANCE_TOO_LATE, /* its caller gives up before its first token */
 	BALANCE_HELD_BACK, /* it has time and would delay more urgent streams */
--- a/src/policy/balance_memory.c
+++ b/src/policy/balance_memory.c
@@ -24,6 +24,23 @@
 	    balance_free_tokens(profile, candidate);
 }
 
+/*
+ * Returns whether a prompt and its answer would fit into the memory of that
+ * many engines, or of as many as a prompt may use, if they were empty.
+ */
+bool
+balance_ever_fits_memory(const struct engine_profile *profile, size_t count,
+    const struct balance_prompt *prompt)
+{
+	size_t engines = prompt->undivided
+	    ? 1
+	    : MIN(count, BALANCE_HELPERS_MAX + 1);
+
+	return (double)(prompt->tokens + prompt->output_tokens) <=
+	    (double)profile->memory_tokens * BALANCE_MEMORY_SHARE *
+	    (double)engines;
+}
+
 /*
  * Distributes the KV cache of a prompt that does not fit into the decoder's
  * memory: the decoder keeps what fits, the helpers the rest. Returns false if
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -70,6 +70,8 @@
     {"a prompt larger than all free memory waits",
 	{{.context_tokens = 280000}, {.context_tokens = 280000}}, 2, 154000,
 	STREAM_LONG, 30000, BALANCE_NO_MEMORY, -1, 0, 1, false},
+    {"a prompt larger than all memory is rejected at once", {{0}, {0}}, 2,
+	600000, STREAM_LONG, 60000, BALANCE_TOO_LARGE, -1, 0, 1, false},
     {"a prompt that would make many others late is not served",
 	{{.running = 12, .short_streams = 12, .backlog_ms = 900},
 	    {.running = 12, .short_streams = 12, .backlog_ms = 900}},
