Room for urgent streams that may come leaves half to the prompts that are here

What callers saw: beside a few full engines of urgent streams, a less urgent prompt was kept from the only idle engine, and rejected at the end of its time, for streams that might come.

Cause: as many engines were kept clear as the urgent streams may need by two standard deviations, if need be all.

Change: at most half of the engines without more urgent streams are kept clear.

--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -180,32 +180,43 @@
 	return left->order < right->order;
 }
 
+/* Returns whether an engine has no streams that go before a prompt. */
+static bool
+is_clear(const struct precedence_ranks *ranks,
+    const struct balance_candidate *candidate,
+    const struct balance_prompt *prompt)
+{
+	return count_streams(goes_before, ranks, candidate, prompt) == 0;
+}
+
 /*
  * Marks the engines that are to be kept clear for more urgent streams that come
  * next: of those without streams that go before the prompt the ones that are
- * free first, in an order that all gateways know.
+ * free first, in an order that all gateways know. At least half of these are
+ * left to the prompts that are already here.
  */
 static void
 mark_reserved(const struct precedence_ranks *ranks,
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, bool *reserved)
 {
-	size_t left = count_reserved(ranks, candidates, count, prompt);
+	size_t clear = 0;
+	size_t left;
 
 	memset(reserved, 0, count * sizeof(*reserved));
+	for (size_t i = 0; i < count; i++)
+		clear += is_clear(ranks, &candidates[i], prompt);
+	left = MIN(count_reserved(ranks, candidates, count, prompt), clear / 2);
 	for (; left > 0; left--) {
 		size_t freest = count;
 
 		for (size_t i = 0; i < count; i++) {
 			if (!reserved[i] &&
-			    count_streams(goes_before, ranks, &candidates[i],
-				prompt) == 0 &&
+			    is_clear(ranks, &candidates[i], prompt) &&
 			    (freest == count ||
 				is_freer(&candidates[i], &candidates[freest])))
 				freest = i;
 		}
-		if (freest == count)
-			return;
 		reserved[freest] = true;
 	}
 }
@@ -225,9 +236,7 @@
 	subset_init(subset, count);
 	for (size_t i = 0; i < count; i++) {
 		if (reserved[i] ||
-		    (only_clear &&
-			count_streams(
-			    goes_before, ranks, &candidates[i], prompt) > 0))
+		    (only_clear && !is_clear(ranks, &candidates[i], prompt)))
 			continue;
 		subset_add(subset, candidates, i);
 	}
