--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -347,7 +347,8 @@
 }
 
 /*
- * Plans a prompt on engines that are not kept clear, see above;
+ * Plans a prompt on engines that are not kept clear for more urgent streams;
+ * with only_clear on those without streams that go before it.
  * BALANCE_NO_ENGINE if there are none.
  */
 static enum balance_verdict
@@ -373,9 +374,8 @@
 }
 
 /*
- * Returns whether a plan for engines without more urgent streams is carried
- * out: the prompt meets its target, and no more urgent prompts wait while it
- * has time.
+ * Returns whether a plan for clear engines is carried out: the prompt meets its
+ * target, and no more urgent prompts wait while it has time.
  */
 static bool
 is_accepted(const struct balance_prompt *prompt, enum balance_verdict verdict,
@@ -448,11 +448,11 @@
 }
 
 /*
- * Plans a prompt on the engines that its rank and slack allow. A less urgent
- * prompt that would use engines with more urgent streams, or those that these
- * need next, is held back for as long as it meets its target on the engines
- * that it could use now. Without such engines it is served late on others, or
- * not at all.
+ * Plans a prompt on the engines that its rank and slack allow: first on those
+ * that are clear of streams that go before it, then on the others that are not
+ * kept for more urgent ones. Beside more urgent ranks it is held back from the
+ * latter while it has time, and is served late on clear engines rather than not
+ * at all.
  */
 enum balance_verdict
 precedence_plan_prompt(const struct engine_profile *profile,
@@ -487,6 +487,5 @@
 		*plan = clear;
 		return BALANCE_SERVE;
 	}
-	return verdict == BALANCE_NO_ENGINE && count > 0 ? BALANCE_DELAYS_OTHERS
-							 : verdict;
+	return verdict;
 }
--- a/src/policy/precedence.h
+++ b/src/policy/precedence.h
@@ -1,16 +1,15 @@
 /*
- * Placement of prompts whose routes or organisations have different ranks.
+ * Placement of prompts by rank and by the time that their callers have.
  *
  * Load pattern: many short streams with a target of a few hundred milliseconds
  * beside few long prompts with a target of several seconds. An engine prefills
  * the parts of a divided prompt before everything else, so one part makes all
  * short streams of its engine late, while the long prompt has time to spare.
  *
- * A less urgent prompt therefore uses engines without more urgent streams, uses
- * no more of them than its target requires, leaves room for the more urgent
- * streams that come next, and is held back while that is not possible and it
- * can still meet its target. Without ranks the decisions are those of
- * policy/balance.
+ * A prompt therefore uses engines without streams that go before it as far as
+ * these let it meet its target: streams of a more urgent rank, and of its own
+ * rank those with less time. For more urgent ranks it also leaves room for the
+ * streams that come next, and is held back while it can still meet its target.
  */
 #ifndef POLICY_PRECEDENCE_H
 #define POLICY_PRECEDENCE_H
