--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -553,7 +553,10 @@
         self.check_leaving(upstream, time.time())
         upstream.leaving = False
         upstream.born = int(time.time() * 1000)
-        await self.publish_upstream(number, "ready")
+        # Its drain, if one still runs, ends by itself.
+        drains = f"i-{number}" in self.excluded_now
+        await self.publish_upstream(
+            number, "draining" if drains else "ready")
 
     async def name_rate(self):
         """Makes an upstream name the rate of requests that it takes."""
