An urgent organisation's prompt counts streams of its route as its equals

What callers saw since, where organisations have ranks of their own: a long prompt of an organisation that is more urgent than its route went ahead of all streams there, and made them late without limit, those of its own organisation too.

Cause: load reports count streams by class, and a class has the rank of its routes. Beside a prompt with an organisation's rank all of them looked less urgent.

Change: streams that are less urgent only by the prompt's own organisation count as equal: whose they are is not known. Classes of routes that are less urgent than the prompt's own route stay so.

--- a/src/gateway/exchange_rank.c
+++ b/src/gateway/exchange_rank.c
@@ -27,6 +27,8 @@
     const struct exchange *exchange, struct balance_prompt *prompt)
 {
 	prompt->rank = exchange->rank;
+	prompt->route_rank = precedence_resolve_rank(
+	    &exchange->ranks, exchange->route->priority, false, 0);
 	prompt->gap_ms = (double)exchange->route->gap_target_ms;
 }
 
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -123,6 +123,7 @@
 	bool undivided; /* one engine prefills it, or none */
 	size_t engines_aside; /* of its service, not among the candidates */
 	uint32_t rank; /* 0 is the most urgent */
+	uint32_t route_rank; /* the same without its organisation's own */
 	double ahead_ms; /* prefill of more urgent prompts that wait */
 	double gap_ms; /* gap target of its route; 0: none */
 	struct {
--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -51,13 +51,29 @@
 	    URGENCIES - 1);
 }
 
+/*
+ * Returns the rank of a class of streams beside a prompt. Whose they are is not
+ * known: those that are less urgent only because the prompt's organisation has
+ * a more urgent rank than its route may be of that organisation too, and count
+ * as equal.
+ */
+static uint32_t
+class_rank(const struct precedence_ranks *ranks, size_t class,
+    const struct balance_prompt *prompt)
+{
+	uint32_t rank = ranks->classes[class].rank;
+
+	return rank > prompt->rank && rank <= prompt->route_rank ? prompt->rank
+								 : rank;
+}
+
 /* Returns whether a class of streams is of a more urgent rank than a prompt. */
 static bool
 is_more_urgent(const struct precedence_ranks *ranks, size_t class,
     const struct balance_prompt *prompt)
 {
 	return ranks->classes[class].used &&
-	    ranks->classes[class].rank < prompt->rank;
+	    class_rank(ranks, class, prompt) < prompt->rank;
 }
 
 /*
@@ -70,7 +86,7 @@
 {
 	return is_more_urgent(ranks, class, prompt) ||
 	    (ranks->classes[class].used &&
-		ranks->classes[class].rank == prompt->rank &&
+		class_rank(ranks, class, prompt) == prompt->rank &&
 		class < prompt->class);
 }
 
@@ -430,7 +446,7 @@
 			gap_ms -= pass_ms;
 		if (is_more_urgent(ranks, i, prompt))
 			gap_ms /= 2.0;
-		prompt->streams[i].rank = ranks->classes[i].rank;
+		prompt->streams[i].rank = class_rank(ranks, i, prompt);
 		prompt->streams[i].gap_ms = gap_ms;
 	}
 }
--- a/tests/experiment/fleet_model.c
+++ b/tests/experiment/fleet_model.c
@@ -282,6 +282,7 @@
 	    .slack_ms = time.slack_ms,
 	    .left_ms = time.left_ms,
 	    .rank = class_rank(model, prompt->class),
+	    .route_rank = class_rank(model, prompt->class),
 	    .gap_ms = class->gap_ms,
 	};
 	const struct precedence_ranks ranks = describe_ranks(model);
--- a/tests/test_precedence.c
+++ b/tests/test_precedence.c
@@ -98,6 +98,16 @@
 	[STREAM_LONG] = {true, 0, 1000.0}},
 };
 
+/* The first three, with organisations that are as urgent as the first. */
+static const struct precedence_ranks urgent_organisation = {
+    .has_ranks = true,
+    .used = {true, true, true},
+    .least_urgent = 2,
+    .classes = {[STREAM_SHORT] = {true, 2, 250.0},
+	[STREAM_MEDIUM] = {true, 2, 600.0},
+	[STREAM_LONG] = {true, 2, 1000.0}},
+};
+
 /* State of one engine in a case. */
 struct state {
 	uint32_t streams[STREAM_CLASSES];
@@ -172,6 +182,11 @@
 	{SHORT(1), SHORT(1), SHORT(1), SHORT(1), SHORT(1), SHORT(1), SHORT(1),
 	    SHORT(1), SHORT(1), SHORT(1), SHORT(1), SHORT(1)},
 	12, STREAM_MEDIUM, 0, BALANCE_SERVE, false, &one_rank, 0xfff, 11},
+    {"an urgent organisation's long prompt does not block all engines",
+	{SHORT(4), SHORT(4), SHORT(4), SHORT(4), SHORT(4), SHORT(4), SHORT(4),
+	    SHORT(4), SHORT(4), SHORT(4), SHORT(4), SHORT(4)},
+	12, STREAM_LONG, 0, BALANCE_DELAYS_OTHERS, true, &urgent_organisation,
+	0, 0},
     {"it prefers engines without streams that have less time",
 	{SHORT(9), SHORT(9), IDLE, IDLE, IDLE, IDLE, IDLE, IDLE}, 8,
 	STREAM_LONG, 0, BALANCE_SERVE, false, &one_rank, 0xfc, 5},
@@ -218,7 +233,8 @@
 	    .output_tokens = 800,
 	    .class = c->class,
 	    .target_ms = kind->target_ms,
-	    .rank = c->ranks == &one_rank ? 0 : kind->rank,
+	    .rank = c->ranks == &three_ranks ? kind->rank : 0,
+	    .route_rank = c->ranks == &one_rank ? 0 : kind->rank,
 	    .slack_ms = kind->target_ms - c->waited_ms,
 	    .left_ms = caller_time_stream_ms(kind->target_ms, kind->gap_ms) -
 		c->waited_ms,
