--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -12,12 +12,15 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
+import pathlib
 import random
 import shutil
 import signal
 import socket
+import tempfile
 import time
 
 import crashing_part
@@ -39,7 +42,8 @@
 QUIET_REQUESTS_MAX = 2
 ROLLBACK_SLACK_S = 0.25
 PORTS = (20000, 32000)
-PORTS_PER_SOAK = 300
+PORTS_PER_SOAK = 600
+PORT_LOCKS = []  # open files; their locks end with the process
 CALLER_COUNT = 12
 DEADLINE_MS = 4000
 LONG_DEADLINE_MS = 10000
@@ -806,18 +810,39 @@
                 **(self.prompts.counts() if self.prompts else {})}
 
 
+def claim_port_block():
+    """Returns the first port of a block that no other soak has.
+
+    The block is this process's for as long as it runs, also while no gateway
+    of its own listens there: gateways are restarted at their ports.
+    """
+    first, end = PORTS
+    blocks = (end - first) // PORTS_PER_SOAK
+    for offset in range(blocks):
+        block = (os.getpid() + offset) % blocks
+        path = pathlib.Path(tempfile.gettempdir(),
+                            f"heatherturn-soak-ports-{block}.lock")
+        lock = open(path, "w", encoding="ascii")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        PORT_LOCKS.append(lock)
+        return first + block * PORTS_PER_SOAK
+    raise OSError(f"other soaks have all ports from {first} to {end}")
+
+
 def find_free_ports(count):
     """Returns ports on loopback that nothing listens on.
 
     They are below those that the system gives to outgoing connections, one of
-    which could otherwise take a port before its gateway listens. Each process
-    begins its search elsewhere.
+    which could otherwise take a port before its gateway listens, and in a
+    block that no other soak uses.
     """
-    first, end = PORTS
-    start = os.getpid() * PORTS_PER_SOAK % (end - first)
+    first = claim_port_block()
     ports = []
-    for offset in range(end - first):
-        port = first + (start + offset) % (end - first)
+    for port in range(first, first + PORTS_PER_SOAK):
         with socket.socket() as one:
             try:
                 one.bind(("127.0.0.1", port))
@@ -826,7 +851,7 @@
         ports.append(port)
         if len(ports) == count:
             return ports
-    raise OSError(f"fewer than {count} free ports from {first} to {end}")
+    raise OSError(f"fewer than {count} free ports from {first} on")
 
 
 def keep_logs(folder):
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -81,7 +81,7 @@
     {"or waits while others block as many",
 	{{.backlog_ms = 400}, {.backlog_ms = 400}, {.backlog_ms = 400},
 	    {.backlog_ms = 400}, {0}, {0}, {0}, {0}},
-	8, 100000, STREAM_LONG, 3000, BALANCE_DELAYS_OTHERS, -1, 0, 0, false},
+	8, 150000, STREAM_LONG, 3000, BALANCE_DELAYS_OTHERS, -1, 0, 0, false},
     {"a prompt larger than all memory is rejected at once", {{0}, {0}}, 2,
 	600000, STREAM_LONG, 60000, BALANCE_TOO_LARGE, -1, 0, 1, false},
     {"a prompt that would make many others late is not served",
