Parts of a long prompt are never longer than half of the engines make them

What callers saw since: where many engines had long parts, another long prompt took the few that were left, with parts of several seconds, at once or at its last moment.

Cause: the search for fewer engines went down to one where others would be late, whatever that did to those that come next.

Change: it ends at parts of one gap, or at half of the engines where even these make longer ones; beside more urgent streams it does not begin.

--- a/src/policy/balance_division.c
+++ b/src/policy/balance_division.c
@@ -147,6 +147,16 @@
 	return shortest_ms;
 }
 
+/*
+ * Returns how many engines may have prefill longer than the shortest gap: half
+ * of the service's, or one of few.
+ */
+static size_t
+room_engines(const struct balance_prompt *prompt, size_t count)
+{
+	return MAX((count + prompt->engines_aside) / 2, 1);
+}
+
 /*
  * Returns whether a prompt's parts leave room for callers of its rank with less
  * time that come next: half of the engines, or all but one of few, have no
@@ -166,7 +176,7 @@
 	for (size_t i = 0; i < count; i++)
 		busy += i < parts ||
 		    candidates[ranks[i].index].backlog_ms > gap_ms;
-	return busy <= MAX((count + prompt->engines_aside) / 2, 1);
+	return busy <= room_engines(prompt, count);
 }
 
 /*
@@ -365,9 +375,10 @@
 /*
  * Plans a prompt that may be divided. Takes the engines that delay the fewest
  * streams, and as many of them as make the fewest callers late, itself
- * included. Takes fewer where others would be late, with longer parts, for
- * which requests that reach their engines meanwhile have to wait: beside more
- * urgent streams, or parts longer than a gap, only when it can't wait any more.
+ * included. Where others would be late takes fewer, with longer parts, for
+ * which requests that reach their engines meanwhile have to wait: up to a gap,
+ * and beside more urgent streams not at all, but down to the engines that may
+ * have such parts.
  */
 void
 balance_plan_divided(const struct engine_profile *profile,
@@ -400,13 +411,10 @@
 		best = parts;
 		*plan = division;
 	}
-	if (!balance_prompt_may_wait(prompt, BALANCE_DELAYS_OTHERS, plan) ||
-	    !plan->leaves_room)
-		least = 1;
-	else if (has_more_urgent(prompt))
-		least = fewest;
-	else
-		least = fewest_parts(profile, prompt, prefill_ms, 1.0);
+	least = has_more_urgent(prompt)
+	    ? fewest
+	    : fewest_parts(profile, prompt, prefill_ms, 1.0);
+	least = MIN(least, room_engines(prompt, count));
 	for (size_t parts = fewest;
 	     parts-- > least && balance_delays_others(prompt, plan);) {
 		struct balance_plan division = assess_division(profile,
