Names and comments: an engine's place in a sort is no rank

struct balance_rank was a candidate in a sort, beside ranks that are priorities; it is struct balance_option now.

--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -42,20 +42,20 @@
 }
 
 /* Returns the candidates sorted by cost, lowest first. The caller frees it. */
-static struct balance_rank *
-rank_all(const struct balance_candidate *candidates, size_t count,
+static struct balance_option *
+sort_all(const struct balance_candidate *candidates, size_t count,
     double (*cost)(const struct balance_candidate *))
 {
-	struct balance_rank *ranks = g_new(struct balance_rank, count);
+	struct balance_option *options = g_new(struct balance_option, count);
 
 	for (size_t i = 0; i < count; i++)
-		ranks[i] = (struct balance_rank){
+		options[i] = (struct balance_option){
 		    .index = i,
 		    .cost = cost(&candidates[i]),
 		    .tie = candidates[i].tie,
 		};
-	balance_sort_ranks(ranks, count);
-	return ranks;
+	balance_sort_options(options, count);
+	return options;
 }
 
 /*
@@ -65,10 +65,10 @@
 ssize_t
 balance_choose(const struct balance_candidate *candidates, size_t count)
 {
-	g_autofree struct balance_rank *ranks = rank_all(
+	g_autofree struct balance_option *options = sort_all(
 	    candidates, count, waiting_cost_ms);
 
-	return count == 0 ? -1 : (ssize_t)ranks[0].index;
+	return count == 0 ? -1 : (ssize_t)options[0].index;
 }
 
 /*
@@ -117,15 +117,15 @@
     const struct balance_candidate *candidates, size_t count, double prefill_ms,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	g_autofree struct balance_rank *ranks = rank_all(
+	g_autofree struct balance_option *options = sort_all(
 	    candidates, count, packing_cost_ms);
-	const struct balance_candidate *first = &candidates[ranks[0].index];
+	const struct balance_candidate *first = &candidates[options[0].index];
 	double alone_ms = prefill_ms + first->distance_ms +
 	    engine_profile_pass_ms(
 		profile, first->running + 1, first->context_tokens);
 
 	*plan = (struct balance_plan){
-	    .first = ranks[0].index,
+	    .first = options[0].index,
 	    .part_ms = prefill_ms,
 	    .alone_ms = alone_ms,
 	    .leaves_room = true,
--- a/src/policy/balance_division.c
+++ b/src/policy/balance_division.c
@@ -9,10 +9,10 @@
 
 /* Compares by cost, then by random tie. */
 static int
-compare_ranks(const void *a, const void *b)
+compare_options(const void *a, const void *b)
 {
-	const struct balance_rank *left = a;
-	const struct balance_rank *right = b;
+	const struct balance_option *left = a;
+	const struct balance_option *right = b;
 
 	if (left->cost < right->cost)
 		return -1;
@@ -23,10 +23,10 @@
 
 /* Sorts candidates by cost, lowest first, then by random tie. */
 void
-balance_sort_ranks(struct balance_rank *ranks, size_t count)
+balance_sort_options(struct balance_option *options, size_t count)
 {
 	if (count > 1)
-		qsort(ranks, count, sizeof(*ranks), compare_ranks);
+		qsort(options, count, sizeof(*options), compare_options);
 }
 
 /* Streams that a part would delay beyond the gaps that their routes allow. */
@@ -77,15 +77,15 @@
  * Sorts the candidates by the cost of prefilling a part of that length there.
  */
 static void
-rank_engines(const struct engine_profile *profile,
+sort_engines(const struct engine_profile *profile,
     const struct balance_candidate *candidates, size_t count,
     const struct balance_prompt *prompt, double part_ms,
-    struct balance_rank *ranks)
+    struct balance_option *options)
 {
 	for (size_t i = 0; i < count; i++) {
 		const struct balance_candidate *engine = &candidates[i];
 
-		ranks[i] = (struct balance_rank){
+		options[i] = (struct balance_option){
 		    .index = i,
 		    .cost = count_delayed(profile, engine, prompt, part_ms)
 				.all *
@@ -97,7 +97,7 @@
 		    .tie = engine->tie,
 		};
 	}
-	balance_sort_ranks(ranks, count);
+	balance_sort_options(options, count);
 }
 
 /*
@@ -160,12 +160,12 @@
 /*
  * Returns whether a prompt's parts leave room for callers of its rank with less
  * time that come next: half of the engines, or all but one of few, have no
- * prefill longer than the shortest gap then. ranks is the order in which they
+ * prefill longer than the shortest gap then. options is the order in which they
  * get parts.
  */
 static bool
 leaves_room(const struct balance_candidate *candidates,
-    const struct balance_rank *ranks, size_t count, size_t parts,
+    const struct balance_option *options, size_t count, size_t parts,
     double part_ms, const struct balance_prompt *prompt)
 {
 	double gap_ms = shortest_gap_ms(prompt);
@@ -175,19 +175,19 @@
 		return true;
 	for (size_t i = 0; i < count; i++)
 		busy += i < parts ||
-		    candidates[ranks[i].index].backlog_ms > gap_ms;
+		    candidates[options[i].index].backlog_ms > gap_ms;
 	return busy <= room_engines(prompt, count);
 }
 
 /*
- * Returns what dividing a prompt into that many parts does; ranks gets the
+ * Returns what dividing a prompt into that many parts does; options gets the
  * order of the engines for it.
  */
 static struct balance_plan
 assess_division(const struct engine_profile *profile,
     const struct balance_candidate *candidates, size_t count, size_t parts,
     double prefill_ms, const struct balance_prompt *prompt,
-    struct balance_rank *ranks)
+    struct balance_option *options)
 {
 	double part_ms = prefill_ms / (double)parts;
 	double backlog_ms = 0.0;
@@ -196,27 +196,27 @@
 	struct balance_plan out = {.part_ms = part_ms};
 	struct balance_plan *plan = &out;
 
-	rank_engines(profile, candidates, count, prompt, part_ms, ranks);
+	sort_engines(profile, candidates, count, prompt, part_ms, options);
 	for (size_t i = 0; i < parts; i++) {
 		const struct balance_candidate
-		    *engine = &candidates[ranks[i].index];
+		    *engine = &candidates[options[i].index];
 
 		backlog_ms = MAX(backlog_ms, engine->backlog_ms);
 		add_delayed(profile, engine, prompt, part_ms, &delayed);
 	}
 	plan->alone_ms = part_ms +
 	    engine_profile_pass_ms(profile,
-		candidates[ranks[0].index].running + 1,
-		candidates[ranks[0].index].context_tokens);
+		candidates[options[0].index].running + 1,
+		candidates[options[0].index].context_tokens);
 	plan->first_token_ms = plan->alone_ms +
 	    backlog_ms * (parts == 1 ? 1.0 : BALANCE_BACKLOG_SHARE);
 	plan->leaves_room = leaves_room(
-	    candidates, ranks, count, parts, part_ms, prompt);
+	    candidates, options, count, parts, part_ms, prompt);
 	plan->late_urgent = delayed.urgent;
 	plan->late_others = delayed.equal +
 	    (parts > 1 ? preempted_callers(backlog_ms, prompt) : 0.0);
 	plan->late = is_late(
-	    profile, &candidates[ranks[0].index], prompt, plan);
+	    profile, &candidates[options[0].index], prompt, plan);
 	plan->cost = plan->late_others + (plan->late ? 1.0 : 0.0) +
 	    (double)parts *
 		(BALANCE_ENGINE_COST + BALANCE_PART_COST * weight * weight);
@@ -258,17 +258,17 @@
 static size_t
 choose_decoder(const struct engine_profile *profile,
     const struct balance_candidate *candidates,
-    const struct balance_rank *ranks, size_t parts,
+    const struct balance_option *options, size_t parts,
     const struct balance_prompt *prompt)
 {
 	size_t most = 0;
 
 	for (size_t i = 0; i < parts; i++) {
 		if (balance_fits_memory(
-			profile, &candidates[ranks[i].index], prompt))
+			profile, &candidates[options[i].index], prompt))
 			return i;
-		if (candidates[ranks[i].index].context_tokens <
-		    candidates[ranks[most].index].context_tokens)
+		if (candidates[options[i].index].context_tokens <
+		    candidates[options[most].index].context_tokens)
 			most = i;
 	}
 	return most;
@@ -298,14 +298,14 @@
 static size_t
 find_medium_decoder(const struct engine_profile *profile,
     const struct balance_candidate *candidates,
-    const struct balance_rank *ranks, size_t count, double part_ms,
+    const struct balance_option *options, size_t count, double part_ms,
     const struct balance_prompt *prompt)
 {
 	if (prompt->class == STREAM_LONG)
 		return 0;
 	for (size_t i = 0; i < count; i++) {
-		if (can_decode_medium(
-			profile, &candidates[ranks[i].index], part_ms, prompt))
+		if (can_decode_medium(profile, &candidates[options[i].index],
+			part_ms, prompt))
 			return i;
 	}
 	return 0;
@@ -316,13 +316,13 @@
  * including the decoder's.
  */
 static void
-add_helpers(const struct balance_rank *ranks, size_t parts, size_t decoder,
+add_helpers(const struct balance_option *options, size_t parts, size_t decoder,
     struct balance_plan *plan)
 {
 	plan->helper_count = 0;
 	for (size_t i = 0; plan->helper_count + 1 < parts; i++) {
 		if (i != decoder)
-			plan->helpers[plan->helper_count++] = ranks[i].index;
+			plan->helpers[plan->helper_count++] = options[i].index;
 	}
 }
 
@@ -385,8 +385,8 @@
     const struct balance_candidate *candidates, size_t count, double prefill_ms,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	g_autofree struct balance_rank *ranks = g_new(
-	    struct balance_rank, count);
+	g_autofree struct balance_option *options = g_new(
+	    struct balance_option, count);
 	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
 	size_t fewest;
 	size_t least;
@@ -403,7 +403,7 @@
 	best = fewest;
 	for (size_t parts = fewest; parts <= max; parts++) {
 		struct balance_plan division = assess_division(profile,
-		    candidates, count, parts, prefill_ms, prompt, ranks);
+		    candidates, count, parts, prefill_ms, prompt, options);
 
 		if (parts > fewest &&
 		    !is_better_division(prompt, &division, plan))
@@ -418,22 +418,22 @@
 	for (size_t parts = fewest;
 	     parts-- > least && balance_delays_others(prompt, plan);) {
 		struct balance_plan division = assess_division(profile,
-		    candidates, count, parts, prefill_ms, prompt, ranks);
+		    candidates, count, parts, prefill_ms, prompt, options);
 
 		if (!is_better_division(prompt, &division, plan))
 			continue;
 		best = parts;
 		*plan = division;
 	}
-	rank_engines(profile, candidates, count, prompt,
-	    prefill_ms / (double)best, ranks);
-	decoder = find_medium_decoder(profile, candidates, ranks, count,
+	sort_engines(profile, candidates, count, prompt,
+	    prefill_ms / (double)best, options);
+	decoder = find_medium_decoder(profile, candidates, options, count,
 	    prefill_ms / (double)best, prompt);
 	if (decoder == 0)
 		decoder = choose_decoder(
-		    profile, candidates, ranks, best, prompt);
-	plan->first = ranks[decoder].index;
-	add_helpers(ranks, best, decoder, plan);
+		    profile, candidates, options, best, prompt);
+	plan->first = options[decoder].index;
+	add_helpers(options, best, decoder, plan);
 }
 
 /*
@@ -445,20 +445,20 @@
     const struct balance_candidate *candidates, size_t count, double prefill_ms,
     const struct balance_prompt *prompt, struct balance_plan *plan)
 {
-	g_autofree struct balance_rank *ranks = g_new(
-	    struct balance_rank, count);
+	g_autofree struct balance_option *options = g_new(
+	    struct balance_option, count);
 	size_t max = MIN(count, BALANCE_HELPERS_MAX + 1);
 
 	for (size_t parts = plan->helper_count + 2; parts <= max; parts++) {
 		size_t decoder;
 
-		rank_engines(profile, candidates, count, prompt,
-		    prefill_ms / (double)parts, ranks);
+		sort_engines(profile, candidates, count, prompt,
+		    prefill_ms / (double)parts, options);
 		decoder = choose_decoder(
-		    profile, candidates, ranks, parts, prompt);
-		plan->first = ranks[decoder].index;
+		    profile, candidates, options, parts, prompt);
+		plan->first = options[decoder].index;
 		plan->part_ms = prefill_ms / (double)parts;
-		add_helpers(ranks, parts, decoder, plan);
+		add_helpers(options, parts, decoder, plan);
 		if (balance_divide_memory(profile, candidates, prompt, plan))
 			return true;
 	}
--- a/src/policy/balance_division.h
+++ b/src/policy/balance_division.h
@@ -11,14 +11,14 @@
 
 #include "policy/balance.h"
 
-/* A candidate in an order of preference. */
-struct balance_rank {
+/* A candidate with its cost, to be sorted by; tie is random. */
+struct balance_option {
 	size_t index;
 	double cost;
 	uint32_t tie;
 };
 
-void balance_sort_ranks(struct balance_rank *, size_t count);
+void balance_sort_options(struct balance_option *, size_t count);
 bool balance_is_too_late(
     const struct balance_prompt *, const struct balance_plan *);
 bool balance_delays_others(
--- a/src/policy/caller_time.c
+++ b/src/policy/caller_time.c
@@ -23,8 +23,9 @@
 
 /*
  * Returns what is left of the time of a caller that waits for the first event.
- * Without a target of its route it is told of a rejection as long as it still
- * honours Retry-After.
+ * Where the route has no target, the target is the share of the caller's whole
+ * time for which it honours Retry-After, so that a rejection comes while it can
+ * still retry.
  */
 struct caller_time
 caller_time_left(const struct caller_time_ask *ask)
--- a/src/policy/precedence.c
+++ b/src/policy/precedence.c
@@ -122,8 +122,9 @@
 
 /*
  * Returns the number of engines to be kept clear for more urgent streams that
- * come next: as many as the present ones have no room for the streams by which
- * their number may rise.
+ * come next. Their number may rise by PRECEDENCE_ROOM_DEVIATIONS standard
+ * deviations; engines that have such streams already take some of that, and as
+ * many engines are kept clear as the rest needs.
  */
 static size_t
 count_reserved(const struct precedence_ranks *ranks,
