--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -196,6 +196,38 @@
 	g_assert_cmpuint(plan.helper_count, ==, 1);
 }
 
+/*
+ * The parts of a prompt that would stall long streams are all put on engines
+ * without streams, at once and at the last moment, and make nobody late.
+ */
+static void
+test_stalled_streams(void)
+{
+	static const struct engine engines[8] = {
+	    {.running = 2, .long_streams = 2},
+	    {.running = 2, .long_streams = 2}, {0},
+	    {.running = 2, .long_streams = 2}, {0},
+	    {.running = 2, .long_streams = 2}, {0}, {0}};
+	static const double slacks_ms[] = {3000, 2120};
+	struct balance_candidate candidates[8];
+	struct balance_prompt prompt = make_prompt(270000, STREAM_LONG, 3000);
+	struct balance_plan plan;
+
+	make_candidates(candidates, engines, 8);
+	for (size_t at = 0; at < G_N_ELEMENTS(slacks_ms); at++) {
+		prompt.slack_ms = slacks_ms[at];
+		g_assert_cmpint(balance_plan_prompt(&users_engine, candidates,
+				    8, &prompt, &plan),
+		    ==, BALANCE_SERVE);
+		g_assert_cmpuint(plan.first, ==, 2);
+		g_assert_cmpuint(plan.helper_count, ==, 3);
+		for (size_t i = 0; i < plan.helper_count; i++)
+			g_assert_cmpuint(
+			    engines[plan.helpers[i]].running, ==, 0);
+		g_assert_cmpfloat(plan.late_others, <, 1.0);
+	}
+}
+
 /* Runs one case. */
 static void
 test_plan(gconstpointer data)
@@ -680,6 +712,9 @@
 	    test_call);
 	g_test_add_func("/balance/a prompt uses at most engines_max engines",
 	    test_engines_max);
+	g_test_add_func("/balance/parts that would stall long streams are put "
+			"elsewhere",
+	    test_stalled_streams);
 	g_test_add_func("/balance/at least 90% of each kind are in time as the "
 			"load alternates",
 	    test_swinging_load);
