--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -228,6 +228,43 @@
 	}
 }
 
+/*
+ * While some of eight engines have long parts, a long prompt that is served, at
+ * once or at its last moment, has no parts longer than its gap, or than half of
+ * the engines make them: callers that come next would wait for these.
+ */
+static void
+test_few_engines_left(void)
+{
+	static const uint64_t tokens[] = {100000, 200000, 300000, 400000};
+	static const double slacks_ms[] = {8000, 4000, 2500, 1500, 800};
+	size_t served = 0;
+
+	for (size_t i = 0; i < 4 * 5 * 8; i++) {
+		size_t busy = i % 8;
+		uint64_t length = tokens[i / 8 % 4];
+		double prefill_ms = engine_profile_prefill_ms(
+		    &users_engine, length);
+		struct balance_prompt prompt = make_prompt(
+		    length, STREAM_LONG, 8000);
+		struct engine engines[8] = {0};
+		struct balance_candidate candidates[8];
+		struct balance_plan plan;
+
+		prompt.slack_ms = slacks_ms[i / 32];
+		for (size_t at = 0; at < busy; at++)
+			engines[at].backlog_ms = 1500;
+		make_candidates(candidates, engines, 8);
+		if (balance_plan_prompt(&users_engine, candidates, 8, &prompt,
+			&plan) != BALANCE_SERVE)
+			continue;
+		served++;
+		g_assert_cmpfloat(
+		    plan.part_ms, <=, MAX(prompt.gap_ms, prefill_ms / 4.0));
+	}
+	g_assert_cmpuint(served, >, 0);
+}
+
 /* Runs one case. */
 static void
 test_plan(gconstpointer data)
@@ -715,6 +752,9 @@
 	g_test_add_func("/balance/parts that would stall long streams are put "
 			"elsewhere",
 	    test_stalled_streams);
+	g_test_add_func("/balance/no part of several seconds is put on the few "
+			"engines that are left",
+	    test_few_engines_left);
 	g_test_add_func("/balance/at least 90% of each kind are in time as the "
 			"load alternates",
 	    test_swinging_load);
