Log who made the status of a response, and by which configuration

An operator whose callers get 4xx can't tell from 'request ended' whether the gateway, an upstream with a seal or something without one made the status, nor which configuration was in force. Bodies over the limit (413) and what the HTTP library answers itself (400, 414, 431) leave no line at all.

No decision is changed.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -6,10 +6,12 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "base/clock.h"
 #include "base/httpd_internal.h"
+#include "base/metrics.h"
 
 #define LOG_MODULE "httpd"
 #include "base/log.h"
@@ -22,19 +24,37 @@
 #define HALF_CLOSED_IDLE_S (unsigned int)1
 #define HANGUP_EVENTS	   64
 #define LOG_LINE_BYTES	   512
+/* What the library's message about a response of its own has before its status.
+ */
+#define MHD_STATUS_TEXT "HTTP response code is "
 
 G_DEFINE_QUARK(httpd_error_quark, httpd_error)
 
-/* Writes a message of libmicrohttpd to our log, at debug level. */
+METRIC_DEFINE(library_errors, METRIC_COUNTER, "heatherturn_http_library_errors",
+    NULL, "Requests that the HTTP library answered with an error itself.");
+
+/*
+ * Writes a message of libmicrohttpd to our log, at debug level. That it answers
+ * a request with an error of its own, no callback tells: only its message does,
+ * which is logged for operators with the status.
+ */
 static void
 log_mhd_line(void *data, const char *format, va_list args)
 {
 	char line[LOG_LINE_BYTES];
+	const char *status;
 
-	if (!log_enabled(LOG_LEVEL_DEBUG))
-		return;
 	g_vsnprintf(line, sizeof(line), format, args);
-	LOG_DEBUG("http server", "{s:s}", "line", g_strchomp(line));
+	status = strstr(line, MHD_STATUS_TEXT);
+	if (status == NULL) {
+		LOG_DEBUG("http server", "{s:s}", "line", g_strchomp(line));
+		return;
+	}
+	metric_add(&library_errors, 1);
+	LOG_INFO("request rejected by the HTTP library", "{s:i, s:s, s:s}",
+	    "status",
+	    (int)g_ascii_strtoll(status + strlen(MHD_STATUS_TEXT), NULL, 10),
+	    "status_from", "HTTP library", "line", g_strchomp(line));
 }
 
 /* Limits what the system buffers of a connection whose peer reads slowly. */
@@ -172,15 +192,19 @@
 static void
 reject_body(struct httpd_request *request, int status)
 {
+	const struct httpd *httpd = request->httpd;
+	bool too_long = status == MHD_HTTP_CONTENT_TOO_LARGE;
+	const char *code = too_long ? "body_too_long" : "overloaded";
+
 	httpd_request_drop_body(request);
-	if (status == MHD_HTTP_CONTENT_TOO_LARGE)
+	if (too_long)
 		httpd_request_fail(request, status, "invalid_request_error",
-		    "body_too_long",
-		    "The body is longer than this server accepts.");
+		    code, "The body is longer than this server accepts.");
 	else
-		httpd_request_fail(request, status, "server_error",
-		    "overloaded",
+		httpd_request_fail(request, status, "server_error", code,
 		    "Too many bytes of request bodies are buffered; not run.");
+	if (httpd->ops->rejected != NULL)
+		httpd->ops->rejected(httpd->data, request, status, code);
 }
 
 /*
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -32,6 +32,13 @@
 	 * A complete request. It stays valid until closed() is called for it.
 	 */
 	void (*request)(void *data, struct httpd_request *);
+	/*
+	 * A request that the server answers with an error itself before it is
+	 * complete: neither request() nor closed() is called for it. NULL if
+	 * nobody is to know.
+	 */
+	void (*rejected)(void *data, const struct httpd_request *, int status,
+	    const char *code);
 	/*
 	 * The request has ended and is freed after this call: the client
 	 * disconnected, or the complete response was passed to the system
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -42,6 +42,14 @@
     [REFUSAL_TIMEOUT] = {504, "timeout", false},
 };
 
+/* As logged. */
+static const char *const status_origins[] = {
+    [STATUS_FROM_NONE] = "none",
+    [STATUS_FROM_GATEWAY] = "gateway",
+    [STATUS_FROM_UPSTREAM] = "upstream",
+    [STATUS_FROM_UNSEALED_UPSTREAM] = "unsealed upstream",
+};
+
 METRIC_DEFINE(requests, METRIC_COUNTER, "heatherturn_gateway_requests", NULL,
     "Requests received from callers.");
 METRIC_DEFINE(refused, METRIC_COUNTER, "heatherturn_gateway_refusals", NULL,
@@ -151,14 +159,17 @@
 	if (first >= 0)
 		metric_observe(&first_event_ms, first);
 	LOG_INFO("request ended",
-	    "{s:s?, s:s, s:s?, s:s?, s:i, s:i, s:i, s:i, s:I, s:I, s:I, s:I}",
+	    "{s:s?, s:s, s:s?, s:s?, s:i, s:s, s:I, s:i, s:i, s:i, s:I, s:I, "
+	    "s:I, s:I}",
 	    "request", exchange->caller_headers.request_id, "how", how, "route",
 	    exchange->route != NULL ? exchange->route->name : NULL,
 	    "organisation",
 	    exchange->organisation != NULL ? exchange->organisation->name
 					   : NULL,
-	    "status", exchange->status, "sends", (int)exchange->sends, "events",
-	    (int)exchange->events, "events_in_doubt",
+	    "status", exchange->status, "status_from",
+	    status_origins[exchange->status_origin], "routes_version",
+	    (json_int_t)exchange->routes_version, "sends", (int)exchange->sends,
+	    "events", (int)exchange->events, "events_in_doubt",
 	    (int)exchange->events_in_doubt, "first_event_ms", (json_int_t)first,
 	    "last_event",
 	    exchange->position.has_last ? (json_int_t)exchange->position.last
@@ -197,11 +208,13 @@
 		headers[count++] = (struct http_header){"Retry-After", seconds};
 	}
 	exchange->status = kind->status;
+	exchange->status_origin = STATUS_FROM_GATEWAY;
 	metric_add(&refused, 1);
-	LOG_INFO("request refused", "{s:s?, s:s, s:s, s:i, s:I, s:i}",
+	LOG_INFO("request refused", "{s:s?, s:s, s:s, s:i, s:I, s:i, s:I}",
 	    "request", exchange->caller_headers.request_id, "code", kind->code,
 	    "why", why, "status", kind->status, "retry_after_ms",
-	    (json_int_t)retry_after_ms, "tries", (int)exchange->tries);
+	    (json_int_t)retry_after_ms, "tries", (int)exchange->tries,
+	    "routes_version", (json_int_t)exchange->routes_version);
 	httpd_respond(
 	    exchange->http, kind->status, headers, count, text, strlen(text));
 	exchange_finish(exchange, kind->code);
@@ -402,6 +415,27 @@
 	return context->exiting ? "process_exit" : "caller_left";
 }
 
+/*
+ * Logs a request that the HTTP server answered with an error before it was
+ * complete. No exchange was started for it.
+ */
+void
+exchange_on_rejected(
+    void *data, const struct httpd_request *http, int status, const char *code)
+{
+	const struct exchange_context *context = data;
+	const struct routing_table *table = routing_state_table(
+	    context->routing_state);
+	struct caller_headers headers;
+
+	headers_parse_caller(http, &headers);
+	LOG_INFO("request rejected before it was read",
+	    "{s:s?, s:s, s:i, s:s, s:I}", "request", headers.request_id, "code",
+	    code, "status", status, "status_from",
+	    status_origins[STATUS_FROM_GATEWAY], "routes_version",
+	    table == NULL ? (json_int_t)0 : (json_int_t)table->version);
+}
+
 /*
  * Called by the HTTP server when the response has been sent or the caller has
  * disconnected. Cancels the send, which closes its upstream connection, and
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,6 +63,8 @@
 
 void exchange_start(struct exchange_context *, struct httpd_request *);
 void exchange_end_unanswered(struct exchange_context *);
+void exchange_on_rejected(
+    void *data, const struct httpd_request *, int status, const char *code);
 void exchange_on_closed(void *data, struct httpd_request *, bool complete);
 void exchange_on_drained(void *data, struct httpd_request *);
 
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -44,6 +44,14 @@
 	REFUSALS,
 };
 
+/* Who made the status of the response to a caller. */
+enum status_origin {
+	STATUS_FROM_NONE, /* no response yet */
+	STATUS_FROM_GATEWAY,
+	STATUS_FROM_UPSTREAM, /* with a seal */
+	STATUS_FROM_UNSEALED_UPSTREAM,
+};
+
 /* Outcome of sending a request to one upstream. */
 enum send_outcome {
 	SEND_OPEN,
@@ -134,6 +142,7 @@
 
 	/* Response. */
 	int status; /* sent to the caller; 0 before that */
+	enum status_origin status_origin;
 	struct response_headers response;
 	GByteArray *body; /* response that is being buffered */
 	GArray *headers; /* of the response to the caller */
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -85,6 +85,12 @@
 	bool pass_status = !promises_not_run(status);
 
 	exchange->status = pass_status ? status : STATUS_BAD_GATEWAY;
+	if (!pass_status)
+		exchange->status_origin = STATUS_FROM_GATEWAY;
+	else if (exchange->response.has_server_seal)
+		exchange->status_origin = STATUS_FROM_UPSTREAM;
+	else
+		exchange->status_origin = STATUS_FROM_UNSEALED_UPSTREAM;
 	if (exchange->headers != NULL)
 		g_array_unref(exchange->headers);
 	exchange->headers = headers_build_caller(call, pass_status);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -112,8 +112,20 @@
 	exchange_start(&gateway->exchange_context, request);
 }
 
+/* Logs a request that was rejected before it was complete. */
+static void
+on_rejected(void *data, const struct httpd_request *request, int status,
+    const char *code)
+{
+	const struct gateway *gateway = data;
+
+	exchange_on_rejected(
+	    (void *)&gateway->exchange_context, request, status, code);
+}
+
 static const struct httpd_ops caller_ops = {
     .request = on_request,
+    .rejected = on_rejected,
     .closed = exchange_on_closed,
     .drained = exchange_on_drained,
 };
--- a/tests/raw_caller.c
+++ b/tests/raw_caller.c
@@ -26,20 +26,16 @@
 	ev_io_stop(loop, io);
 }
 
-/* Sends a request, given as its method's path and its first header lines. */
+/* Sends these bytes on a new connection to the gateway. */
 void
-raw_caller_start(struct raw_caller *caller, struct fixture *f, const char *path,
-    const char *version, const char *header)
+raw_caller_send(
+    struct raw_caller *caller, struct fixture *f, const char *request)
 {
 	struct sockaddr_in address = {
 	    .sin_family = AF_INET,
 	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	    .sin_port = htons((uint16_t)httpd_port(f->callers)),
 	};
-	g_autofree char *request = g_strdup_printf(
-	    "POST %s HTTP/%s\r\n%sHost: h\r\nAuthorization: " FIXTURE_KEY
-	    "\r\nHeatherturn-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nasked",
-	    path, version, header);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	caller->response = g_string_new(NULL);
@@ -52,6 +48,19 @@
 	ev_io_start(f->loop, &caller->io);
 }
 
+/* Sends a request, given as its method's path and its first header lines. */
+void
+raw_caller_start(struct raw_caller *caller, struct fixture *f, const char *path,
+    const char *version, const char *header)
+{
+	g_autofree char *request = g_strdup_printf(
+	    "POST %s HTTP/%s\r\n%sHost: h\r\nAuthorization: " FIXTURE_KEY
+	    "\r\nHeatherturn-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nasked",
+	    path, version, header);
+
+	raw_caller_send(caller, f, request);
+}
+
 /*
  * Returns whether a caller can tell that the response is incomplete: by a
  * reset, or by chunks without the last one.
--- a/tests/raw_caller.h
+++ b/tests/raw_caller.h
@@ -17,6 +17,8 @@
 	bool ended;
 };
 
+void raw_caller_send(
+    struct raw_caller *, struct fixture *, const char *request);
 void raw_caller_start(struct raw_caller *, struct fixture *, const char *path,
     const char *version, const char *header);
 bool raw_caller_is_cut(const struct raw_caller *);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -338,8 +338,9 @@
 static void
 test_engine(gconstpointer data)
 {
-	static const struct httpd_ops ops = {
-	    serve_engine, on_closed, ignore_drained};
+	static const struct httpd_ops ops = {.request = serve_engine,
+	    .closed = on_closed,
+	    .drained = ignore_drained};
 	struct fixture f = {.c = data};
 
 	set_up(&f, &ops, f.c->not_listening);
@@ -406,8 +407,9 @@
 static void
 test_plain(void)
 {
-	static const struct httpd_ops ops = {
-	    serve_plain, on_closed, ignore_drained};
+	static const struct httpd_ops ops = {.request = serve_plain,
+	    .closed = on_closed,
+	    .drained = ignore_drained};
 	static const struct upstream_call_ops plain_ops = {
 	    on_event, on_plain_end};
 	struct fixture f = {0};
