Tests: proper requests answered with an error below 500, failing

- body_limit: 413 by the limit of the configuration before.

The fake platform can change its configuration. The fixture sets the limit of bodies as the gateway's program does.

--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -25,6 +25,8 @@
 	struct httpd *store;
 	char address[32];
 	json_t *objects[3]; /* one list for each of kinds[] */
+	int revision;
+	struct httpd_request *config_watch; /* that waits; or NULL */
 	struct fake_platform_upstream upstreams[FAKE_PLATFORM_UPSTREAMS];
 	enum fake_platform_step steps[FAKE_PLATFORM_STEPS_MAX];
 	size_t step_count;
@@ -48,7 +50,10 @@
 	json_decref(body);
 }
 
-/* Serves the object store: lists at once; never responds to watches. */
+/*
+ * Serves the object store: lists at once; responds to the last watch of the
+ * configuration once that is changed, and never to others.
+ */
 static void
 on_store_request(void *data, struct httpd_request *request)
 {
@@ -60,8 +65,11 @@
 		respond_json(request, json_object());
 		return;
 	}
-	if (httpd_request_query(request, "Watch") != NULL)
+	if (httpd_request_query(request, "Watch") != NULL) {
+		if (strcmp(path, "/objects/config") == 0)
+			fake_platform->config_watch = request;
 		return;
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
 		if (strcmp(path + strlen("/objects/"), kinds[i]) == 0)
 			items = json_incref(fake_platform->objects[i]);
@@ -69,7 +77,7 @@
 	respond_json(request,
 	    json_pack("{s:o, s:b, s:i}", "Items",
 		items != NULL ? items : json_array(), "HasMore", 0,
-		"StoreRevision", 5));
+		"StoreRevision", fake_platform->revision));
 }
 
 /* Copies one header of a request. */
@@ -297,10 +305,14 @@
 		httpd_abort(request);
 }
 
-/* Calls to the store have no state. */
+/* Forgets a watch. */
 static void
 on_store_closed(void *data, struct httpd_request *request, bool complete)
 {
+	struct fake_platform *fake_platform = data;
+
+	if (fake_platform->config_watch == request)
+		fake_platform->config_watch = NULL;
 }
 
 /* Makes an upstream's object as the store lists it. */
@@ -364,6 +376,7 @@
 	struct fake_platform *fake_platform = g_new0(struct fake_platform, 1);
 
 	fake_platform->loop = loop;
+	fake_platform->revision = 5;
 	fake_platform->requests = g_ptr_array_new();
 	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
 		fake_platform->objects[i] = json_array();
@@ -433,7 +446,26 @@
 	json_array_clear(fake_platform->objects[0]);
 	json_array_append_new(fake_platform->objects[0],
 	    json_pack("{s:{s:s, s:i}, s:o}", "Metadata", "Name", "main",
-		"Revision", 2, "Spec", json));
+		"Revision", fake_platform->revision, "Spec", json));
+}
+
+/*
+ * Replaces the configuration and tells the gateway that watches it, for whose
+ * watch it waits.
+ */
+void
+fake_platform_change_config(
+    struct fake_platform *fake_platform, const char *spec)
+{
+	while (fake_platform->config_watch == NULL)
+		ev_run(fake_platform->loop, EVRUN_ONCE);
+	fake_platform->revision++;
+	fake_platform_set_config(fake_platform, spec);
+	respond_json(fake_platform->config_watch,
+	    json_pack("{s:[{s:O, s:b}], s:i}", "events", "Object",
+		json_array_get(fake_platform->objects[0], 0), "Tombstone", 0,
+		"StoreRevision", fake_platform->revision));
+	fake_platform->config_watch = NULL;
 }
 
 /* Sets how the upstreams handle the following requests, in order. */
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -51,11 +51,17 @@
 	"\"Limits\":{\"BodyBytes\":1000},"                                   \
 	"\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\"]}]}"
 
-/* Starts the exchange of a caller's request. */
+/* Starts the exchange of a caller's request, as the gateway's program does. */
 static void
 on_request(void *data, struct httpd_request *request)
 {
-	exchange_start(&((struct fixture *)data)->exchange_context, request);
+	struct fixture *f = data;
+	const struct routing_table *table = routing_state_table(
+	    f->exchange_context.routing_state);
+
+	if (table != NULL && table->limits.body_bytes > 0)
+		httpd_set_body_max(f->callers, table->limits.body_bytes);
+	exchange_start(&f->exchange_context, request);
 }
 
 /* Logs a request that was rejected before it was complete. */
--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -154,11 +154,253 @@
 	fixture_tear_down(&f);
 }
 
+/* Statuses that end a request for its caller, who does not send it again. */
+static const int final_statuses[] = {300, 301, 302, 303, 304, 305, 307, 308,
+    400, 401, 402, 403, 404, 405, 406, 407, 409, 410, 411, 412, 413, 414, 415,
+    416, 417, 422, 423, 424, 425, 426, 428, 431, 451};
+
+static const struct unsealed_case {
+	const char *name;
+	const char *path;
+	int status;
+	size_t sends;
+} unsealed_cases[] = {
+    {"a request that may be repeated is sent again", "/again/x", 200, 2},
+    {"a stream that may be resumed is sent again", "/stream/x", 200, 2},
+    {"a request that may run once has an unknown outcome", "/once/x", 502, 1},
+    {"a stream that may run once has an unknown outcome", "/fragile/x", 502, 1},
+    {"without another attempt the outcome is unknown", "/single/x", 502, 1},
+};
+
+/* No status without a seal is taken for the upstream's. */
+static void
+test_unsealed(gconstpointer data)
+{
+	const struct unsealed_case *c = &unsealed_cases[GPOINTER_TO_SIZE(data)];
+	g_autofree char *request = g_strdup_printf(
+	    GET("%s", "h", KEY_LINE ID_LINE), c->path);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(final_statuses); i++) {
+		g_autofree char *first = g_strdup_printf(
+		    "HTTP/1.1 %d X\r\n" ID_LINE "\r\nfirst", final_statuses[i]);
+		const struct raw_response responses[SENDS_MAX] = {
+		    {.bytes = first}, {.bytes = WHOLE_RESPONSE}};
+		struct fixture f = {0};
+		struct raw_server *server = set_up(&f, responses);
+
+		g_test_message("status %d", final_statuses[i]);
+		g_assert_cmpint(call(&f, request), ==, c->status);
+		g_assert_cmpuint(raw_server_requests(server), ==, c->sends);
+		raw_server_free(server);
+		fixture_tear_down(&f);
+	}
+}
+
+static const struct doubt_case {
+	const char *name;
+	const char *first; /* status and reason phrase; all have a seal */
+	const char *second; /* NULL: the first one is final */
+	const char *path;
+	int status;
+} doubt_cases[] = {
+    {"an error whose reason fits is passed on", "404 Not Found", NULL,
+	"/again/x", 404},
+    {"an error whose reason fits is passed on after the only run",
+	"409 Conflict", NULL, "/once/x", 409},
+    {"an error with the reason of a success is not believed", "400 OK",
+	"200 OK", "/again/x", 200},
+    {"a redirection with the reason of a success is not believed", "300 OK",
+	"200 OK", "/stream/x", 200},
+    {"an error with the reason of a failure is not believed",
+	"400 Internal Server Error", "200 OK", "/again/x", 200},
+    {"a success with the reason of a failure is not believed",
+	"200 Internal Server Error", "200 OK", "/again/x", 200},
+    {"a reason in other letters counts the same", "400 ok", "200 OK",
+	"/again/x", 200},
+    {"an error that contradicts itself after the only run is unknown", "400 OK",
+	NULL, "/once/x", 502},
+    {"a failure that contradicts itself after the only run is unknown",
+	"500 OK", NULL, "/once/x", 502},
+    {"an error that contradicts itself at two upstreams is passed on", "404 OK",
+	"404 OK", "/again/x", 404},
+    {"an error without a reason is asked for again", "400 ", "200 OK",
+	"/again/x", 200},
+    {"an error with a reason of its own is asked for again", "400 X", "200 Y",
+	"/again/x", 200},
+    {"an error without a reason at two upstreams is passed on", "404 ", "404 ",
+	"/again/x", 404},
+    {"an error without a reason is passed on after the only run", "404 ", NULL,
+	"/once/x", 404},
+    {"an error without a reason is passed on without another attempt", "404 ",
+	NULL, "/single/x", 404},
+    {"a success without a reason is passed on", "200 ", NULL, "/again/x", 200},
+    {"a success with the reason of another success is passed on", "201 OK",
+	NULL, "/once/x", 201},
+};
+
+/* A status with a wrong digit does not end a request. */
+static void
+test_doubt(gconstpointer data)
+{
+	const struct doubt_case *c = &doubt_cases[GPOINTER_TO_SIZE(data)];
+	g_autofree char *request = g_strdup_printf(
+	    GET("%s", "h", KEY_LINE ID_LINE), c->path);
+	g_autofree char *first = g_strconcat(
+	    "HTTP/1.1 ", c->first, "\r\n" TEXT "\r\nwhole", NULL);
+	g_autofree char *second = g_strconcat("HTTP/1.1 ",
+	    c->second != NULL ? c->second : "", "\r\n" TEXT "\r\nwhole", NULL);
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = first}, {.bytes = second}};
+	struct fixture f = {0};
+	struct raw_server *server = set_up(&f, responses);
+
+	g_assert_cmpint(call(&f, request), ==, c->status);
+	g_assert_cmpuint(
+	    raw_server_requests(server), ==, c->second != NULL ? 2 : 1);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
+/* A status that two upstreams have agreed on is final for the route. */
+static void
+test_agreed(void)
+{
+	const char *missing = "HTTP/1.1 404 \r\n" TEXT "\r\nwhole";
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = missing}, {.bytes = missing}, {.bytes = missing}};
+	struct fixture f = {0};
+	struct raw_server *server = set_up(&f, responses);
+
+	for (size_t sends = 2; sends <= SENDS_MAX; sends++) {
+		g_assert_cmpint(
+		    call(&f, GET("/again/x", "h", KEY_LINE ID_LINE)), ==, 404);
+		g_assert_cmpuint(raw_server_requests(server), ==, sends);
+	}
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
+static const struct blank_case {
+	const char *name;
+	const char *request;
+} blank_cases[] = {
+    {"a blank behind the host", GET("/once/x", "h ", KEY_LINE ID_LINE)},
+    {"a tab behind the host", GET("/once/x", "h\t", KEY_LINE ID_LINE)},
+    {"blanks before the host", GET("/once/x", "  h", KEY_LINE ID_LINE)},
+    {"a port and a blank behind the host",
+	GET("/once/x", "h:80 ", KEY_LINE ID_LINE)},
+    {"a blank behind the key",
+	GET("/once/x", "h", "Authorization: Bearer k1 \r\n" ID_LINE)},
+    {"two blanks before the key",
+	GET("/once/x", "h", "Authorization: Bearer  k1\r\n" ID_LINE)},
+    {"a blank behind the request's id",
+	GET("/once/x", "h", KEY_LINE "Heatherturn-Attempt-Id: r1 \r\n")},
+    {"a tab before the request's id",
+	GET("/once/x", "h", KEY_LINE "Heatherturn-Attempt-Id:\tr1\r\n")},
+};
+
+/* White space around a header's value is no part of it (RFC 9110, 5.5). */
+static void
+test_blank(gconstpointer data)
+{
+	const struct blank_case *c = &blank_cases[GPOINTER_TO_SIZE(data)];
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = WHOLE_RESPONSE}};
+	struct fixture f = {0};
+	struct raw_server *server = set_up(&f, responses);
+
+	g_assert_cmpint(call(&f, c->request), ==, 200);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
+static const struct unsure_case {
+	const char *name;
+	const char *request;
+	int before; /* status while the configuration in force is the newest */
+	int after; /* once a newer one could not be used */
+} unsure_cases[] = {
+    {"an unknown path", GET("/none/x", "h", KEY_LINE ID_LINE), 404, 503},
+    {"an unknown host", GET("/once/x", "none", KEY_LINE ID_LINE), 404, 503},
+    {"an unknown key",
+	GET("/once/x", "h", ID_LINE "Authorization: Bearer k9\r\n"), 401, 503},
+    {"a request without a key", GET("/once/x", "h", ID_LINE), 401, 401},
+    {"a known route and key", GET("/once/x", "h", KEY_LINE ID_LINE), 200, 200},
+};
+
+/*
+ * What an old configuration lacks may be in the one that this gateway has
+ * received and could not use.
+ */
+static void
+test_unsure(gconstpointer data)
+{
+	const struct unsure_case *c = &unsure_cases[GPOINTER_TO_SIZE(data)];
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = WHOLE_RESPONSE}, {.bytes = WHOLE_RESPONSE}};
+	struct fixture f = {0};
+	struct log_capture capture;
+	struct raw_server *server = set_up(&f, responses);
+	json_t *line = NULL;
+
+	g_assert_cmpint(call(&f, c->request), ==, c->before);
+	log_capture_start(&capture);
+	fake_platform_change_config(
+	    f.fake_platform, "{\"Version\":4,\"Routes\":7}");
+	while (line == NULL) {
+		g_autofree char *log = NULL;
+
+		ev_run(f.loop, EVRUN_ONCE);
+		log = log_capture_read(&capture);
+		line = find_line(log, "configuration change ignored");
+	}
+	json_decref(line);
+	log_capture_stop(&capture);
+	g_assert_cmpint(call(&f, c->request), ==, c->after);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
+#define LIMITED_CONFIG(version, bytes)                                      \
+	"{\"Version\":" version ",\"Routes\":[{\"Name\":\"open\",\"Host\":" \
+	"\"h\",\"PathPrefix\":\"/open/\",\"Kind\":\"idempotent\","          \
+	"\"Public\":true,\"Service\":\"s\"}],\"Services\":[{\"Name\":"      \
+	"\"s\"}],\"Limits\":{\"BodyBytes\":" bytes "}}"
+
+/* The limit of a newer configuration counts for the first request under it. */
+static void
+test_body_limit(void)
+{
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = WHOLE_RESPONSE}, {.bytes = WHOLE_RESPONSE}};
+	struct fixture f = {.config = LIMITED_CONFIG("3", "10")};
+	struct raw_server *server = set_up(&f, responses);
+	const char *request = "POST /open/x HTTP/1.1\r\nHost: h\r\n" ID_LINE
+			      "Content-Length: 20\r\nConnection: close\r\n\r\n"
+			      "01234567890123456789";
+
+	call(&f, GET("/open/x", "h", ID_LINE));
+	g_assert_cmpint(call(&f, request), ==, 413);
+	fake_platform_change_config(f.fake_platform, LIMITED_CONFIG("4", "30"));
+	RUN_UNTIL(&f,
+	    routing_state_table(f.exchange_context.routing_state)->version ==
+		4);
+	g_assert_cmpint(call(&f, request), ==, 200);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
 	ADD_CASES(origin_cases, "/denied/origin", test_origin);
+	ADD_CASES(unsealed_cases, "/denied/unsealed", test_unsealed);
+	ADD_CASES(doubt_cases, "/denied/doubt", test_doubt);
+	g_test_add_func("/denied/agreed", test_agreed);
+	ADD_CASES(blank_cases, "/denied/blank", test_blank);
+	ADD_CASES(unsure_cases, "/denied/unsure", test_unsure);
+	g_test_add_func("/denied/body_limit", test_body_limit);
 	return g_test_run();
 }
