Soak: every status from 300 to 499 needs a reason

The gateways' soak checked 401 alone of all statuses below 500, its upstreams answered errors with a seal only, it never gave a key back or added one or a route, and its callers wrote headers in one way only.

denied.py: the fault give_errors makes an upstream answer without a seal, with the reason of a success, or with an error of its own; grant adds keys and a route and gives revoked keys back; hosts and keys have blanks around them, other letters and a port. A proper request may get a status from 300 to 499 only from an upstream, with its seal.

The check of 'valid key rejected' is part of it and stricter: a key that was never revoked is valid at any gateway, disturbed or not.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -3,11 +3,12 @@
 Checks what callers and upstreams see: a non-idempotent request runs at most
 once, a request refused as not run did not run, a response is complete and
 belongs to its request, a stream has each event once, no caller gets bytes of a
-stream that no run made, upstreams that drain or are in a taken-out failure
-domain get no new requests, revoked keys are rejected, a key that a process has
-rejected as revoked is not accepted by it again, upstreams that say that they
-leave or want no requests get none, those that name a rate get no more than
-that, endless responses are not read on, and no process exits unexpectedly.
+stream that no run made, a status from 300 to 499 has a reason, upstreams that
+drain or are in a taken-out failure domain get no new requests, revoked keys are
+rejected, a key that a process has rejected as revoked is not accepted by it
+again, upstreams that say that they leave or want no requests get none, those
+that name a rate get no more than that, endless responses are not read on, and
+no process exits unexpectedly.
 """
 
 import asyncio
@@ -24,6 +25,7 @@
 import time
 
 import crashing_part
+import denied
 import foreign_events
 import named_rates
 import planned_stops
@@ -53,7 +55,8 @@
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 ROUTES = (("/stream/", "stream", True), ("/once/", "non_idempotent", False),
           ("/again/", "idempotent", False), ("/long/", "stream", True),
-          ("/prompt/", "stream", True), (foreign_events.PATH, "stream", False))
+          ("/prompt/", "stream", True), (foreign_events.PATH, "stream", False),
+          (denied.PATH, "idempotent", False))
 SHORT_PATHS = ("/stream/", "/once/", "/again/")
 
 
@@ -62,8 +65,11 @@
     return LONG_DEADLINE_MS if path.startswith("/long/") else DEADLINE_MS
 
 
-def make_config(version, keys, service):
-    """Returns a configuration with these API keys and this service."""
+def make_config(version, keys, service, left_out=()):
+    """Returns a configuration with these API keys and this service.
+
+    It lacks the routes with the paths that are left out.
+    """
     return {
         "Version": version,
         "Routes": [{"Name": path, "Host": "h", "PathPrefix": path,
@@ -71,7 +77,8 @@
                     "Attempts": 2, "LatencyTargetMs": 300, "GapTargetMs": 250,
                     "CanResume": resume, "Sticky": path == "/prompt/",
                     "Service": "s"}
-                   for path, kind, resume in ROUTES],
+                   for path, kind, resume in ROUTES
+                   if path not in left_out],
         "Services": [service],
         "Limits": {"BodyBytes": 100000},
         "Tenants": [{"Name": f"o{key}", "Keys": [key]} for key in keys]}
@@ -83,7 +90,7 @@
           "name_rate")
 # Drawn only if asked for.
 RARE_FAULTS = ("cut_peer", "crashing_part", "fail_upstreams", "spoil_bytes",
-               "foreign_events")
+               "foreign_events", "give_errors", "grant")
 
 
 class Gateway:
@@ -211,6 +218,9 @@
         self.paths = SHORT_PATHS
         if "foreign_events" in faults:
             self.paths += (foreign_events.PATH,)
+        if "grant" in faults:
+            self.paths += (denied.PATH,)
+        self.propagation_s = PROPAGATION_S
         self.seed, self.seconds = seed, seconds
         self.end = 0.0
         self.store = standin.Store()
@@ -227,6 +237,8 @@
         self.gateway_count = gateway_count
         self.keys = ["k1", "k2", "k3"]
         self.revoked = {}  # key -> wall time of its revocation
+        self.granted = {}  # key -> wall time of its coming back, or first
+        self.route_added = None  # wall time, of the route of denied.PATH
         self.excluded_periods = []  # (upstream, from wall s, to wall s)
         self.excluded_now = {}  # upstream or failure domain -> True
         self.version = 1
@@ -355,11 +367,11 @@
         self.attempts[request_id] = (path, None, gateway)
         self.sent[request_id] = (sent, gateway, gateway.incarnation)
         writer.write((
-            f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            f"POST {path} HTTP/1.1\r\nContent-Length: 4\r\n"
             f"Heatherturn-Attempt-Id: {request_id}\r\n"
             f"Heatherturn-Deadline-Remaining-Ms: {deadline_ms(path)}\r\n"
             f"{make_headers(request_id)}"
-            f"Authorization: Bearer {key}\r\n\r\nasks").encode())
+            f"{denied.request_headers(request_id, key)}\r\nasks").encode())
         headers, body = await self.cuts.watch(
             request_id, self.read_response(request_id, reader, rng),
             self.attempts)
@@ -416,9 +428,7 @@
             self.add_violation("revoked key accepted",
                                request=request_id)
         self.check_rollback(request_id, key)
-        if (key in self.keys and status == 401
-                and gateway.was_undisturbed(sent, sent)):
-            self.add_violation("valid key rejected", request=request_id)
+        denied.check_status(self, request_id, key, sent, headers)
 
     def is_whole_stream(self, request_id, path, body, is_cut=False):
         """Whether a body has each event of a run once.
@@ -628,6 +638,14 @@
         """Makes an upstream add bytes to some streams."""
         await foreign_events.add(self)
 
+    async def give_errors(self):
+        """Makes an upstream answer some requests with errors."""
+        await denied.give_errors(self)
+
+    async def grant(self):
+        """Adds a key or a route, or gives a key back."""
+        await denied.grant(self)
+
     async def fail_upstreams(self):
         """Makes all upstreams fail most requests for some time."""
         await retry_budget.fail_upstreams(self)
@@ -688,7 +706,9 @@
         if self.prompts:
             service["Engine"] = crashing_part.ENGINE
         await self.write("config", "main",
-                         make_config(self.version, self.keys, service))
+                         make_config(
+                             self.version, self.keys, service,
+                             () if self.route_added else (denied.PATH,)))
 
     # The end
 
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -14,6 +14,7 @@
 import time
 import urllib.parse
 
+import denied
 import foreign_events
 
 EVENTS = 8
@@ -90,9 +91,9 @@
     return data[:at] + bytes([rng.choice(others)]) + data[at + 1:]
 
 
-def make_response(status, headers, body):
+def make_response(status, headers, body, reason="X"):
     """Returns an encoded HTTP response."""
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}",
+    lines = [f"HTTP/1.1 {status} {reason}", f"Content-Length: {len(body)}",
              *(f"{name}: {value}" for name, value in headers.items())]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -286,6 +287,7 @@
         self.spoilt = {}  # request id -> (number of an event, its bytes)
         self.additions = []  # (request id, bytes that its run did not make)
         self.failed = set()  # ids of requests that it answered with 500
+        self.own_errors = set()  # (request id, status) that it meant
 
     def rejection_status(self, headers):
         """Returns the status of a rejection, 0 if the request is run."""
@@ -337,7 +339,12 @@
         response_headers = {"Heatherturn-Attempt-Id": request_id,
                             "Heatherturn-Server-Seal": self.name,
                             **self.own_headers(request_id)}
-        if self.draws_fault("fail"):
+        if "error" in self.faults and self.draws_fault("error"):
+            status, reason, error_headers = denied.draw_error(
+                self, request_id, response_headers)
+            writer.write(make_response(status, error_headers, b"error",
+                                       reason))
+        elif self.draws_fault("fail"):
             self.failed.add(request_id)
             writer.write(make_response(500, response_headers, b"failed"))
         elif is_stream(request[1]):
