An upstream's error needs a seal too before a caller gets it

Callers saw: a proper request ended with a status from 300 to 499 that no upstream had signed, after one run, also where two more attempts were allowed. They do not repeat it.

Cause: find_mismatch() asked only successes for the evidence that they are the upstream's: a seal and no content coding. For any other status the request's id was enough, and classify() passes on what is below 500.

The upstream is avoided as after any response that may not be its own, and the log tells the upstream, the status and why.

--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -1,3 +1,4 @@
+#include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "policy/part_quarantine.h"
 
@@ -14,6 +15,10 @@
 #define STATUS_SERVER_MIN  500
 #define STATUS_BAD_GATEWAY 502
 
+METRIC_DEFINE(mismatches, METRIC_COUNTER,
+    "heatherturn_gateway_responses_not_believed", NULL,
+    "Responses that may not be the upstream's to the request.");
+
 /* What to do with a response once its headers have been received. */
 enum verdict {
 	VERDICT_PASS, /* forward it to the caller */
@@ -114,6 +119,17 @@
 		    exchange->headers->len);
 }
 
+/* Logs a response that may not be the upstream's, by its status. */
+static void
+log_mismatch(const struct exchange *exchange, int status)
+{
+	metric_add(&mismatches, 1);
+	LOG_INFO("response not believed", "{s:s, s:s, s:i, s:s}", "request",
+	    exchange->caller_headers.request_id, "upstream",
+	    exchange->upstream->id, "status", status, "why",
+	    exchange->response.mismatch);
+}
+
 /* Handles the headers of a response; false cancels the call. */
 static bool
 on_upstream_headers(void *data, struct http_call *call, int status)
@@ -144,6 +160,7 @@
 	case VERDICT_MISMATCH:
 		exchange->send_outcome = SEND_LOST;
 		exchange->send_error = exchange->response.mismatch;
+		log_mismatch(exchange, status);
 		return false;
 	case VERDICT_PASS:
 		break;
--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -22,6 +22,7 @@
 #define OTHER_ID     "Heatherturn-Attempt-Id: r0\r\n"
 #define OTHER_SEAL   "Heatherturn-Server-Seal: s0\r\n"
 #define NOT_RUN	     "Heatherturn-Not-Executed: 1\r\n"
+#define NOT_FOUND    "HTTP/1.1 404 Not Found\r\n"
 #define FULL	     "HTTP/1.1 503 Full\r\n" ID NOT_RUN
 /* Body of the second response, also an event. */
 #define SECOND E1
@@ -77,6 +78,17 @@
 	.outcome = OUTCOME_NOT_RUN},
     {"a success with a content coding is not passed on",
 	OK TEXT "Content-Encoding: gzip\r\n", .outcome = OUTCOME_UNKNOWN},
+    {"an error without a seal is not passed on", NOT_FOUND ID,
+	.outcome = OUTCOME_UNKNOWN},
+    {"an error with an empty seal is not passed on",
+	NOT_FOUND ID "Heatherturn-Server-Seal:\r\n",
+	.outcome = OUTCOME_UNKNOWN},
+    {"a failure without a seal is not passed on",
+	"HTTP/1.1 500 Internal Server Error\r\n" ID,
+	.outcome = OUTCOME_UNKNOWN},
+    {"an error with a content coding is not passed on",
+	NOT_FOUND TEXT "Content-Encoding: gzip\r\n",
+	.outcome = OUTCOME_UNKNOWN},
     {"a success with several content codings is not passed on",
 	OK TEXT "Content-Encoding: gzip\r\nContent-Encoding: identity\r\n",
 	.outcome = OUTCOME_UNKNOWN},
