A status with a wrong digit does not end a request

Callers saw: where an upstream's status line had a wrong digit, a request that it had served ended with 300 or 400, which its caller does not repeat; a failure could read as a success.

Cause: nothing but the digits decided, though the reason phrase beside them was still that of the right status, and another upstream could be asked.

policy/status_evidence: a fitting standard phrase confirms a status. One of another class of statuses contradicts it. An error with a phrase of the upstream's own, or none, is unconfirmed. Then another upstream is asked where the request may run twice; what two agree on is passed on, and such an error of the route is not asked for again. RFC 9112, 4 asks clients to ignore the phrase, since it may be anything: it is no ground for a status here, only for doubt, and never without a second upstream's word where one may be asked. A request that may run once gets 502, an unknown outcome, for a contradiction.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -821,3 +821,13 @@
 {
 	return call->head.has_length || call->head.chunked;
 }
+
+/*
+ * Returns the first digit of the status whose standard reason phrase the
+ * response has; 0 if it has another phrase or none.
+ */
+int
+http_call_reason_class(const struct http_call *call)
+{
+	return call->head.reason_class;
+}
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -115,5 +115,6 @@
     const struct http_call *, size_t *count);
 bool http_call_length(const struct http_call *, uint64_t *out);
 bool http_call_is_framed(const struct http_call *);
+int http_call_reason_class(const struct http_call *);
 
 #endif
--- /dev/null
+++ b/src/base/http_reason.h
@@ -0,0 +1,9 @@
+/* The reason phrases of HTTP statuses. */
+#ifndef BASE_HTTP_REASON_H
+#define BASE_HTTP_REASON_H
+
+#include <stddef.h>
+
+int http_reason_class(const char *reason, size_t length);
+
+#endif
--- a/src/base/response_head.c
+++ b/src/base/response_head.c
@@ -2,7 +2,12 @@
 
 #include <string.h>
 
-#define STATUS_LINE_START "HTTP/"
+#include "base/http_reason.h"
+
+#define VERSION_1_0	  "HTTP/1.0 "
+#define VERSION_1_1	  "HTTP/1.1 "
+#define VERSION_LENGTH	  strlen(VERSION_1_1)
+#define STATUS_DIGITS	  3
 #define CONTENT_LENGTH	  "Content-Length"
 #define TRANSFER_ENCODING "Transfer-Encoding"
 #define CHUNKED		  "chunked"
@@ -44,13 +49,49 @@
 	return RESPONSE_LINE_INVALID;
 }
 
+/* Removes a line's end, of one or two characters. */
+static size_t
+without_line_end(const char *line, size_t length)
+{
+	if (length > 0 && line[length - 1] == '\n')
+		length--;
+	if (length > 0 && line[length - 1] == '\r')
+		length--;
+	return length;
+}
+
+/*
+ * Parses a status line (RFC 9112, 4); false if it is none. The blank before the
+ * reason phrase may be missing where there is no phrase.
+ */
+static bool
+read_status_line(struct response_head *head, const char *line, size_t length)
+{
+	const char *status = line + VERSION_LENGTH;
+	size_t start = VERSION_LENGTH + STATUS_DIGITS;
+
+	if (length < start ||
+	    (memcmp(line, VERSION_1_1, VERSION_LENGTH) != 0 &&
+		memcmp(line, VERSION_1_0, VERSION_LENGTH) != 0))
+		return false;
+	head->status = 0;
+	for (size_t i = 0; i < STATUS_DIGITS; i++) {
+		if (!g_ascii_isdigit(status[i]))
+			return false;
+		head->status = head->status * 10 + (status[i] - '0');
+	}
+	if (length > start && line[start++] != ' ')
+		return false;
+	head->reason_class = http_reason_class(line + start, length - start);
+	return true;
+}
+
 /* Begins the head of an interim or the final response. */
 static enum response_line
 begin(struct response_head *head, const char *line, size_t length)
 {
-	if (length < strlen(STATUS_LINE_START) ||
-	    memcmp(line, STATUS_LINE_START, strlen(STATUS_LINE_START)) != 0)
-		return reject(head, "no status line");
+	if (!read_status_line(head, line, without_line_end(line, length)))
+		return reject(head, "no valid status line");
 	g_array_set_size(head->headers, 0);
 	head->in_head = true;
 	head->complete = false;
@@ -177,10 +218,7 @@
 		return RESPONSE_LINE_TOO_LARGE;
 	if (!head->in_head && !head->complete)
 		return begin(head, line, length);
-	if (length > 0 && line[length - 1] == '\n')
-		length--;
-	if (length > 0 && line[length - 1] == '\r')
-		length--;
+	length = without_line_end(line, length);
 	if (head->complete)
 		return check_trailer(head, length);
 	if (length > 0)
--- a/src/base/response_head.h
+++ b/src/base/response_head.h
@@ -42,6 +42,8 @@
 struct response_head {
 	GArray *headers; /* of struct http_header, in the order received */
 	size_t bytes; /* of all lines so far */
+	int status; /* of the last status line */
+	int reason_class; /* first digit of the status it is of; 0: unknown */
 	bool in_head; /* after a status line, before the empty line */
 	bool complete; /* that of the final response */
 	bool has_length;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -149,6 +149,7 @@
 	bool streaming; /* a streamed response has begun */
 	bool is_event_stream; /* another upstream can continue it */
 	bool had_other_type; /* a run responded with no event stream */
+	int doubted_status; /* of the run before, not believed; 0 for none */
 	bool finished;
 	bool paused; /* the upstream is not read, as the caller is slow */
 	uint64_t taken_bytes; /* of the response, when last looked at */
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -1,5 +1,6 @@
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
+#include "gateway/exchange_selection.h"
 #include "policy/part_quarantine.h"
 
 #define LOG_MODULE "answer"
@@ -14,16 +15,18 @@
 #define STATUS_MULTIPLE	   300
 #define STATUS_SERVER_MIN  500
 #define STATUS_BAD_GATEWAY 502
+#define STATUS_PER_CLASS   100
 
-METRIC_DEFINE(mismatches, METRIC_COUNTER,
+METRIC_DEFINE(doubts, METRIC_COUNTER,
     "heatherturn_gateway_responses_not_believed", NULL,
-    "Responses that may not be the upstream's to the request.");
+    "Responses that may not be the upstream's, or not with their status.");
 
 /* What to do with a response once its headers have been received. */
 enum verdict {
 	VERDICT_PASS, /* forward it to the caller */
 	VERDICT_NOT_RUN, /* the request may be sent to another upstream */
 	VERDICT_FAILED, /* an error that another upstream may not have */
+	VERDICT_DOUBTED, /* its status may be wrong */
 	VERDICT_MISMATCH, /* not the response to this request */
 };
 
@@ -58,11 +61,65 @@
 	return true;
 }
 
+/* Returns what the reason phrase of a response says of its status. */
+static enum reason_match
+match_reason(const struct http_call *call, int status)
+{
+	int class = http_call_reason_class(call);
+
+	if (class == 0)
+		return REASON_UNKNOWN;
+	return class == status / STATUS_PER_CLASS ? REASON_FITS
+						  : REASON_CONTRADICTS;
+}
+
+/* Returns whether another upstream may be asked, and is likely to respond. */
+static bool
+may_ask_again(struct exchange *exchange)
+{
+	return exchange_may_retry(exchange, exchange->sends + 1, true) &&
+	    exchange_has_reliable_upstream(exchange);
+}
+
+/*
+ * Decides by its reason phrase what to do with a response that has the evidence
+ * of the upstream's own.
+ */
+static enum verdict
+check_status(
+    struct exchange *exchange, const struct http_call *call, int status)
+{
+	struct status_evidence *evidence = &exchange->route->evidence;
+	enum reason_match reason = match_reason(call, status);
+	int earlier = exchange->doubted_status;
+	enum status_verdict verdict = status_evidence_judge(
+	    evidence, status, reason, earlier, true);
+
+	if (verdict == STATUS_ASK_AGAIN && !may_ask_again(exchange))
+		verdict = status_evidence_judge(
+		    evidence, status, reason, earlier, false);
+	exchange->doubted_status = verdict == STATUS_ASK_AGAIN ? status : 0;
+	switch (verdict) {
+	case STATUS_BELIEVED:
+		if (status == earlier)
+			status_evidence_add(evidence, status);
+		return VERDICT_PASS;
+	case STATUS_ASK_AGAIN:
+		return VERDICT_DOUBTED;
+	case STATUS_NOT_BELIEVED:
+		break;
+	}
+	exchange->response.mismatch = "its reason phrase is that of another "
+				      "status";
+	return VERDICT_MISMATCH;
+}
+
 /* Decides what to do with a response. */
 static enum verdict
-classify(struct exchange *exchange, int status)
+classify(struct exchange *exchange, const struct http_call *call, int status)
 {
 	const struct response_headers *response = &exchange->response;
+	enum verdict verdict;
 
 	if (response->not_run)
 		return VERDICT_NOT_RUN;
@@ -74,9 +131,10 @@
 	if (status >= STATUS_SERVER_MIN &&
 	    exchange_may_retry(exchange, exchange->sends + 1, true))
 		return VERDICT_FAILED;
-	if (is_other_type(exchange, status))
+	verdict = check_status(exchange, call, status);
+	if (verdict == VERDICT_PASS && is_other_type(exchange, status))
 		return VERDICT_FAILED;
-	return VERDICT_PASS;
+	return verdict;
 }
 
 /* Sets the status and headers of the response to the caller. */
@@ -119,15 +177,14 @@
 		    exchange->headers->len);
 }
 
-/* Logs a response that may not be the upstream's, by its status. */
+/* Logs a response that may not be the upstream's, or not with this status. */
 static void
-log_mismatch(const struct exchange *exchange, int status)
+log_doubt(const struct exchange *exchange, int status, const char *why)
 {
-	metric_add(&mismatches, 1);
+	metric_add(&doubts, 1);
 	LOG_INFO("response not believed", "{s:s, s:s, s:i, s:s}", "request",
 	    exchange->caller_headers.request_id, "upstream",
-	    exchange->upstream->id, "status", status, "why",
-	    exchange->response.mismatch);
+	    exchange->upstream->id, "status", status, "why", why);
 }
 
 /* Handles the headers of a response; false cancels the call. */
@@ -142,7 +199,7 @@
 	if (!exchange->response.wrong_instance)
 		exchange_apply_notice(
 		    exchange, exchange->upstream, &exchange->response.notice);
-	switch (classify(exchange, status)) {
+	switch (classify(exchange, call, status)) {
 	case VERDICT_NOT_RUN:
 		exchange->send_outcome = SEND_NOT_RUN;
 		exchange->send_error = exchange->response.wrong_instance
@@ -157,10 +214,15 @@
 		    ? "the upstream responded with no event stream"
 		    : "the upstream responded with an error";
 		return false;
+	case VERDICT_DOUBTED:
+		exchange->send_outcome = SEND_FAILED;
+		exchange->send_error = "the upstream's status is in doubt";
+		log_doubt(exchange, status, "nothing confirms the status");
+		return false;
 	case VERDICT_MISMATCH:
 		exchange->send_outcome = SEND_LOST;
 		exchange->send_error = exchange->response.mismatch;
-		log_mismatch(exchange, status);
+		log_doubt(exchange, status, exchange->response.mismatch);
 		return false;
 	case VERDICT_PASS:
 		break;
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -18,6 +18,7 @@
 #include "policy/engine_profile.h"
 #include "policy/event_numbering.h"
 #include "policy/locality.h"
+#include "policy/status_evidence.h"
 
 struct service_ranks;
 
@@ -50,6 +51,7 @@
 	bool prompts; /* its requests are prompts for a model */
 	bool resumable; /* a stream can be resumed at another upstream */
 	struct event_numbering numbering; /* of its streams, not configured */
+	struct status_evidence evidence; /* the same, of its errors */
 	struct route_share *shares;
 	size_t share_count;
 };
--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -202,42 +202,67 @@
 	const char *second; /* NULL: the first one is final */
 	const char *path;
 	int status;
+	bool alone; /* the service has no other upstream */
 } doubt_cases[] = {
     {"an error whose reason fits is passed on", "404 Not Found", NULL,
-	"/again/x", 404},
+	"/again/x", .status = 404},
     {"an error whose reason fits is passed on after the only run",
-	"409 Conflict", NULL, "/once/x", 409},
+	"409 Conflict", NULL, "/once/x", .status = 409},
     {"an error with the reason of a success is not believed", "400 OK",
-	"200 OK", "/again/x", 200},
+	"200 OK", "/again/x", .status = 200},
     {"a redirection with the reason of a success is not believed", "300 OK",
-	"200 OK", "/stream/x", 200},
+	"200 OK", "/stream/x", .status = 200},
     {"an error with the reason of a failure is not believed",
-	"400 Internal Server Error", "200 OK", "/again/x", 200},
+	"400 Internal Server Error", "200 OK", "/again/x", .status = 200},
     {"a success with the reason of a failure is not believed",
-	"200 Internal Server Error", "200 OK", "/again/x", 200},
+	"200 Internal Server Error", "200 OK", "/again/x", .status = 200},
     {"a reason in other letters counts the same", "400 ok", "200 OK",
-	"/again/x", 200},
+	"/again/x", .status = 200},
     {"an error that contradicts itself after the only run is unknown", "400 OK",
-	NULL, "/once/x", 502},
+	NULL, "/once/x", .status = 502},
     {"a failure that contradicts itself after the only run is unknown",
-	"500 OK", NULL, "/once/x", 502},
+	"500 OK", NULL, "/once/x", .status = 502},
     {"an error that contradicts itself at two upstreams is passed on", "404 OK",
-	"404 OK", "/again/x", 404},
+	"404 OK", "/again/x", .status = 404},
     {"an error without a reason is asked for again", "400 ", "200 OK",
-	"/again/x", 200},
+	"/again/x", .status = 200},
     {"an error with a reason of its own is asked for again", "400 X", "200 Y",
-	"/again/x", 200},
+	"/again/x", .status = 200},
     {"an error without a reason at two upstreams is passed on", "404 ", "404 ",
-	"/again/x", 404},
+	"/again/x", .status = 404},
     {"an error without a reason is passed on after the only run", "404 ", NULL,
-	"/once/x", 404},
+	"/once/x", .status = 404},
     {"an error without a reason is passed on without another attempt", "404 ",
-	NULL, "/single/x", 404},
-    {"a success without a reason is passed on", "200 ", NULL, "/again/x", 200},
+	NULL, "/single/x", .status = 404},
+    {"an error without a reason is passed on without another upstream", "404 ",
+	NULL, "/again/x", .status = 404, .alone = true},
+    {"an error that contradicts itself without another upstream is unknown",
+	"400 OK", NULL, "/again/x", .status = 502, .alone = true},
+    {"a status with a letter is no response", "4x0 OK", "200 OK", "/again/x",
+	.status = 200},
+    {"a status of two digits is no response", "40 OK", "200 OK", "/again/x",
+	.status = 200},
+    {"a success without a reason is passed on", "200 ", NULL, "/again/x",
+	.status = 200},
     {"a success with the reason of another success is passed on", "201 OK",
-	NULL, "/once/x", 201},
+	NULL, "/once/x", .status = 201},
 };
 
+/* Makes all upstreams but one leave. */
+static void
+retire_others(struct fixture *f)
+{
+	struct fleet *fleet = routing_state_fleet(
+	    f->exchange_context.routing_state);
+	struct fleet_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
+		if (strcmp(upstream->id, "i-0") != 0)
+			fleet_upstream_on_leaving(
+			    upstream, "test", clock_monotonic(clock_system()));
+	}
+}
+
 /* A status with a wrong digit does not end a request. */
 static void
 test_doubt(gconstpointer data)
@@ -254,6 +279,8 @@
 	struct fixture f = {0};
 	struct raw_server *server = set_up(&f, responses);
 
+	if (c->alone)
+		retire_others(&f);
 	g_assert_cmpint(call(&f, request), ==, c->status);
 	g_assert_cmpuint(
 	    raw_server_requests(server), ==, c->second != NULL ? 2 : 1);
