White space around a header's value is no part of it

Callers saw: 404 for a blank or a tab behind the value of Host, 401 for a blank behind an API key or two before it, 502 for a blank behind the request's id, which upstreams repeat without it.

Cause: libmicrohttpd leaves white space behind a value (RFC 9110, 5.5: it is none of it), and hosts, keys, ids and numbers were compared and parsed as they came.

The HTTP server trims each value once, for all who ask for headers or pass them on: gateways, entries, the operator API and explain. bearer_token() reads the scheme in the same way for all of them.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -214,10 +214,12 @@
 start_request(struct httpd_request *request, const char *path,
     const char *method, const char *version)
 {
-	const char *length_text = httpd_request_header(
-	    request, MHD_HTTP_HEADER_CONTENT_LENGTH);
+	const char *length_text;
 	guint64 length = 0;
 
+	httpd_request_trim_headers(request);
+	length_text = httpd_request_header(
+	    request, MHD_HTTP_HEADER_CONTENT_LENGTH);
 	request->started = true;
 	request->old_version = strcmp(version, MHD_HTTP_VERSION_1_1) != 0;
 	request->path = g_strdup(path);
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -31,6 +31,11 @@
 	char *authority; /* of a target in absolute form; or NULL */
 	char *path; /* percent-decoded */
 	char *method;
+	/*
+	 * Header values as the library has them -> without the white space
+	 * around them; NULL if none has any.
+	 */
+	GHashTable *trimmed;
 	GByteArray *body;
 	size_t body_reserved; /* counted in httpd.stats.body_bytes */
 	size_t body_discarded;
@@ -82,6 +87,7 @@
 struct httpd_request *httpd_request_new(
     struct httpd *, struct MHD_Connection *, const char *target);
 void httpd_request_free(struct httpd_request *);
+void httpd_request_trim_headers(struct httpd_request *);
 void httpd_request_fail(struct httpd_request *, int status, const char *type,
     const char *code, const char *message);
 bool httpd_request_reserve(struct httpd_request *, size_t bytes);
--- a/src/base/httpd_request.c
+++ b/src/base/httpd_request.c
@@ -68,6 +68,8 @@
 		MHD_destroy_response(request->response);
 	if (request->stream != NULL)
 		g_byte_array_unref(request->stream);
+	if (request->trimmed != NULL)
+		g_hash_table_unref(request->trimmed);
 	g_free(request->target);
 	g_free(request->authority);
 	g_free(request->path);
@@ -216,6 +218,55 @@
 	    request->connection, MHD_GET_ARGUMENT_KIND, name);
 }
 
+/* Returns whether white space surrounds a value. */
+static bool
+is_surrounded(const char *value)
+{
+	size_t length = strlen(value);
+
+	return length > 0 &&
+	    (g_ascii_isspace(value[0]) || g_ascii_isspace(value[length - 1]));
+}
+
+/* Adds a header's value to the trimmed ones if white space surrounds it. */
+static enum MHD_Result
+trim_header(
+    void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	struct httpd_request *request = data;
+
+	if (value == NULL || !is_surrounded(value))
+		return MHD_YES;
+	if (request->trimmed == NULL)
+		request->trimmed = g_hash_table_new_full(
+		    g_direct_hash, g_direct_equal, NULL, g_free);
+	g_hash_table_insert(
+	    request->trimmed, (void *)value, g_strstrip(g_strdup(value)));
+	return MHD_YES;
+}
+
+/*
+ * Prepares the headers of a request that has been read. White space around a
+ * value is no part of it (RFC 9110, 5.5); the library leaves it behind one.
+ */
+void
+httpd_request_trim_headers(struct httpd_request *request)
+{
+	MHD_get_connection_values(
+	    request->connection, MHD_HEADER_KIND, trim_header, request);
+}
+
+/* Returns a value without the white space around it; NULL for NULL. */
+static const char *
+trimmed_value(const struct httpd_request *request, const char *value)
+{
+	const char *trimmed = request->trimmed == NULL
+	    ? NULL
+	    : g_hash_table_lookup(request->trimmed, value);
+
+	return trimmed != NULL ? trimmed : value;
+}
+
 /* Returns a header's value, ignoring the name's case; NULL if missing. */
 const char *
 httpd_request_header(const struct httpd_request *request, const char *name)
@@ -223,8 +274,9 @@
 	if (request->authority != NULL &&
 	    g_ascii_strcasecmp(name, MHD_HTTP_HEADER_HOST) == 0)
 		return request->authority;
-	return MHD_lookup_connection_value(
-	    request->connection, MHD_HEADER_KIND, name);
+	return trimmed_value(request,
+	    MHD_lookup_connection_value(
+		request->connection, MHD_HEADER_KIND, name));
 }
 
 /* Arguments of visit_header(). */
@@ -240,7 +292,8 @@
     void *data, enum MHD_ValueKind kind, const char *name, const char *value)
 {
 	const struct header_walk *walk = data;
-	struct http_header header = {name, value == NULL ? "" : value};
+	struct http_header header = {
+	    name, value == NULL ? "" : trimmed_value(walk->request, value)};
 
 	if (walk->request->authority != NULL &&
 	    g_ascii_strcasecmp(name, MHD_HTTP_HEADER_HOST) == 0)
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <sodium.h>
 
+#include "base/bearer.h"
 #include "base/invariant.h"
 #include "base/metrics.h"
 #include "entry/generation.h"
@@ -14,7 +15,6 @@
 #define LOG_MODULE "front"
 #include "base/log.h"
 
-#define BEARER_PREFIX	 "Bearer "
 #define HEADERS_MAX	 6
 #define HEADER_MAX_BYTES 32
 #define STREAMS_PATH	 "/v1/streams/"
@@ -136,17 +136,17 @@
 {
 	const struct config *config = dispatch_config(
 	    frontend->settings.dispatch);
-	const char *header = httpd_request_header(
-	    request->http, "Authorization");
+	const char *key = bearer_token(
+	    httpd_request_header(request->http, "Authorization"));
 
-	if (header == NULL || !g_str_has_prefix(header, BEARER_PREFIX)) {
+	if (key == NULL) {
 		frontend_respond_error_code(request->http, request->id,
 		    CALLER_ERROR_NO_API_KEY, 0,
 		    "no API key in the Authorization header");
 		return false;
 	}
 	request->organisation = config_find_organisation_by_api_key(
-	    config, header + strlen(BEARER_PREFIX));
+	    config, key);
 	if (request->organisation == NULL) {
 		frontend_respond_error_code(request->http, request->id,
 		    CALLER_ERROR_INVALID_API_KEY, 0, "unknown API key");
--- a/src/gateway/exchange_explain.c
+++ b/src/gateway/exchange_explain.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/bearer.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/exchange_selection.h"
 #include "gateway/host_monitor.h"
@@ -12,8 +13,6 @@
 /* Most upstreams that are named as ruled out; the others are counted. */
 #define EXPLAIN_RULED_OUT_MAX 100
 
-#define EXPLAIN_BEARER "Bearer "
-
 #define STATUS_OK	    200
 #define STATUS_BAD_REQUEST  400
 #define STATUS_UNAUTHORIZED 401
@@ -386,15 +385,11 @@
 {
 	static const struct http_header type = {
 	    "Content-Type", "application/json"};
-	const char *authorisation = httpd_request_header(http, "Authorization");
 	const struct explain_request request = {
 	    .host = httpd_request_query(http, "host"),
 	    .path = httpd_request_query(http, "path"),
 	    .organisation = httpd_request_query(http, "organisation"),
-	    .key = authorisation != NULL &&
-		    g_str_has_prefix(authorisation, EXPLAIN_BEARER)
-		? authorisation + strlen(EXPLAIN_BEARER)
-		: NULL,
+	    .key = bearer_token(httpd_request_header(http, "Authorization")),
 	    .tokens = httpd_request_query(http, "tokens"),
 	    .output = httpd_request_query(http, "output"),
 	    .parts = httpd_request_query(http, "parts"),
--- a/src/operator/operator_tokens.c
+++ b/src/operator/operator_tokens.c
@@ -4,9 +4,9 @@
 
 #include <sodium.h>
 
+#include "base/bearer.h"
 #include "operator/rpc_error.h"
 
-#define BEARER_PREFIX "Bearer "
 /* Name of the operator whose token has none. */
 #define UNNAMED_OPERATOR "operator"
 
@@ -82,18 +82,16 @@
     const char *authorisation, GError **error)
 {
 	unsigned char given_digest[crypto_hash_sha256_BYTES];
+	const char *given = bearer_token(authorisation);
 	const char *name = NULL;
 
-	if (authorisation == NULL ||
-	    g_ascii_strncasecmp(
-		authorisation, BEARER_PREFIX, strlen(BEARER_PREFIX)) != 0) {
+	if (given == NULL) {
 		g_set_error(error, RPC_ERROR, RPC_ERROR_NO_TOKEN,
 		    "the request has no bearer token");
 		return NULL;
 	}
-	authorisation += strlen(BEARER_PREFIX);
-	crypto_hash_sha256(given_digest, (const unsigned char *)authorisation,
-	    strlen(authorisation));
+	crypto_hash_sha256(
+	    given_digest, (const unsigned char *)given, strlen(given));
 	for (guint i = 0; i < tokens->items->len; i++) {
 		const struct operator_token *token = tokens->items->pdata[i];
 
