The limit of bodies is that of the configuration in force

Callers saw: 413 for a body that the configuration in force allows. With callers whose bodies are all longer than the limit before, for ever.

Cause: the limit was copied to the HTTP server when a complete request was handled. A body is checked before that, so by the limit of an older configuration, and a rejected request never copied the new one. Before the first configuration, the limit of the settings gave a final 413 too.

Evidence: test_denied_requests /denied/body_limit, 413 before and 200 now.

The server asks its owner for the limit of each request that begins, and whether it is final. If it is not, because no configuration or a newer one is known, a longer body gets 503 with Retry-After, code not_current. A request keeps the limit that it began with.

test_gateway's test of a long body sets the limit by the configuration now; the function that it called is gone.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -188,25 +188,65 @@
 	httpd_request_free(request);
 }
 
-/* Rejects a body with 413 (too long) or 503 (too many bytes in all bodies). */
+/* Why the server does not read a body. */
+enum body_rejection {
+	BODY_TOO_LONG,
+	BODY_TOO_LONG_NOW, /* the limit may rise soon */
+	BODIES_TOO_LONG, /* of all requests together */
+};
+
+/* Rejects a body, before it is complete. */
 static void
-reject_body(struct httpd_request *request, int status)
+reject_body(struct httpd_request *request, enum body_rejection why)
 {
+	static const struct {
+		int status;
+		const char *type;
+		const char *code;
+		const char *message;
+	} rejections[] = {
+	    [BODY_TOO_LONG] = {MHD_HTTP_CONTENT_TOO_LARGE,
+		"invalid_request_error", "body_too_long",
+		"The body is longer than this server accepts."},
+	    [BODY_TOO_LONG_NOW] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
+		"not_current",
+		"The body is longer than this server accepts yet; not run."},
+	    [BODIES_TOO_LONG] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
+		"overloaded",
+		"Too many bytes of request bodies are buffered; not run."},
+	};
 	const struct httpd *httpd = request->httpd;
-	bool too_long = status == MHD_HTTP_CONTENT_TOO_LARGE;
-	const char *code = too_long ? "body_too_long" : "overloaded";
+	int status = rejections[why].status;
+	const char *code = rejections[why].code;
 
 	httpd_request_drop_body(request);
-	if (too_long)
-		httpd_request_fail(request, status, "invalid_request_error",
-		    code, "The body is longer than this server accepts.");
-	else
-		httpd_request_fail(request, status, "server_error", code,
-		    "Too many bytes of request bodies are buffered; not run.");
+	httpd_request_fail(request, status, rejections[why].type, code,
+	    rejections[why].message);
 	if (httpd->ops->rejected != NULL)
 		httpd->ops->rejected(httpd->data, request, status, code);
 }
 
+/* Rejects a body over its limit. */
+static void
+reject_long_body(struct httpd_request *request)
+{
+	reject_body(request,
+	    request->body_limit.is_final ? BODY_TOO_LONG : BODY_TOO_LONG_NOW);
+}
+
+/* Returns the limit of the body of a request that begins now. */
+static struct httpd_body_limit
+body_limit(const struct httpd *httpd)
+{
+	struct httpd_body_limit limit = {.is_final = true};
+
+	if (httpd->ops->body_limit != NULL)
+		limit = httpd->ops->body_limit(httpd->data);
+	if (limit.bytes == 0)
+		limit.bytes = httpd->body_max_bytes;
+	return limit;
+}
+
 /*
  * Handles the request's headers; rejects a declared body length over a limit.
  */
@@ -226,10 +266,11 @@
 	request->method = g_strdup(method);
 	if (length_text != NULL)
 		length = g_ascii_strtoull(length_text, NULL, 10);
-	if (length > request->httpd->body_max_bytes)
-		reject_body(request, MHD_HTTP_CONTENT_TOO_LARGE);
+	request->body_limit = body_limit(request->httpd);
+	if (length > request->body_limit.bytes)
+		reject_long_body(request);
 	else if (!httpd_request_reserve(request, length))
-		reject_body(request, MHD_HTTP_SERVICE_UNAVAILABLE);
+		reject_body(request, BODIES_TOO_LONG);
 	if (request->response != NULL)
 		return MHD_queue_response(request->connection,
 		    (unsigned int)request->status, request->response);
@@ -250,20 +291,20 @@
 
 	if (request->response != NULL) {
 		request->body_discarded += length;
-		return request->body_discarded > request->httpd->body_max_bytes
+		return request->body_discarded > request->body_limit.bytes
 		    ? MHD_NO
 		    : MHD_YES;
 	}
 	if (request->body == NULL)
 		request->body = g_byte_array_new();
 	total += request->body->len;
-	if (total > request->httpd->body_max_bytes) {
-		reject_body(request, MHD_HTTP_CONTENT_TOO_LARGE);
+	if (total > request->body_limit.bytes) {
+		reject_long_body(request);
 		return MHD_YES;
 	}
 	if (total > request->body_reserved &&
 	    !httpd_request_reserve(request, total - request->body_reserved)) {
-		reject_body(request, MHD_HTTP_SERVICE_UNAVAILABLE);
+		reject_body(request, BODIES_TOO_LONG);
 		return MHD_YES;
 	}
 	g_byte_array_append(
@@ -547,13 +588,6 @@
 	}
 }
 
-/* Sets the body limit in bytes for requests that start afterwards. */
-void
-httpd_set_body_max(struct httpd *httpd, size_t bytes)
-{
-	httpd->body_max_bytes = bytes;
-}
-
 /*
  * Stops accepting connections. Those that wait to be accepted are served one
  * request each. Running requests are answered, and each response closes its
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -27,6 +27,13 @@
 struct httpd;
 struct httpd_request;
 
+/* Limit of one request's body. */
+struct httpd_body_limit {
+	size_t bytes; /* 0 for that of the settings */
+	/* A longer body gets 413, else 503: the limit may rise soon. */
+	bool is_final;
+};
+
 struct httpd_ops {
 	/*
 	 * A complete request. It stays valid until closed() is called for it.
@@ -47,11 +54,16 @@
 	void (*closed)(void *data, struct httpd_request *, bool complete);
 	/* A streamed response has sent all its buffered bytes. */
 	void (*drained)(void *data, struct httpd_request *);
+	/*
+	 * Returns the limit of the body of a request that begins now. NULL if
+	 * that of the settings always counts.
+	 */
+	struct httpd_body_limit (*body_limit)(void *data);
 };
 
 struct httpd_settings {
 	const char *address; /* HOST:PORT, numeric; port 0 for any */
-	size_t body_max_bytes; /* longer bodies are rejected with 413 */
+	size_t body_max_bytes; /* of one request, if nothing else limits it */
 	size_t bodies_max_bytes; /* of all requests together; beyond it 503 */
 	const char *certificate_file; /* NULL for plain HTTP */
 	const char *key_file;
@@ -83,7 +95,6 @@
 int httpd_port(const struct httpd *);
 void httpd_disable_keep_alive(struct httpd *);
 void httpd_stop_accepting(struct httpd *);
-void httpd_set_body_max(struct httpd *, size_t bytes);
 bool httpd_reload_certificate(struct httpd *, GError **);
 void httpd_stats(const struct httpd *, struct httpd_stats *);
 
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -37,6 +37,7 @@
 	 */
 	GHashTable *trimmed;
 	GByteArray *body;
+	struct httpd_body_limit body_limit;
 	size_t body_reserved; /* counted in httpd.stats.body_bytes */
 	size_t body_discarded;
 	struct MHD_Response *response;
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -407,6 +407,22 @@
 	exchange_send(exchange);
 }
 
+/*
+ * Returns the limit of a request's body by the configuration in force. A newer
+ * one, or the first, may have another limit.
+ */
+struct httpd_body_limit
+exchange_body_limit(const struct exchange_context *context)
+{
+	const struct routing_state *state = context->routing_state;
+	const struct routing_table *table = routing_state_table(state);
+
+	return (struct httpd_body_limit){
+	    .bytes = table == NULL ? 0 : table->limits.body_bytes,
+	    .is_final = table != NULL && routing_state_is_current(state),
+	};
+}
+
 /* Returns how a request ended whose connection was closed. */
 static const char *
 end_reason(const struct exchange_context *context, bool complete)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -97,21 +97,24 @@
     .serve = serve_explain,
 };
 
-/*
- * Handles a request from a caller, with the body limit of the current routes.
- */
+/* Handles a request from a caller. */
 static void
 on_request(void *data, struct httpd_request *request)
 {
 	struct gateway *gateway = data;
-	const struct routing_table *table = routing_state_table(
-	    gateway->routing_state);
 
-	if (table != NULL && table->limits.body_bytes > 0)
-		httpd_set_body_max(gateway->callers, table->limits.body_bytes);
 	exchange_start(&gateway->exchange_context, request);
 }
 
+/* Returns the limit of a caller's body. */
+static struct httpd_body_limit
+body_limit(void *data)
+{
+	const struct gateway *gateway = data;
+
+	return exchange_body_limit(&gateway->exchange_context);
+}
+
 /* Logs a request that was rejected before it was complete. */
 static void
 on_rejected(void *data, const struct httpd_request *request, int status,
@@ -128,6 +131,7 @@
     .rejected = on_rejected,
     .closed = exchange_on_closed,
     .drained = exchange_on_drained,
+    .body_limit = body_limit,
 };
 
 /* Returns whether callers' requests are open, including those being read. */
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -51,17 +51,18 @@
 	"\"Limits\":{\"BodyBytes\":1000},"                                   \
 	"\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\"]}]}"
 
-/* Starts the exchange of a caller's request, as the gateway's program does. */
+/* Starts the exchange of a caller's request. */
 static void
 on_request(void *data, struct httpd_request *request)
 {
-	struct fixture *f = data;
-	const struct routing_table *table = routing_state_table(
-	    f->exchange_context.routing_state);
+	exchange_start(&((struct fixture *)data)->exchange_context, request);
+}
 
-	if (table != NULL && table->limits.body_bytes > 0)
-		httpd_set_body_max(f->callers, table->limits.body_bytes);
-	exchange_start(&f->exchange_context, request);
+/* Returns the limit of a caller's body. */
+static struct httpd_body_limit
+body_limit(void *data)
+{
+	return exchange_body_limit(&((struct fixture *)data)->exchange_context);
 }
 
 /* Logs a request that was rejected before it was complete. */
@@ -78,6 +79,7 @@
     .rejected = on_rejected,
     .closed = exchange_on_closed,
     .drained = exchange_on_drained,
+    .body_limit = body_limit,
 };
 
 /* Returns the time that a clock is ahead at. */
--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -355,6 +355,26 @@
     {"a known route and key", GET("/once/x", "h", KEY_LINE ID_LINE), 200, 200},
 };
 
+/* A configuration of which nothing can be used. */
+#define UNUSABLE_CONFIG "{\"Version\":9,\"Routes\":7}"
+
+/* Runs the loop until the log has a line with this text. */
+static void
+wait_for_line(
+    struct fixture *f, const struct log_capture *capture, const char *text)
+{
+	json_t *line = NULL;
+
+	while (line == NULL) {
+		g_autofree char *log = NULL;
+
+		ev_run(f->loop, EVRUN_ONCE);
+		log = log_capture_read(capture);
+		line = find_line(log, text);
+	}
+	json_decref(line);
+}
+
 /*
  * What an old configuration lacks may be in the one that this gateway has
  * received and could not use.
@@ -368,20 +388,11 @@
 	struct fixture f = {0};
 	struct log_capture capture;
 	struct raw_server *server = set_up(&f, responses);
-	json_t *line = NULL;
 
 	g_assert_cmpint(call(&f, c->request), ==, c->before);
 	log_capture_start(&capture);
-	fake_platform_change_config(
-	    f.fake_platform, "{\"Version\":4,\"Routes\":7}");
-	while (line == NULL) {
-		g_autofree char *log = NULL;
-
-		ev_run(f.loop, EVRUN_ONCE);
-		log = log_capture_read(&capture);
-		line = find_line(log, "configuration change ignored");
-	}
-	json_decref(line);
+	fake_platform_change_config(f.fake_platform, UNUSABLE_CONFIG);
+	wait_for_line(&f, &capture, "configuration change ignored");
 	log_capture_stop(&capture);
 	g_assert_cmpint(call(&f, c->request), ==, c->after);
 	raw_server_free(server);
@@ -401,10 +412,13 @@
 	const struct raw_response responses[SENDS_MAX] = {
 	    {.bytes = WHOLE_RESPONSE}, {.bytes = WHOLE_RESPONSE}};
 	struct fixture f = {.config = LIMITED_CONFIG("3", "10")};
+	struct log_capture capture;
 	struct raw_server *server = set_up(&f, responses);
 	const char *request = "POST /open/x HTTP/1.1\r\nHost: h\r\n" ID_LINE
 			      "Content-Length: 20\r\nConnection: close\r\n\r\n"
 			      "01234567890123456789";
+	const char *longer = "POST /open/x HTTP/1.1\r\nHost: h\r\n" ID_LINE
+			     "Content-Length: 40\r\nConnection: close\r\n\r\n";
 
 	call(&f, GET("/open/x", "h", ID_LINE));
 	g_assert_cmpint(call(&f, request), ==, 413);
@@ -413,10 +427,31 @@
 	    routing_state_table(f.exchange_context.routing_state)->version ==
 		4);
 	g_assert_cmpint(call(&f, request), ==, 200);
+	g_assert_cmpint(call(&f, longer), ==, 413);
+	log_capture_start(&capture);
+	fake_platform_change_config(f.fake_platform, UNUSABLE_CONFIG);
+	wait_for_line(&f, &capture, "configuration change ignored");
+	log_capture_stop(&capture);
+	g_assert_cmpint(call(&f, longer), ==, 503);
 	raw_server_free(server);
 	fixture_tear_down(&f);
 }
 
+/* Before the first configuration no limit is final. */
+static void
+test_first_body_limit(void)
+{
+	struct fixture f = {0};
+
+	fixture_set_up(&f);
+	g_assert_cmpint(
+	    call(&f,
+		"POST /open/x HTTP/1.1\r\nHost: h\r\n" ID_LINE
+		"Content-Length: 999999\r\nConnection: close\r\n\r\n"),
+	    ==, 503);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -429,5 +464,6 @@
 	ADD_CASES(blank_cases, "/denied/blank", test_blank);
 	ADD_CASES(unsure_cases, "/denied/unsure", test_unsure);
 	g_test_add_func("/denied/body_limit", test_body_limit);
+	g_test_add_func("/denied/first_body_limit", test_first_body_limit);
 	return g_test_run();
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -179,12 +179,16 @@
 test_long_body(void)
 {
 	static const enum fake_platform_step steps[] = {FAKE_STEP_OK};
-	struct fixture f = {0};
+	struct fixture f = {
+	    .config = "{\"Version\":3,\"Routes\":[{\"Name\":\"again\","
+		      "\"Host\":\"h\",\"PathPrefix\":\"/again/\",\"Kind\":"
+		      "\"idempotent\",\"Attempts\":2,\"Service\":\"s\"}],"
+		      "\"Services\":[{\"Name\":\"s\"}],"
+		      "\"Limits\":{\"BodyBytes\":4}}"};
 
 	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, 1);
 	fixture_wait_for_routing_state(&f);
-	httpd_set_body_max(f.callers, 4);
 	fixture_call(&f, "/again/x", KEY);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, 413);
