Sidecars do not pass on a status that contradicts its reason phrase

Cause: the plain dialect passes on any status as the service's own response.

Evidence: two new cases of test_wrong_framing /wrong_framing/plain failed before. The case of a wrong length is one of the same table now.

The call's outcome is unknown then, as after a response of wrong framing; the entry repeats it where it may. The dialect has no seals or ids, so that an unsigned status can't be told there.

--- a/src/upstream/plain.c
+++ b/src/upstream/plain.c
@@ -11,6 +11,7 @@
 
 #define HEALTH_TIMEOUT_MS 1000
 #define HEADERS_MAX	  3
+#define STATUS_PER_CLASS  100
 #define EVENT_STREAM_TYPE "text/event-stream"
 
 struct plain_call {
@@ -74,9 +75,22 @@
 	    call->position.in_event;
 }
 
+/*
+ * Returns whether a response's reason phrase is that of another class of
+ * statuses: a digit of the status is wrong.
+ */
+static bool
+contradicts_status(const struct http_call *http, int status)
+{
+	int class = http_call_reason_class(http);
+
+	return class != 0 && class != status / STATUS_PER_CLASS;
+}
+
 /*
  * Passes on the end of a call. Any HTTP status is the service's own response;
- * only a failed call or a stream that broke off is an error.
+ * only a failed call, a stream that broke off or a status that contradicts its
+ * reason phrase is an error.
  */
 static void
 on_done(void *data, struct http_call *http, const struct http_result *result)
@@ -95,6 +109,10 @@
 	if (error == NULL && is_cut_in_event(call, end.content_type))
 		error = g_error_new_literal(UPSTREAM_ERROR, UPSTREAM_ERROR_LOST,
 		    "upstream: the response ended inside an event");
+	if (error == NULL && contradicts_status(http, result->status))
+		error = g_error_new(UPSTREAM_ERROR, UPSTREAM_ERROR_LOST,
+		    "upstream: status %d with the reason phrase of another one",
+		    result->status);
 	end.error = error;
 	if (!call->dropped)
 		call->ops->ended(call->data, &end);
--- a/tests/test_wrong_framing.c
+++ b/tests/test_wrong_framing.c
@@ -192,14 +192,27 @@
 	result->error = end->error == NULL ? -1 : end->error->code;
 }
 
-/* A sidecar's plain service: the outcome of its call is unknown. */
+/* Responses of a sidecar's plain service that leave the outcome unknown. */
+static const struct plain_case {
+	const char *name;
+	const char *head;
+} plain_cases[] = {
+    {"a wrong length", OK "Content-Length: 8x\r\n\r\n"},
+    {"an error with the reason of a success",
+	"HTTP/1.1 400 OK\r\nContent-Length: 80\r\n\r\n"},
+    {"a success with the reason of a failure",
+	"HTTP/1.1 200 Internal Server Error\r\nContent-Length: 80\r\n\r\n"},
+};
+
+/* A response of a sidecar's plain service that may be wrong is lost. */
 static void
-test_plain(void)
+test_plain(gconstpointer data)
 {
+	const struct plain_case *c = &plain_cases[GPOINTER_TO_SIZE(data)];
 	static const struct upstream_call_ops ops = {
 	    on_plain_event, on_plain_end};
-	static const struct raw_response responses[SENDS_MAX] = {
-	    {.bytes = OK "Content-Length: 8x\r\n\r\n", .filler = BODY_BYTES}};
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = c->head, .filler = BODY_BYTES}};
 	static const struct upstream_request request = {
 	    .work = WORK_CALL, .id = "r1", .method = "POST", .path = "/x"};
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
@@ -230,8 +243,6 @@
 	    "/wrong_framing/a long response of wrong length", test_long);
 	g_test_add_func(
 	    "/wrong_framing/a stream whose length is cut", test_stream);
-	g_test_add_func("/wrong_framing/a plain service's response of wrong "
-			"length is lost",
-	    test_plain);
+	ADD_CASES(plain_cases, "/wrong_framing/plain", test_plain);
 	return g_test_run();
 }
