Services and organisations without a name are left out with a log line

A configuration's service or organisation without a name was left out silently, with its API keys, whose callers got 401.

--- a/tests/test_config_items.c
+++ b/tests/test_config_items.c
@@ -7,6 +7,7 @@
 
 #include "cases.h"
 #include "config_reader.h"
+#include "log_capture.h"
 #include "platform/decode.h"
 #include "platform/store_version.h"
 
@@ -418,6 +419,29 @@
 	copy_clear(&copies[1]);
 }
 
+/* An organisation whose API keys are left out is not left out silently. */
+static void
+test_unnamed(void)
+{
+	struct log_capture capture;
+	struct copy copy;
+	g_autofree char *log = NULL;
+
+	copy_init(&copy);
+	log_capture_start(&capture);
+	g_assert_true(copy_apply(&copy, 1,
+	    SPEC("1", ROUTE("a", "/a/"), "{}",
+		"{\"Keys\":[\"k\"]}," OWNER("o", "\"l\""))));
+	log = log_capture_read(&capture);
+	log_capture_stop(&capture);
+	g_assert_null(copy_key_owner(&copy, "k"));
+	g_assert_cmpstr(copy_key_owner(&copy, "l"), ==, "o");
+	g_assert_nonnull(
+	    strstr(log, "services or organisations skipped without a name"));
+	g_assert_nonnull(strstr(log, "\"skipped\":2"));
+	copy_clear(&copy);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -445,5 +469,7 @@
 	g_test_add_func(
 	    "/config_items/a process that knows no items gets the object",
 	    test_object);
+	g_test_add_func("/config_items/what has no name is left out and logged",
+	    test_unnamed);
 	return g_test_run();
 }
