--- a/src/operator/summary.c
+++ b/src/operator/summary.c
@@ -1,5 +1,6 @@
 #include "operator/summary.h"
 
+#include <stdbool.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -8,20 +9,32 @@
 #define VALUE_MAX_BYTES 160
 #define TIME_MAX_BYTES	40
 #define ID_MAX_BYTES	80
+/* Statuses by which a caller is told that its request is wrong. */
+#define CALLERS_ERROR_MIN 300
+#define CALLERS_ERROR_MAX 499
 
 /* A kind of log line that is counted, and the members that tell its cause. */
 static const struct kind {
 	const char *text;
 	const char *members[MEMBERS_MAX];
 	const char *total; /* member whose sum is shown; may be NULL */
+	const char *title; /* written in place of the text; may be NULL */
+	bool callers_errors; /* only lines with a status from 300 to 499 */
 } kinds[] = {
-    {"request ended", {"route", "how"}, "sends"},
-    {"request refused", {"code", "why"}, NULL},
-    {"send ended without answer", {"why"}, NULL},
-    {"retry denied by the budget", {"service"}, NULL},
-    {"prompt part refused", {"part"}, NULL},
-    {"upstream avoided", {"upstream"}, NULL},
-    {"connection to upstream broken", {"upstream", "begun"}, NULL},
+    {.text = "request ended", .members = {"route", "how"}, .total = "sends"},
+    {.text = "request ended",
+	.members = {"route", "status", "status_from"},
+	.title = "request ended with a status from 300 to 499",
+	.callers_errors = true},
+    {.text = "request refused", .members = {"code", "why"}},
+    {.text = "request rejected before it was read", .members = {"code"}},
+    {.text = "request rejected by the HTTP library", .members = {"status"}},
+    {.text = "response not believed", .members = {"upstream", "why"}},
+    {.text = "send ended without answer", .members = {"why"}},
+    {.text = "retry denied by the budget", .members = {"service"}},
+    {.text = "prompt part refused", .members = {"part"}},
+    {.text = "upstream avoided", .members = {"upstream"}},
+    {.text = "connection to upstream broken", .members = {"upstream", "begun"}},
 };
 
 #define KIND_COUNT G_N_ELEMENTS(kinds)
@@ -132,6 +145,9 @@
 		else if (json_is_boolean(value))
 			g_string_append(
 			    out, json_is_true(value) ? "true" : "false");
+		else if (json_is_integer(value))
+			g_string_append_printf(out, "%" JSON_INTEGER_FORMAT,
+			    json_integer_value(value));
 		else
 			g_string_append_c(out, '-');
 	}
@@ -191,6 +207,17 @@
 	    group, time, json_string_value(json_object_get(json, "request")));
 }
 
+/* Returns whether a line is counted under a kind. */
+static bool
+is_of_kind(const struct kind *kind, const char *text, const json_t *json)
+{
+	json_int_t status = json_integer_value(json_object_get(json, "status"));
+
+	return strcmp(kind->text, text) == 0 &&
+	    (!kind->callers_errors ||
+		(status >= CALLERS_ERROR_MIN && status <= CALLERS_ERROR_MAX));
+}
+
 /*
  * Adds a log line. What stands before its first brace is passed over, since
  * collectors of logs put the time and the process there.
@@ -214,7 +241,7 @@
 	if (dropped > 0)
 		summary->dropped_count += (size_t)dropped;
 	for (size_t i = 0; i < KIND_COUNT; i++) {
-		if (strcmp(kinds[i].text, text) == 0)
+		if (is_of_kind(&kinds[i], text, json))
 			count_line(&summary->tallies[i], &kinds[i], json, time);
 	}
 	json_decref(json);
@@ -241,7 +268,8 @@
 	GHashTableIter iter;
 	void *value;
 
-	g_string_append_printf(out, "\n%s: %zu\n", kind->text, tally->count);
+	g_string_append_printf(out, "\n%s: %zu\n",
+	    kind->title != NULL ? kind->title : kind->text, tally->count);
 	g_hash_table_iter_init(&iter, tally->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(groups, value);
--- a/tests/test_summary.c
+++ b/tests/test_summary.c
@@ -78,6 +78,37 @@
 	"         1  upstream i-1\n"
 	"\nconnection to upstream broken: 1\n"
 	"         1  upstream i-2, begun true, first request c\n"},
+    {"errors for which callers are to blame are grouped by who made them",
+	{LINE("1",
+	     "request ended\",\"request\":\"a\",\"route\":\"r\",\"status\":404,"
+	     "\"status_from\":\"upstream\""),
+	    LINE("2",
+		"request ended\",\"request\":\"b\",\"route\":null,"
+		"\"status\":401,\"status_from\":\"gateway\""),
+	    LINE("3", "request ended\",\"route\":\"r\",\"status\":500"),
+	    LINE("4", "request rejected by the HTTP library\",\"status\":431"),
+	    LINE("5",
+		"request rejected before it was read\",\"request\":\"c\","
+		"\"code\":\"body_too_long\",\"status\":413"),
+	    LINE("6",
+		"response not believed\",\"request\":\"d\",\"upstream\":"
+		"\"u\",\"status\":404,\"why\":\"no seal\"")},
+	0,
+	"6 lines, 0 could not be read, 0 dropped by the processes\n"
+	"\nrequest ended: 3\n"
+	"         2  route r, how -, sends 0, first request a\n"
+	"         1  route -, how -, sends 0, first request b\n"
+	"\nrequest ended with a status from 300 to 499: 2\n"
+	"         1  route -, status 401, status_from gateway, first request "
+	"b\n"
+	"         1  route r, status 404, status_from upstream, first request "
+	"a\n"
+	"\nrequest rejected before it was read: 1\n"
+	"         1  code body_too_long, first request c\n"
+	"\nrequest rejected by the HTTP library: 1\n"
+	"         1  status 431\n"
+	"\nresponse not believed: 1\n"
+	"         1  upstream u, why no seal, first request d\n"},
     {"what stands before the first brace is passed over",
 	{"17.8 gateway-1 " LINE("1", "upstream avoided\",\"upstream\":\"u\"")},
 	0,
