A response whose head does not fit is a 502, not a closed connection

Cause: libmicrohttpd builds the head of a response in what the request's head leaves of the connection's memory and closes the connection if that is too little. HeaderBytes was read and never used.

The HTTP server knows how long a response's head may be, and the gateway asks before it passes one on: another upstream is asked where that is allowed, else the outcome is unknown. Header lines over the limit get 431 before anything runs.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -19,7 +19,12 @@
 #define CONNECTIONS_MAX 16384
 /* For a request's headers and the buffers for reading and writing bodies. */
 #define CONNECTION_MEMORY_BYTES (size_t)(8 * 1024)
-#define CONNECTION_IDLE_S	(unsigned int)60
+/*
+ * The same by the limit of headers. The library clears all of it after each
+ * request, so that a kept connection takes this much.
+ */
+#define CONNECTION_MEMORY_FACTOR 2
+#define CONNECTION_IDLE_S	 (unsigned int)60
 /* Idle time of a connection whose peer has shut down its side. */
 #define HALF_CLOSED_IDLE_S (unsigned int)1
 #define HANGUP_EVENTS	   64
@@ -188,16 +193,17 @@
 	httpd_request_free(request);
 }
 
-/* Why the server does not read a body. */
-enum body_rejection {
-	BODY_TOO_LONG,
-	BODY_TOO_LONG_NOW, /* the limit may rise soon */
-	BODIES_TOO_LONG, /* of all requests together */
+/* Why the server does not read a request. */
+enum rejection {
+	REJECTED_HEAD,
+	REJECTED_BODY,
+	REJECTED_NOW, /* its head or body is too long, but limits may rise */
+	REJECTED_BODIES, /* of all requests together */
 };
 
-/* Rejects a body, before it is complete. */
+/* Rejects a request before it is complete. */
 static void
-reject_body(struct httpd_request *request, enum body_rejection why)
+reject(struct httpd_request *request, enum rejection why)
 {
 	static const struct {
 		int status;
@@ -205,13 +211,16 @@
 		const char *code;
 		const char *message;
 	} rejections[] = {
-	    [BODY_TOO_LONG] = {MHD_HTTP_CONTENT_TOO_LARGE,
+	    [REJECTED_HEAD] = {MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+		"invalid_request_error", "head_too_long",
+		"The headers are longer than this server accepts."},
+	    [REJECTED_BODY] = {MHD_HTTP_CONTENT_TOO_LARGE,
 		"invalid_request_error", "body_too_long",
 		"The body is longer than this server accepts."},
-	    [BODY_TOO_LONG_NOW] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
+	    [REJECTED_NOW] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
 		"not_current",
-		"The body is longer than this server accepts yet; not run."},
-	    [BODIES_TOO_LONG] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
+		"The request is longer than this server accepts yet; not run."},
+	    [REJECTED_BODIES] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
 		"overloaded",
 		"Too many bytes of request bodies are buffered; not run."},
 	};
@@ -226,29 +235,43 @@
 		httpd->ops->rejected(httpd->data, request, status, code);
 }
 
-/* Rejects a body over its limit. */
+/* Rejects a request of which this is over its limit. */
 static void
-reject_long_body(struct httpd_request *request)
+reject_long(struct httpd_request *request, enum rejection part)
+{
+	reject(request, request->limits.is_final ? part : REJECTED_NOW);
+}
+
+/* Returns the limits of a request that begins now. */
+static struct httpd_limits
+request_limits(const struct httpd *httpd)
 {
-	reject_body(request,
-	    request->body_limit.is_final ? BODY_TOO_LONG : BODY_TOO_LONG_NOW);
+	struct httpd_limits limits = {.is_final = true};
+
+	if (httpd->ops->limits != NULL)
+		limits = httpd->ops->limits(httpd->data);
+	if (limits.head_bytes == 0)
+		limits.head_bytes = httpd->header_max_bytes;
+	if (limits.body_bytes == 0)
+		limits.body_bytes = httpd->body_max_bytes;
+	return limits;
 }
 
-/* Returns the limit of the body of a request that begins now. */
-static struct httpd_body_limit
-body_limit(const struct httpd *httpd)
+/* Returns whether a request's header lines are over their limit, if any. */
+static bool
+is_head_too_long(const struct httpd_request *request, const char *version)
 {
-	struct httpd_body_limit limit = {.is_final = true};
+	size_t line = strlen(request->method) + strlen(request->target) +
+	    strlen(version) + strlen("  \r\n");
 
-	if (httpd->ops->body_limit != NULL)
-		limit = httpd->ops->body_limit(httpd->data);
-	if (limit.bytes == 0)
-		limit.bytes = httpd->body_max_bytes;
-	return limit;
+	return request->limits.head_bytes > 0 &&
+	    httpd_request_head_bytes(request) >
+	    request->limits.head_bytes + line;
 }
 
 /*
- * Handles the request's headers; rejects a declared body length over a limit.
+ * Handles the request's headers; rejects them, or a declared body length, over
+ * a limit.
  */
 static enum MHD_Result
 start_request(struct httpd_request *request, const char *path,
@@ -266,11 +289,13 @@
 	request->method = g_strdup(method);
 	if (length_text != NULL)
 		length = g_ascii_strtoull(length_text, NULL, 10);
-	request->body_limit = body_limit(request->httpd);
-	if (length > request->body_limit.bytes)
-		reject_long_body(request);
+	request->limits = request_limits(request->httpd);
+	if (is_head_too_long(request, version))
+		reject_long(request, REJECTED_HEAD);
+	else if (length > request->limits.body_bytes)
+		reject_long(request, REJECTED_BODY);
 	else if (!httpd_request_reserve(request, length))
-		reject_body(request, BODIES_TOO_LONG);
+		reject(request, REJECTED_BODIES);
 	if (request->response != NULL)
 		return MHD_queue_response(request->connection,
 		    (unsigned int)request->status, request->response);
@@ -291,20 +316,20 @@
 
 	if (request->response != NULL) {
 		request->body_discarded += length;
-		return request->body_discarded > request->body_limit.bytes
+		return request->body_discarded > request->limits.body_bytes
 		    ? MHD_NO
 		    : MHD_YES;
 	}
 	if (request->body == NULL)
 		request->body = g_byte_array_new();
 	total += request->body->len;
-	if (total > request->body_limit.bytes) {
-		reject_long_body(request);
+	if (total > request->limits.body_bytes) {
+		reject_long(request, REJECTED_BODY);
 		return MHD_YES;
 	}
 	if (total > request->body_reserved &&
 	    !httpd_request_reserve(request, total - request->body_reserved)) {
-		reject_body(request, BODIES_TOO_LONG);
+		reject(request, REJECTED_BODIES);
 		return MHD_YES;
 	}
 	g_byte_array_append(
@@ -484,8 +509,9 @@
 	httpd->body_max_bytes = settings->body_max_bytes;
 	httpd->unsent_max_bytes = settings->unsent_max_bytes;
 	httpd->bodies_max_bytes = settings->bodies_max_bytes;
-	httpd->connection_bytes = MAX(
-	    CONNECTION_MEMORY_BYTES, 2 * settings->header_max_bytes);
+	httpd->header_max_bytes = settings->header_max_bytes;
+	httpd->connection_bytes = MAX(CONNECTION_MEMORY_BYTES,
+	    CONNECTION_MEMORY_FACTOR * settings->header_max_bytes);
 	httpd->idle_s = settings->idle_s > 0 ? settings->idle_s
 					     : CONNECTION_IDLE_S;
 	httpd->work = settings->is_monitor ? LOOP_WORK_METRICS
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -27,10 +27,11 @@
 struct httpd;
 struct httpd_request;
 
-/* Limit of one request's body. */
-struct httpd_body_limit {
-	size_t bytes; /* 0 for that of the settings */
-	/* A longer body gets 413, else 503: the limit may rise soon. */
+/* Limits of one request; 0 for those of the settings. */
+struct httpd_limits {
+	size_t head_bytes; /* of its header lines */
+	size_t body_bytes;
+	/* What is longer gets 431 or 413, else 503: they may rise soon. */
 	bool is_final;
 };
 
@@ -55,10 +56,10 @@
 	/* A streamed response has sent all its buffered bytes. */
 	void (*drained)(void *data, struct httpd_request *);
 	/*
-	 * Returns the limit of the body of a request that begins now. NULL if
-	 * that of the settings always counts.
+	 * Returns the limits of a request that begins now. NULL if those of the
+	 * settings always count.
 	 */
-	struct httpd_body_limit (*body_limit)(void *data);
+	struct httpd_limits (*limits)(void *data);
 };
 
 struct httpd_settings {
@@ -67,7 +68,11 @@
 	size_t bodies_max_bytes; /* of all requests together; beyond it 503 */
 	const char *certificate_file; /* NULL for plain HTTP */
 	const char *key_file;
-	size_t header_max_bytes; /* of a request's headers; 0 for the default */
+	/*
+	 * Of a request's header lines, and of the head of its response beside
+	 * them; 0 for the default, which is not checked.
+	 */
+	size_t header_max_bytes;
 	unsigned int idle_s; /* idle time of a connection; 0 for the default */
 	bool start_paused; /* accept nothing until httpd_start() */
 	bool is_monitor; /* serves metrics and health, not callers */
@@ -108,6 +113,7 @@
     const struct httpd_request *, const char *name);
 void httpd_request_for_each_header(
     const struct httpd_request *, httpd_header_fn *, void *data);
+size_t httpd_request_response_head_max(const struct httpd_request *);
 const uint8_t *httpd_request_body(const struct httpd_request *, size_t *length);
 void httpd_request_drop_body(struct httpd_request *);
 void *httpd_request_data(const struct httpd_request *);
--- a/src/base/httpd_internal.h
+++ b/src/base/httpd_internal.h
@@ -37,7 +37,7 @@
 	 */
 	GHashTable *trimmed;
 	GByteArray *body;
-	struct httpd_body_limit body_limit;
+	struct httpd_limits limits;
 	size_t body_reserved; /* counted in httpd.stats.body_bytes */
 	size_t body_discarded;
 	struct MHD_Response *response;
@@ -73,6 +73,7 @@
 	int hangup_epoll;
 	struct ev_io hangup_readable;
 	int port;
+	size_t header_max_bytes;
 	size_t body_max_bytes;
 	size_t bodies_max_bytes;
 	struct httpd_tls *tls; /* NULL for plain HTTP */
@@ -89,6 +90,7 @@
     struct httpd *, struct MHD_Connection *, const char *target);
 void httpd_request_free(struct httpd_request *);
 void httpd_request_trim_headers(struct httpd_request *);
+size_t httpd_request_head_bytes(const struct httpd_request *);
 void httpd_request_fail(struct httpd_request *, int status, const char *type,
     const char *code, const char *message);
 bool httpd_request_reserve(struct httpd_request *, size_t bytes);
--- a/src/base/httpd_request.c
+++ b/src/base/httpd_request.c
@@ -15,6 +15,10 @@
 /* Sent bytes are removed from a stream's buffer above this. */
 #define STREAM_COMPACT_BYTES (16 * 1024)
 #define RETRY_AFTER_S	     "1"
+/* What the library needs for a header line beside its bytes, at most. */
+#define HEADER_MEMORY_BYTES 64
+/* For a status line, the library's own headers and buffers. */
+#define CONNECTION_RESERVE_BYTES 1024
 /* Start of a target in absolute form. */
 #define SCHEME "http://"
 
@@ -314,6 +318,33 @@
 	    request->connection, MHD_HEADER_KIND, visit_header, &walk);
 }
 
+/* Returns the bytes of the request's head, with its request line. */
+size_t
+httpd_request_head_bytes(const struct httpd_request *request)
+{
+	return MHD_get_connection_info(
+	    request->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+	    ->header_size;
+}
+
+/*
+ * Returns how many bytes the header lines of the response may have: the library
+ * builds them in what the request's head leaves of the connection's memory, and
+ * closes the connection without a response if they do not fit.
+ */
+size_t
+httpd_request_response_head_max(const struct httpd_request *request)
+{
+	int lines = MHD_get_connection_values(
+	    request->connection, MHD_HEADER_KIND, NULL, NULL);
+	size_t used = httpd_request_head_bytes(request) +
+	    (size_t)lines * HEADER_MEMORY_BYTES + CONNECTION_RESERVE_BYTES;
+
+	return request->httpd->connection_bytes > used
+	    ? request->httpd->connection_bytes - used
+	    : 0;
+}
+
 /* Returns the body; NULL and length 0 if there is none or it was dropped. */
 const uint8_t *
 httpd_request_body(const struct httpd_request *request, size_t *length)
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -408,17 +408,18 @@
 }
 
 /*
- * Returns the limit of a request's body by the configuration in force. A newer
- * one, or the first, may have another limit.
+ * Returns the limits of a request by the configuration in force. A newer one,
+ * or the first, may have others.
  */
-struct httpd_body_limit
-exchange_body_limit(const struct exchange_context *context)
+struct httpd_limits
+exchange_limits(const struct exchange_context *context)
 {
 	const struct routing_state *state = context->routing_state;
 	const struct routing_table *table = routing_state_table(state);
 
-	return (struct httpd_body_limit){
-	    .bytes = table == NULL ? 0 : table->limits.body_bytes,
+	return (struct httpd_limits){
+	    .head_bytes = table == NULL ? 0 : table->limits.header_bytes,
+	    .body_bytes = table == NULL ? 0 : table->limits.body_bytes,
 	    .is_final = table != NULL && routing_state_is_current(state),
 	};
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,7 +62,7 @@
 void exchange_context_clear(struct exchange_context *);
 
 void exchange_start(struct exchange_context *, struct httpd_request *);
-struct httpd_body_limit exchange_body_limit(const struct exchange_context *);
+struct httpd_limits exchange_limits(const struct exchange_context *);
 void exchange_end_unanswered(struct exchange_context *);
 void exchange_on_rejected(
     void *data, const struct httpd_request *, int status, const char *code);
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
 #include "gateway/exchange_selection.h"
@@ -159,6 +161,22 @@
 	exchange->headers = headers_build_caller(call, pass_status);
 }
 
+/* Returns whether the HTTP server can pass on the headers of the response. */
+static bool
+head_fits(const struct exchange *exchange)
+{
+	size_t bytes = 0;
+
+	for (guint i = 0; i < exchange->headers->len; i++) {
+		const struct http_header *header = &g_array_index(
+		    exchange->headers, struct http_header, i);
+
+		bytes += strlen(header->name) + strlen(header->value) +
+		    strlen(": \r\n");
+	}
+	return bytes <= httpd_request_response_head_max(exchange->http);
+}
+
 /* Starts the streamed response to the caller. */
 static void
 begin_stream(struct exchange *exchange)
@@ -227,11 +245,19 @@
 	case VERDICT_PASS:
 		break;
 	}
+	if (!exchange->streaming) {
+		set_response_headers(exchange, call, status);
+		if (!head_fits(exchange)) {
+			exchange->send_outcome = SEND_FAILED;
+			exchange->send_error = "the response's headers are too "
+					       "long to be passed on";
+			return false;
+		}
+	}
 	exchange->send_outcome = SEND_ANSWERED;
 	exchange->begun_at = clock_monotonic(exchange->context->clock);
 	if (exchange->streaming)
 		return true;
-	set_response_headers(exchange, call, status);
 	if (exchange->response.event_stream && status == STATUS_OK)
 		begin_stream(exchange);
 	else
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -106,13 +106,13 @@
 	exchange_start(&gateway->exchange_context, request);
 }
 
-/* Returns the limit of a caller's body. */
-static struct httpd_body_limit
-body_limit(void *data)
+/* Returns the limits of a caller's request. */
+static struct httpd_limits
+limits(void *data)
 {
 	const struct gateway *gateway = data;
 
-	return exchange_body_limit(&gateway->exchange_context);
+	return exchange_limits(&gateway->exchange_context);
 }
 
 /* Logs a request that was rejected before it was complete. */
@@ -131,7 +131,7 @@
     .rejected = on_rejected,
     .closed = exchange_on_closed,
     .drained = exchange_on_drained,
-    .body_limit = body_limit,
+    .limits = limits,
 };
 
 /* Returns whether callers' requests are open, including those being read. */
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -3,8 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#define TEST_TIMEOUT_S 20.0
-#define BODY_MAX_BYTES 65536
+#define TEST_TIMEOUT_S	 20.0
+#define BODY_MAX_BYTES	 65536
+#define HEADER_MAX_BYTES 16384 /* as the gateway's program */
 /* After this time a gateway has its share of the retry slack. */
 #define RUNNING_MS 20000
 
@@ -58,11 +59,11 @@
 	exchange_start(&((struct fixture *)data)->exchange_context, request);
 }
 
-/* Returns the limit of a caller's body. */
-static struct httpd_body_limit
-body_limit(void *data)
+/* Returns the limits of a caller's request. */
+static struct httpd_limits
+limits(void *data)
 {
-	return exchange_body_limit(&((struct fixture *)data)->exchange_context);
+	return exchange_limits(&((struct fixture *)data)->exchange_context);
 }
 
 /* Logs a request that was rejected before it was complete. */
@@ -79,7 +80,7 @@
     .rejected = on_rejected,
     .closed = exchange_on_closed,
     .drained = exchange_on_drained,
-    .body_limit = body_limit,
+    .limits = limits,
 };
 
 /* Returns the time that a clock is ahead at. */
@@ -116,6 +117,7 @@
 	    .address = "127.0.0.1:0",
 	    .body_max_bytes = BODY_MAX_BYTES,
 	    .bodies_max_bytes = BODY_MAX_BYTES,
+	    .header_max_bytes = HEADER_MAX_BYTES,
 	};
 	const struct load_sync_settings self = {
 	    .self = "g", .failure_domain = "z"};
--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -452,6 +452,113 @@
 	fixture_tear_down(&f);
 }
 
+/* Bytes of a head beside its long lines, and of a name and a line's end. */
+#define HEAD_ROOM 400
+#define NAME_ROOM 12
+
+static const struct head_case {
+	const char *name;
+	size_t request; /* bytes of the request's head, about */
+	size_t response;
+	size_t line; /* bytes of most lines */
+	int status;
+	size_t sends;
+} head_cases[] = {
+    {"a request's head at the limit in long lines passes", 16384, 0, 1000, 200,
+	1},
+    {"a request's head at the limit in lines of 100 bytes passes", 16384, 0,
+	100, 200, 1},
+    {"a request's head at the limit in lines of 40 bytes passes", 16384, 0, 40,
+	200, 1},
+    {"a request's head at the limit in lines of 20 bytes passes", 16384, 0, 20,
+	200, 1},
+    {"heads at the limit pass in both directions", 16384, 16384, 1000, 200, 1},
+    {"heads at the limit in short lines pass in both directions", 16384, 16384,
+	40, 200, 1},
+    {"a response's head above the limit passes", 0, 30000, 100, 200, 1},
+    {"a response's head that can't be passed on is an unknown outcome", 16384,
+	30000, 1000, 502, 1},
+    {"a request's head above the limit is rejected before it runs", 17500, 0,
+	1000, 431, 0},
+    {"a request's head far above the limit is rejected before it runs", 40000,
+	0, 1000, 431, 0},
+};
+
+/* Appends lines of a head up to a number of bytes in all. */
+static void
+append_lines(GString *head, size_t bytes, size_t line)
+{
+	g_autofree char *value = g_strnfill(line - NAME_ROOM, 'v');
+
+	for (int i = 0; head->len + HEAD_ROOM < bytes; i++)
+		g_string_append_printf(head, "X-L-%04d: %s\r\n", i, value);
+}
+
+/*
+ * Makes a request and its response with heads of about these sizes, and returns
+ * the status that the caller gets.
+ */
+static int
+exchange_heads(
+    size_t request_bytes, size_t response_bytes, size_t line, size_t *sends)
+{
+	g_autoptr(GString) request = g_string_new(
+	    "GET /once/x HTTP/1.1\r\nHost: h\r\n" KEY_LINE ID_LINE
+	    "Connection: close\r\n");
+	g_autoptr(GString)
+	    response = g_string_new(OK TEXT "Content-Length: 5\r\n");
+	struct raw_response responses[SENDS_MAX] = {{.bytes = NULL}};
+	struct fixture f = {0};
+	struct raw_server *server;
+	int status;
+
+	append_lines(request, request_bytes, line);
+	g_string_append(request, "\r\n");
+	append_lines(response, response_bytes, line);
+	g_string_append(response, "\r\nwhole");
+	responses[0].bytes = response->str;
+	server = set_up(&f, responses);
+	status = call(&f, request->str);
+	*sends = raw_server_requests(server);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+	return status;
+}
+
+/* Heads up to the limit pass at once, and larger ones get a clear answer. */
+static void
+test_head(gconstpointer data)
+{
+	const struct head_case *c = &head_cases[GPOINTER_TO_SIZE(data)];
+	size_t sends;
+
+	g_assert_cmpint(
+	    exchange_heads(c->request, c->response, c->line, &sends), ==,
+	    c->status);
+	g_assert_cmpuint(sends, ==, c->sends);
+}
+
+/* No size of heads closes a connection without a response. */
+static void
+test_head_sizes(void)
+{
+	static const size_t lines[] = {20, 100, 1000};
+	size_t sends;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		for (size_t bytes = 0; bytes <= 60000; bytes += 4000) {
+			int status = exchange_heads(
+			    bytes % 16384, bytes, lines[i], &sends);
+
+			g_test_message("%zu bytes, lines of %zu, status %d",
+			    bytes, lines[i], status);
+			g_assert_true(
+			    status == 200 || status == 502 || status == 431);
+			g_assert_cmpuint(sends, ==, status == 431 ? 0 : 1);
+		}
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -463,6 +570,8 @@
 	g_test_add_func("/denied/agreed", test_agreed);
 	ADD_CASES(blank_cases, "/denied/blank", test_blank);
 	ADD_CASES(unsure_cases, "/denied/unsure", test_unsure);
+	ADD_CASES(head_cases, "/denied/head", test_head);
+	g_test_add_func("/denied/head_sizes", test_head_sizes);
 	g_test_add_func("/denied/body_limit", test_body_limit);
 	g_test_add_func("/denied/first_body_limit", test_first_body_limit);
 	return g_test_run();
