Requests with ambiguous header lines are rejected

What upstreams saw: the body of a request run as a second one, where two lengths differed or a length stood beside chunks and the caller's side reads the other one; and a caller's 'Heatherturn-Tenant :' with a blank behind the name, which some servers take for the gateway's own header.

Cause: libmicrohttpd takes the first of several lengths, chunks before a length, the first of several hosts, and leaves blanks behind a name and CR in a value, and nothing here looked at them.

One case is left and listed: the library does not show a NUL in a value.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/httpd_internal.h"
 #include "base/metrics.h"
+#include "base/request_head.h"
 
 #define LOG_MODULE "httpd"
 #include "base/log.h"
@@ -195,6 +196,7 @@
 
 /* Why the server does not read a request. */
 enum rejection {
+	REJECTED_AMBIGUOUS, /* its header lines are */
 	REJECTED_HEAD,
 	REJECTED_BODY,
 	REJECTED_NOW, /* its head or body is too long, but limits may rise */
@@ -211,6 +213,10 @@
 		const char *code;
 		const char *message;
 	} rejections[] = {
+	    [REJECTED_AMBIGUOUS] = {MHD_HTTP_BAD_REQUEST,
+		"invalid_request_error", "ambiguous_head",
+		"The request's header lines are invalid or contradict each "
+		"other."},
 	    [REJECTED_HEAD] = {MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
 		"invalid_request_error", "head_too_long",
 		"The headers are longer than this server accepts."},
@@ -235,6 +241,18 @@
 		httpd->ops->rejected(httpd->data, request, status, code);
 }
 
+/*
+ * Rejects a request whose header lines are ambiguous, and closes its
+ * connection: nobody can tell where its body ends.
+ */
+static void
+reject_ambiguous(struct httpd_request *request, const char *fault)
+{
+	LOG_INFO("ambiguous request", "{s:s}", "why", fault);
+	httpd_close_after(request);
+	reject(request, REJECTED_AMBIGUOUS);
+}
+
 /* Rejects a request of which this is over its limit. */
 static void
 reject_long(struct httpd_request *request, enum rejection part)
@@ -278,6 +296,7 @@
     const char *method, const char *version)
 {
 	const char *length_text;
+	const char *fault;
 	guint64 length = 0;
 
 	httpd_request_trim_headers(request);
@@ -290,7 +309,10 @@
 	if (length_text != NULL)
 		length = g_ascii_strtoull(length_text, NULL, 10);
 	request->limits = request_limits(request->httpd);
-	if (is_head_too_long(request, version))
+	fault = request_head_find_fault(request->connection, version);
+	if (fault != NULL)
+		reject_ambiguous(request, fault);
+	else if (is_head_too_long(request, version))
 		reject_long(request, REJECTED_HEAD);
 	else if (length > request->limits.body_bytes)
 		reject_long(request, REJECTED_BODY);
--- a/src/base/response_head.c
+++ b/src/base/response_head.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/http_field.h"
 #include "base/http_reason.h"
 
 #define VERSION_1_0	  "HTTP/1.0 "
@@ -100,19 +101,6 @@
 	return RESPONSE_LINE_PART;
 }
 
-/* Returns whether bytes are a token (RFC 9110, 5.6.2). */
-static bool
-is_token(const char *bytes, size_t length)
-{
-	for (size_t i = 0; i < length; i++) {
-		if (!g_ascii_isalnum(bytes[i]) &&
-		    (bytes[i] == '\0' ||
-			strchr("!#$%&'*+-.^_`|~", bytes[i]) == NULL))
-			return false;
-	}
-	return length > 0;
-}
-
 /*
  * Parses a Content-Length. It may be a list that repeats one length, also over
  * several lines; any other text makes the framing invalid (RFC 9112, 6.3).
@@ -181,10 +169,9 @@
 	while (name_length > 0 &&
 	    (line[name_length - 1] == ' ' || line[name_length - 1] == '\t'))
 		name_length--;
-	if (!is_token(line, name_length))
+	if (!http_field_is_name(line, name_length))
 		return reject(head, "a header line without a valid name");
-	if (memchr(line, '\0', length) != NULL ||
-	    memchr(line, '\r', length) != NULL)
+	if (!http_field_is_value(line, length))
 		return reject(head, "a header with NUL or CR in its value");
 	header.name = g_strndup(line, name_length);
 	header.value = g_strstrip(g_strndup(colon + 1, length - start - 1));
--- a/tests/raw_caller.c
+++ b/tests/raw_caller.c
@@ -28,8 +28,8 @@
 
 /* Sends these bytes on a new connection to the gateway. */
 void
-raw_caller_send(
-    struct raw_caller *caller, struct fixture *f, const char *request)
+raw_caller_send(struct raw_caller *caller, struct fixture *f,
+    const char *request, size_t length)
 {
 	struct sockaddr_in address = {
 	    .sin_family = AF_INET,
@@ -41,8 +41,7 @@
 	caller->response = g_string_new(NULL);
 	g_assert_cmpint(
 	    connect(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
-	g_assert_cmpint(
-	    send(fd, request, strlen(request), 0), ==, strlen(request));
+	g_assert_cmpint(send(fd, request, length, 0), ==, length);
 	ev_io_init(&caller->io, on_caller_readable, fd, EV_READ);
 	caller->io.data = caller;
 	ev_io_start(f->loop, &caller->io);
@@ -58,7 +57,7 @@
 	    "\r\nHeatherturn-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nasked",
 	    path, version, header);
 
-	raw_caller_send(caller, f, request);
+	raw_caller_send(caller, f, request, strlen(request));
 }
 
 /*
--- a/tests/raw_caller.h
+++ b/tests/raw_caller.h
@@ -18,7 +18,7 @@
 };
 
 void raw_caller_send(
-    struct raw_caller *, struct fixture *, const char *request);
+    struct raw_caller *, struct fixture *, const char *request, size_t length);
 void raw_caller_start(struct raw_caller *, struct fixture *, const char *path,
     const char *version, const char *header);
 bool raw_caller_is_cut(const struct raw_caller *);
--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -64,7 +64,7 @@
 	struct raw_caller caller = {0};
 	int status = 0;
 
-	raw_caller_send(&caller, f, request);
+	raw_caller_send(&caller, f, request, strlen(request));
 	RUN_UNTIL(f, caller.ended || is_complete(caller.response->str));
 	ev_io_stop(f->loop, &caller.io);
 	close(caller.io.fd);
