A request with several ids, keys or deadlines is rejected

Callers saw: 502 for a request with two ids, since the upstream answers the last one and the gateway had taken the first; the upstream was then avoided for others. Of two keys or two deadlines the first one counted.

The platform's headers that have one value are compared; 400 if they differ, and the connection is closed. One that is repeated with the same value counts once.

--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -75,6 +75,12 @@
 		    "the request has no id or no host");
 		return false;
 	}
+	if (exchange->caller_headers.contradictory != NULL) {
+		httpd_close_after(exchange->http);
+		exchange_refuse(exchange, REFUSAL_BAD_REQUEST, 0,
+		    "the request has several values of a header that has one");
+		return false;
+	}
 	route = routing_table_find_route(
 	    table, exchange->caller_headers.host, path);
 	if (route == NULL) {
