A header without a value reaches the upstream

A caller's header with an empty value was left out of the request to the upstream: libcurl takes a line with a colon and no value for the removal of a header. test_request_framing /request_framing/empty value failed before.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -576,8 +576,10 @@
 	char *line;
 
 	for (size_t i = 0; i < request->header_count; i++) {
-		line = g_strdup_printf("%s: %s", request->headers[i].name,
-		    request->headers[i].value);
+		/* With a colon and no value, curl would send no header. */
+		line = g_strdup_printf(
+		    request->headers[i].value[0] != '\0' ? "%s: %s" : "%s;%s",
+		    request->headers[i].name, request->headers[i].value);
 		g_strdelimit(line, "\r\n", ' ');
 		call->headers_out = curl_slist_append(call->headers_out, line);
 		g_free(line);
--- a/tests/test_request_framing.c
+++ b/tests/test_request_framing.c
@@ -123,11 +123,34 @@
 	fixture_tear_down(&f);
 }
 
+/* A header without a value reaches the upstream. */
+static void
+test_empty_value(void)
+{
+	static const enum fake_platform_step steps[] = {FAKE_STEP_OK};
+	struct raw_caller caller = {0};
+	struct fixture f = {0};
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, 1);
+	fixture_wait_for_routing_state(&f);
+	raw_caller_start(
+	    &caller, &f, "/once/x", "1.1", "X-A:\r\nConnection: close\r\n");
+	RUN_UNTIL(&f, caller.ended);
+	g_assert_cmpstr(fake_platform_request_header(
+			    fake_platform_request(f.fake_platform, 0), "X-A"),
+	    ==, "");
+	close(caller.io.fd);
+	g_string_free(caller.response, TRUE);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
 	ADD_CASES(cases, "/request_framing", test_framing);
+	g_test_add_func("/request_framing/empty value", test_empty_value);
 	return g_test_run();
 }
