A 204 with a length or chunks is no response

Callers saw: a success without its body, where a wrong digit turned an upstream's 200 into 204. libcurl reads no body for that status, and 204 and 200 are of one class, so that the reason phrase did not contradict it.

A length above 0, or chunks, contradicts a status that has no body (RFC 9110, 8.6; RFC 9112, 6.1): the head is invalid, as one with a wrong length is.

--- a/src/base/response_head.c
+++ b/src/base/response_head.c
@@ -9,6 +9,7 @@
 #define VERSION_1_1	  "HTTP/1.1 "
 #define VERSION_LENGTH	  strlen(VERSION_1_1)
 #define STATUS_DIGITS	  3
+#define STATUS_NO_CONTENT 204
 #define CONTENT_LENGTH	  "Content-Length"
 #define TRANSFER_ENCODING "Transfer-Encoding"
 #define CHUNKED		  "chunked"
@@ -97,6 +98,7 @@
 	head->in_head = true;
 	head->complete = false;
 	head->has_length = false;
+	head->length = 0;
 	head->chunked = false;
 	return RESPONSE_LINE_PART;
 }
@@ -210,6 +212,9 @@
 		return check_trailer(head, length);
 	if (length > 0)
 		return add_field(head, line, length);
+	if (head->status == STATUS_NO_CONTENT &&
+	    (head->chunked || head->length > 0))
+		return reject(head, "a length for a status without a body");
 	head->in_head = false;
 	return RESPONSE_LINE_END;
 }
--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -203,6 +203,7 @@
 	const char *path;
 	int status;
 	bool alone; /* the service has no other upstream */
+	const char *framing; /* of the first response; NULL for none */
 } doubt_cases[] = {
     {"an error whose reason fits is passed on", "404 Not Found", NULL,
 	"/again/x", .status = 404},
@@ -244,6 +245,18 @@
 	.status = 200},
     {"a success without a reason is passed on", "200 ", NULL, "/again/x",
 	.status = 200},
+    {"a success without a body that has a length is no response", "204 OK",
+	"200 OK", "/again/x", .status = 200,
+	.framing = "Content-Length: 5\r\n"},
+    {"a success without a body that has chunks is no response", "204 OK",
+	"200 OK", "/again/x", .status = 200,
+	.framing = "Transfer-Encoding: chunked\r\n"},
+    {"a success without a body that has a length is an unknown outcome",
+	"204 OK", NULL, "/once/x", .status = 502,
+	.framing = "Content-Length: 5\r\n"},
+    {"a success without a body that has the length 0 is passed on",
+	"204 No Content", NULL, "/once/x", .status = 204,
+	.framing = "Content-Length: 0\r\n"},
     {"a success with the reason of another success is passed on", "201 OK",
 	NULL, "/once/x", .status = 201},
 };
@@ -270,8 +283,8 @@
 	const struct doubt_case *c = &doubt_cases[GPOINTER_TO_SIZE(data)];
 	g_autofree char *request = g_strdup_printf(
 	    GET("%s", "h", KEY_LINE ID_LINE), c->path);
-	g_autofree char *first = g_strconcat(
-	    "HTTP/1.1 ", c->first, "\r\n" TEXT "\r\nwhole", NULL);
+	g_autofree char *first = g_strconcat("HTTP/1.1 ", c->first, "\r\n" TEXT,
+	    c->framing != NULL ? c->framing : "", "\r\nwhole", NULL);
 	g_autofree char *second = g_strconcat("HTTP/1.1 ",
 	    c->second != NULL ? c->second : "", "\r\n" TEXT "\r\nwhole", NULL);
 	const struct raw_response responses[SENDS_MAX] = {
