Soak: upstreams spoil a character of their heads, and send standard reasons

spoil_bytes puts another character into the status line or the lines of the request's id and the seal, its value left out; before it changed lengths and ids of events only.

--- a/tests/soak/denied.py
+++ b/tests/soak/denied.py
@@ -39,7 +39,7 @@
     status = upstream.random.choice(STATUSES)
     if kind == WRONG_DIGIT:
         return status, "OK", seal
-    return status, "X", {"Heatherturn-Attempt-Id": request_id}
+    return status, None, {"Heatherturn-Attempt-Id": request_id}
 
 
 async def give_errors(soak):
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -627,7 +627,8 @@
     async def spoil_bytes(self):
         """Makes an upstream spoil a byte of some responses.
 
-        It is a digit of an event's id, or a Content-Length gets a letter.
+        It is a digit of an event's id, or one of a head, or a Content-Length
+        gets a letter.
         """
         upstream = self.random.choice(self.upstreams)
         upstream.faults["spoil"] = self.random.uniform(0.05, 0.5)
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import http
 import json
 import random
 import socket
@@ -91,9 +92,9 @@
     return data[:at] + bytes([rng.choice(others)]) + data[at + 1:]
 
 
-def make_response(status, headers, body, reason="X"):
+def make_response(status, headers, body, reason=None):
     """Returns an encoded HTTP response."""
-    lines = [f"HTTP/1.1 {status} {reason}", f"Content-Length: {len(body)}",
+    lines = [f"HTTP/1.1 {status} {reason or http.HTTPStatus(status).phrase}", f"Content-Length: {len(body)}",
              *(f"{name}: {value}" for name, value in headers.items())]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -355,7 +356,10 @@
             text = f"{request_id} {headers.get('heatherturn-tenant')}".encode()
             response = make_response(200, response_headers, text + body)
             if self.draws_fault("spoil"):
-                response = self.spoil_length(request_id, response)
+                spoil = self.random.choice((self.spoil_length,
+                                            self.spoil_head))
+                writer.write(spoil(request_id, response))
+                raise BrokenConnection
             writer.write(response)
 
     def spoil_length(self, request_id, response):
@@ -367,6 +371,27 @@
         return (before + name + length[:at] + b"x" + length[at + 1:] + end +
                 rest)
 
+    def spoil_head(self, request_id, response):
+        """Returns a response with another character in its head.
+
+        It is in the status line or in the lines of the id and the seal, line
+        ends included, but not in the seal's value.
+        """
+        self.broken_off.add(request_id)
+        places, at = [], 0
+        for number, line in enumerate(response.split(b"\r\n\r\n")[0].split(
+                b"\r\n")):
+            end = at + len(line) + 2
+            if b"Seal" in line:
+                places += range(at, at + line.index(b":") + 1)
+            elif number == 0 or b"Attempt-Id" in line:
+                places += range(at, end)
+            at = end
+        at = self.random.choice(places)
+        other = self.random.choice(
+            [one for one in range(33, 127) if one != response[at]])
+        return response[:at] + bytes([other]) + response[at + 1:]
+
     def own_headers(self, request_id):
         """Returns what the upstream says of itself in each response."""
         headers = {"Server-Leaving": 1} if self.leaving else {}
@@ -408,7 +433,7 @@
             self.additions.append((request_id, added))
         framed = not added or added.framing != foreign_events.UNFRAMED
         joined = added and added.framing == foreign_events.JOINED
-        lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream",
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
                  "Transfer-Encoding: chunked" if framed
                  else "Connection: close",
                  *(f"{name}: {value}"
