--- a/src/base/bearer.c
+++ b/src/base/bearer.c
@@ -14,9 +14,11 @@
 const char *
 bearer_token(const char *authorization)
 {
+	const char *token;
+
 	if (authorization == NULL ||
 	    g_ascii_strncasecmp(authorization, SCHEME, strlen(SCHEME)) != 0)
 		return NULL;
-	return authorization + strspn(authorization + strlen(SCHEME), " ") +
-	    strlen(SCHEME);
+	token = authorization + strlen(SCHEME);
+	return token + strspn(token, " ");
 }
--- a/src/base/http_reason.h
+++ b/src/base/http_reason.h
@@ -4,6 +4,6 @@
 
 #include <stddef.h>
 
-int http_reason_class(const char *reason, size_t length);
+int http_reason_class(int status, const char *reason, size_t length);
 
 #endif
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -40,9 +40,9 @@
     NULL, "Requests that the HTTP library answered with an error itself.");
 
 /*
- * Writes a message of libmicrohttpd to our log, at debug level. That it answers
- * a request with an error of its own, no callback tells: only its message does,
- * which is logged for operators with the status.
+ * Writes a message of libmicrohttpd to our log, at debug level. No callback
+ * reports a request that the library answers with an error itself; its message
+ * does, and is logged at level info with the status.
  */
 static void
 log_mhd_line(void *data, const char *format, va_list args)
@@ -225,7 +225,7 @@
 		"The body is longer than this server accepts."},
 	    [REJECTED_NOW] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
 		"not_current",
-		"The request is longer than this server accepts yet; not run."},
+		"The request is longer than this server accepts now; not run."},
 	    [REJECTED_BODIES] = {MHD_HTTP_SERVICE_UNAVAILABLE, "server_error",
 		"overloaded",
 		"Too many bytes of request bodies are buffered; not run."},
--- a/src/base/response_head.c
+++ b/src/base/response_head.c
@@ -84,7 +84,8 @@
 	}
 	if (length > start && line[start++] != ' ')
 		return false;
-	head->reason_class = http_reason_class(line + start, length - start);
+	head->reason_class = http_reason_class(
+	    head->status, line + start, length - start);
 	return true;
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -120,10 +120,9 @@
 on_rejected(void *data, const struct httpd_request *request, int status,
     const char *code)
 {
-	const struct gateway *gateway = data;
+	struct gateway *gateway = data;
 
-	exchange_on_rejected(
-	    (void *)&gateway->exchange_context, request, status, code);
+	exchange_on_rejected(&gateway->exchange_context, request, status, code);
 }
 
 static const struct httpd_ops caller_ops = {
