--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -14,6 +14,7 @@
 import asyncio
 import contextlib
 import fcntl
+import functools
 import json
 import os
 import pathlib
@@ -45,7 +46,6 @@
 ROLLBACK_SLACK_S = 0.25
 PORTS = (20000, 32000)
 PORTS_PER_SOAK = 600
-PORT_LOCKS = []  # open files; their locks end with the process
 CALLER_COUNT = 12
 DEADLINE_MS = 4000
 LONG_DEADLINE_MS = 10000
@@ -831,11 +831,13 @@
                 **(self.prompts.counts() if self.prompts else {})}
 
 
+@functools.lru_cache(maxsize=None)
 def claim_port_block():
-    """Returns the first port of a block that no other soak has.
+    """Returns the first port of a block that no other soak has, and its lock.
 
-    The block is this process's for as long as it runs, also while no gateway
-    of its own listens there: gateways are restarted at their ports.
+    The block is this process's for as long as it runs, for all its seeds, also
+    while no gateway of its own listens there: gateways are restarted at their
+    ports. The lock is an open file.
     """
     first, end = PORTS
     blocks = (end - first) // PORTS_PER_SOAK
@@ -849,8 +851,7 @@
         except OSError:
             lock.close()
             continue
-        PORT_LOCKS.append(lock)
-        return first + block * PORTS_PER_SOAK
+        return first + block * PORTS_PER_SOAK, lock
     raise OSError(f"other soaks have all ports from {first} to {end}")
 
 
@@ -861,7 +862,7 @@
     which could otherwise take a port before its gateway listens, and in a
     block that no other soak uses.
     """
-    first = claim_port_block()
+    first, _ = claim_port_block()
     ports = []
     for port in range(first, first + PORTS_PER_SOAK):
         with socket.socket() as one:
