--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -12,8 +12,8 @@
 #include "gateway_fixture.h"
 #include "log_capture.h"
 #include "raw_caller.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
-#include "raw_server.h"
 
 #define SENDS_MAX    3
 #define LENGTH_FIELD "Content-Length: "
@@ -27,21 +27,6 @@
 #define SEALED_MISSING	 NOT_FOUND TEXT "\r\nfirst"
 #define WHOLE_RESPONSE	 OK TEXT "\r\nwhole"
 
-/* Starts a gateway whose upstreams send these responses in order. */
-static struct raw_server *
-set_up(struct fixture *f, const struct raw_response *responses)
-{
-	struct raw_server *server;
-
-	fixture_set_up(f);
-	server = raw_server_new(f->loop, responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    f->fake_platform, i, raw_server_port(server, i));
-	fixture_wait_for_routing_state(f);
-	return server;
-}
-
 /* Returns whether a response with a length is complete. */
 static bool
 is_complete(const char *response)
@@ -132,7 +117,8 @@
 	    {.bytes = c->response}};
 	struct fixture f = {0};
 	struct log_capture capture;
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 	g_autofree char *log = NULL;
 	json_t *line;
 
@@ -186,7 +172,8 @@
 		const struct raw_response responses[SENDS_MAX] = {
 		    {.bytes = first}, {.bytes = WHOLE_RESPONSE}};
 		struct fixture f = {0};
-		struct raw_server *server = set_up(&f, responses);
+		struct raw_server *server = raw_gateway_set_up(
+		    &f, responses, SENDS_MAX);
 
 		g_test_message("status %d", final_statuses[i]);
 		g_assert_cmpint(call(&f, request), ==, c->status);
@@ -290,7 +277,8 @@
 	const struct raw_response responses[SENDS_MAX] = {
 	    {.bytes = first}, {.bytes = second}};
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	if (c->alone)
 		retire_others(&f);
@@ -309,7 +297,8 @@
 	const struct raw_response responses[SENDS_MAX] = {
 	    {.bytes = missing}, {.bytes = missing}, {.bytes = missing}};
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	for (size_t sends = 2; sends <= SENDS_MAX; sends++) {
 		g_assert_cmpint(
@@ -347,7 +336,8 @@
 	const struct raw_response responses[SENDS_MAX] = {
 	    {.bytes = WHOLE_RESPONSE}};
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	g_assert_cmpint(call(&f, c->request), ==, 200);
 	raw_server_free(server);
@@ -400,7 +390,8 @@
 	    {.bytes = WHOLE_RESPONSE}, {.bytes = WHOLE_RESPONSE}};
 	struct fixture f = {0};
 	struct log_capture capture;
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	g_assert_cmpint(call(&f, c->request), ==, c->before);
 	log_capture_start(&capture);
@@ -426,7 +417,8 @@
 	    {.bytes = WHOLE_RESPONSE}, {.bytes = WHOLE_RESPONSE}};
 	struct fixture f = {.config = LIMITED_CONFIG("3", "10")};
 	struct log_capture capture;
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 	const char *request = "POST /open/x HTTP/1.1\r\nHost: h\r\n" ID_LINE
 			      "Content-Length: 20\r\nConnection: close\r\n\r\n"
 			      "01234567890123456789";
@@ -530,7 +522,7 @@
 	append_lines(response, response_bytes, line);
 	g_string_append(response, "\r\nwhole");
 	responses[0].bytes = response->str;
-	server = set_up(&f, responses);
+	server = raw_gateway_set_up(&f, responses, SENDS_MAX);
 	status = call(&f, request->str);
 	*sends = raw_server_requests(server);
 	raw_server_free(server);
--- a/tests/test_request_framing.c
+++ b/tests/test_request_framing.c
@@ -13,8 +13,8 @@
 #include "cases.h"
 #include "gateway_fixture.h"
 #include "raw_caller.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
-#include "raw_server.h"
 
 #define SENDS_MAX 3
 #define WHOLE_RESPONSE                       \
@@ -107,15 +107,10 @@
 	const struct raw_response responses[SENDS_MAX] = {
 	    WHOLE_RESPONSE, WHOLE_RESPONSE, WHOLE_RESPONSE};
 	struct fixture f = {0};
-	struct raw_server *server;
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 	bool ended;
 
-	fixture_set_up(&f);
-	server = raw_server_new(f.loop, responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    f.fake_platform, i, raw_server_port(server, i));
-	fixture_wait_for_routing_state(&f);
 	g_assert_cmpint(call(&f, c, &ended), ==, c->status);
 	g_assert_cmpuint(raw_server_requests(server), ==, c->runs);
 	g_assert_cmpint(ended, ==, c->status == 400);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -9,8 +9,8 @@
 
 #include "cases.h"
 #include "gateway_fixture.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
-#include "raw_server.h"
 
 #define SENDS_MAX     4
 #define SETTLE_ROUNDS 20
@@ -183,21 +183,6 @@
 	2, 200, E1 E2 E3, 0, PARTS_TOKENS},
 };
 
-/* Starts a gateway whose upstreams send these responses. */
-static struct raw_server *
-set_up(struct fixture *f, const struct raw_response *responses)
-{
-	struct raw_server *server;
-
-	fixture_set_up(f);
-	server = raw_server_new(f->loop, responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    f->fake_platform, i, raw_server_port(server, i));
-	fixture_wait_for_routing_state(f);
-	return server;
-}
-
 /* Sends a request and waits for the end of its response. */
 static void
 call(struct fixture *f, const char *path)
@@ -217,7 +202,7 @@
 	g_autofree char *body = NULL;
 
 	f.tokens = c->tokens;
-	server = set_up(&f, c->responses);
+	server = raw_gateway_set_up(&f, c->responses, SENDS_MAX);
 	call(&f, c->path);
 	body = f.body->len == 0
 	    ? g_strdup("")
@@ -277,7 +262,8 @@
 {
 	const struct death_case *c = &death_cases[GPOINTER_TO_SIZE(data)];
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, c->responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, c->responses, SENDS_MAX);
 
 	call(&f, c->path);
 	g_assert_cmpint(f.aborted, ==, c->status == 0);
@@ -305,7 +291,8 @@
 	    {.bytes = OK STREAM "\r\n" E1, .end = RAW_END_STOP},
 	    {.bytes = OK STREAM "\r\n" E1, .end = RAW_END_STOP}};
 	struct fixture f = {.parts = "bad:100,e0:5"};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	for (size_t i = 0; i < RAW_SERVER_PORTS; i++) {
 		g_autofree char *path = g_strdup_printf("/fragile/%zu", i);
@@ -412,7 +399,8 @@
 	const struct slow_case *c = &slow_cases[GPOINTER_TO_SIZE(data)];
 	const struct raw_response *first = &c->responses[0];
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, c->responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, c->responses, SENDS_MAX);
 	struct http_call *request = fixture_call(&f, c->path, FIXTURE_KEY);
 	size_t end_length = c->end == NULL ? 0 : strlen(c->end);
 
--- a/tests/test_unframed_ends.c
+++ b/tests/test_unframed_ends.c
@@ -14,29 +14,14 @@
 #include "cases.h"
 #include "gateway_fixture.h"
 #include "raw_caller.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
-#include "raw_server.h"
 #include "upstream/upstream.h"
 
 #define SENDS_MAX 5
 /* Longer than a response that the gateway buffers. */
 #define LONG_BYTES ((size_t)300 * 1024)
 
-/* Starts a gateway whose upstreams send these responses. */
-static struct raw_server *
-set_up(struct fixture *f, const struct raw_response *responses)
-{
-	struct raw_server *server;
-
-	fixture_set_up(f);
-	server = raw_server_new(f->loop, responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    f->fake_platform, i, raw_server_port(server, i));
-	fixture_wait_for_routing_state(f);
-	return server;
-}
-
 static const struct caller_case {
 	const char *name;
 	const char *path;
@@ -80,7 +65,8 @@
 	const struct caller_case *c = &caller_cases[GPOINTER_TO_SIZE(data)];
 	struct fixture f = {0};
 	struct raw_caller caller = {0};
-	struct raw_server *server = set_up(&f, c->responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, c->responses, SENDS_MAX);
 
 	raw_caller_start(&caller, &f, c->path, c->version, c->header);
 	RUN_UNTIL(&f, caller.ended);
@@ -101,7 +87,8 @@
 	    {.bytes = OK STREAM "\r\n", .repeated = E1}};
 	struct fixture f = {0};
 	struct raw_caller caller = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	raw_caller_start(&caller, &f, "/fragile/x", "1.0", "");
 	RUN_UNTIL(&f, strstr(caller.response->str, E1) != NULL);
--- a/tests/test_wrong_event_id.c
+++ b/tests/test_wrong_event_id.c
@@ -9,8 +9,8 @@
 
 #include "cases.h"
 #include "gateway_fixture.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
-#include "raw_server.h"
 #include "upstream/upstream.h"
 
 #define SENDS_MAX   4
@@ -111,28 +111,14 @@
 	3, false, WHOLE_STREAM},
 };
 
-/* Starts a gateway whose upstreams send these responses. */
-static struct raw_server *
-set_up(struct fixture *f, const struct raw_response *responses)
-{
-	struct raw_server *server;
-
-	fixture_set_up(f);
-	server = raw_server_new(f->loop, responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    f->fake_platform, i, raw_server_port(server, i));
-	fixture_wait_for_routing_state(f);
-	return server;
-}
-
 /* Runs one case. */
 static void
 test_stream(gconstpointer data)
 {
 	const struct id_case *c = &cases[GPOINTER_TO_SIZE(data)];
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, c->responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, c->responses, SENDS_MAX);
 	g_autofree char *body = NULL;
 
 	fixture_call(&f, c->path, FIXTURE_KEY);
--- a/tests/test_wrong_framing.c
+++ b/tests/test_wrong_framing.c
@@ -9,8 +9,8 @@
 
 #include "cases.h"
 #include "gateway_fixture.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
-#include "raw_server.h"
 #include "upstream/upstream.h"
 
 #define SENDS_MAX 4
@@ -68,21 +68,6 @@
     {"a second status line in the head", OK "Content-Length: 8\r\n", false},
 };
 
-/* Starts a gateway whose upstreams send these responses. */
-static struct raw_server *
-set_up(struct fixture *f, const struct raw_response *responses)
-{
-	struct raw_server *server;
-
-	fixture_set_up(f);
-	server = raw_server_new(f->loop, responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    f->fake_platform, i, raw_server_port(server, i));
-	fixture_wait_for_routing_state(f);
-	return server;
-}
-
 /* Sends a request and waits for the end of its response. */
 static void
 call(struct fixture *f, const char *path)
@@ -97,7 +82,8 @@
 {
 	const struct raw_response responses[SENDS_MAX] = {*response};
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	call(&f, "/once/x");
 	g_assert_false(f.aborted);
@@ -115,7 +101,8 @@
 {
 	const struct raw_response responses[SENDS_MAX] = {*response, {WHOLE}};
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	call(&f, "/again/x");
 	g_assert_cmpint(f.status, ==, 200);
@@ -147,7 +134,8 @@
 	    {.bytes = OK TEXT "Content-Length: 3o7200\r\n\r\n",
 		.filler = LONG_BYTES}};
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	call(&f, "/once/x");
 	g_assert_cmpint(f.status, ==, 502);
@@ -162,7 +150,8 @@
 	static const struct raw_response responses[SENDS_MAX] = {
 	    {.bytes = OK STREAM "Content-Length: 30x\r\n\r\n" E1 E2 E3}};
 	struct fixture f = {0};
-	struct raw_server *server = set_up(&f, responses);
+	struct raw_server *server = raw_gateway_set_up(
+	    &f, responses, SENDS_MAX);
 
 	call(&f, "/fragile/x");
 	g_assert_cmpint(f.status, ==, 502);
--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -10,8 +10,8 @@
 
 #include "cases.h"
 #include "gateway_fixture.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
-#include "raw_server.h"
 
 #define SENDS_MAX 2
 /* Requests that each other upstream already has, so that i-0 is preferred. */
@@ -122,15 +122,9 @@
 static struct raw_server *
 set_up(struct fixture *f, const struct raw_response *responses)
 {
-	struct raw_server *server;
+	struct raw_server *server = raw_gateway_set_up(f, responses, SENDS_MAX);
 	struct fleet_upstream *upstream;
 
-	fixture_set_up(f);
-	server = raw_server_new(f->loop, responses, SENDS_MAX);
-	for (size_t i = 0; i < RAW_SERVER_PORTS; i++)
-		fake_platform_set_upstream_port(
-		    f->fake_platform, i, raw_server_port(server, i));
-	fixture_wait_for_routing_state(f);
 	TAILQ_FOREACH (upstream,
 	    &routing_state_fleet(f->exchange_context.routing_state)->upstreams,
 	    entry) {
