--- a/tests/log_capture.c
+++ b/tests/log_capture.c
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <stdio.h>
+#include <string.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -45,3 +46,37 @@
 		g_string_append_len(text, bytes, length);
 	return g_string_free(text, FALSE);
 }
+
+/* Returns the log's line with this text; NULL if there is none. */
+json_t *
+log_capture_find(const char *log, const char *text)
+{
+	g_auto(GStrv) lines = g_strsplit(log, "\n", -1);
+
+	for (size_t i = 0; lines[i] != NULL; i++) {
+		json_t *line = json_loads(lines[i], 0, NULL);
+
+		if (g_strcmp0(json_string_value(json_object_get(line, "text")),
+			text) == 0)
+			return line;
+		json_decref(line);
+	}
+	return NULL;
+}
+
+/* Runs the loop until the log has a line with this text. */
+void
+log_capture_wait(
+    const struct log_capture *capture, struct ev_loop *loop, const char *text)
+{
+	json_t *line = NULL;
+
+	while (line == NULL) {
+		g_autofree char *log = NULL;
+
+		ev_run(loop, EVRUN_ONCE);
+		log = log_capture_read(capture);
+		line = log_capture_find(log, text);
+	}
+	json_decref(line);
+}
--- a/tests/raw_caller.c
+++ b/tests/raw_caller.c
@@ -4,11 +4,14 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "raw_responses.h"
 
+#define LENGTH_FIELD "Content-Length: "
+
 /* Reads the response until the connection ends. */
 static void
 on_caller_readable(struct ev_loop *loop, ev_io *io, int events)
@@ -71,3 +74,35 @@
 	    (strstr(caller->response->str, CHUNKED) != NULL &&
 		!g_str_has_suffix(caller->response->str, "0\r\n\r\n"));
 }
+
+/* Returns whether a response with a length is complete. */
+static bool
+is_complete(const char *response)
+{
+	const char *body = strstr(response, "\r\n\r\n");
+	const char *length = strstr(response, LENGTH_FIELD);
+
+	return body != NULL && length != NULL &&
+	    strlen(body + 4) >=
+	    strtoul(length + strlen(LENGTH_FIELD), NULL, 10);
+}
+
+/*
+ * Sends a request and returns the response's status; 0 if there is none. The
+ * HTTP library keeps the connection open after an error of its own.
+ */
+int
+raw_caller_call(struct fixture *f, const char *request)
+{
+	struct raw_caller caller = {0};
+	int status = 0;
+
+	raw_caller_send(&caller, f, request, strlen(request));
+	RUN_UNTIL(f, caller.ended || is_complete(caller.response->str));
+	ev_io_stop(f->loop, &caller.io);
+	close(caller.io.fd);
+	if (caller.response->len > strlen("HTTP/1.1 "))
+		status = atoi(caller.response->str + strlen("HTTP/1.1 "));
+	g_string_free(caller.response, TRUE);
+	return status;
+}
