--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -30,8 +30,7 @@
 #define HALF_CLOSED_IDLE_S (unsigned int)1
 #define HANGUP_EVENTS	   64
 #define LOG_LINE_BYTES	   512
-/* What the library's message about a response of its own has before its status.
- */
+/* Precedes the status in the library's message about a response of its own. */
 #define MHD_STATUS_TEXT "HTTP response code is "
 
 G_DEFINE_QUARK(httpd_error_quark, httpd_error)
@@ -196,11 +195,11 @@
 
 /* Why the server does not read a request. */
 enum rejection {
-	REJECTED_AMBIGUOUS, /* its header lines are */
-	REJECTED_HEAD,
-	REJECTED_BODY,
-	REJECTED_NOW, /* its head or body is too long, but limits may rise */
-	REJECTED_BODIES, /* of all requests together */
+	REJECTED_AMBIGUOUS, /* its header lines contradict each other */
+	REJECTED_HEAD, /* is too long */
+	REJECTED_BODY, /* is too long */
+	REJECTED_NOW, /* either is too long, but the limits may rise soon */
+	REJECTED_BODIES, /* those of all requests together are too long */
 };
 
 /* Rejects a request before it is complete. */
@@ -253,7 +252,7 @@
 	reject(request, REJECTED_AMBIGUOUS);
 }
 
-/* Rejects a request of which this is over its limit. */
+/* Rejects a request whose head or body is over its limit. */
 static void
 reject_long(struct httpd_request *request, enum rejection part)
 {
--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -234,8 +234,10 @@
 	    update->settling;
 }
 
-/* Returns whether a newer configuration than the one in force could not be
- * used. */
+/*
+ * Returns whether a newer configuration than the one in force has arrived and
+ * could not be used.
+ */
 bool
 routing_update_has_missed(const struct routing_update *update)
 {
--- a/src/policy/status_evidence.c
+++ b/src/policy/status_evidence.c
@@ -3,8 +3,7 @@
 #define ERROR_MIN 300
 #define ERROR_MAX 499
 
-/* Returns whether a status ends a request by the caller's fault, or elsewhere.
- */
+/* Returns whether a status is a redirection or blames the caller. */
 static bool
 is_callers_error(int status)
 {
@@ -40,7 +39,10 @@
 	return STATUS_BELIEVED;
 }
 
-/* Records that two upstreams have responded with this status; others: no-op. */
+/*
+ * Records that two upstreams have responded with this status; only those from
+ * 300 to 499 are kept.
+ */
 void
 status_evidence_add(struct status_evidence *evidence, int status)
 {
--- a/src/policy/status_evidence.h
+++ b/src/policy/status_evidence.h
@@ -3,11 +3,11 @@
  * phrase beside it and by what another upstream responded.
  *
  * Load pattern: an upstream now and then sends a wrong byte in its status line.
- * With a wrong digit a success reads as an error for which the caller is to
- * blame, and who does not repeat the request, or a failure as a success. The
- * reason phrase tells: it is still that of the right status. A phrase of the
- * upstream's own, or none, tells nothing; then a second upstream is asked where
- * the request may run twice, once for each status of a route.
+ * With a wrong digit a success reads as an error that blames the caller, who
+ * then does not repeat the request, or a failure reads as a success. The reason
+ * phrase is still that of the right status. A phrase of the upstream's own, or
+ * none, tells nothing: then a second upstream is asked where the request may
+ * run twice, until two have agreed on that status for the route.
  */
 #ifndef POLICY_STATUS_EVIDENCE_H
 #define POLICY_STATUS_EVIDENCE_H
