The log tells why a route or key was unknown, and what is believed of versions

Callers' added routes were refused by gateways that should have known them, and the log could not tell the hypotheses of docs/incidents/added-routes-refused.md apart: it had neither the host and path that were looked up nor from whom and when the gateway last heard that its configuration is the newest, and a change that was dropped left no trace.

No decision changes.

- `unknown route or key` beside `request refused`, with host and path (128 bytes each, no query, no key), whether the gateway watches, the store's version of what it has, and the ages of what the store and the peers showed last.
Digests of peers that name the version in force count, as they are what a gateway that doesn't watch hears every half second.
- One line each for a change that is dropped as not newer, a version that is raised without changes, a watch that goes on from a peer's version, a list or watch that ended without a response (how long it waited, and whether on a kept connection), and a document's version that is not requested any more.
- heatherturn_routes_age_ms, heatherturn_gateway_unknown by code, heatherturn_store_calls_unanswered, heatherturn_configuration_changes_dropped.

Not run: sanitizers.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -192,12 +192,15 @@
 	struct http_result result = {.body = call->body};
 	GError *error;
 	long status = 0;
+	long connects = 0;
 
 	if (is_cut_in_headers(call, code))
 		code = CURLE_PARTIAL_FILE;
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	result.status = (int)status;
+	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
 	result.may_have_sent = call_may_have_sent(call);
+	result.reused_connection = connects == 0 && result.may_have_sent;
 	result.refused = !call->failed && code == CURLE_COULDNT_CONNECT;
 	error = call_error(call, code, result.may_have_sent);
 	result.error = error;
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -76,6 +76,7 @@
 	bool may_have_sent; /* whether any byte of the request may have been
 			       sent */
 	bool refused; /* nothing listens at the address */
+	bool reused_connection; /* no new one was opened for the call */
 	const GByteArray *body; /* empty if passed to a chunk callback */
 	const GError *error; /* HTTP_CLIENT_ERROR, or NULL */
 };
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -500,6 +500,7 @@
 	input.elected_new = is_elected(sync, true);
 	routing_state_set_watching(
 	    sync->routing_state, watching_is_needed(&input));
+	routing_state_update_metrics(sync->routing_state);
 }
 
 /*
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -40,6 +40,9 @@
 METRIC_DEFINE(upstreams_known, METRIC_GAUGE, "heatherturn_upstreams_known",
     NULL, "Upstreams known from the platform's list.");
 
+METRIC_DEFINE(age_gauge, METRIC_GAUGE, "heatherturn_routes_age_ms", NULL,
+    "Time since the configuration was last known to be the newest; -1: never.");
+
 /* Calls back, once, when all parts have been received. */
 static void
 notify_complete(struct routing_state *routing_state)
@@ -263,7 +266,8 @@
 {
 	kind->routing_state = routing_state;
 	kind->document = document;
-	kind->watch = object_watch_new(loop, store, name, take, kind);
+	kind->watch = object_watch_new(
+	    loop, routing_state->clock, store, name, take, kind);
 	documents_set_codec(routing_state->documents, document, encode_objects,
 	    apply_objects, kind);
 }
@@ -327,7 +331,9 @@
 	routing_state->watching = watching;
 	LOG_INFO(watching ? "started watching the store"
 			  : "stopped watching the store",
-	    "{s:I}", "list_version", (json_int_t)routing_state->fleet->version);
+	    "{s:I, s:I}", "list_version",
+	    (json_int_t)routing_state->fleet->version, "revision",
+	    (json_int_t)routing_state_revision(routing_state));
 	object_watch_set_active(routing_state->routes.watch, watching);
 	object_watch_set_active(routing_state->upstreams.watch, watching);
 	object_watch_set_active(routing_state->takeouts.watch, watching);
@@ -395,3 +401,34 @@
 	return time_diff_ms(clock_monotonic(routing_state->clock),
 	    routing_state->table_applied_at);
 }
+
+/* Returns the store's version of the configuration here; 0 for none. */
+uint64_t
+routing_state_revision(const struct routing_state *routing_state)
+{
+	return documents_version(
+	    routing_state->documents, DOCUMENT_ROUTING_ITEMS);
+}
+
+/* Returns when the configuration was last known to be the newest. */
+struct freshness
+routing_state_freshness(const struct routing_state *routing_state)
+{
+	struct freshness freshness = *object_watch_freshness(
+	    routing_state->routes.watch);
+
+	freshness.peer_same_at = documents_same_at(
+	    routing_state->documents, DOCUMENT_ROUTING_ITEMS);
+	return freshness;
+}
+
+/* Updates the metrics that change with time. */
+void
+routing_state_update_metrics(const struct routing_state *routing_state)
+{
+	struct freshness freshness = routing_state_freshness(routing_state);
+
+	metric_set(&age_gauge,
+	    freshness_age_ms(
+		&freshness, clock_monotonic(routing_state->clock)));
+}
--- a/src/gateway/routing_state.h
+++ b/src/gateway/routing_state.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "peer/documents.h"
 #include "platform/object_store.h"
+#include "platform/watch_record.h"
 #include "routing/fleet.h"
 #include "routing/routing_table.h"
 
@@ -36,5 +37,8 @@
 bool routing_state_has_missed(const struct routing_state *);
 struct fleet *routing_state_fleet(const struct routing_state *);
 int64_t routing_state_table_age_ms(const struct routing_state *);
+uint64_t routing_state_revision(const struct routing_state *);
+struct freshness routing_state_freshness(const struct routing_state *);
+void routing_state_update_metrics(const struct routing_state *);
 
 #endif
--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -52,6 +52,9 @@
     "heatherturn_configuration_changes_merged", NULL,
     "Changes of the configuration that a newer one replaced before they were "
     "applied.");
+METRIC_DEFINE(dropped_count, METRIC_COUNTER,
+    "heatherturn_configuration_changes_dropped", NULL,
+    "Changes of the configuration that were not newer than what was known.");
 METRIC_DEFINE(slice_gauge, METRIC_GAUGE, "heatherturn_configuration_slice_us",
     NULL,
     "Longest time without other work in the last change of the configuration.");
@@ -136,6 +139,19 @@
 	    (json_int_t)version_in_force(update));
 }
 
+/*
+ * Logs and counts a change of the store (an object) or of a peer (items) that
+ * is not newer than a version that is in force or waits.
+ */
+static void
+count_dropped(bool is_object, uint64_t version, uint64_t known)
+{
+	metric_add(&dropped_count, 1);
+	LOG_INFO("configuration change dropped as not newer", "{s:s, s:I, s:I}",
+	    "form", is_object ? "object" : "items", "revision",
+	    (json_int_t)version, "known", (json_int_t)known);
+}
+
 /* Makes the running change visible. */
 static void
 commit(struct routing_update *update)
@@ -180,9 +196,13 @@
 	g_autoptr(GError) error = NULL;
 	struct config_change *change = g_steal_pointer(&update->waiting);
 
-	if (change == NULL ||
-	    config_change_version(change) <=
-		config_items_version(update->items)) {
+	if (change == NULL)
+		return;
+	if (config_change_version(change) <=
+	    config_items_version(update->items)) {
+		count_dropped(config_change_is_object(change),
+		    config_change_version(change),
+		    config_items_version(update->items));
 		config_change_free(change);
 		return;
 	}
@@ -313,6 +333,9 @@
 		metric_add(&merged_count, 1);
 		if (config_change_version(change) <=
 		    config_change_version(update->waiting)) {
+			count_dropped(config_change_is_object(change),
+			    config_change_version(change),
+			    config_change_version(update->waiting));
 			config_change_free(change);
 			return;
 		}
@@ -351,8 +374,11 @@
 	g_autoptr(GError) error = NULL;
 	struct config_change *change;
 
-	if (version <= config_items_version(update->items))
+	if (version <= config_items_version(update->items)) {
+		count_dropped(
+		    false, version, config_items_version(update->items));
 		return false;
+	}
 	change = config_change_new_items(base, version, text, length, &error);
 	if (change == NULL) {
 		ignore_change(update, false, version, error);
@@ -373,6 +399,11 @@
 	    update->table == NULL ||
 	    version <= config_items_version(update->items))
 		return;
+	LOG_INFO("version raised without changes", "{s:I, s:I, s:I, s:b}",
+	    "revision", (json_int_t)version, "before",
+	    (json_int_t)config_items_version(update->items), "version",
+	    (json_int_t)version_in_force(update), "missed",
+	    routing_update_has_missed(update));
 	config_items_begin(update->items, version);
 	config_items_commit(update->items, version, update->table->version);
 	update->ops->applied(update->data, version);
--- a/src/operator/summary.c
+++ b/src/operator/summary.c
@@ -5,7 +5,7 @@
 
 #include <jansson.h>
 
-#define MEMBERS_MAX	3
+#define MEMBERS_MAX	4
 #define VALUE_MAX_BYTES 160
 #define TIME_MAX_BYTES	40
 #define ID_MAX_BYTES	80
@@ -18,6 +18,7 @@
 	const char *text;
 	const char *members[MEMBERS_MAX];
 	const char *total; /* member whose sum is shown; may be NULL */
+	const char *age; /* member in ms, shown by its class; may be NULL */
 	const char *title; /* written in place of the text; may be NULL */
 	bool callers_errors; /* only lines with a status from 300 to 499 */
 } kinds[] = {
@@ -27,6 +28,9 @@
 	.title = "request ended with a status from 300 to 499",
 	.callers_errors = true},
     {.text = "request refused", .members = {"code", "why"}},
+    {.text = "unknown route or key",
+	.members = {"unknown", "current", "watching", "heard_from"},
+	.age = "heard_ms"},
     {.text = "request rejected before it was read", .members = {"code"}},
     {.text = "request rejected by the HTTP library", .members = {"status"}},
     {.text = "response not believed", .members = {"upstream", "why"}},
@@ -35,6 +39,11 @@
     {.text = "prompt part refused", .members = {"part"}},
     {.text = "upstream avoided", .members = {"upstream"}},
     {.text = "connection to upstream broken", .members = {"upstream", "begun"}},
+    {.text = "store call without answer",
+	.members = {"kind", "reused_connection", "why"}},
+    {.text = "configuration change ignored", .members = {"why"}},
+    {.text = "configuration change dropped as not newer", .members = {"form"}},
+    {.text = "document version not requested any more", .members = {"name"}},
 };
 
 #define KIND_COUNT G_N_ELEMENTS(kinds)
@@ -131,6 +140,30 @@
 		g_string_append(out, "...");
 }
 
+/* Classes of ages; those from the last limit on have no name here. */
+static const struct age_class {
+	json_int_t below_ms;
+	const char *name;
+} age_classes[] = {
+    {0, "never"},
+    {500, "below 0.5 s"},
+    {2000, "below 2 s"},
+    {10000, "below 10 s"},
+};
+
+/* Returns the name of an age's class; a dash if it is no number. */
+static const char *
+age_name(const json_t *age)
+{
+	if (!json_is_integer(age))
+		return "-";
+	for (size_t i = 0; i < G_N_ELEMENTS(age_classes); i++) {
+		if (json_integer_value(age) < age_classes[i].below_ms)
+			return age_classes[i].name;
+	}
+	return "10 s or more";
+}
+
 /* Writes the cause of a line: the members of its kind with their values. */
 static void
 write_cause(GString *out, const struct kind *kind, const json_t *json)
@@ -151,6 +184,9 @@
 		else
 			g_string_append_c(out, '-');
 	}
+	if (kind->age != NULL)
+		g_string_append_printf(out, ", %s %s", kind->age,
+		    age_name(json_object_get(json, kind->age)));
 }
 
 /* Returns the group of a cause, or NULL if it is new and all are taken. */
--- a/src/peer/documents.c
+++ b/src/peer/documents.c
@@ -217,8 +217,7 @@
 	if (index == CONFIG_INDEX) {
 		config = decode_config(version, data, length);
 		if (config == NULL) {
-			gossip_reject_document(
-			    documents->spread, index, version);
+			documents_reject_index(documents, index, version);
 			return false;
 		}
 		config_unref(documents->config);
@@ -250,15 +249,20 @@
 		    sent->data.length);
 		return;
 	}
-	if (sent->version <= gossip_version(documents->spread, index) ||
-	    codec->apply(codec->data, sent->base, sent->version,
+	if (sent->version <= gossip_version(documents->spread, index)) {
+		LOG_DEBUG("document dropped as not newer", "{s:s, s:I}", "name",
+		    documents_names[index], "version",
+		    (json_int_t)sent->version);
+		return;
+	}
+	if (codec->apply(codec->data, sent->base, sent->version,
 		sent->data.data, sent->data.length))
 		return;
 	LOG_WARN("document refused", "{s:s, s:I, s:I}", "name",
 	    documents_names[index], "version", (json_int_t)sent->version,
 	    "base", (json_int_t)sent->base);
 	metric_add(&refused_count, 1);
-	gossip_reject_document(documents->spread, index, sent->version);
+	documents_reject_index(documents, index, sent->version);
 }
 
 /*
--- a/src/peer/documents_codec.c
+++ b/src/peer/documents_codec.c
@@ -7,6 +7,9 @@
 #include "base/metrics.h"
 #include "peer/documents_internal.h"
 
+#define LOG_MODULE "documents"
+#include "base/log.h"
+
 const char *const documents_names[DOCUMENTS] = {
     DOCUMENT_CONFIG,
     DOCUMENT_PLACEMENT,
@@ -118,6 +121,28 @@
 	documents->codecs[index].needs_repair = true;
 }
 
+/* Requests a version of a document that can't be used no more, and logs that.
+ */
+void
+documents_reject_index(
+    struct documents *documents, size_t index, uint64_t version)
+{
+	LOG_WARN("document version not requested any more", "{s:s, s:I, s:I}",
+	    "name", documents_names[index], "version", (json_int_t)version,
+	    "in_force", (json_int_t)gossip_version(documents->spread, index));
+	gossip_reject_document(documents->spread, index, version);
+}
+
+/* Returns when a peer last named the version here; unset for never. */
+struct timespec
+documents_same_at(const struct documents *documents, const char *name)
+{
+	size_t index = documents_find_index(name);
+
+	g_return_val_if_fail(index < DOCUMENTS, (struct timespec){0});
+	return gossip_same_at(documents->spread, index);
+}
+
 /* Requests this version of a document and earlier ones no more. */
 void
 documents_reject(
@@ -126,5 +151,5 @@
 	size_t index = documents_find_index(name);
 
 	g_return_if_fail(index < DOCUMENTS);
-	gossip_reject_document(documents->spread, index, version);
+	documents_reject_index(documents, index, version);
 }
--- a/src/peer/documents_internal.h
+++ b/src/peer/documents_internal.h
@@ -45,6 +45,7 @@
 extern const char *const documents_names[DOCUMENTS];
 
 size_t documents_find_index(const char *name);
+void documents_reject_index(struct documents *, size_t index, uint64_t version);
 void documents_send_repair(struct documents *, struct link *, size_t index,
     const struct message_pull *);
 
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/invariant.h"
+#include "cases.h"
 #include "peer/documents.h"
 #include "policy/gossip.h"
 
@@ -388,6 +389,39 @@
 	gossip_free(gossip);
 }
 
+/* What a peer's digest says about the version in force. */
+static const struct same_case {
+	const char *name;
+	uint64_t version; /* in the digest */
+	uint64_t accepted; /* after the digest; 0 for none */
+	int64_t same_ms; /* when the version was named; 0 for never */
+} same_cases[] = {
+    {"a peer that names the version in force", 4, 0, 70},
+    {"a peer that names an earlier version", 3, 0, 0},
+    {"a peer that names a later version", 5, 0, 0},
+    {"a peer that has no version", 0, 0, 0},
+    {"a later version was named by nobody yet", 4, 5, 0},
+};
+
+/* Tells when a peer named the version in force. */
+static void
+test_same(gconstpointer data)
+{
+	const struct same_case *c = &same_cases[GPOINTER_TO_SIZE(data)];
+	g_autoptr(GRand) random = g_rand_new_with_seed(1);
+	struct gossip *gossip = gossip_new(random, 1);
+	const uint64_t versions[GOSSIP_DOCUMENTS_MAX] = {c->version};
+	struct gossip_actions actions = {0};
+
+	gossip_accept_document(gossip, 0, 4, time_from_ms(50), &actions);
+	gossip_on_digest(
+	    gossip, &actions, versions, true, time_from_ms(70), &actions);
+	gossip_accept_document(
+	    gossip, 0, c->accepted, time_from_ms(90), &actions);
+	g_assert_cmpint(time_to_ms(gossip_same_at(gossip, 0)), ==, c->same_ms);
+	gossip_free(gossip);
+}
+
 /* A process: its own mesh and documents on real sockets. */
 struct process {
 	struct link_identity identity;
@@ -529,6 +563,7 @@
 	    test_crossed);
 	g_test_add_func(
 	    "/gossip/a rejected version is pulled only once", test_rejected);
+	ADD_CASES(same_cases, "/gossip/same", test_same);
 	g_test_add_func("/gossip/a configuration given to one process comes "
 			"into force at all",
 	    test_processes);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -53,11 +53,15 @@
 	int error; /* -1 for none */
 	const char *body;
 	int requests; /* received by the server */
+	bool reused; /* the connection of the call before */
 };
 
 static const struct call_case cases[] = {
     {"a response arrives completely", "GET", .calls = 1, .status = 200,
 	.sent = true, .error = -1, .body = "hello", .requests = 1},
+    {"a later call uses the connection of an earlier one", "GET", .calls = 2,
+	.status = 200, .sent = true, .error = -1, .body = "hello",
+	.requests = 2, .reused = true},
     {"a streamed response goes to the chunk callback", "POST", .streamed = true,
 	.calls = 1, .status = 200, .sent = true, .error = -1, .body = "hello",
 	.requests = 1},
@@ -256,6 +260,7 @@
 	}
 	g_assert_cmpint(result->status, ==, f->c->status);
 	g_assert_cmpint(result->may_have_sent, ==, f->c->sent);
+	g_assert_cmpint(result->reused_connection, ==, f->c->reused);
 	g_assert_cmpint(
 	    result->refused, ==, f->c->server == SERVER_NOT_LISTENING);
 	g_assert_cmpint(
@@ -392,13 +397,16 @@
 {
 	static const struct http_call_ops ops = {
 	    .chunk = cancel_on_chunk, .done = on_unexpected_done};
+	struct call_case c = cases[0];
 	struct fixture f = {0};
 	struct http_call_request request = {.method = "GET", .url = f.url};
 
-	set_up(&f, &cases[0]);
+	c.reused = true; /* the first response was complete */
+	set_up(&f, &c);
 	f.call = http_client_start(f.client, &request, &ops, &f);
 	ev_run(f.loop, 0);
 	g_assert_cmpint(f.requests, ==, 2);
+	g_assert_cmpuint(f.connection_count, ==, 1);
 	tear_down(&f);
 }
 
--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -287,7 +287,8 @@
 	address = g_strdup_printf("127.0.0.1:%d", httpd_port(f->httpd));
 	f->http = http_client_new(f->loop, NULL);
 	f->store = object_store_new(f->http, address, NULL);
-	f->watch = object_watch_new(f->loop, f->store, "servers", on_change, f);
+	f->watch = object_watch_new(
+	    f->loop, clock_system(), f->store, "servers", on_change, f);
 }
 
 /* Frees the watch and stops the store. */
@@ -379,13 +380,19 @@
 	g_assert_false(apply_update(&f, 0, 9, "{}"));
 	g_assert_false(apply_update(&f, 0, 9, "["));
 	g_assert_false(apply_update(&f, 8, 9, changes));
+	g_assert_cmpstr(
+	    freshness_source(object_watch_freshness(f.watch)), ==, "store");
 	g_assert_true(apply_update(&f, 0, 9, newer));
+	g_assert_cmpstr(
+	    freshness_source(object_watch_freshness(f.watch)), ==, "peer");
 	g_assert_cmpstr(f.names, ==, "c");
 	while (f.calls < 3)
 		ev_run(f.loop, EVRUN_ONCE);
 	g_assert_true(apply_update(&f, 9, 11, changes));
 	g_assert_cmpstr(f.names, ==, "e");
 	run_to_last_call(&f);
+	g_assert_cmpstr(
+	    freshness_source(object_watch_freshness(f.watch)), ==, "store");
 	g_assert_cmpstr(f.names, ==, "d e");
 	g_assert_false(object_watch_is_disconnected(f.watch));
 	tear_down(&f);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -136,8 +136,8 @@
 	    http, "127.0.0.1:1", NULL);
 	struct seen seen = {
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL), 0};
-	struct object_watch *watch = object_watch_new(
-	    loop, store, DECODE_KIND_UPSTREAMS, on_change, &seen);
+	struct object_watch *watch = object_watch_new(loop, clock_system(),
+	    store, DECODE_KIND_UPSTREAMS, on_change, &seen);
 	g_autofree char *a = g_strdup_printf(GOOD, "a");
 	g_autofree char *b = g_strdup_printf(GOOD, "b");
 	g_autofree char *good = g_strdup_printf(GOOD, "odd");
--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -9,7 +9,10 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "base/metrics.h"
+#include "cases.h"
 #include "gateway/routing_update.h"
+#include "log_capture.h"
 
 #define ROUTES	     200
 #define CHANGES	     30
@@ -310,6 +313,82 @@
 	tear_down(&t);
 }
 
+#define DROPPED "heatherturn_configuration_changes_dropped "
+
+/* Returns the number of dropped changes of this process. */
+static int64_t
+dropped_count(void)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	const char *line;
+
+	metrics_write(text);
+	line = strstr(text->str, "\n" DROPPED);
+	return line == NULL
+	    ? 0
+	    : g_ascii_strtoll(line + strlen("\n" DROPPED), NULL, 10);
+}
+
+/* Changes that come after version 4 is in force or waits. */
+static const struct dropped_case {
+	const char *name;
+	bool waits; /* version 4 waits behind another one */
+	bool is_object;
+	int version;
+	bool is_dropped;
+} dropped_cases[] = {
+    {"an object of the version in force is dropped", false, true, 4, true},
+    {"an object of an earlier version is dropped", false, true, 3, true},
+    {"an object of a later version is not dropped", false, true, 5, false},
+    {"items of the version in force are dropped", false, false, 4, true},
+    {"an object of the version that waits is dropped", true, true, 4, true},
+    {"an object later than the one that waits is not dropped", true, true, 5,
+	false},
+};
+
+/* A change that is dropped as not newer is counted and logged. */
+static void
+test_dropped(gconstpointer data)
+{
+	const struct dropped_case *c = &dropped_cases[GPOINTER_TO_SIZE(data)];
+	struct log_capture capture;
+	g_autofree char *log = NULL;
+	int64_t before = dropped_count();
+	struct test t;
+	json_t *line;
+
+	set_up(&t);
+	if (c->waits)
+		add_object(&t, 1);
+	add_object(&t, 4);
+	if (!c->waits)
+		finish(&t);
+	log_capture_start(&capture);
+	if (c->is_object)
+		add_object(&t, c->version);
+	else
+		add_unconnected(&t, (uint64_t)c->version);
+	finish(&t);
+	log = log_capture_read(&capture);
+	log_capture_stop(&capture);
+	g_assert_cmpint(dropped_count() - before, ==, c->is_dropped);
+	line = log_capture_find(
+	    log, "configuration change dropped as not newer");
+	g_assert_cmpint(line != NULL, ==, c->is_dropped);
+	if (c->is_dropped) {
+		g_assert_cmpstr(
+		    json_string_value(json_object_get(line, "form")), ==,
+		    c->is_object ? "object" : "items");
+		g_assert_cmpint(
+		    json_integer_value(json_object_get(line, "revision")), ==,
+		    c->version);
+		g_assert_cmpint(
+		    json_integer_value(json_object_get(line, "known")), ==, 4);
+	}
+	json_decref(line);
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -332,5 +411,6 @@
 	    "/routing_update/a change that could not be used leaves "
 	    "the configuration behind",
 	    test_behind);
+	ADD_CASES(dropped_cases, "/routing_update", test_dropped);
 	return g_test_run();
 }
--- a/tests/test_summary.c
+++ b/tests/test_summary.c
@@ -15,6 +15,11 @@
 	    "request ended\",\"request\":\"" request "\",\"" \
 	    "how\":\"" how "\",\"route\":" route ",\"sends\":" sends)
 
+#define UNKNOWN(request, watching, from, ms)                               \
+	"unknown route or key\",\"request\":\"" request                    \
+	"\",\"unknown\":\"route\",\"current\":true,\"watching\":" watching \
+	",\"heard_from\":\"" from "\",\"heard_ms\":" ms
+
 #define CASE_LINES_MAX 6
 
 static const struct summary_case {
@@ -109,6 +114,47 @@
 	"         1  status 431\n"
 	"\nresponse not believed: 1\n"
 	"         1  upstream u, why no seal, first request d\n"},
+    {"unknown routes and keys are grouped by how current the gateway was",
+	{LINE("1", UNKNOWN("a", "true", "store", "499")),
+	    LINE("2", UNKNOWN("b", "true", "store", "500")),
+	    LINE("3", UNKNOWN("c", "true", "store", "1999")),
+	    LINE("4", UNKNOWN("d", "false", "peer", "2000")),
+	    LINE("5", UNKNOWN("e", "false", "peer", "10000")),
+	    LINE("6", UNKNOWN("f", "false", "none", "-1"))},
+	0,
+	"6 lines, 0 could not be read, 0 dropped by the processes\n"
+	"\nunknown route or key: 6\n"
+	"         2  unknown route, current true, watching true, heard_from "
+	"store, heard_ms below 2 s, first request b\n"
+	"         1  unknown route, current true, watching false, heard_from "
+	"none, heard_ms never, first request f\n"
+	"         1  unknown route, current true, watching false, heard_from "
+	"peer, heard_ms 10 s or more, first request e\n"
+	"         1  unknown route, current true, watching false, heard_from "
+	"peer, heard_ms below 10 s, first request d\n"
+	"         1  unknown route, current true, watching true, heard_from "
+	"store, heard_ms below 0.5 s, first request a\n"},
+    {"beliefs about versions are counted by their cause",
+	{LINE("1",
+	     "store call without answer\",\"kind\":\"config\","
+	     "\"reused_connection\":true,\"why\":\"timed out\""),
+	    LINE("2", "configuration change ignored\",\"why\":\"w\""),
+	    LINE("3",
+		"configuration change dropped as not newer\","
+		"\"form\":\"items\",\"revision\":7"),
+	    LINE("4",
+		"document version not requested any more\","
+		"\"name\":\"routing_items\",\"version\":7")},
+	0,
+	"4 lines, 0 could not be read, 0 dropped by the processes\n"
+	"\nstore call without answer: 1\n"
+	"         1  kind config, reused_connection true, why timed out\n"
+	"\nconfiguration change ignored: 1\n"
+	"         1  why w\n"
+	"\nconfiguration change dropped as not newer: 1\n"
+	"         1  form items\n"
+	"\ndocument version not requested any more: 1\n"
+	"         1  name routing_items\n"},
     {"what stands before the first brace is passed over",
 	{"17.8 gateway-1 " LINE("1", "upstream avoided\",\"upstream\":\"u\"")},
 	0,
