Test: an API key that is refused after a repair, though it is in force

Callers with the key get 401 at a gateway that has the newest version, until the key's organisation changes. Cause: a table has one owner for a key. An update that fails its checksum may leave the key staged for a second organisation; when a repair takes it from that one, the first one's item is unchanged, so nothing puts it back, and the items fit their checksum.

--- a/tests/test_config_replay.c
+++ b/tests/test_config_replay.c
@@ -533,11 +533,45 @@
 	tear_down(&fleet);
 }
 
+/*
+ * A key moves to another organisation and back while two watchers see different
+ * steps. A peer gets the move from one that left out the step before, and the
+ * way back from the other one, as a repair.
+ */
+static void
+test_key_repaired(void)
+{
+	struct fleet fleet;
+
+	set_up(&fleet, "a key that comes back", 1);
+	write_config(&fleet, parse_spec("o1:k2 o2:k3"));
+	watch(&fleet, 0, false);
+	watch(&fleet, 1, false);
+	write_config(&fleet, parse_spec("o1:k1,k2 o2:k3"));
+	watch(&fleet, 0, false);
+	finish(&fleet);
+	take(&fleet, 0, STRANGER);
+	write_config(&fleet, parse_spec("o1:k2 o2:k1,k3"));
+	watch(&fleet, 1, false);
+	finish(&fleet);
+	take(&fleet, 1, STRANGER);
+	g_assert_true(fleet.gateways[STRANGER].needs_repair);
+	write_config(&fleet, parse_spec("o1:k1,k2 o2:k3"));
+	watch(&fleet, 0, false);
+	finish(&fleet);
+	take(&fleet, 0, STRANGER);
+	check_all(&fleet);
+	tear_down(&fleet);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(forms, "/config_replay/form", test_form);
+	g_test_add_func("/config_replay/a key that moves and comes back is "
+			"found after a repair",
+	    test_key_repaired);
 	g_test_add_func("/config_replay/random changes, orders and faults end "
 			"with the newest configuration everywhere",
 	    test_seeds);
