Test: a version is believed whose configuration was refused

Callers get 404 or 401 for what the newest configuration adds, from gateways that could know that they don't have it. Cause: a watcher that has refused an object keeps that to itself; the next list of the store has no change, and routing_update_raise_version() announces its revision with the items of the version before. A gateway that takes them has no sign of the refused one.

--- a/tests/test_config_replay.c
+++ b/tests/test_config_replay.c
@@ -564,6 +564,34 @@
 	tear_down(&fleet);
 }
 
+/*
+ * A watcher can't use the newest version, which has no routes, and then lists
+ * the store. Another gateway that takes its items must not believe that there
+ * is no newer configuration.
+ */
+static void
+test_refused(void)
+{
+	struct fleet fleet;
+	uint64_t refused;
+
+	set_up(&fleet, "a version that can't be used", 1);
+	write_config(&fleet, parse_spec("r1@h0/=s o1:k1"));
+	watch(&fleet, 0, false);
+	finish(&fleet);
+	write_config(&fleet, json_object());
+	refused = fleet.revision++;
+	watch(&fleet, 0, false);
+	finish(&fleet);
+	json_decref(fleet.specs[--fleet.count]);
+	watch(&fleet, 0, true);
+	take(&fleet, 0, STRANGER);
+	if (fleet.gateways[STRANGER].version >= refused)
+		g_assert_true(
+		    routing_update_is_behind(fleet.gateways[STRANGER].update));
+	tear_down(&fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -572,6 +600,9 @@
 	g_test_add_func("/config_replay/a key that moves and comes back is "
 			"found after a repair",
 	    test_key_repaired);
+	g_test_add_func("/config_replay/a version that can't be used is not "
+			"believed to be in force",
+	    test_refused);
 	g_test_add_func("/config_replay/random changes, orders and faults end "
 			"with the newest configuration everywhere",
 	    test_seeds);
