--- a/tests/test_config_replay.c
+++ b/tests/test_config_replay.c
@@ -102,13 +102,13 @@
 			json_object_set_new(spec, "Tenants", organisations);
 		}
 		json_array_append_new(path != NULL ? routes : organisations,
-		    path != NULL
-			? json_pack("{s:s, s:s#, s:s, s:o}", "Name", parts[0],
-			      "Host", parts[1], (int)strcspn(parts[1], "/"),
-			      "PathPrefix", strchr(parts[1], '/'), "Split",
-			      names)
-			: json_pack(
-			      "{s:s, s:o}", "Name", parts[0], "Keys", names));
+		    path != NULL ? json_pack("{s:s, s:s#, s:s, s:s, s:o}",
+				       "Name", parts[0], "Host", parts[1],
+				       (int)strcspn(parts[1], "/"),
+				       "PathPrefix", strchr(parts[1], '/'),
+				       "Kind", "idempotent", "Split", names)
+				 : json_pack("{s:s, s:o}", "Name", parts[0],
+				       "Keys", names));
 	}
 	return spec;
 }
