Test: a watch whose answer is too large is repeated for ever

Watchers of the store get no further change: an answer to a watch has each event with its whole object, so nine configurations of 1 MB exceed the 8 MiB that the client takes. The call fails, the same revision is watched again, and the answer is longer each time. Until the store drops that history, or a peer has a later version, the gateways answer from the old table and know of no newer one. Two more cases pass: several events of one object in an answer, and a refused page of a list.

--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -12,6 +12,9 @@
 #define TEST_TIMEOUT_S 20.0
 #define BODY_MAX_BYTES 1024
 #define CALLS_MAX      8
+/* Body of a response that is longer than the client takes. */
+#define TOO_LONG       "too long"
+#define TOO_LONG_BYTES ((size_t)9 * 1024 * 1024)
 
 /* A response of the store; they are given in the order of the calls. */
 struct response {
@@ -102,6 +105,40 @@
 	     "\"StoreRevision\":7}"},
 	    {"Watch=7", 0, NULL}},
 	"a", 7},
+    {"of several events of an object the last one counts",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\",\"Revision\":1}}],"
+	     "\"HasMore\":false,\"StoreRevision\":7}"},
+	    {"Watch=7", 200,
+		"{\"events\":[{\"Object\":{\"Metadata\":{\"Name\":\"b\","
+		"\"Revision\":8}}},{\"Tombstone\":true,\"Object\":"
+		"{\"Metadata\":{\"Name\":\"a\",\"Revision\":9}}},"
+		"{\"Object\":{\"Metadata\":{\"Name\":\"a\",\"Revision\":10,"
+		"\"CreateRevision\":10}}},{\"Tombstone\":true,\"Object\":"
+		"{\"Metadata\":{\"Name\":\"b\",\"Revision\":11}}}],"
+		"\"StoreRevision\":40}"},
+	    {"Watch=40", 0, NULL}},
+	"a", 40},
+    {"a page that is refused is requested again, and nothing is lost",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":true,"
+	     "\"StoreRevision\":7}"},
+	    {"After=a", 429, "{}"}, {"After=a", 503, "{}"},
+	    {"After=a", 200,
+		"{\"Items\":[{\"Metadata\":{\"Name\":\"b\"}}],"
+		"\"HasMore\":false,\"StoreRevision\":19}"},
+	    {"Watch=7", 0, NULL}},
+	"a b", 7},
+    {"a watch whose events are too many is followed by a list",
+	{{"servers", 200,
+	     "{\"Items\":[{\"Metadata\":{\"Name\":\"a\"}}],\"HasMore\":false,"
+	     "\"StoreRevision\":7}"},
+	    {"Watch=7", 200, TOO_LONG},
+	    {"servers", 200,
+		"{\"Items\":[{\"Metadata\":{\"Name\":\"b\"}}],"
+		"\"HasMore\":false,\"StoreRevision\":30}"},
+	    {"Watch=30", 0, NULL}},
+	"b", 30},
     {"an object without a name is ignored",
 	{{"servers", 200,
 	     "{\"Items\":[{\"Spec\":1},{\"Metadata\":{\"Name\":\"a\"}}],"
@@ -225,10 +262,16 @@
 	    strstr(httpd_request_target(request), response->query));
 	g_assert_cmpint(strstr(httpd_request_target(request), "Watch=") != NULL,
 	    ==, strstr(response->query, "Watch=") != NULL);
-	if (response->status != 0)
+	if (response->status != 0 && strcmp(response->body, TOO_LONG) == 0) {
+		g_autofree char *body = g_strnfill(TOO_LONG_BYTES, ' ');
+
+		httpd_respond(
+		    request, response->status, NULL, 0, body, TOO_LONG_BYTES);
+	} else if (response->status != 0) {
 		httpd_respond(request, response->status, &era,
 		    era.value == NULL ? 0 : 1, response->body,
 		    strlen(response->body));
+	}
 }
 
 /* Calls have no state. */
