Tests: gateways with one configuration disagree on its version

Callers got 503 not_current for unknown routes and keys from gateways that have the newest configuration, from right after the start until the next change. A gateway gives the configuration the store's revision at which it was read, not the one at which it changed. One that read the same object later has a later version, and what it sends to the others has no item, not even the version: 'configuration change ignored'.

--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -449,6 +449,13 @@
 		"Revision", fake_platform->revision, "Spec", json));
 }
 
+/* Raises the store's revision, as a write of another kind does. */
+void
+fake_platform_raise_revision(struct fake_platform *fake_platform)
+{
+	fake_platform->revision++;
+}
+
 /*
  * Replaces the configuration and tells the gateway that watches it, for whose
  * watch it waits.
--- a/tests/test_routing_state.c
+++ b/tests/test_routing_state.c
@@ -281,6 +281,32 @@
 	tear_down(&t);
 }
 
+/*
+ * Gateways that have the same configuration agree on its version, however far
+ * the store's revision had risen when they read it. If not, the one with the
+ * later version sends updates without content, and the others take themselves
+ * for outdated.
+ */
+static void
+test_version(void)
+{
+	struct test t = {.peer = {.document = DOCUMENT_ROUTES, .version = 8}};
+	const struct load_sync_settings settings = {
+	    .self = "g-3", .failure_domain = "z", .has_seeds = true};
+	struct peer_gateway third;
+
+	set_up(&t);
+	fake_platform_raise_revision(t.platform);
+	peer_gateway_start(&third, t.loop, t.platform, &settings);
+	while (!routing_state_is_complete(third.routing_state))
+		ev_run(t.loop, EVRUN_ONCE);
+	g_assert_cmpuint(
+	    documents_version(third.documents, DOCUMENT_ROUTING_ITEMS), ==,
+	    documents_version(t.first.documents, DOCUMENT_ROUTING_ITEMS));
+	peer_gateway_stop(&third);
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -295,5 +321,8 @@
 	g_test_add_func("/routing_state/items that do not fit their version "
 			"are refused, and a repair is requested",
 	    test_mismatch);
+	g_test_add_func("/routing_state/gateways that read a configuration at "
+			"different times agree on its version",
+	    test_version);
 	return g_test_run();
 }
--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -81,9 +81,12 @@
 	ev_loop_destroy(t->loop);
 }
 
-/* Adds an object whose routes all have the name of its version. */
+/*
+ * Adds an object, as the store has it in this version, whose routes all have
+ * the name of the version in which it last changed.
+ */
 static void
-add_object(struct test *t, int version)
+add_object_at(struct test *t, int version, uint64_t read_at)
 {
 	json_t *routes = json_array();
 	json_t *object;
@@ -99,10 +102,17 @@
 	object = json_pack("{s:{s:s, s:i}, s:{s:i, s:o, s:[]}}", "Metadata",
 	    "Name", "main", "Revision", version, "Spec", "Version", version,
 	    "Routes", routes, "Services");
-	routing_update_add_object(t->update, object, (uint64_t)version);
+	routing_update_add_object(t->update, object, read_at);
 	json_decref(object);
 }
 
+/* Adds such an object, as the store has it when it changes. */
+static void
+add_object(struct test *t, int version)
+{
+	add_object_at(t, version, (uint64_t)version);
+}
+
 /* All routes are those of the configuration in force. */
 static void
 check_routes(const struct test *t)
@@ -389,6 +399,37 @@
 	tear_down(&t);
 }
 
+/*
+ * A peer's update that changes no item is used: the peer has the configuration
+ * that is in force here, under a later version. If it were refused, the newest
+ * configuration would count as outdated until the next change.
+ */
+static void
+test_update_without_changes(void)
+{
+	struct test t;
+	struct test peer;
+	g_autoptr(GString) text = NULL;
+	uint64_t base;
+
+	set_up(&t);
+	set_up(&peer);
+	add_object_at(&t, 3, 5);
+	finish(&t);
+	add_object_at(&peer, 3, 9);
+	finish(&peer);
+	text = routing_update_encode(peer.update, 5, &base);
+	g_assert_cmpuint(base, ==, 5);
+	g_assert_true(routing_update_add_items(
+	    t.update, base, 9, (const uint8_t *)text->str, text->len));
+	finish(&t);
+	g_assert_false(routing_update_is_behind(t.update));
+	g_assert_cmpuint(t.versions[t.count - 1], ==, 9);
+	check_routes(&t);
+	tear_down(&peer);
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -404,6 +445,9 @@
 	    test_flood);
 	g_test_add_func(
 	    "/routing_update/a part of a change is never sent", test_encode);
+	g_test_add_func("/routing_update/a peer's update without changes is "
+			"no newer configuration that is missing",
+	    test_update_without_changes);
 	g_test_add_func("/routing_update/a change that fails half-way leaves "
 			"the configuration in force",
 	    test_failure);
