The version of the configuration is that of its object's last change

Callers got 503 not_current for unknown routes and keys from gateways that have the newest configuration, and 404 and 401 from ones that could know that they don't have it. Cause: a gateway gave the configuration the store's revision at which it had read it, and each write of a server's entry raises that. Gateways with the same configuration had different versions, sent each other updates without content, and raised their versions after each list of the store, also a watcher that had refused the newest object: those that took its items believed to have that version. A version also was a position of the store to watch from, taken from a peer's word.

Now the version is the revision of the object's last change, which all that have the object agree on; an object without one has the revision at which it was read, as before. Two gateways have one version only with one content, so nothing needs to be raised, and a watch continues from the store's own last answer only. routing_update_raise_version() and object_watch_advance() are gone. The cases of test_behind that raised a version now read the object again: an unchanged object still does not end what was missed, and the missed version itself does. The replay's list without a change is gone with it, and its case of a refused version asks for more: that the version is not taken.

--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -7,6 +7,7 @@
 #include "platform/config_items.h"
 #include "platform/decode.h"
 #include "platform/object_watch.h"
+#include "platform/store_version.h"
 
 G_STATIC_ASSERT(CONFIG_ITEMS_BUCKETS <= DOCUMENTS_SUMS_MAX);
 
@@ -22,6 +23,7 @@
 
 struct routing_state {
 	struct clock *clock;
+	struct object_store *store;
 	struct documents *documents;
 	struct shared_kind routes;
 	struct shared_kind upstreams;
@@ -114,7 +116,8 @@
 	metric_set(&routes_version, (int64_t)routes);
 	LOG_INFO("routes in force", "{s:I, s:I}", "version", (json_int_t)routes,
 	    "revision", (json_int_t)version);
-	object_watch_advance(routing_state->routes.watch, version);
+	object_store_raise_era(
+	    routing_state->store, store_version_era(version));
 	documents_record(routing_state->documents, DOCUMENT_ROUTES, version);
 	announce(&routing_state->routes, version);
 	notify_complete(routing_state);
@@ -138,22 +141,24 @@
     .failed = on_routes_failed,
 };
 
-/* Takes the configuration's object from the store, or from a peer. */
+/*
+ * Takes the configuration's object from the store, or from a peer. Its own
+ * version is that of the configuration: other objects raise the store's.
+ */
 static void
 on_routes(void *data, uint64_t version, const struct object_changes *changes)
 {
 	const struct shared_kind *kind = data;
 	struct routing_update *update = kind->routing_state->update;
 
-	if (changes->put_count == 0 && changes->removed_count == 0) {
-		routing_update_raise_version(update, version);
+	if (changes->put_count == 0 && changes->removed_count == 0)
 		return;
-	}
 	for (size_t i = 0; i < changes->put_count; i++) {
 		if (strcmp(object_name(changes->put[i]), CONFIG_ITEMS_OBJECT) !=
 		    0)
 			continue;
-		routing_update_add_object(update, changes->put[i], version);
+		routing_update_add_object(update, changes->put[i],
+		    object_last_change(changes->put[i], version));
 		return;
 	}
 	LOG_WARN("ignored invalid routes", "{s:s, s:I}", "why",
@@ -283,6 +288,7 @@
 	struct routing_state *routing_state = g_new0(struct routing_state, 1);
 
 	routing_state->clock = clock;
+	routing_state->store = store;
 	routing_state->documents = documents;
 	routing_state->fleet = fleet_new();
 	routing_state->watching = watching;
--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -388,27 +388,6 @@
 	return update->refused_version != version;
 }
 
-/*
- * Records that the store has no newer configuration in this version, so that
- * other processes see that this one is up to date.
- */
-void
-routing_update_raise_version(struct routing_update *update, uint64_t version)
-{
-	if (routing_update_is_busy(update) || update->is_damaged ||
-	    update->table == NULL ||
-	    version <= config_items_version(update->items))
-		return;
-	LOG_INFO("version raised without changes", "{s:I, s:I, s:I, s:b}",
-	    "revision", (json_int_t)version, "before",
-	    (json_int_t)config_items_version(update->items), "version",
-	    (json_int_t)version_in_force(update), "missed",
-	    routing_update_has_missed(update));
-	config_items_begin(update->items, version);
-	config_items_commit(update->items, version, update->table->version);
-	update->ops->applied(update->data, version);
-}
-
 /* Returns whether the items are those of a version, and not of a part of it. */
 static bool
 is_consistent(const struct routing_update *update)
--- a/src/gateway/routing_update.h
+++ b/src/gateway/routing_update.h
@@ -45,7 +45,6 @@
     struct routing_update *, json_t *object, uint64_t version);
 bool routing_update_add_items(struct routing_update *, uint64_t base,
     uint64_t version, const uint8_t *text, size_t);
-void routing_update_raise_version(struct routing_update *, uint64_t version);
 bool routing_update_is_busy(const struct routing_update *);
 bool routing_update_is_behind(const struct routing_update *);
 bool routing_update_has_missed(const struct routing_update *);
--- a/tests/test_config_replay.c
+++ b/tests/test_config_replay.c
@@ -12,6 +12,7 @@
 #include "cases.h"
 #include "gateway/routing_update.h"
 #include "platform/config_items.h"
+#include "platform/object_set.h"
 
 #define GATEWAYS      5
 #define WATCHERS      3
@@ -294,25 +295,22 @@
 	fleet->revisions[fleet->count++] = ++fleet->revision;
 }
 
-/* A call of a watcher returns: with the newest object, or a list without. */
+/* A call of a watcher returns with the newest object, if there is one. */
 static void
-watch(struct fleet *fleet, size_t at, bool is_list)
+watch(struct fleet *fleet, size_t at)
 {
 	struct gateway *gateway = &fleet->gateways[at];
 	json_t *object;
 
-	if (gateway->seen < fleet->count) {
-		gateway->seen = fleet->count;
-		object = json_pack("{s:{s:s, s:I}, s:o}", "Metadata", "Name",
-		    "main", "Revision",
-		    (json_int_t)fleet->revisions[fleet->count - 1], "Spec",
-		    json_deep_copy(fleet->specs[fleet->count - 1]));
-		routing_update_add_object(
-		    gateway->update, object, fleet->revision);
-		json_decref(object);
-	} else if (is_list) {
-		routing_update_raise_version(gateway->update, fleet->revision);
-	}
+	if (gateway->seen == fleet->count)
+		return;
+	gateway->seen = fleet->count;
+	object = json_pack("{s:{s:s, s:I}, s:o}", "Metadata", "Name", "main",
+	    "Revision", (json_int_t)fleet->revisions[fleet->count - 1], "Spec",
+	    json_deep_copy(fleet->specs[fleet->count - 1]));
+	routing_update_add_object(gateway->update, object,
+	    object_last_change(object, fleet->revision));
+	json_decref(object);
 }
 
 /* A gateway requests what it lacks of a newer version of another one. */
@@ -426,7 +424,7 @@
 	else if (what < 16)
 		fleet->revision += (uint64_t)draw(fleet, 5);
 	else if (what < 36)
-		watch(fleet, at % WATCHERS, draw(fleet, 6) == 0);
+		watch(fleet, at % WATCHERS);
 	else if (what < 62)
 		pull(fleet, (size_t)draw(fleet, GATEWAYS), at);
 	else if (what < 84 && message > 0)
@@ -451,7 +449,7 @@
 	for (int i = 1; i < STEPS; i++)
 		step(&fleet);
 	for (size_t i = 0; i < WATCHERS; i++)
-		watch(&fleet, i, true);
+		watch(&fleet, i);
 	check_all(&fleet);
 	tear_down(&fleet);
 }
@@ -524,9 +522,9 @@
 	set_up(&fleet, c->name, 1);
 	for (size_t i = 0; i < 6 && c->versions[i] != NULL; i++) {
 		write_config(&fleet, parse_spec(c->versions[i]));
-		watch(&fleet, 0, false);
+		watch(&fleet, 0);
 		if (i % 2 == 0)
-			watch(&fleet, 1, false);
+			watch(&fleet, 1);
 		start_gateway(&fleet, STRANGER);
 		check_all(&fleet);
 	}
@@ -545,19 +543,19 @@
 
 	set_up(&fleet, "a key that comes back", 1);
 	write_config(&fleet, parse_spec("o1:k2 o2:k3"));
-	watch(&fleet, 0, false);
-	watch(&fleet, 1, false);
+	watch(&fleet, 0);
+	watch(&fleet, 1);
 	write_config(&fleet, parse_spec("o1:k1,k2 o2:k3"));
-	watch(&fleet, 0, false);
+	watch(&fleet, 0);
 	finish(&fleet);
 	take(&fleet, 0, STRANGER);
 	write_config(&fleet, parse_spec("o1:k2 o2:k1,k3"));
-	watch(&fleet, 1, false);
+	watch(&fleet, 1);
 	finish(&fleet);
 	take(&fleet, 1, STRANGER);
 	g_assert_true(fleet.gateways[STRANGER].needs_repair);
 	write_config(&fleet, parse_spec("o1:k1,k2 o2:k3"));
-	watch(&fleet, 0, false);
+	watch(&fleet, 0);
 	finish(&fleet);
 	take(&fleet, 0, STRANGER);
 	check_all(&fleet);
@@ -565,9 +563,8 @@
 }
 
 /*
- * A watcher can't use the newest version, which has no routes, and then lists
- * the store. Another gateway that takes its items must not believe that there
- * is no newer configuration.
+ * A watcher can't use the newest version, which has no routes. Another gateway
+ * that takes its items must not believe that they are that version.
  */
 static void
 test_refused(void)
@@ -577,18 +574,15 @@
 
 	set_up(&fleet, "a version that can't be used", 1);
 	write_config(&fleet, parse_spec("r1@h0/=s o1:k1"));
-	watch(&fleet, 0, false);
+	watch(&fleet, 0);
 	finish(&fleet);
 	write_config(&fleet, json_object());
 	refused = fleet.revision++;
-	watch(&fleet, 0, false);
+	watch(&fleet, 0);
 	finish(&fleet);
 	json_decref(fleet.specs[--fleet.count]);
-	watch(&fleet, 0, true);
 	take(&fleet, 0, STRANGER);
-	if (fleet.gateways[STRANGER].version >= refused)
-		g_assert_true(
-		    routing_update_is_behind(fleet.gateways[STRANGER].update));
+	g_assert_cmpuint(fleet.gateways[STRANGER].version, <, refused);
 	tear_down(&fleet);
 }
 
--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -308,7 +308,8 @@
 	add_invalid(&t, 4);
 	finish(&t);
 	g_assert_true(routing_update_has_missed(t.update));
-	routing_update_raise_version(t.update, 5);
+	add_object(&t, 3);
+	finish(&t);
 	g_assert_true(routing_update_is_behind(t.update));
 	add_object(&t, 6);
 	finish(&t);
@@ -316,9 +317,11 @@
 	add_unconnected(&t, 9);
 	finish(&t);
 	g_assert_true(routing_update_has_missed(t.update));
-	routing_update_raise_version(t.update, 8);
+	add_object(&t, 8);
+	finish(&t);
 	g_assert_true(routing_update_is_behind(t.update));
-	routing_update_raise_version(t.update, 9);
+	add_object(&t, 9);
+	finish(&t);
 	g_assert_false(routing_update_is_behind(t.update));
 	tear_down(&t);
 }
