An API key goes back to the organisation that still lists it

Callers with the key got 401 from a gateway that had the newest version, until an operator changed the key's organisation: a refusal that no configuration in force allows. Cause: the table has one owner for a key, and took the key out with its owner. An update that fails its checksum leaves what it has staged; it may have given the key to a second organisation. When a repair takes it from that one, the item of the first one is unchanged, so nothing puts the key back, and the checksum covers the items, not the table: it fits.

--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -38,9 +38,9 @@
 	GHashTable *hosts; /* name -> GArray of struct prefix_length, longest
 			      first */
 	GPtrArray *staged; /* slots with a next value */
+	GPtrArray *organisations; /* from the next switch on; borrowed */
 	uint64_t generation; /* rises with each switch */
 	struct caller_limits limits; /* from the next switch on */
-	size_t organisation_count; /* the same */
 };
 
 /* References by untyped pointers, for struct slot_map. */
@@ -118,6 +118,7 @@
 	content->hosts = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
 	content->staged = g_ptr_array_new();
+	content->organisations = g_ptr_array_new();
 	content->generation = 1;
 	table->content = content;
 	table->ranks = service_ranks_new();
@@ -131,6 +132,7 @@
 	if (table == NULL)
 		return;
 	g_ptr_array_unref(table->content->staged);
+	g_ptr_array_unref(table->content->organisations);
 	g_hash_table_unref(table->content->routes.slots);
 	g_hash_table_unref(table->content->services.slots);
 	g_hash_table_unref(table->content->keys.slots);
@@ -302,26 +304,51 @@
 routing_table_put_organisation(
     struct routing_table *table, struct organisation *organisation)
 {
-	table->content->organisation_count++;
+	g_ptr_array_add(table->content->organisations, organisation);
 	service_ranks_add_organisation(table->ranks, organisation);
 	for (guint i = 0; i < organisation->keys->len; i++)
 		stage(table, &table->content->keys,
 		    organisation->keys->pdata[i], organisation);
 }
 
+/* Returns an organisation that lists an API key; NULL if there is none. */
+static struct organisation *
+find_owner(const struct routing_table_content *content, const char *key)
+{
+	for (guint i = 0; i < content->organisations->len; i++) {
+		struct organisation *organisation = content->organisations
+							->pdata[i];
+
+		if (g_ptr_array_find_with_equal_func(
+			organisation->keys, key, g_str_equal, NULL))
+			return organisation;
+	}
+	return NULL;
+}
+
 /*
- * Removes an organisation and those of its API keys that no other organisation
- * has taken over.
+ * Removes an organisation and its API keys. A key that another one lists too
+ * goes to that one: while a change is staged, or after one that failed, a key
+ * may be in the organisation that it leaves and in the one that it goes to, in
+ * either order.
  */
 void
 routing_table_remove_organisation(
     struct routing_table *table, struct organisation *organisation)
 {
-	table->content->organisation_count--;
+	struct routing_table_content *content = table->content;
+
+	g_ptr_array_remove_fast(content->organisations, organisation);
 	service_ranks_remove_organisation(table->ranks, organisation);
-	for (guint i = 0; i < organisation->keys->len; i++)
-		stage_removal(table, &table->content->keys,
-		    organisation->keys->pdata[i], organisation);
+	for (guint i = 0; i < organisation->keys->len; i++) {
+		const char *key = organisation->keys->pdata[i];
+		const struct slot *slot = g_hash_table_lookup(
+		    content->keys.slots, key);
+
+		if (slot != NULL && staged_value(slot) == organisation)
+			stage(table, &content->keys, key,
+			    find_owner(content, key));
+	}
 }
 
 /* Sets the limits on callers' requests from the next switch on. */
@@ -338,7 +365,7 @@
 {
 	table->version = version;
 	table->limits = table->content->limits;
-	table->organisation_count = table->content->organisation_count;
+	table->organisation_count = table->content->organisations->len;
 	table->content->generation++;
 }
 
