After a call without an answer, no connection of before is used

Callers got 404 for an added route for 3.3 s, where a change has to be in force within 2 s: when all open connections to the store go silent and new ones work, a watch that was given up was repeated on the next kept connection, which was silent too.

A call that times out shows that connections which were open then may be dead. Later calls take none of that age; curl closes them. /http_client/a call with a limit of age uses no earlier connection shows the limit alone.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -23,6 +23,8 @@
 #define STATUS_OK		   200
 /* Lower codes are informational: a final status line follows. */
 #define STATUS_FINAL_MIN 200
+/* Curl closes idle connections long before. */
+#define CONNECTION_AGE_MAX_S 86400
 /* Interval of TCP keep-alive probes, for calls with unreachable_ms. */
 #define KEEPALIVE_INTERVAL_S 1
 
@@ -602,6 +604,25 @@
 	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers_out);
 }
 
+/*
+ * Leaves out connections that are older than the limit. Curl counts their age
+ * and its own limit in whole seconds, rounds the age down, and takes 0 for no
+ * limit.
+ */
+static void
+set_connection_age(struct http_call *call, int64_t max_age_ms)
+{
+	int64_t max_age_s = max_age_ms / MS_PER_S - 1;
+
+	if (max_age_ms <= 0)
+		return;
+	if (max_age_s <= 0)
+		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	else
+		curl_easy_setopt(call->easy, CURLOPT_MAXLIFETIME_CONN,
+		    (long)MIN(max_age_s, CONNECTION_AGE_MAX_S));
+}
+
 /* Sets method, URL, body and connection reuse. */
 static void
 set_request(struct http_call *call, const struct http_call_request *request)
@@ -628,6 +649,7 @@
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
 	if (request->dedicated_connection)
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+	set_connection_age(call, request->connection_max_age_ms);
 	if (request->connect_only)
 		curl_easy_setopt(call->easy, CURLOPT_CONNECT_ONLY, 1L);
 }
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -61,6 +61,12 @@
 	bool connect_only; /* succeeds once connected; nothing is sent */
 	/* Uses a new connection, which is closed after the response. */
 	bool dedicated_connection;
+	/*
+	 * Uses no connection that was open this long ago: its peer may have
+	 * gone silent since. Some younger ones may be left out too; 0 for no
+	 * limit.
+	 */
+	int64_t connection_max_age_ms;
 	/*
 	 * Whether a request may be sent twice: if a kept-alive connection turns
 	 * out to be broken, it is sent again on a new one. If false, each call
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -335,7 +335,7 @@
 		return false;
 	gateway->random = g_rand_new_with_seed(randombytes_random());
 	gateway->store = object_store_new(node_http_client(gateway->node),
-	    settings->objects, gateway->random);
+	    gateway->clock, settings->objects, gateway->random);
 	self = describe_self(gateway);
 	gateway->routing_state = routing_state_new(gateway->loop,
 	    gateway->clock, gateway->store, node_documents(gateway->node),
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -144,8 +144,8 @@
 	f->mesh = mesh_new(f->loop, clock_system(), &mesh, NULL);
 	f->documents = documents_new(
 	    f->loop, clock_system(), f->mesh, &f->identity);
-	f->store = object_store_new(
-	    f->http, fake_platform_store_address(f->fake_platform), NULL);
+	f->store = object_store_new(f->http, clock_system(),
+	    fake_platform_store_address(f->fake_platform), NULL);
 	f->exchange_context = (struct exchange_context){
 	    .loop = f->loop,
 	    .clock = clock_system(),
--- a/tests/peer_gateway.c
+++ b/tests/peer_gateway.c
@@ -24,8 +24,8 @@
 	own.address = gateway->address;
 	gateway->documents = documents_new(
 	    loop, clock_system(), gateway->mesh, &gateway->identity);
-	gateway->store = object_store_new(
-	    gateway->http, fake_platform_store_address(platform), NULL);
+	gateway->store = object_store_new(gateway->http, clock_system(),
+	    fake_platform_store_address(platform), NULL);
 	gateway->routing_state = routing_state_new(loop, clock_system(),
 	    gateway->store, gateway->documents, !settings->has_seeds);
 	gateway->registry = registry_new(
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -25,6 +25,7 @@
 	SERVER_CLOSES, /* without a response */
 	SERVER_CLOSES_SECOND, /* responds once, then closes */
 	SERVER_SILENT,
+	SERVER_SILENT_SECOND, /* on all open connections, from then on */
 	SERVER_STREAMS_HALF, /* headers and a part of the body, then nothing */
 	SERVER_BREAKS_STREAM, /* headers and a part of the body, then closes */
 	SERVER_NOT_LISTENING, /* no listener */
@@ -47,6 +48,7 @@
 	int calls; /* one after the other */
 	int64_t stall_ms;
 	int64_t timeout_ms;
+	int64_t max_age_ms; /* of the connection of the last call */
 	size_t max_bytes;
 	int status; /* of the last call, as are the following members */
 	bool sent;
@@ -82,6 +84,14 @@
     {"a silent server stalls the call", "POST", SERVER_SILENT, .calls = 1,
 	.stall_ms = 20, .sent = true, .error = HTTP_CLIENT_ERROR_STALLED,
 	.body = "", .requests = 1},
+    {"without a limit of age, a call takes a connection that went silent",
+	"POST", SERVER_SILENT_SECOND, .repeatable = true, .calls = 2,
+	.timeout_ms = 50, .sent = true, .error = HTTP_CLIENT_ERROR_TIMEOUT,
+	.body = "", .requests = 2, .reused = true},
+    {"a call with a limit of age uses no earlier connection", "POST",
+	SERVER_SILENT_SECOND, .repeatable = true, .calls = 2, .timeout_ms = 50,
+	.max_age_ms = 1, .status = 200, .sent = true, .error = -1,
+	.body = "hello", .requests = 2},
     {"a stream that goes silent stalls the call", "POST", SERVER_STREAMS_HALF,
 	.streamed = true, .calls = 1, .stall_ms = 20, .status = 200,
 	.sent = true, .error = HTTP_CLIENT_ERROR_STALLED, .body = "he",
@@ -154,6 +164,9 @@
 	} else if (behaviour == SERVER_FAILS) {
 		send_text(w->fd,
 		    "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
+	} else if (behaviour == SERVER_SILENT_SECOND && f->requests > 1 &&
+	    w == &f->connections[0]) {
+		return;
 	} else if (behaviour != SERVER_SILENT) {
 		send_text(w->fd, response_start);
 		send_text(w->fd, "he");
@@ -287,6 +300,9 @@
 	    .body_length = strcmp(f->c->method, "POST") == 0,
 	    .stall_ms = f->c->stall_ms,
 	    .timeout_ms = f->c->timeout_ms,
+	    .connection_max_age_ms = f->calls_done + 1 == f->c->calls
+		? f->c->max_age_ms
+		: 0,
 	    .response_max_bytes = f->c->max_bytes,
 	    .repeatable = f->c->repeatable};
 
--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -329,7 +329,7 @@
 	f->httpd = httpd_new(f->loop, &settings, &ops, f, NULL);
 	address = g_strdup_printf("127.0.0.1:%d", httpd_port(f->httpd));
 	f->http = http_client_new(f->loop, NULL);
-	f->store = object_store_new(f->http, address, NULL);
+	f->store = object_store_new(f->http, clock_system(), address, NULL);
 	f->watch = object_watch_new(
 	    f->loop, clock_system(), f->store, "servers", on_change, f);
 }
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -133,7 +133,7 @@
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
 	struct http_client *http = http_client_new(loop, NULL);
 	struct object_store *store = object_store_new(
-	    http, "127.0.0.1:1", NULL);
+	    http, clock_system(), "127.0.0.1:1", NULL);
 	struct seen seen = {
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL), 0};
 	struct object_watch *watch = object_watch_new(loop, clock_system(),
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -124,7 +124,7 @@
 	address = g_strdup_printf("127.0.0.1:%d", httpd_port(f->httpd));
 	f->http = http_client_new(f->loop, NULL);
 	f->mesh = mesh_new(f->loop, clock_system(), &mesh, NULL);
-	f->store = object_store_new(f->http, address, NULL);
+	f->store = object_store_new(f->http, clock_system(), address, NULL);
 	f->registry = registry_new(f->loop, f->store, f->mesh, &f->identity);
 }
 
--- a/tests/test_watch_record.c
+++ b/tests/test_watch_record.c
@@ -131,7 +131,8 @@
 	g_autofree char *address = g_strdup_printf(
 	    "127.0.0.1:%d", httpd_port(httpd));
 	struct http_client *http = http_client_new(loop, NULL);
-	struct object_store *store = object_store_new(http, address, NULL);
+	struct object_store *store = object_store_new(
+	    http, clock_system(), address, NULL);
 	struct object_watch *watch = object_watch_new(
 	    loop, clock_system(), store, "servers", on_change, NULL);
 	struct log_capture capture;
