An unknown route or key is refused for good only on recent evidence

Callers got 404 and 401 for what had been added from gateways that could not know of it: their connections to the store were dead, they had been frozen, or they relied on peers that had heard nothing. Cause: a gateway took its table for the newest as long as nobody had told it otherwise, for any length of time.

A gateway now knows as of when its configuration was the newest: by the store's own answers, or by the word of a peer that watches, which each load report has now with its age. If that is longer ago than a change may take (--config-max-age-ms, 2000), or a peer has named a newer version, an unknown route or key gets 503 not_current with Retry-After; what is known is served.

In the line "unknown route or key" this evidence replaces the times of a peer's change and of a peer that named the same version: a peer that is behind too names the same version.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -58,6 +58,7 @@
 
 	/* Gateways only. */
 	char *objects; /* the platform's object store */
+	int64_t config_max_age_ms; /* see policy/freshness.h */
 	double retry_ratio;
 	double retry_window_s;
 	double retry_slack; /* beyond the ratio, over all gateways */
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -5,6 +5,8 @@
 #define BODY_MIN_BYTES		1024
 #define BODIES_MAX_BYTES	(1024LL * 1024 * 1024)
 #define DRAIN_NOTICE_MAX_MS	600000
+#define CONFIG_MAX_AGE_MIN_MS	1500 /* a watch is answered within it */
+#define CONFIG_MAX_AGE_MAX_MS	60000
 #define GRACE_MAX_S		3600
 #define RETRY_WINDOW_MAX_S	60
 #define RETRY_SLACK_MAX		100000
@@ -85,6 +87,11 @@
     {"objects", SETTING_ADDRESS, FOR_GATEWAY, AT(objects), true,
 	.argument = "HOST:PORT",
 	.help = "address of the platform's object store"},
+    {"config-max-age-ms", SETTING_NUMBER, FOR_GATEWAY, AT(config_max_age_ms),
+	.default_value = "2000", .min = CONFIG_MAX_AGE_MIN_MS,
+	.max = CONFIG_MAX_AGE_MAX_MS, .argument = "MS",
+	.help = "longest time since the configuration was known to be the "
+		"newest in which an unknown route or key is refused for good"},
     {"retry-ratio", SETTING_FRACTION, FOR_GATEWAY, AT(retry_ratio),
 	.default_value = "0.1", .max = 1, .argument = "SHARE",
 	.help = "retries as a share of requests"},
--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -62,11 +62,9 @@
 	    routing_state_is_watching(state), "heard_from",
 	    freshness_source(&freshness), "heard_ms",
 	    (json_int_t)freshness_age_ms(&freshness, now), "store_ms",
-	    (json_int_t)freshness_since_ms(freshness.store_at, now),
-	    "peer_change_ms",
-	    (json_int_t)freshness_since_ms(freshness.peer_change_at, now),
-	    "peer_same_ms",
-	    (json_int_t)freshness_since_ms(freshness.peer_same_at, now));
+	    (json_int_t)freshness_since_ms(freshness.store_at, now), "peer_ms",
+	    (json_int_t)freshness_since_ms(freshness.peer_at, now),
+	    "newest_named", (json_int_t)freshness.newest_version);
 }
 
 /*
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -340,6 +340,8 @@
 	gateway->routing_state = routing_state_new(gateway->loop,
 	    gateway->clock, gateway->store, node_documents(gateway->node),
 	    self.is_seed || !self.has_seeds);
+	routing_state_set_max_age(
+	    gateway->routing_state, settings->config_max_age_ms);
 	gateway->registry = registry_new(gateway->loop, gateway->store,
 	    node_mesh(gateway->node), node_identity(gateway->node));
 	gateway->load_sync = load_sync_new(gateway->loop, gateway->clock,
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -121,6 +121,9 @@
 		relay_message(sync, origin, message);
 	if (is_load)
 		take_address(sync, origin, message->load.address);
+	if (is_load && message->load.routes_version > 0)
+		routing_state_on_peer_word(sync->routing_state,
+		    message->load.routes_version, message->load.routes_age_ms);
 	if (is_load) {
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
@@ -395,12 +398,16 @@
 	}
 }
 
-/* Returns whether a round can be skipped because there is nothing to report. */
+/*
+ * Returns whether a round can be skipped because there is nothing to report. A
+ * process that watches the store always reports when it last heard from it.
+ */
 static bool
 may_skip(struct load_sync *sync, const struct load_report *report,
     const GArray *ranks)
 {
-	bool empty = report->rows == 0 && report->faulty_count == 0 &&
+	bool empty = !routing_state_is_watching(sync->routing_state) &&
+	    report->rows == 0 && report->faulty_count == 0 &&
 	    report->leaving_count == 0 && report->rated_count == 0 &&
 	    ranks->len == 0;
 
@@ -435,6 +442,7 @@
 {
 	struct message message = {.kind = MESSAGE_LOAD};
 	bool changes = reports_changes(sync);
+	int64_t age_ms;
 	g_autoptr(GArray) ranks = rank_sync_encode(sync->ranks);
 	struct load_report report;
 
@@ -466,6 +474,11 @@
 	    .is_new = is_new(sync),
 	    .queued = {(uint64_t *)(void *)ranks->data, ranks->len},
 	};
+	if (routing_state_store_word(
+		sync->routing_state, &message.load.routes_version, &age_ms))
+		message.load.routes_age_ms = (uint32_t)age_ms;
+	else
+		message.load.routes_version = 0;
 	if (!may_skip(sync, &report, ranks) || !changes)
 		broadcast(sync, &message);
 	load_report_clear(&report);
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -29,6 +29,8 @@
 	struct shared_kind upstreams;
 	struct shared_kind takeouts;
 	struct routing_update *update; /* of the routing table */
+	struct freshness by_peers; /* of the routes, without the store's part */
+	int64_t max_age_ms; /* within which the routes count as the newest */
 	struct timespec table_applied_at; /* when this process applied it */
 	struct fleet *fleet;
 	bool takeouts_known;
@@ -292,6 +294,7 @@
 	routing_state->documents = documents;
 	routing_state->fleet = fleet_new();
 	routing_state->watching = watching;
+	routing_state->max_age_ms = ROUTING_STATE_MAX_AGE_MS;
 	routing_state->update = routing_update_new(
 	    loop, clock, &update_ops, routing_state);
 	start_watch(routing_state, &routing_state->routes, loop, store,
@@ -376,21 +379,74 @@
 	return routing_update_table(routing_state->update);
 }
 
+/* Sets how long the routes count as the newest after they were known to be. */
+void
+routing_state_set_max_age(
+    struct routing_state *routing_state, int64_t max_age_ms)
+{
+	routing_state->max_age_ms = max_age_ms;
+}
+
 /*
- * Returns whether the table is that of the newest configuration known here.
- * What it lacks, another one does not have either.
+ * Returns whether the table is that of the newest configuration, as far as is
+ * known here, and was known to be that not long ago. What it lacks, another
+ * one does not have either.
  */
 bool
 routing_state_is_current(const struct routing_state *routing_state)
 {
-	return !routing_update_is_behind(routing_state->update);
+	uint64_t revision = routing_state_revision(routing_state);
+	struct freshness freshness = routing_state_freshness(routing_state);
+
+	return !routing_update_is_behind(routing_state->update) &&
+	    documents_newest_version(
+		routing_state->documents, DOCUMENT_ROUTING_ITEMS) <= revision &&
+	    freshness_is_current(&freshness, revision,
+		routing_state->max_age_ms,
+		clock_monotonic(routing_state->clock));
 }
 
-/* Returns whether a newer configuration has come that can't be used. */
+/*
+ * Returns whether the store itself has shown that the routes are the newest,
+ * and sets which version that is and how long ago it was, for the peers.
+ */
+bool
+routing_state_store_word(const struct routing_state *routing_state,
+    uint64_t *version, int64_t *age_ms)
+{
+	const struct freshness *freshness = object_watch_freshness(
+	    routing_state->routes.watch);
+
+	*version = routing_state_revision(routing_state);
+	*age_ms = freshness_since_ms(
+	    freshness->store_at, clock_monotonic(routing_state->clock));
+	return *age_ms >= 0 && *age_ms <= routing_state->max_age_ms &&
+	    !routing_update_is_behind(routing_state->update);
+}
+
+/* Takes what routing_state_store_word() has set at a peer. */
+void
+routing_state_on_peer_word(
+    struct routing_state *routing_state, uint64_t version, int64_t age_ms)
+{
+	freshness_on_peer(&routing_state->by_peers,
+	    routing_state_revision(routing_state), version,
+	    time_add_ms(clock_monotonic(routing_state->clock), -age_ms));
+}
+
+/*
+ * Returns whether it may take long until the table is that of the newest
+ * configuration: one has come that can't be used, or may have come unnoticed.
+ */
 bool
 routing_state_has_missed(const struct routing_state *routing_state)
 {
-	return routing_update_has_missed(routing_state->update);
+	struct freshness freshness = routing_state_freshness(routing_state);
+
+	return routing_update_has_missed(routing_state->update) ||
+	    freshness_age_ms(
+		&freshness, clock_monotonic(routing_state->clock)) >
+	    routing_state->max_age_ms;
 }
 
 /* Returns the upstreams, which live as long as the routing state. */
@@ -420,11 +476,10 @@
 struct freshness
 routing_state_freshness(const struct routing_state *routing_state)
 {
-	struct freshness freshness = *object_watch_freshness(
-	    routing_state->routes.watch);
+	struct freshness freshness = routing_state->by_peers;
 
-	freshness.peer_same_at = documents_same_at(
-	    routing_state->documents, DOCUMENT_ROUTING_ITEMS);
+	freshness.store_at = object_watch_freshness(routing_state->routes.watch)
+				 ->store_at;
 	return freshness;
 }
 
--- a/src/gateway/routing_state.h
+++ b/src/gateway/routing_state.h
@@ -14,10 +14,13 @@
 #include "base/clock.h"
 #include "peer/documents.h"
 #include "platform/object_store.h"
-#include "platform/watch_record.h"
+#include "policy/freshness.h"
 #include "routing/fleet.h"
 #include "routing/routing_table.h"
 
+/* Within which a change of the configuration is in force, by default. */
+#define ROUTING_STATE_MAX_AGE_MS 2000
+
 struct routing_state;
 
 /* Called once, when all parts of the routing state have been received. */
@@ -33,7 +36,12 @@
 bool routing_state_is_store_disconnected(const struct routing_state *);
 bool routing_state_is_complete(const struct routing_state *);
 struct routing_table *routing_state_table(const struct routing_state *);
+void routing_state_set_max_age(struct routing_state *, int64_t max_age_ms);
 bool routing_state_is_current(const struct routing_state *);
+bool routing_state_store_word(
+    const struct routing_state *, uint64_t *version, int64_t *age_ms);
+void routing_state_on_peer_word(
+    struct routing_state *, uint64_t version, int64_t age_ms);
 bool routing_state_has_missed(const struct routing_state *);
 struct fleet *routing_state_fleet(const struct routing_state *);
 int64_t routing_state_table_age_ms(const struct routing_state *);
--- a/src/peer/documents_codec.c
+++ b/src/peer/documents_codec.c
@@ -133,14 +133,14 @@
 	gossip_reject_document(documents->spread, index, version);
 }
 
-/* Returns when a peer last named the version here; unset for never. */
-struct timespec
-documents_same_at(const struct documents *documents, const char *name)
+/* Returns the newest version that is known of, here or at a peer. */
+uint64_t
+documents_newest_version(const struct documents *documents, const char *name)
 {
 	size_t index = documents_find_index(name);
 
-	g_return_val_if_fail(index < DOCUMENTS, (struct timespec){0});
-	return gossip_same_at(documents->spread, index);
+	g_return_val_if_fail(index < DOCUMENTS, 0);
+	return gossip_newest_version(documents->spread, index);
 }
 
 /* Requests this version of a document and earlier ones no more. */
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -107,8 +107,9 @@
 		M(STRING, load.address), M(U32, load.cpu_permille),
 		M(U64_ARRAY, load.waiting), M(U64_ARRAY, load.returning),
 		M(U32, load.gateways), M(BOOL, load.holds_retry_share),
-		M(BOOL, load.is_new), M(U64_ARRAY, load.queued) },
-		.optional_count = 20 },
+		M(BOOL, load.is_new), M(U64_ARRAY, load.queued),
+		M(U64, load.routes_version), M(U32, load.routes_age_ms) },
+		.optional_count = 22 },
 	[MESSAGE_PREFILL] = { "reading", {
 		M(STRING_ARRAY, prefill.upstreams),
 		M(U64, prefill.part_us), M(U32, prefill.stream),
--- a/src/policy/gossip.c
+++ b/src/policy/gossip.c
@@ -18,7 +18,6 @@
 	unsigned int attempts; /* pull attempts for this version */
 	unsigned int open_pulls; /* peers asked in this attempt */
 	struct timespec pull_started; /* start of this attempt */
-	struct timespec same_at; /* when a peer last named this version */
 };
 
 struct gossip {
@@ -80,11 +79,16 @@
 	return gossip->documents[index].version;
 }
 
-/* Returns when a peer last named the current version; unset for never. */
-struct timespec
-gossip_same_at(const struct gossip *gossip, size_t index)
+/*
+ * Returns the newest version of a document that is known of: the current one,
+ * or the one that is being pulled.
+ */
+uint64_t
+gossip_newest_version(const struct gossip *gossip, size_t index)
 {
-	return gossip->documents[index].same_at;
+	const struct document *document = &gossip->documents[index];
+
+	return MAX(document->version, document->pulling_version);
 }
 
 /*
@@ -155,7 +159,6 @@
 	if (version <= document->version)
 		return false;
 	document->version = version;
-	document->same_at = (struct timespec){0};
 	if (document->pulling_version <= version)
 		document->pulling_version = 0;
 	invariant_check(&versions_rise, document->version > before, NULL, NULL);
@@ -222,9 +225,6 @@
 	bool older = false;
 
 	for (size_t i = 0; i < gossip->document_count; i++) {
-		if (versions[i] > 0 &&
-		    versions[i] == gossip->documents[i].version)
-			gossip->documents[i].same_at = now;
 		if (versions[i] > gossip->documents[i].version)
 			pull_document(
 			    gossip, link, i, versions[i], now, actions);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -389,25 +389,24 @@
 	gossip_free(gossip);
 }
 
-/* What a peer's digest says about the version in force. */
-static const struct same_case {
+/* What a peer's digest tells of the newest version; 4 is in force. */
+static const struct newest_case {
 	const char *name;
 	uint64_t version; /* in the digest */
-	uint64_t accepted; /* after the digest; 0 for none */
-	int64_t same_ms; /* when the version was named; 0 for never */
-} same_cases[] = {
-    {"a peer that names the version in force", 4, 0, 70},
-    {"a peer that names an earlier version", 3, 0, 0},
-    {"a peer that names a later version", 5, 0, 0},
-    {"a peer that has no version", 0, 0, 0},
-    {"a later version was named by nobody yet", 4, 5, 0},
+	uint64_t rejected; /* after the digest; 0 for none */
+	uint64_t newest;
+} newest_cases[] = {
+    {"a peer that names the version in force", 4, 0, 4},
+    {"a peer that names an earlier version", 3, 0, 4},
+    {"a peer that names a later version", 5, 0, 5},
+    {"a later version that can't be used here", 5, 5, 4},
 };
 
-/* Tells when a peer named the version in force. */
+/* A later version is known of until it is in force or rejected. */
 static void
-test_same(gconstpointer data)
+test_newest(gconstpointer data)
 {
-	const struct same_case *c = &same_cases[GPOINTER_TO_SIZE(data)];
+	const struct newest_case *c = &newest_cases[GPOINTER_TO_SIZE(data)];
 	g_autoptr(GRand) random = g_rand_new_with_seed(1);
 	struct gossip *gossip = gossip_new(random, 1);
 	const uint64_t versions[GOSSIP_DOCUMENTS_MAX] = {c->version};
@@ -416,9 +415,9 @@
 	gossip_accept_document(gossip, 0, 4, time_from_ms(50), &actions);
 	gossip_on_digest(
 	    gossip, &actions, versions, true, time_from_ms(70), &actions);
-	gossip_accept_document(
-	    gossip, 0, c->accepted, time_from_ms(90), &actions);
-	g_assert_cmpint(time_to_ms(gossip_same_at(gossip, 0)), ==, c->same_ms);
+	if (c->rejected > 0)
+		gossip_reject_document(gossip, 0, c->rejected);
+	g_assert_cmpuint(gossip_newest_version(gossip, 0), ==, c->newest);
 	gossip_free(gossip);
 }
 
@@ -563,7 +562,7 @@
 	    test_crossed);
 	g_test_add_func(
 	    "/gossip/a rejected version is pulled only once", test_rejected);
-	ADD_CASES(same_cases, "/gossip/same", test_same);
+	ADD_CASES(newest_cases, "/gossip/newest", test_newest);
 	g_test_add_func("/gossip/a configuration given to one process comes "
 			"into force at all",
 	    test_processes);
--- a/tests/test_object_watch.c
+++ b/tests/test_object_watch.c
@@ -415,6 +415,7 @@
 	    "{\"Object\":{\"Metadata\":{\"Name\":\"c\"}},"
 	    "\"Tombstone\":true}]";
 	struct fixture f = {.c = &c};
+	int64_t heard_ms;
 
 	set_up(&f);
 	while (!object_watch_is_disconnected(f.watch))
@@ -423,19 +424,19 @@
 	g_assert_false(apply_update(&f, 0, 9, "{}"));
 	g_assert_false(apply_update(&f, 0, 9, "["));
 	g_assert_false(apply_update(&f, 8, 9, changes));
-	g_assert_cmpstr(
-	    freshness_source(object_watch_freshness(f.watch)), ==, "store");
+	heard_ms = time_to_ms(object_watch_freshness(f.watch)->store_at);
+	g_assert_cmpint(heard_ms, >, 0);
 	g_assert_true(apply_update(&f, 0, 9, newer));
-	g_assert_cmpstr(
-	    freshness_source(object_watch_freshness(f.watch)), ==, "peer");
+	g_assert_cmpint(time_to_ms(object_watch_freshness(f.watch)->store_at),
+	    ==, heard_ms);
 	g_assert_cmpstr(f.names, ==, "c");
 	while (f.calls < 3)
 		ev_run(f.loop, EVRUN_ONCE);
 	g_assert_true(apply_update(&f, 9, 11, changes));
 	g_assert_cmpstr(f.names, ==, "e");
 	run_to_last_call(&f);
-	g_assert_cmpstr(
-	    freshness_source(object_watch_freshness(f.watch)), ==, "store");
+	g_assert_cmpint(
+	    time_to_ms(object_watch_freshness(f.watch)->store_at), >, heard_ms);
 	g_assert_cmpstr(f.names, ==, "d e");
 	g_assert_false(object_watch_is_disconnected(f.watch));
 	tear_down(&f);
--- a/tests/test_unknown_lines.c
+++ b/tests/test_unknown_lines.c
@@ -25,7 +25,11 @@
 static const struct line_case {
 	const char *name;
 	const char *request;
-	bool outdated; /* a newer configuration could not be used */
+	enum {
+		CURRENT,
+		OUTDATED, /* a newer configuration could not be used */
+		UNHEARD, /* the store was not heard for too long */
+	} state;
 	int status;
 	const char *unknown; /* NULL for no line */
 	const char *host;
@@ -33,32 +37,41 @@
 	bool has_key;
 	const char *counter; /* that rises */
 } cases[] = {
-    {"a path without a route", GET("/none/x", "h", KEY_LINE ID_LINE), false,
+    {"a path without a route", GET("/none/x", "h", KEY_LINE ID_LINE), CURRENT,
 	404, "route", "h", "/none/x", true, "no_route"},
-    {"a host without a route", GET("/once/x", "other", ID_LINE), false, 404,
+    {"a host without a route", GET("/once/x", "other", ID_LINE), CURRENT, 404,
 	"route", "other", "/once/x", false, "no_route"},
-    {"a query is left out", GET("/none/x?key=secret", "h", ID_LINE), false, 404,
-	"route", "h", "/none/x", false, "no_route"},
-    {"a long path is cut", GET("/" LONG_128, "h", ID_LINE), false, 404, "route",
-	"h", "/" LONG_64 LONG_16 LONG_16 LONG_16 "0123456789abcde", false,
-	"no_route"},
-    {"a long host is cut", GET("/once/x", LONG_128 LONG_16, ID_LINE), false,
+    {"a query is left out", GET("/none/x?key=secret", "h", ID_LINE), CURRENT,
+	404, "route", "h", "/none/x", false, "no_route"},
+    {"a long path is cut", GET("/" LONG_128, "h", ID_LINE), CURRENT, 404,
+	"route", "h", "/" LONG_64 LONG_16 LONG_16 LONG_16 "0123456789abcde",
+	false, "no_route"},
+    {"a long host is cut", GET("/once/x", LONG_128 LONG_16, ID_LINE), CURRENT,
 	404, "route", LONG_128, "/once/x", false, "no_route"},
     {"a host that is no text is written as far as it is",
-	GET("/once/x", "a\xff", ID_LINE), false, 404, "route", "a\uFFFD",
+	GET("/once/x", "a\xff", ID_LINE), CURRENT, 404, "route", "a\uFFFD",
 	"/once/x", false, "no_route"},
-    {"an unknown key", GET("/once/x", "h", KEY_9 ID_LINE), false, 401, "key",
+    {"an unknown key", GET("/once/x", "h", KEY_9 ID_LINE), CURRENT, 401, "key",
 	"h", "/once/x", true, "unknown_key"},
-    {"a missing key", GET("/once/x", "h", ID_LINE), false, 401, "key", "h",
+    {"a missing key", GET("/once/x", "h", ID_LINE), CURRENT, 401, "key", "h",
 	"/once/x", false, "unknown_key"},
     {"an unknown route of an outdated gateway",
-	GET("/none/x", "h", KEY_LINE ID_LINE), true, 503, "route", "h",
+	GET("/none/x", "h", KEY_LINE ID_LINE), OUTDATED, 503, "route", "h",
 	"/none/x", true, "not_current"},
     {"an unknown key of an outdated gateway",
-	GET("/once/x", "h", KEY_9 ID_LINE), true, 503, "key", "h", "/once/x",
+	GET("/once/x", "h", KEY_9 ID_LINE), OUTDATED, 503, "key", "h",
+	"/once/x", true, "not_current"},
+    {"an unknown route while the store is not heard",
+	GET("/none/x", "h", KEY_LINE ID_LINE), UNHEARD, 503, "route", "h",
+	"/none/x", true, "not_current"},
+    {"an unknown key while the store is not heard",
+	GET("/once/x", "h", KEY_9 ID_LINE), UNHEARD, 503, "key", "h", "/once/x",
 	true, "not_current"},
+    {"a known route and key while the store is not heard",
+	GET("/once/x", "h", KEY_LINE ID_LINE), UNHEARD, 200, NULL, NULL, NULL,
+	true, NULL},
     {"a known route and key have no line",
-	GET("/once/x", "h", KEY_LINE ID_LINE), false, 200, NULL, NULL, NULL,
+	GET("/once/x", "h", KEY_LINE ID_LINE), CURRENT, 200, NULL, NULL, NULL,
 	true, NULL},
 };
 
@@ -106,7 +119,10 @@
 	json_t *line;
 
 	log_capture_start(&capture);
-	if (c->outdated) {
+	if (c->state == UNHEARD)
+		routing_state_set_max_age(
+		    f.exchange_context.routing_state, FRESHNESS_NEVER);
+	if (c->state == OUTDATED) {
 		fake_platform_change_config(f.fake_platform, UNUSABLE_CONFIG);
 		log_capture_wait(
 		    &capture, f.loop, "configuration change ignored");
@@ -129,14 +145,14 @@
 		g_assert_cmpint(json_is_true(json_object_get(line, "has_key")),
 		    ==, c->has_key);
 		g_assert_cmpint(json_is_true(json_object_get(line, "current")),
-		    ==, !c->outdated);
+		    ==, c->state == CURRENT);
 		g_assert_true(json_is_true(json_object_get(line, "watching")));
 		g_assert_cmpint(
 		    json_integer_value(json_object_get(line, "heard_ms")), >=,
 		    0);
 		g_assert_cmpint(
-		    json_integer_value(json_object_get(line, "peer_same_ms")),
-		    ==, FRESHNESS_NEVER);
+		    json_integer_value(json_object_get(line, "peer_ms")), ==,
+		    FRESHNESS_NEVER);
 	}
 	json_decref(line);
 	raw_server_free(server);
--- a/tests/test_watch_record.c
+++ b/tests/test_watch_record.c
@@ -1,6 +1,5 @@
 /*
- * From whom and how long ago a copy was last known to be the newest, as the log
- * and the metrics tell it, and which calls ended without an answer.
+ * Which calls to the store ended without an answer, as the log tells it.
  */
 #include <string.h>
 
@@ -15,45 +14,6 @@
 #define EMPTY_LIST     "{\"Items\":[],\"HasMore\":false,\"StoreRevision\":7}"
 #define CLOSED	       0
 
-#define NOW_MS 10000
-
-static const struct freshness_case {
-	const char *name;
-	int64_t store_ms; /* when it was heard; 0 for never */
-	int64_t change_ms;
-	int64_t same_ms;
-	const char *source;
-	int64_t age_ms;
-} cases[] = {
-    {"nobody was heard", 0, 0, 0, "none", FRESHNESS_NEVER},
-    {"the store alone", 9000, 0, 0, "store", 1000},
-    {"a peer's version alone", 0, 8000, 0, "peer", 2000},
-    {"a peer that has the same alone", 0, 0, 9900, "peer", 100},
-    {"the store after a peer's version", 9500, 9000, 0, "store", 500},
-    {"a peer's version after the store", 9000, 9700, 0, "peer", 300},
-    {"a peer that has the same after the store", 9000, 100, 9999, "peer", 1},
-    {"the store after a peer that has the same", 9990, 100, 9000, "store", 10},
-    {"the store at the same time as a peer", 9000, 9000, 9000, "store", 1000},
-    {"a peer's version after another that has the same", 0, 9000, 8000, "peer",
-	1000},
-    {"the store just now", NOW_MS, 0, 0, "store", 0},
-};
-
-/* The source and the age are those of the latest one. */
-static void
-test_freshness(gconstpointer data)
-{
-	const struct freshness_case *c = &cases[GPOINTER_TO_SIZE(data)];
-	const struct freshness freshness = {time_from_ms(c->store_ms),
-	    time_from_ms(c->change_ms), time_from_ms(c->same_ms)};
-	struct timespec now = time_from_ms(NOW_MS);
-
-	g_assert_cmpstr(freshness_source(&freshness), ==, c->source);
-	g_assert_cmpint(freshness_age_ms(&freshness, now), ==, c->age_ms);
-	g_assert_cmpint(freshness_since_ms(freshness.store_at, now), ==,
-	    c->store_ms == 0 ? FRESHNESS_NEVER : NOW_MS - c->store_ms);
-}
-
 /* A store that lists nothing and answers watches as its case tells. */
 struct fixture {
 	const struct answer_case *c;
@@ -170,7 +130,6 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	ADD_CASES(cases, "/watch_record", test_freshness);
 	ADD_CASES(answer_cases, "/watch_record/answer", test_answer);
 	return g_test_run();
 }
