Test: a gateway that learns of a restored store from a peer

Callers got 404 and 401 for everything that was added after a restore of the store, at watchers and others alike, for as long as the store's revision was below the one before the restore; no log line told why. Cause, in: object_watch_advance() moved a gateway's watch to the position that a peer's configuration stood for, in the new era. Only the gateway that had listed in the new era applied changes; when that one was killed, stopped or not elected, nobody did.

--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -26,6 +26,7 @@
 	char address[32];
 	json_t *objects[3]; /* one list for each of kinds[] */
 	int revision;
+	int era; /* that the store's responses name; 0 for none */
 	struct httpd_request *config_watch; /* that waits; or NULL */
 	struct fake_platform_upstream upstreams[FAKE_PLATFORM_UPSTREAMS];
 	enum fake_platform_step steps[FAKE_PLATFORM_STEPS_MAX];
@@ -37,15 +38,18 @@
 
 static const char *const kinds[] = {"config", "servers", "evacuations"};
 
-/* Responds with JSON; takes ownership of the body. */
+/* Responds as the store, with its era; takes ownership of the body. */
 static void
-respond_json(struct httpd_request *request, json_t *body)
+respond_store(const struct fake_platform *fake_platform,
+    struct httpd_request *request, json_t *body)
 {
-	static const struct http_header type = {
-	    "Content-Type", "application/json"};
+	g_autofree char *era = g_strdup_printf("%d", fake_platform->era);
+	const struct http_header headers[] = {
+	    {"Content-Type", "application/json"}, {"Store-Era", era}};
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	httpd_respond(request, 200, &type, 1, text, strlen(text));
+	httpd_respond(request, 200, headers, fake_platform->era > 0 ? 2 : 1,
+	    text, strlen(text));
 	free(text);
 	json_decref(body);
 }
@@ -62,7 +66,7 @@
 	json_t *items = NULL;
 
 	if (strcmp(httpd_request_method(request), "GET") != 0) {
-		respond_json(request, json_object());
+		respond_store(fake_platform, request, json_object());
 		return;
 	}
 	if (httpd_request_query(request, "Watch") != NULL) {
@@ -74,7 +78,7 @@
 		if (strcmp(path + strlen("/objects/"), kinds[i]) == 0)
 			items = json_incref(fake_platform->objects[i]);
 	}
-	respond_json(request,
+	respond_store(fake_platform, request,
 	    json_pack("{s:o, s:b, s:i}", "Items",
 		items != NULL ? items : json_array(), "HasMore", 0,
 		"StoreRevision", fake_platform->revision));
@@ -449,6 +453,28 @@
 		"Revision", fake_platform->revision, "Spec", json));
 }
 
+/* Sets the era that the store names from now on; 0 for none. */
+void
+fake_platform_set_era(struct fake_platform *fake_platform, int era)
+{
+	fake_platform->era = era;
+}
+
+/*
+ * Goes back to a copy of the store with another configuration, at a lower
+ * revision and in the next era. The watch that waits is cut off.
+ */
+void
+fake_platform_restore(struct fake_platform *fake_platform, const char *spec)
+{
+	fake_platform->era++;
+	fake_platform->revision -= 2;
+	fake_platform_set_config(fake_platform, spec);
+	if (fake_platform->config_watch != NULL)
+		httpd_abort(fake_platform->config_watch);
+	fake_platform->config_watch = NULL;
+}
+
 /* Raises the store's revision, as a write of another kind does. */
 void
 fake_platform_raise_revision(struct fake_platform *fake_platform)
@@ -468,7 +494,7 @@
 		ev_run(fake_platform->loop, EVRUN_ONCE);
 	fake_platform->revision++;
 	fake_platform_set_config(fake_platform, spec);
-	respond_json(fake_platform->config_watch,
+	respond_store(fake_platform, fake_platform->config_watch,
 	    json_pack("{s:[{s:O, s:b}], s:i}", "events", "Object",
 		json_array_get(fake_platform->objects[0], 0), "Tombstone", 0,
 		"StoreRevision", fake_platform->revision));
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -66,6 +66,8 @@
 void fake_platform_set_config(struct fake_platform *, const char *spec);
 void fake_platform_change_config(struct fake_platform *, const char *spec);
 void fake_platform_raise_revision(struct fake_platform *);
+void fake_platform_set_era(struct fake_platform *, int era);
+void fake_platform_restore(struct fake_platform *, const char *spec);
 void fake_platform_set_steps(
     struct fake_platform *, const enum fake_platform_step *, size_t);
 void fake_platform_repeat_step(struct fake_platform *, enum fake_platform_step);
--- a/tests/test_routing_state.c
+++ b/tests/test_routing_state.c
@@ -10,13 +10,16 @@
 
 #include "config_reader.h"
 #include "peer_gateway.h"
+#include "platform/store_version.h"
 
 #define TEST_TIMEOUT_S 20.0
 #define CONFIG	       "{\"Version\":1,\"Routes\":[],\"Services\":[]}"
+#define SPEC(version, routes)                          \
+	"{\"Version\":" version ",\"Routes\":[" routes \
+	"],\"Services\":[],\"Tenants\":[],\"Limits\":{}}"
 #define OBJECT(version, routes)                                   \
 	"[{\"Metadata\":{\"Name\":\"main\",\"Revision\":" version \
-	"},\"Spec\":{\"Version\":" version ",\"Routes\":[" routes \
-	"],\"Services\":[],\"Tenants\":[],\"Limits\":{}}}]"
+	"},\"Spec\":" SPEC(version, routes) "}]"
 #define ROUTE(name)                                                          \
 	"{\"Name\":\"" name "\",\"Host\":\"" name "\",\"PathPrefix\":\"/\"," \
 	"\"Kind\":\"idempotent\",\"Service\":\"s\"}"
@@ -44,6 +47,7 @@
 	struct ev_loop *loop;
 	ev_timer timeout;
 	struct fake_platform *platform;
+	int era; /* of the store at the start; 0: it names none */
 	struct peer_gateway first;
 	struct peer_gateway second;
 	struct peer peer;
@@ -134,6 +138,7 @@
 	ev_timer_start(t->loop, &t->timeout);
 	t->platform = fake_platform_new(t->loop);
 	fake_platform_set_config(t->platform, CONFIG);
+	fake_platform_set_era(t->platform, t->era);
 	peer_gateway_start(&t->first, t->loop, t->platform, &first);
 	peer_gateway_start(&t->second, t->loop, t->platform, &second);
 	seeds[0] = t->first.address;
@@ -307,6 +312,36 @@
 	tear_down(&t);
 }
 
+/*
+ * A gateway learns from a peer that the store was restored from a copy, before
+ * its own watch tells it. It then takes the changes that the store has, whose
+ * revisions are lower than those of before.
+ */
+static void
+test_restored_at_peer(void)
+{
+	struct test t = {
+	    .era = 1, .peer = {.document = DOCUMENT_ROUTING_ITEMS}};
+	struct copy copy;
+	g_autoptr(GString) text = NULL;
+
+	copy_init(&copy);
+	set_up(&t);
+	g_assert_cmpuint(version_at(&t.first), ==, 1);
+	g_assert_true(copy_apply(&copy, 3, SPEC("2", ROUTE("a"))));
+	text = config_items_encode(copy.items, 0, &t.peer.base);
+	t.peer.text = text->str;
+	t.peer.version = store_version_make(2, 3);
+	fake_platform_restore(t.platform, SPEC("2", ROUTE("a")));
+	ANNOUNCE_UNTIL(&t, version_at(&t.first) == 2);
+	fake_platform_change_config(t.platform, SPEC("3", ROUTE("b")));
+	while (version_at(&t.first) != 3)
+		ev_run(t.loop, EVRUN_ONCE);
+	g_assert_true(has_route(&t.first, "b"));
+	tear_down(&t);
+	copy_clear(&copy);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -324,5 +359,8 @@
 	g_test_add_func("/routing_state/gateways that read a configuration at "
 			"different times agree on its version",
 	    test_version);
+	g_test_add_func("/routing_state/a gateway that learns of a restored "
+			"store from a peer takes later changes",
+	    test_restored_at_peer);
 	return g_test_run();
 }
