Soak: the store gives the answers that its page allows

The stand-in store gave each list as one page, each event at once, a revision that only the changes raised that gateways use, and never refused one call alone. Now a seed draws some of: pages of two items, other writers' revisions several times a second, answers in pieces of 53 bytes, a connection for each answer, late answers with several events, 429 and 503 for a tenth of the reads, and a changed status of config/main. Objects have all members of the page, and a PUT without a difference gives no revision.

--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -223,7 +223,7 @@
         self.propagation_s = PROPAGATION_S
         self.seed, self.seconds = seed, seconds
         self.end = 0.0
-        self.store = standin.Store()
+        self.store = standin.Store(standin.draw_forms(seed), seed)
         self.upstreams = [standin.Upstream(f"i-{i}", seed * 100 + i)
                           for i in range(UPSTREAM_COUNT)]
         self.proxies = []
@@ -265,6 +265,7 @@
         """Starts the stand-ins, then the gateways, and waits until ready."""
         await self.store.start()
         asyncio.ensure_future(self.store.make_copies())
+        asyncio.ensure_future(self.store.write_others())
         await self.write_config()
         for number, upstream in enumerate(self.upstreams):
             await upstream.start()
@@ -823,6 +824,7 @@
                 "seconds": self.seconds, "gateways": self.gateway_count,
                 "requests": self.requests, "statuses": self.statuses,
                 "faults": self.faults,
+                "store_forms": sorted(self.store.forms),
                 "rated_requests": self.rated_requests,
                 "rated_allowance": round(self.rated_allowance, 1),
                 "retry_budget_used": self.retry_budget_used,
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -137,11 +137,32 @@
         raise NotImplementedError
 
 
+STORE_FORMS = ("pages", "beats", "pieces", "closes", "refuses", "statuses",
+               "gathers")
+PAGE_ITEMS = 2
+PIECE_BYTES = 53
+REFUSED_SHARE = 0.1
+OTHER_WRITES_S = (0.02, 0.2)  # between changes that concern no gateway
+
+
+def draw_forms(seed):
+    """Draws which of a store's forms one has, about two of them."""
+    rng = random.Random(f"store of {seed}")
+    return {form for form in STORE_FORMS if rng.random() < 0.3}
+
+
 class Store(Server):
-    """The object store: objects by kind and name, one revision counter."""
+    """The object store: objects by kind and name, one revision counter.
 
-    def __init__(self):
+    Its forms are what a store may also do: lists in pages, changes of the
+    revision that no list shows, answers in pieces, on one connection each, late
+    with several events, or refused, and a changed status.
+    """
+
+    def __init__(self, forms=(), seed=0):
         super().__init__()
+        self.forms = set(forms)
+        self.random = random.Random(seed)
         self.objects = {}  # (kind, name) -> object
         self.revision = 1
         self.history = []  # (revision, kind, object, whether deleted)
@@ -151,6 +172,25 @@
         self.era = 1  # rises with each restore
         self.copies = collections.deque(maxlen=COPIES)
 
+    async def write_others(self):
+        """Changes what no gateway uses, until it is cancelled."""
+        while True:
+            await asyncio.sleep(self.random.uniform(*OTHER_WRITES_S))
+            if "beats" in self.forms and self.state == "up":
+                self.revision += self.random.randint(1, 3)
+            if "statuses" in self.forms and self.state == "up" and \
+                    ("config", "main") in self.objects:
+                await self.set_status("config", "main")
+
+    async def set_status(self, kind, name):
+        """Changes the status of an object, and nothing else of it."""
+        self.revision += 1
+        obj = self.objects[kind, name]
+        self.objects[kind, name] = {
+            "Metadata": {**obj["Metadata"], "Revision": self.revision},
+            "Spec": obj["Spec"], "Status": {"Seen": self.revision}}
+        await self.record_change(kind, self.objects[kind, name], False)
+
     async def make_copies(self):
         """Copies the store now and then, until it is cancelled."""
         while True:
@@ -177,11 +217,20 @@
         self.wake_watches()
 
     async def put(self, kind, name, spec):
-        """Creates or replaces an object and notifies the watches."""
+        """Creates or replaces an object and notifies the watches.
+
+        Without a difference there is neither a revision nor an event.
+        """
+        old = self.objects.get((kind, name))
+        if old and old["Spec"] == spec:
+            return
         self.revision += 1
+        created = old["Metadata"]["CreateRevision"] if old else self.revision
         self.objects[kind, name] = {
-            "Metadata": {"Name": name, "Revision": self.revision},
-            "Spec": spec}
+            "Metadata": {"Name": name, "Revision": self.revision,
+                         "CreateRevision": created, "Finalizers": [],
+                         "Deleting": False},
+            "Spec": spec, "Status": {}}
         await self.record_change(kind, self.objects[kind, name], False)
 
     async def delete(self, kind, name):
@@ -205,11 +254,13 @@
         """Drops the history: watches from older revisions get 410."""
         self.compacted_revision = self.revision
 
-    def list(self, kind):
-        """Returns a list of objects, always as one page."""
-        return {"Items": [obj for (of, _), obj in self.objects.items()
-                          if of == kind],
-                "HasMore": False, "StoreRevision": self.revision}
+    def list(self, kind, after=""):
+        """Returns the objects after a name, in order of their names."""
+        items = [obj for (of, name), obj in sorted(self.objects.items())
+                 if of == kind and name > after]
+        count = PAGE_ITEMS if "pages" in self.forms else len(items)
+        return {"Items": items[:count], "HasMore": len(items) > count,
+                "StoreRevision": self.revision}
 
     async def watch(self, kind, since, wait_s):
         """Returns the events after a revision; None if it was compacted."""
@@ -249,14 +300,31 @@
             await self.put(kind, obj["Metadata"]["Name"], obj["Spec"])
             writer.write(make_response(200, self.era_header(), b"{}"))
             return
+        if "refuses" in self.forms and self.random.random() < REFUSED_SHARE:
+            writer.write(make_response(self.random.choice((429, 503)),
+                                       self.era_header(), b"{}"))
+            return
         if "Watch" not in options:
-            page = self.list(kind)
+            page = self.list(kind, options.get("After", ""))
         else:
+            if "gathers" in self.forms:
+                await asyncio.sleep(self.random.uniform(0.0, 0.3))
             page = await self.watch(
                 kind, int(options["Watch"]), int(options["WaitMs"]) / 1e3)
-        writer.write(make_response(410 if page is None else 200,
-                                   self.era_header(),
-                                   json.dumps(page or {}).encode()))
+        await self.send(writer, make_response(
+            410 if page is None else 200, self.era_header(),
+            json.dumps(page or {}).encode()))
+
+    async def send(self, writer, response):
+        """Sends a response as the store's forms have it."""
+        step = PIECE_BYTES if "pieces" in self.forms else len(response)
+        for at in range(0, len(response), step):
+            writer.write(response[at:at + step])
+            if step < len(response):
+                await writer.drain()
+        if "closes" in self.forms:
+            await writer.drain()
+            raise BrokenConnection
 
     def era_header(self):
         """Returns the header that all responses have."""
