Test: an object of the store gives way to a peer's update that then fails

A gateway that has read the newest configuration from the store stays on the one before, and answers 503 for what is new until a peer repairs it; without a peer until the next change, since the watch does not pass an object on twice. Cause: add() keeps the change that waits if a new one has no higher version, whatever they are; an object can't fail once it has begun, a peer's items can.

--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -264,6 +264,30 @@
 	tear_down(&t);
 }
 
+/*
+ * Of an object and a peer's update of the same version that both wait, the one
+ * that can be used is applied.
+ */
+static void
+test_object_behind_update(void)
+{
+	static const char text[] =
+	    "[{\"Object\":{\"Metadata\":{\"Name\":\"version\"},\"Spec\":"
+	    "{\"Version\":3,\"Items\":0,\"Sum\":\"0\"}}}]";
+	struct test t;
+
+	set_up(&t);
+	add_object(&t, 1);
+	finish(&t);
+	add_object(&t, 2);
+	g_assert_true(routing_update_add_items(
+	    t.update, 1, 3, (const uint8_t *)text, strlen(text)));
+	add_object(&t, 3);
+	finish(&t);
+	g_assert_cmpuint(routing_update_table(t.update)->version, ==, 3);
+	tear_down(&t);
+}
+
 /* Adds an object without routes, as a version of the configuration. */
 static void
 add_invalid(struct test *t, int version)
@@ -454,6 +478,9 @@
 	g_test_add_func("/routing_update/a change that fails half-way leaves "
 			"the configuration in force",
 	    test_failure);
+	g_test_add_func("/routing_update/an object is applied if the update of "
+			"its version fails",
+	    test_object_behind_update);
 	g_test_add_func(
 	    "/routing_update/a change that could not be used leaves "
 	    "the configuration behind",
