An object of the store waits beside a peer's update

Callers got 503 not_current for what was added, from a gateway that had read the newest configuration from the store, until a peer repaired it; without a peer, until the next change. Cause: one change waits while another is applied, and an object gave way to a peer's update of the same version, or was replaced by one of a later version. The update then failed its checksum, and a watch does not pass on an object twice.

Evidence: /routing_update/an object is applied if the update of its version fails, red before. Now one change of the store and one of the peers wait.

--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -16,6 +16,13 @@
 /* Elements between two checks of the time; each takes some microseconds. */
 #define STEP_ELEMENTS 8
 
+/* Where a change came from. */
+enum change_source {
+	SOURCE_STORE, /* the whole object, which can't fail once it has begun */
+	SOURCE_PEER,
+	SOURCES,
+};
+
 struct routing_update {
 	struct ev_loop *loop;
 	struct clock *clock;
@@ -25,7 +32,7 @@
 	struct config_items *items;
 	struct routing_table *table; /* of the items; NULL before the first */
 	struct config_change *running; /* NULL for none */
-	struct config_change *waiting; /* the newest; NULL for none */
+	struct config_change *waiting[SOURCES]; /* the newest; NULL for none */
 	bool is_damaged; /* the items are not those of their version */
 	/*
 	 * The newest object of the store could not be used: no later version
@@ -98,7 +105,8 @@
 		return;
 	ev_timer_stop(update->loop, &update->timer);
 	config_change_free(update->running);
-	config_change_free(update->waiting);
+	for (int i = 0; i < SOURCES; i++)
+		config_change_free(update->waiting[i]);
 	routing_table_free(config_items_table(update->items));
 	config_items_free(update->items);
 	g_free(update);
@@ -189,12 +197,37 @@
 	update->ops->failed(update->data, version, had_all);
 }
 
-/* Starts the waiting change, if any. */
+/* Returns whether a change waits. */
+static bool
+has_waiting(const struct routing_update *update)
+{
+	return update->waiting[SOURCE_STORE] != NULL ||
+	    update->waiting[SOURCE_PEER] != NULL;
+}
+
+/*
+ * Takes the newest of the changes that wait; of one version, the store's. The
+ * other one goes on waiting: it is needed if this one fails.
+ */
+static struct config_change *
+take_waiting(struct routing_update *update)
+{
+	struct config_change *store = update->waiting[SOURCE_STORE];
+	struct config_change *peer = update->waiting[SOURCE_PEER];
+
+	if (store != NULL &&
+	    (peer == NULL ||
+		config_change_version(store) >= config_change_version(peer)))
+		return g_steal_pointer(&update->waiting[SOURCE_STORE]);
+	return g_steal_pointer(&update->waiting[SOURCE_PEER]);
+}
+
+/* Starts a waiting change, if any. */
 static void
 start_waiting(struct routing_update *update)
 {
 	g_autoptr(GError) error = NULL;
-	struct config_change *change = g_steal_pointer(&update->waiting);
+	struct config_change *change = take_waiting(update);
 
 	if (change == NULL)
 		return;
@@ -250,7 +283,7 @@
 bool
 routing_update_is_busy(const struct routing_update *update)
 {
-	return update->running != NULL || update->waiting != NULL ||
+	return update->running != NULL || has_waiting(update) ||
 	    update->settling;
 }
 
@@ -272,7 +305,7 @@
 bool
 routing_update_is_behind(const struct routing_update *update)
 {
-	return update->running != NULL || update->waiting != NULL ||
+	return update->running != NULL || has_waiting(update) ||
 	    routing_update_has_missed(update);
 }
 
@@ -325,23 +358,30 @@
 	run_slice(timer->data);
 }
 
-/* Adds a change; the newest one waits while another is being applied. */
+/*
+ * Adds a change; while another is being applied, the newest one of the store
+ * and the newest one of the peers wait.
+ */
 static void
 add(struct routing_update *update, struct config_change *change)
 {
-	if (update->waiting != NULL) {
+	struct config_change **waiting =
+	    &update->waiting[config_change_is_object(change) ? SOURCE_STORE
+							     : SOURCE_PEER];
+
+	if (*waiting != NULL) {
 		metric_add(&merged_count, 1);
 		if (config_change_version(change) <=
-		    config_change_version(update->waiting)) {
+		    config_change_version(*waiting)) {
 			count_dropped(config_change_is_object(change),
 			    config_change_version(change),
-			    config_change_version(update->waiting));
+			    config_change_version(*waiting));
 			config_change_free(change);
 			return;
 		}
-		config_change_free(update->waiting);
+		config_change_free(*waiting);
 	}
-	update->waiting = change;
+	*waiting = change;
 	run_slice(update);
 }
 
