Test: a refused object is forgotten once an earlier version comes into force

A gateway that has refused the store's newest object answers 503 not_current for what it does not know. A peer's version between the one in force and the refused one ends that: commit() clears has_missed_object without a look at versions. The gateway then gives 404 and 401, and names its version as the store's newest to those that rely on it.

--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -457,10 +457,45 @@
 	tear_down(&t);
 }
 
+/*
+ * A peer has the version between the one in force and an object that could not
+ * be used. That object is still the newest, so what the peer's version lacks
+ * may exist.
+ */
+static void
+test_missed_object(void)
+{
+	struct test t;
+	struct test peer;
+	g_autoptr(GString) text = NULL;
+	uint64_t base;
+
+	set_up(&t);
+	set_up(&peer);
+	add_object(&t, 3);
+	finish(&t);
+	add_invalid(&t, 5);
+	finish(&t);
+	g_assert_true(routing_update_is_behind(t.update));
+	add_object(&peer, 4);
+	finish(&peer);
+	text = routing_update_encode(peer.update, 0, &base);
+	g_assert_true(routing_update_add_items(
+	    t.update, base, 4, (const uint8_t *)text->str, text->len));
+	finish(&t);
+	g_assert_cmpuint(t.versions[t.count - 1], ==, 4);
+	g_assert_true(routing_update_is_behind(t.update));
+	tear_down(&peer);
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/routing_update/a peer's earlier version does not end "
+			"what a refused object showed",
+	    test_missed_object);
 	g_test_add_func(
 	    "/routing_update/of the changes that wait, the newest is applied",
 	    test_merge);
