Test: a version that an earlier build has raised hides an object of the store

While a fleet is upgraded, a gateway of an earlier build names the store's revision as the version of its configuration, also after it refused a later object. One of this build takes that version as an update without items, and drops the object that it reads from the store itself as not newer. It does not count as outdated: 404 and 401 for what the object adds.

--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -489,6 +489,37 @@
 	tear_down(&t);
 }
 
+/*
+ * A peer of an earlier build gives its configuration the store's revision, here
+ * 9, also after it has refused a later object, here 5. The object is then read
+ * from the store.
+ */
+static void
+test_raised_version(void)
+{
+	struct test t;
+	struct test peer;
+	g_autoptr(GString) text = NULL;
+	uint64_t base;
+
+	set_up(&t);
+	set_up(&peer);
+	add_object(&t, 3);
+	finish(&t);
+	add_object_at(&peer, 3, 9);
+	finish(&peer);
+	text = routing_update_encode(peer.update, 3, &base);
+	g_assert_true(routing_update_add_items(
+	    t.update, base, 9, (const uint8_t *)text->str, text->len));
+	finish(&t);
+	add_object(&t, 5);
+	finish(&t);
+	g_assert_true(routing_update_is_behind(t.update) ||
+	    routing_update_table(t.update)->version == 5);
+	tear_down(&peer);
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -496,6 +527,9 @@
 	g_test_add_func("/routing_update/a peer's earlier version does not end "
 			"what a refused object showed",
 	    test_missed_object);
+	g_test_add_func("/routing_update/a peer's raised version does not hide "
+			"an object of the store",
+	    test_raised_version);
 	g_test_add_func(
 	    "/routing_update/of the changes that wait, the newest is applied",
 	    test_merge);
