Test: the cost of removed organisations grows with the square of their keys

A gateway answers nobody while it removes organisations: for each key that has no other owner, find_owner() compares the keys of all organisations that are left, and all unlisted items are removed in one step.

--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -4,6 +4,7 @@
  * part.
  */
 #include <string.h>
+#include <time.h>
 
 #include <ev.h>
 #include <glib.h>
@@ -520,6 +521,75 @@
 	tear_down(&t);
 }
 
+#define FEW_ORGANISATIONS 500
+#define GROWTH		  8
+#define KEYS		  2
+#define COST_RUNS	  3
+
+/* Adds an object with organisations that no other version has. */
+static void
+add_organisations(struct test *t, int version, int count)
+{
+	json_t *organisations = json_array();
+	json_t *object;
+
+	for (int i = 0; i < count; i++) {
+		g_autofree char *name = g_strdup_printf("%d-%d", version, i);
+		json_t *keys = json_array();
+
+		for (int j = 0; j < KEYS; j++)
+			json_array_append_new(
+			    keys, json_sprintf("key-%d-%d-%d", version, i, j));
+		json_array_append_new(organisations,
+		    json_pack("{s:s, s:o}", "Name", name, "Keys", keys));
+	}
+	object = json_pack("{s:{s:s, s:i}, s:{s:i, s:[], s:[], s:o}}",
+	    "Metadata", "Name", "main", "Revision", version, "Spec", "Version",
+	    version, "Routes", "Services", "Tenants", organisations);
+	routing_update_add_object(t->update, object, (uint64_t)version);
+	json_decref(object);
+}
+
+/* Returns the CPU time of a change that replaces all organisations. */
+static int64_t
+replacement_cost_us(int count)
+{
+	struct test t;
+	clock_t start;
+	clock_t end;
+
+	set_up(&t);
+	add_organisations(&t, 1, count);
+	while (routing_update_is_busy(t.update))
+		ev_run(t.loop, EVRUN_ONCE);
+	start = clock();
+	add_organisations(&t, 2, count);
+	while (routing_update_is_busy(t.update))
+		ev_run(t.loop, EVRUN_ONCE);
+	end = clock();
+	tear_down(&t);
+	return (int64_t)(end - start) * G_USEC_PER_SEC / CLOCKS_PER_SEC;
+}
+
+/*
+ * All organisations of a configuration are replaced. The removal is done at
+ * once, so its cost may only be that of a scan: twice its growth is allowed.
+ */
+static void
+test_replacement_cost(void)
+{
+	int64_t few = INT64_MAX;
+	int64_t many = INT64_MAX;
+
+	for (int i = 0; i < COST_RUNS; i++) {
+		few = MIN(few, replacement_cost_us(FEW_ORGANISATIONS));
+		many = MIN(
+		    many, replacement_cost_us(FEW_ORGANISATIONS * GROWTH));
+	}
+	g_test_message("%d us, %d us", (int)few, (int)many);
+	g_assert_cmpint(many, <=, few * GROWTH * 2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -530,6 +600,9 @@
 	g_test_add_func("/routing_update/a peer's raised version does not hide "
 			"an object of the store",
 	    test_raised_version);
+	g_test_add_func("/routing_update/the cost of removed organisations "
+			"grows with their number",
+	    test_replacement_cost);
 	g_test_add_func(
 	    "/routing_update/of the changes that wait, the newest is applied",
 	    test_merge);
