Test: a version that no peer sends keeps a gateway outdated

Callers get 503 not_current for unknown routes and keys until the next change: a version that a peer has named and never sent stays the newest that is known of, also after the store itself has answered at later revisions that nothing changed. The stand-in's store ends waiting watches now if a test asks for it; it never did, so that no test saw a store's answer without events.

--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -28,6 +28,8 @@
 	int revision;
 	int era; /* that the store's responses name; 0 for none */
 	struct httpd_request *config_watch; /* that waits; or NULL */
+	GPtrArray *watches; /* of all kinds, that wait */
+	ev_timer watch_timer; /* ends them, if it is active */
 	struct fake_platform_upstream upstreams[FAKE_PLATFORM_UPSTREAMS];
 	enum fake_platform_step steps[FAKE_PLATFORM_STEPS_MAX];
 	size_t step_count;
@@ -54,9 +56,24 @@
 	json_decref(body);
 }
 
+/* Ends all watches that wait, without events. */
+static void
+on_watch_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct fake_platform *fake_platform = timer->data;
+
+	while (fake_platform->watches->len > 0)
+		respond_store(fake_platform,
+		    g_ptr_array_steal_index(fake_platform->watches, 0),
+		    json_pack("{s:[], s:i}", "events", "StoreRevision",
+			fake_platform->revision));
+	fake_platform->config_watch = NULL;
+}
+
 /*
  * Serves the object store: lists at once; responds to the last watch of the
- * configuration once that is changed, and never to others.
+ * configuration once that is changed, and to others only if
+ * fake_platform_end_watches() was called.
  */
 static void
 on_store_request(void *data, struct httpd_request *request)
@@ -70,6 +87,7 @@
 		return;
 	}
 	if (httpd_request_query(request, "Watch") != NULL) {
+		g_ptr_array_add(fake_platform->watches, request);
 		if (strcmp(path, "/objects/config") == 0)
 			fake_platform->config_watch = request;
 		return;
@@ -315,6 +333,7 @@
 {
 	struct fake_platform *fake_platform = data;
 
+	g_ptr_array_remove(fake_platform->watches, request);
 	if (fake_platform->config_watch == request)
 		fake_platform->config_watch = NULL;
 }
@@ -382,6 +401,9 @@
 	fake_platform->loop = loop;
 	fake_platform->revision = 5;
 	fake_platform->requests = g_ptr_array_new();
+	fake_platform->watches = g_ptr_array_new();
+	ev_timer_init(&fake_platform->watch_timer, on_watch_timer, 0.0, 0.0);
+	fake_platform->watch_timer.data = fake_platform;
 	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
 		fake_platform->objects[i] = json_array();
 	fake_platform->store = httpd_new(
@@ -422,7 +444,9 @@
 void
 fake_platform_free(struct fake_platform *fake_platform)
 {
+	ev_timer_stop(fake_platform->loop, &fake_platform->watch_timer);
 	httpd_free(fake_platform->store);
+	g_ptr_array_unref(fake_platform->watches);
 	for (size_t i = 0; i < FAKE_PLATFORM_UPSTREAMS; i++)
 		httpd_free(fake_platform->upstreams[i].httpd);
 	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
@@ -470,8 +494,11 @@
 	fake_platform->era++;
 	fake_platform->revision -= 2;
 	fake_platform_set_config(fake_platform, spec);
-	if (fake_platform->config_watch != NULL)
+	if (fake_platform->config_watch != NULL) {
+		g_ptr_array_remove(
+		    fake_platform->watches, fake_platform->config_watch);
 		httpd_abort(fake_platform->config_watch);
+	}
 	fake_platform->config_watch = NULL;
 }
 
@@ -482,6 +509,16 @@
 	fake_platform->revision++;
 }
 
+/* Ends all watches that wait, without events, each ms milliseconds. */
+void
+fake_platform_end_watches(struct fake_platform *fake_platform, int64_t ms)
+{
+	double s = (double)ms / MS_PER_S;
+
+	ev_timer_set(&fake_platform->watch_timer, s, s);
+	ev_timer_start(fake_platform->loop, &fake_platform->watch_timer);
+}
+
 /*
  * Replaces the configuration and tells the gateway that watches it, for whose
  * watch it waits.
@@ -494,6 +531,7 @@
 		ev_run(fake_platform->loop, EVRUN_ONCE);
 	fake_platform->revision++;
 	fake_platform_set_config(fake_platform, spec);
+	g_ptr_array_remove(fake_platform->watches, fake_platform->config_watch);
 	respond_store(fake_platform, fake_platform->config_watch,
 	    json_pack("{s:[{s:O, s:b}], s:i}", "events", "Object",
 		json_array_get(fake_platform->objects[0], 0), "Tombstone", 0,
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -66,6 +66,7 @@
 void fake_platform_set_config(struct fake_platform *, const char *spec);
 void fake_platform_change_config(struct fake_platform *, const char *spec);
 void fake_platform_raise_revision(struct fake_platform *);
+void fake_platform_end_watches(struct fake_platform *, int64_t ms);
 void fake_platform_set_era(struct fake_platform *, int era);
 void fake_platform_restore(struct fake_platform *, const char *spec);
 void fake_platform_set_steps(
--- a/tests/test_routing_state.c
+++ b/tests/test_routing_state.c
@@ -382,6 +382,44 @@
 	tear_down(&t);
 }
 
+#define REVISIONS 100
+#define LAPSE_MS  3000
+
+/* Runs the loop for some time. */
+static void
+run_for(struct test *t, int64_t ms)
+{
+	struct timespec end = time_add_ms(clock_monotonic(clock_system()), ms);
+
+	while (time_before(clock_monotonic(clock_system()), end))
+		ev_run(t->loop, EVRUN_ONCE);
+}
+
+/*
+ * A peer of an earlier build names the store's revision as the version of the
+ * configuration, and stops before it has sent that. The store's own answers at
+ * later revisions show that there is no such version.
+ */
+static void
+test_unobtainable_version(void)
+{
+	struct test t = {.peer = {.document = DOCUMENT_ROUTING_ITEMS}};
+
+	set_up(&t);
+	fake_platform_end_watches(t.platform, OBJECT_STORE_WATCH_WAIT_MS);
+	for (int i = 0; i < REVISIONS; i++)
+		fake_platform_raise_revision(t.platform);
+	t.peer.version = REVISIONS / 2;
+	mesh_remove_handler(t.peer.mesh, &t.peer.handler);
+	ANNOUNCE_UNTIL(&t,
+	    documents_newest_version(
+		t.first.documents, DOCUMENT_ROUTING_ITEMS) == t.peer.version);
+	run_for(&t, LAPSE_MS);
+	mesh_add_handler(t.peer.mesh, &t.peer.handler);
+	g_assert_true(routing_state_is_current(t.first.routing_state));
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -405,5 +443,8 @@
 	g_test_add_func("/routing_state/a peer's word that is read late is as "
 			"old as its message",
 	    test_late_word);
+	g_test_add_func("/routing_state/a version that no peer sends does not "
+			"outlast the store's answers",
+	    test_unobtainable_version);
 	return g_test_run();
 }
