Test: watchers of an earlier build leave others without evidence

While a fleet is upgraded, a gateway that relies on watchers of an earlier build answers 503 not_current for all unknown routes and keys from 2 s after it has stopped to watch: their load reports have no routes_version.

--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -256,6 +256,38 @@
 	tear_down(&t);
 }
 
+/* Longer than a change may take. */
+#define UPGRADE_MS 3000
+
+/*
+ * While a fleet is upgraded, the gateways that watch may be of a build that
+ * does not report which version is the newest. One that relies on them has the
+ * newest configuration all the same, and need not refuse with 503 what nobody
+ * knows.
+ */
+static void
+test_watchers_without_word(void)
+{
+	static const struct load_case c = {
+	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
+	struct timespec end;
+	struct test t = {0};
+
+	set_up(&t, &c);
+	fake_platform_end_watches(t.platform, OBJECT_STORE_WATCH_WAIT_MS);
+	for (size_t i = 0; i < OTHERS; i++)
+		routing_state_set_max_age(
+		    t.others[i].routing_state, FRESHNESS_NEVER);
+	while (!has_enough_reports(&t.counter) ||
+	    routing_state_is_watching(t.first.routing_state))
+		ev_run(t.loop, EVRUN_ONCE);
+	end = time_add_ms(clock_monotonic(clock_system()), UPGRADE_MS);
+	while (time_before(clock_monotonic(clock_system()), end))
+		ev_run(t.loop, EVRUN_ONCE);
+	g_assert_true(routing_state_is_current(t.first.routing_state));
+	tear_down(&t);
+}
+
 static const struct alone_case {
 	const char *name;
 	bool hears; /* from a gateway that can watch */
@@ -335,6 +367,9 @@
 	g_test_add_func("/load_sync/a gateway that is not in the list yet is a "
 			"peer of those that it reports to",
 	    test_unlisted);
+	g_test_add_func("/load_sync/a gateway relies on watchers that do not "
+			"report the newest version",
+	    test_watchers_without_word);
 	ADD_CASES(alone_cases, "/load_sync", test_new_gateway);
 	return g_test_run();
 }
