Test: an object whose later revision can't be read is taken for older

An upstream or takeout that another writer stored without a readable revision keeps its earlier state at all gateways: the set takes revision 0 for older than the one that it has, leaves the event out, and its version passes it.

--- a/tests/test_object_set.c
+++ b/tests/test_object_set.c
@@ -170,6 +170,25 @@
 	object_set_free(set);
 }
 
+/*
+ * A later text of an object whose revision can't be read is a change: which of
+ * the two is older is not known, and the store sends events in order.
+ */
+static void
+test_unreadable_revision(void)
+{
+	struct object_set *set = object_set_new();
+	json_t *json = json_pack("{s:{s:s, s:s}, s:s}", "Metadata", "Name", "a",
+	    "Revision", "8", "Spec", "new");
+
+	put(set, "a", 5);
+	commit(set, 7);
+	object_set_put(set, json);
+	g_assert_true(object_set_is_changed(set));
+	json_decref(json);
+	object_set_free(set);
+}
+
 /* A version older than the tombstones kept gets the whole set. */
 static void
 test_tombstones_dropped(void)
@@ -377,6 +396,9 @@
 	g_test_add_func(
 	    "/object_set/the current or an older revision changes nothing",
 	    test_current);
+	g_test_add_func(
+	    "/object_set/an object without a readable revision is a change",
+	    test_unreadable_revision);
 	g_test_add_func("/object_set/a version older than the tombstones gets "
 			"the names of all objects",
 	    test_tombstones_dropped);
