What a refused object showed is not forgotten for an earlier version

Callers got 404 and 401 again for what a configuration adds that a gateway had refused, once any other version came into force there, also one from a peer that is earlier than the refused one; and the gateway named that as the newest to the others. Cause: that the store's object could not be used was a flag, which each change in force took away.

The version of a refused object is kept as that of a refused update is, and counts until a version at or above it is in force.

--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -34,12 +34,7 @@
 	struct config_change *running; /* NULL for none */
 	struct config_change *waiting[SOURCES]; /* the newest; NULL for none */
 	bool is_damaged; /* the items are not those of their version */
-	/*
-	 * The newest object of the store could not be used: no later version
-	 * is current, until there is another object.
-	 */
-	bool has_missed_object;
-	/* Of a peer's change that could not be used. */
+	/* The latest that could not be used, of the store or of a peer. */
 	uint64_t missed_version;
 	bool settling; /* what the last change replaced is being released */
 	uint64_t refused_version; /* the last that could not be begun */
@@ -131,16 +126,11 @@
  * in force, it shows that the configuration has changed.
  */
 static void
-ignore_change(struct routing_update *update, bool is_object, uint64_t version,
-    const GError *error)
+ignore_change(
+    struct routing_update *update, uint64_t version, const GError *error)
 {
-	bool is_older = g_error_matches(
-	    error, DECODE_ERROR, DECODE_ERROR_OLDER);
-
 	metric_add(&failed_count, 1);
-	if (!is_older && is_object)
-		update->has_missed_object = true;
-	else if (!is_older)
+	if (!g_error_matches(error, DECODE_ERROR, DECODE_ERROR_OLDER))
 		update->missed_version = MAX(update->missed_version, version);
 	LOG_WARN("configuration change ignored", "{s:s, s:I, s:I}", "why",
 	    error->message, "revision", (json_int_t)version, "in_force",
@@ -171,7 +161,6 @@
 	update->running = NULL;
 	update->table = config_items_table(update->items);
 	update->is_damaged = false;
-	update->has_missed_object = false;
 	update->settling = true;
 	update->applied = true;
 	metric_add(&applied_count, 1);
@@ -189,8 +178,7 @@
 	bool had_all = config_change_is_object(update->running) ||
 	    config_change_base(update->running) == 0;
 
-	ignore_change(
-	    update, config_change_is_object(update->running), version, error);
+	ignore_change(update, version, error);
 	config_change_free(update->running);
 	update->running = NULL;
 	update->is_damaged = true;
@@ -247,8 +235,7 @@
 		return;
 	}
 	update->refused_version = config_change_version(change);
-	ignore_change(update, config_change_is_object(change),
-	    update->refused_version, error);
+	ignore_change(update, update->refused_version, error);
 	config_change_free(change);
 }
 
@@ -294,8 +281,7 @@
 bool
 routing_update_has_missed(const struct routing_update *update)
 {
-	return update->has_missed_object ||
-	    update->missed_version > config_items_version(update->items);
+	return update->missed_version > config_items_version(update->items);
 }
 
 /*
@@ -398,7 +384,7 @@
 	    object, version, &error);
 
 	if (change == NULL)
-		ignore_change(update, true, version, error);
+		ignore_change(update, version, error);
 	else
 		add(update, change);
 }
@@ -421,7 +407,7 @@
 	}
 	change = config_change_new_items(base, version, text, length, &error);
 	if (change == NULL) {
-		ignore_change(update, false, version, error);
+		ignore_change(update, version, error);
 		return false;
 	}
 	add(update, change);
