An object with a later Version is applied, whatever version a peer has named

Callers got 404 for what a configuration adds while a fleet is upgraded: a gateway of an earlier build names the store's revision at which it read the configuration, or later ones, as that of its items. One that took them dropped the store's next object as not newer, if its revision was below, and did not count as outdated. Evidence: /routing_update/a peer's raised version does not hide an object of the store, red before.

The configuration's own Version decides: an object with a later one is newer. It gets the next version above the one in force, so that it spreads.

--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -216,16 +216,20 @@
 {
 	g_autoptr(GError) error = NULL;
 	struct config_change *change = take_waiting(update);
+	uint64_t known;
 
 	if (change == NULL)
 		return;
-	if (config_change_version(change) <=
-	    config_items_version(update->items)) {
-		count_dropped(config_change_is_object(change),
-		    config_change_version(change),
-		    config_items_version(update->items));
-		config_change_free(change);
-		return;
+	known = config_items_version(update->items);
+	if (config_change_version(change) <= known) {
+		if (!config_change_is_later(change, update->table)) {
+			count_dropped(config_change_is_object(change),
+			    config_change_version(change), known);
+			config_change_free(change);
+			return;
+		}
+		/* A peer of an earlier build has raised the version. */
+		config_change_set_version(change, known + 1);
 	}
 	update->started = clock_monotonic(update->clock);
 	update->longest_slice_us = 0;
