A peer's word of the newest configuration is as old as its message

Callers of a gateway that had stood still for 2.5 s got 404 for what was added meanwhile: a load report that lay unread in its socket counted as just sent. A relay that stood still made old words new for the gateways behind it.

The time that the message took is added, at a relay too. While a link has not measured a round trip, the age is not known, and the report shows only that there is a later version.

--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -77,15 +77,35 @@
 		   sync->failure_domain) == 0;
 }
 
+/*
+ * Returns how long ago the version in a report was the newest: the time that
+ * the message took, or lay unread while this process stood still, is added.
+ * FRESHNESS_NEVER if that is not known.
+ */
+static int64_t
+routes_age_ms(const struct link *link, const struct message *message)
+{
+	return link_knows_ages(link)
+	    ? message->load.routes_age_ms + link_message_age_ms(link, message)
+	    : FRESHNESS_NEVER;
+}
+
 /* Passes a message on to the other gateways in this failure domain. */
 static void
-relay_message(
-    struct load_sync *sync, const char *origin, const struct message *message)
+relay_message(struct load_sync *sync, const char *origin,
+    const struct link *link, const struct message *message)
 {
 	struct message copy = *message;
 	size_t count;
 	const char *const *peers = mesh_peers(sync->mesh, &count);
 
+	if (copy.kind == MESSAGE_LOAD) {
+		int64_t age_ms = routes_age_ms(link, message);
+
+		copy.load.routes_age_ms = (uint32_t)MAX(age_ms, 0);
+		if (age_ms == FRESHNESS_NEVER)
+			copy.load.routes_version = 0;
+	}
 	mark_relayed(&copy, false, origin);
 	for (size_t i = 0; i < count; i++) {
 		if (is_in_own_domain(sync, peers[i]))
@@ -118,12 +138,12 @@
 	if (origin == NULL || origin[0] == '\0')
 		origin = link_peer(link)->process;
 	if (is_load ? message->load.relay : message->prefill.relay)
-		relay_message(sync, origin, message);
+		relay_message(sync, origin, link, message);
 	if (is_load)
 		take_address(sync, origin, message->load.address);
 	if (is_load && message->load.routes_version > 0)
 		routing_state_on_peer_word(sync->routing_state,
-		    message->load.routes_version, message->load.routes_age_ms);
+		    message->load.routes_version, routes_age_ms(link, message));
 	if (is_load) {
 		peer_loads_on_load(sync->peers, origin, &message->load,
 		    clock_monotonic(sync->clock));
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -424,14 +424,21 @@
 	    !routing_update_is_behind(routing_state->update);
 }
 
-/* Takes what routing_state_store_word() has set at a peer. */
+/*
+ * Takes what routing_state_store_word() has set at a peer. With FRESHNESS_NEVER
+ * as the age, only a later version than the one in force says something.
+ */
 void
 routing_state_on_peer_word(
     struct routing_state *routing_state, uint64_t version, int64_t age_ms)
 {
+	struct timespec at = {0};
+
+	if (age_ms != FRESHNESS_NEVER)
+		at = time_add_ms(
+		    clock_monotonic(routing_state->clock), -age_ms);
 	freshness_on_peer(&routing_state->by_peers,
-	    routing_state_revision(routing_state), version,
-	    time_add_ms(clock_monotonic(routing_state->clock), -age_ms));
+	    routing_state_revision(routing_state), version, at);
 }
 
 /*
--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -384,11 +384,18 @@
 	return link->hello != NULL ? &link->hello->hello : NULL;
 }
 
+/* Returns whether the ages of messages are known: after one round trip. */
+bool
+link_knows_ages(const struct link *link)
+{
+	return link->offset.known;
+}
+
 /*
  * Returns how long ago, in ms, a message received on this link was sent, as
  * estimated from round trips: never less than the true age, and more by at most
- * the shortest round trip measured. Includes time spent in a socket buffer
- * while this process was stopped.
+ * the shortest round trip measured; 0 while ages are not known. Includes time
+ * spent in a socket buffer while this process was stopped.
  */
 int64_t
 link_message_age_ms(const struct link *link, const struct message *message)
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -104,6 +104,7 @@
 void link_set_data(struct link *, void *);
 void *link_data(const struct link *);
 const struct message_hello *link_peer(const struct link *);
+bool link_knows_ages(const struct link *);
 int64_t link_message_age_ms(const struct link *, const struct message *);
 size_t link_queued_bytes(const struct link *);
 
