A gateway that is not told that it has the newest configuration watches itself

While a fleet is upgraded, callers of new gateways got 503 not_current for all that nobody knows: watchers of an earlier build do not report which version is the newest. It was the same behind watchers that are stuck without a failed call. Evidence: /load_sync/a gateway relies on watchers that do not report the newest version, red before.

A gateway that has started long enough ago watches the store itself once it has not been told so for three quarters of the time within which a change is in force. In order, a word is younger: a watch's wait of 1 s and a round.

--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -365,6 +365,8 @@
 	if (time_before(heard_at, sync->started_at))
 		heard_at = sync->started_at;
 	return (struct watching_input){
+	    .unheard_ms = routing_state_word_age_ms(sync->routing_state),
+	    .max_age_ms = routing_state_max_age_ms(sync->routing_state),
 	    .age_ms = time_diff_ms(now, sync->started_at),
 	    .silence_ms = time_diff_ms(now, heard_at),
 	    .round_ms = round_ms(sync),
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -29,6 +29,7 @@
 	struct shared_kind upstreams;
 	struct shared_kind takeouts;
 	struct routing_update *update; /* of the routing table */
+	struct timespec started_at;
 	struct freshness by_peers; /* of the routes, without the store's part */
 	int64_t max_age_ms; /* within which the routes count as the newest */
 	struct timespec table_applied_at; /* when this process applied it */
@@ -295,6 +296,7 @@
 	routing_state->fleet = fleet_new();
 	routing_state->watching = watching;
 	routing_state->max_age_ms = ROUTING_STATE_MAX_AGE_MS;
+	routing_state->started_at = clock_monotonic(clock);
 	routing_state->update = routing_update_new(
 	    loop, clock, &update_ops, routing_state);
 	start_watch(routing_state, &routing_state->routes, loop, store,
@@ -387,6 +389,27 @@
 	routing_state->max_age_ms = max_age_ms;
 }
 
+/* Returns how long the routes count as the newest. */
+int64_t
+routing_state_max_age_ms(const struct routing_state *routing_state)
+{
+	return routing_state->max_age_ms;
+}
+
+/*
+ * Returns how long ago a peer's word was true that the routes are the newest;
+ * the time since the start if none was.
+ */
+int64_t
+routing_state_word_age_ms(const struct routing_state *routing_state)
+{
+	struct timespec at = routing_state->by_peers.peer_at;
+
+	if (time_before(at, routing_state->started_at))
+		at = routing_state->started_at;
+	return time_diff_ms(clock_monotonic(routing_state->clock), at);
+}
+
 /*
  * Returns whether the table is that of the newest configuration, as far as is
  * known here, and was known to be that not long ago. What it lacks, another
--- a/src/policy/watching.c
+++ b/src/policy/watching.c
@@ -18,6 +18,10 @@
 bool
 watching_is_needed(const struct watching_input *input)
 {
+	if (watching_is_possible(input) && input->max_age_ms > 0 &&
+	    (double)input->unheard_ms >
+		WATCHING_UNHEARD_SHARE * (double)input->max_age_ms)
+		return true;
 	if (input->is_seed || !input->has_seeds)
 		return !input->complete || input->elected;
 	if (watching_is_possible(input))
--- a/src/policy/watching.h
+++ b/src/policy/watching.h
@@ -13,6 +13,11 @@
  * new process that has not heard for a time from one that can watch does so
  * itself, unless enough of those that are as new rank before it: what it listed
  * at its start is soon outdated.
+ *
+ * One that relies on others must hear from them that it has the newest
+ * configuration, or it can't tell its callers what does not exist. If it does
+ * not, because those that watch are stuck or of a build that does not report
+ * it, it watches itself.
  */
 #ifndef POLICY_WATCHING_H
 #define POLICY_WATCHING_H
@@ -30,10 +35,18 @@
 #define WATCHING_SILENCE_MS 1500
 /* Intervals of reports by which that is longer; they grow with the peers. */
 #define WATCHING_SILENCE_ROUNDS 2
+/*
+ * Share of the limit on a word's age after which a process does not wait for
+ * the next one. What is heard in order is younger: a watch's wait and a round.
+ */
+#define WATCHING_UNHEARD_SHARE 0.75
 
 struct watching_input {
 	int64_t age_ms; /* since the start of this process */
 	int64_t silence_ms; /* since a report of a peer that can watch */
+	int64_t
+	    unheard_ms; /* since a peer's word was true; from the start on */
+	int64_t max_age_ms; /* of such a word; 0 for no limit */
 	int64_t round_ms; /* interval of reports */
 	bool is_seed; /* all others know its address from the start */
 	bool has_seeds; /* it knows the address of another one */
