A version that is not named again does not make a gateway outdated for long

Callers got 503 not_current for all that nobody knows, until the next change: a peer had named a version that nobody sends, such as one that an earlier build raised before it stopped.

A named version counts for as long as the evidence that there is none. A peer that has it names it again, in its digests and, if it watches, load reports.

--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -422,8 +422,9 @@
 	struct freshness freshness = routing_state_freshness(routing_state);
 
 	return !routing_update_is_behind(routing_state->update) &&
-	    documents_newest_version(
-		routing_state->documents, DOCUMENT_ROUTING_ITEMS) <= revision &&
+	    documents_newest_version(routing_state->documents,
+		DOCUMENT_ROUTING_ITEMS,
+		routing_state->max_age_ms) <= revision &&
 	    freshness_is_current(&freshness, revision,
 		routing_state->max_age_ms,
 		clock_monotonic(routing_state->clock));
@@ -461,7 +462,8 @@
 		at = time_add_ms(
 		    clock_monotonic(routing_state->clock), -age_ms);
 	freshness_on_peer(&routing_state->by_peers,
-	    routing_state_revision(routing_state), version, at);
+	    routing_state_revision(routing_state), version, at,
+	    clock_monotonic(routing_state->clock));
 }
 
 /*
--- a/src/peer/documents.h
+++ b/src/peer/documents.h
@@ -83,7 +83,8 @@
 void documents_request_repair(struct documents *, const char *name);
 void documents_reject(struct documents *, const char *name, uint64_t version);
 uint64_t documents_version(const struct documents *, const char *name);
-uint64_t documents_newest_version(const struct documents *, const char *name);
+uint64_t documents_newest_version(
+    const struct documents *, const char *name, int64_t within_ms);
 const uint8_t *documents_get(
     const struct documents *, const char *name, size_t *length);
 void documents_subscribe(
--- a/src/peer/documents_codec.c
+++ b/src/peer/documents_codec.c
@@ -133,14 +133,19 @@
 	gossip_reject_document(documents->spread, index, version);
 }
 
-/* Returns the newest version that is known of, here or at a peer. */
+/*
+ * Returns the newest version that is known of, here or at a peer that has named
+ * it within this time.
+ */
 uint64_t
-documents_newest_version(const struct documents *documents, const char *name)
+documents_newest_version(
+    const struct documents *documents, const char *name, int64_t within_ms)
 {
 	size_t index = documents_find_index(name);
 
 	g_return_val_if_fail(index < DOCUMENTS, 0);
-	return gossip_newest_version(documents->spread, index);
+	return gossip_newest_version(documents->spread, index, within_ms,
+	    clock_monotonic(documents->clock));
 }
 
 /* Requests this version of a document and earlier ones no more. */
--- a/src/policy/freshness.c
+++ b/src/policy/freshness.c
@@ -25,16 +25,20 @@
  */
 void
 freshness_on_peer(struct freshness *freshness, uint64_t in_force,
-    uint64_t version, struct timespec at)
+    uint64_t version, struct timespec at, struct timespec now)
 {
-	freshness->newest_version = MAX(freshness->newest_version, version);
+	if (version >= freshness->newest_version) {
+		freshness->newest_version = version;
+		freshness->newest_named_at = now;
+	}
 	if (version == in_force)
 		freshness->peer_at = later(freshness->peer_at, at);
 }
 
 /*
  * Returns whether the version in force was the newest at most max_age_ms ago,
- * and no newer one has been named since.
+ * and no newer one has been named within that time. One that is not named again
+ * may not exist: a peer of an earlier build may name a version that nobody has.
  */
 bool
 freshness_is_current(const struct freshness *freshness, uint64_t in_force,
@@ -43,7 +47,8 @@
 	int64_t age_ms = freshness_age_ms(freshness, now);
 
 	return age_ms != FRESHNESS_NEVER && age_ms <= max_age_ms &&
-	    freshness->newest_version <= in_force;
+	    (freshness->newest_version <= in_force ||
+		time_diff_ms(now, freshness->newest_named_at) > max_age_ms);
 }
 
 /* Returns who was the last to show it, as logged: store, peer or none. */
--- a/src/policy/freshness.h
+++ b/src/policy/freshness.h
@@ -19,11 +19,12 @@
 	struct timespec store_at; /* the store's answer held then; or unset */
 	struct timespec peer_at; /* the same, of an answer to a peer */
 	uint64_t newest_version; /* that a peer has named */
+	struct timespec newest_named_at;
 };
 
 void freshness_on_store(struct freshness *, struct timespec at);
 void freshness_on_peer(struct freshness *, uint64_t in_force, uint64_t version,
-    struct timespec at);
+    struct timespec at, struct timespec now);
 bool freshness_is_current(const struct freshness *, uint64_t in_force,
     int64_t max_age_ms, struct timespec now);
 const char *freshness_source(const struct freshness *);
--- a/src/policy/gossip.c
+++ b/src/policy/gossip.c
@@ -81,13 +81,17 @@
 
 /*
  * Returns the newest version of a document that is known of: the current one,
- * or the one that is being pulled.
+ * or the one that is being pulled, unless it was last pulled longer ago than
+ * within_ms. A peer that has it names it again, and it is pulled again.
  */
 uint64_t
-gossip_newest_version(const struct gossip *gossip, size_t index)
+gossip_newest_version(const struct gossip *gossip, size_t index,
+    int64_t within_ms, struct timespec now)
 {
 	const struct document *document = &gossip->documents[index];
 
+	if (time_diff_ms(now, document->pull_started) > within_ms)
+		return document->version;
 	return MAX(document->version, document->pulling_version);
 }
 
--- a/src/policy/gossip.h
+++ b/src/policy/gossip.h
@@ -82,7 +82,8 @@
 void gossip_set_peers(struct gossip *, size_t count, size_t near_count);
 void gossip_set_required(struct gossip *, size_t index);
 uint64_t gossip_version(const struct gossip *, size_t index);
-uint64_t gossip_newest_version(const struct gossip *, size_t index);
+uint64_t gossip_newest_version(const struct gossip *, size_t index,
+    int64_t within_ms, struct timespec now);
 
 bool gossip_accept_document(struct gossip *, size_t index, uint64_t version,
     struct timespec now, struct gossip_actions *);
--- a/tests/test_freshness.c
+++ b/tests/test_freshness.c
@@ -50,6 +50,9 @@
     {"a peer names a later version",
 	{{STORE, 9900, 0}, {PEER, 9950, IN_FORCE + 1}}, 10000, false, "store",
 	100},
+    {"a later version is not named again",
+	{{PEER, 7900, IN_FORCE + 1}, {STORE, 9900, 0}}, 10000, true, "store",
+	100},
     {"a peer that lags behind shows nothing",
 	{{STORE, 1000, 0}, {PEER, 9900, IN_FORCE - 1}}, 10000, false, "store",
 	9000},
@@ -77,6 +80,7 @@
 			    &freshness, time_from_ms(event->at_ms));
 		else
 			freshness_on_peer(&freshness, IN_FORCE, event->version,
+			    time_from_ms(event->at_ms),
 			    time_from_ms(event->at_ms));
 	}
 	g_assert_cmpint(
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -394,12 +394,14 @@
 	const char *name;
 	uint64_t version; /* in the digest */
 	uint64_t rejected; /* after the digest; 0 for none */
+	int64_t later_ms; /* when it is asked */
 	uint64_t newest;
 } newest_cases[] = {
-    {"a peer that names the version in force", 4, 0, 4},
-    {"a peer that names an earlier version", 3, 0, 4},
-    {"a peer that names a later version", 5, 0, 5},
-    {"a later version that can't be used here", 5, 5, 4},
+    {"a peer that names the version in force", 4, 0, 0, 4},
+    {"a peer that names an earlier version", 3, 0, 0, 4},
+    {"a peer that names a later version", 5, 0, 1000, 5},
+    {"a later version that is not named again", 5, 0, 1001, 4},
+    {"a later version that can't be used here", 5, 5, 0, 4},
 };
 
 /* A later version is known of until it is in force or rejected. */
@@ -417,7 +419,9 @@
 	    gossip, &actions, versions, true, time_from_ms(70), &actions);
 	if (c->rejected > 0)
 		gossip_reject_document(gossip, 0, c->rejected);
-	g_assert_cmpuint(gossip_newest_version(gossip, 0), ==, c->newest);
+	g_assert_cmpuint(gossip_newest_version(
+			     gossip, 0, 1000, time_from_ms(70 + c->later_ms)),
+	    ==, c->newest);
 	gossip_free(gossip);
 }
 
--- a/tests/test_routing_state.c
+++ b/tests/test_routing_state.c
@@ -412,8 +412,8 @@
 	t.peer.version = REVISIONS / 2;
 	mesh_remove_handler(t.peer.mesh, &t.peer.handler);
 	ANNOUNCE_UNTIL(&t,
-	    documents_newest_version(
-		t.first.documents, DOCUMENT_ROUTING_ITEMS) == t.peer.version);
+	    documents_newest_version(t.first.documents, DOCUMENT_ROUTING_ITEMS,
+		LAPSE_MS) == t.peer.version);
 	run_for(&t, LAPSE_MS);
 	mesh_add_handler(t.peer.mesh, &t.peer.handler);
 	g_assert_true(routing_state_is_current(t.first.routing_state));
