--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -336,6 +336,8 @@
 	gateway->random = g_rand_new_with_seed(randombytes_random());
 	gateway->store = object_store_new(node_http_client(gateway->node),
 	    gateway->clock, settings->objects, gateway->random);
+	object_store_set_change_time(
+	    gateway->store, settings->config_max_age_ms);
 	self = describe_self(gateway);
 	gateway->routing_state = routing_state_new(gateway->loop,
 	    gateway->clock, gateway->store, node_documents(gateway->node),
--- a/tests/test_store_connections.c
+++ b/tests/test_store_connections.c
@@ -40,7 +40,7 @@
 }
 
 static void
-on_closed(void *data, struct httpd_request *request)
+on_closed(void *data, struct httpd_request *request, bool complete)
 {
 }
 
