script/prove finds the tests of the store's changes

Guarantee 10 was reported as not held with no test failed: its list names tests /changes/ of test_store, which have been in test_config_writer.

--- a/script/lib/guarantees.py
+++ b/script/lib/guarantees.py
@@ -96,7 +96,7 @@
     Guarantee(
         "An accepted configuration is in force and never reverts",
         ("document_version_never_falls", "accepted_change_held_at_once"),
-        (("gossip", ""), ("watchers", ""), ("store", "/changes/"),
+        (("gossip", ""), ("watchers", ""), ("config_writer", "/changes/"),
          ("config_edit", "conflict"), ("rpc", "conflict")),
         ("race", "take_out", "leave", "wrong_hosts") + PLATFORM_FAULTS
         + PROCESS_FAULTS,
