Test: a change late in a watch's wait does not end what the store shows

Callers get 503 not_current for what nobody knows, for up to 0.1 s, after a change that comes in the last tenth of a watch's wait: the answer counts from the start of its call, the next watch starts 100 ms later and waits as long as the last one, so the evidence is up to twice the wait and 100 ms old before there is a newer one.

--- a/tests/test_routing_state.c
+++ b/tests/test_routing_state.c
@@ -10,6 +10,7 @@
 
 #include "config_reader.h"
 #include "peer_gateway.h"
+#include "platform/object_watch.h"
 #include "platform/store_version.h"
 
 #define TEST_TIMEOUT_S 20.0
@@ -420,6 +421,32 @@
 	tear_down(&t);
 }
 
+/* When the store answers a watch with a change, shortly before it must. */
+#define LATE_EVENT_MS (OBJECT_STORE_WATCH_WAIT_MS - 20)
+
+/*
+ * A change comes late in the wait of one watch, and the next watch waits for as
+ * long. All that time the store has answered as it should, so the gateway knows
+ * that it has the newest configuration.
+ */
+static void
+test_late_event(void)
+{
+	struct test t = {0};
+
+	set_up(&t);
+	fake_platform_change_config(t.platform, SPEC("2", ROUTE("b")));
+	run_for(&t, OBJECT_WATCH_BATCH_MS + LATE_EVENT_MS);
+	fake_platform_change_config(t.platform, SPEC("3", ROUTE("c")));
+	while (!has_route(&t.first, "c"))
+		ev_run(t.loop, EVRUN_ONCE);
+	run_for(&t, OBJECT_WATCH_BATCH_MS);
+	g_assert_true(routing_state_is_current(t.first.routing_state));
+	run_for(&t, LATE_EVENT_MS);
+	g_assert_true(routing_state_is_current(t.first.routing_state));
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -446,5 +473,9 @@
 	g_test_add_func("/routing_state/a version that no peer sends does not "
 			"outlast the store's answers",
 	    test_unobtainable_version);
+	g_test_add_func(
+	    "/routing_state/a change late in a watch's wait does not "
+	    "end what the store's answers show",
+	    test_late_event);
 	return g_test_run();
 }
