Test: in calm operation gateways rely on those that watch the store

The share takes no account of the rounds, which grow with the gateways, nor of the shortest wait of a watch: with 31 and 68 gateways and 1.5 s, and with 300 and 3 s, a wait and a round take longer, though they are within the limit.

--- a/tests/test_watching.c
+++ b/tests/test_watching.c
@@ -5,6 +5,8 @@
 #include <glib.h>
 
 #include "cases.h"
+#include "gateway/load_sync.h"
+#include "platform/object_store.h"
 #include "policy/watching.h"
 
 #define GATEWAYS    68
@@ -120,6 +122,47 @@
 	g_assert_cmpint(watching_is_needed(&c->input), ==, c->needed);
 }
 
+/* Numbers of gateways that run, and the times that a change may take. */
+static const struct calm_case {
+	const char *name;
+	int64_t gateways;
+	int64_t max_age_ms;
+} calm_cases[] = {
+    {"5 gateways, 1.5 s", 5, 1500},
+    {"31 gateways, 1.5 s", 31, 1500},
+    {"68 gateways, 1.5 s", 68, 1500},
+    {"31 gateways, 2 s", 31, 2000},
+    {"68 gateways, 2 s", 68, 2000},
+    {"68 gateways, 3 s", 68, 3000},
+    {"300 gateways, 3 s", 300, 3000},
+    {"300 gateways, 4 s", 300, 4000},
+};
+
+/*
+ * In calm operation a word is up to a watch's wait and a round old. While that
+ * is within the time that a change may take, others rely on those that watch.
+ */
+static void
+test_calm(gconstpointer data)
+{
+	const struct calm_case *c = &calm_cases[GPOINTER_TO_SIZE(data)];
+	int64_t wait_ms = CLAMP(c->max_age_ms / 2, OBJECT_STORE_WATCH_WAIT_MS,
+	    OBJECT_STORE_WATCH_WAIT_MAX_MS);
+	int64_t round_ms = LOAD_SYNC_ROUND_MS +
+	    (c->gateways - 1) * LOAD_SYNC_ROUND_PEER_MS;
+	const struct watching_input input = {
+	    .age_ms = WATCHING_SETTLE_MS,
+	    .round_ms = round_ms,
+	    .has_seeds = true,
+	    .complete = true,
+	    .unheard_ms = wait_ms + round_ms,
+	    .max_age_ms = c->max_age_ms,
+	};
+
+	g_assert_cmpint(input.unheard_ms, <, input.max_age_ms);
+	g_assert_false(watching_is_needed(&input));
+}
+
 /* How all processes start at once. */
 struct start {
 	bool has_seeds;
@@ -177,6 +220,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/watching", test_case);
+	ADD_CASES(calm_cases, "/watching/calm", test_calm);
 	g_test_add_func(
 	    "/watching/a start of all processes makes few calls", test_start);
 	return g_test_run();
