Test: objects of the store after a peer has raised the version

Two gateways have a version that a peer of an earlier build raised. One reads two changes of the store, the other only the second: each gives what it reads first the next version above its own, so one version stands for two contents. The word of the second gateway then shows the first that its older configuration is the newest, and no peer sends it the later one.

And an object without a specification has the store's version, which is below the raised one, so it does not count as missed.

--- a/tests/test_routing_update.c
+++ b/tests/test_routing_update.c
@@ -521,6 +521,56 @@
 	tear_down(&t);
 }
 
+/*
+ * Two gateways have a version that a peer of an earlier build raised, here
+ * to 9. Then one reads two changes of the store, the other only the second of
+ * them. The word of the second one must not show the first that it has the
+ * newest configuration while it has only the first change.
+ */
+static void
+test_raised_twice(void)
+{
+	struct test t[2];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		set_up(&t[i]);
+		add_object_at(&t[i], 3, 9);
+		finish(&t[i]);
+	}
+	add_object(&t[0], 5);
+	finish(&t[0]);
+	add_object(&t[1], 6);
+	finish(&t[1]);
+	g_assert_cmpuint(routing_update_table(t[0].update)->version, ==, 5);
+	g_assert_cmpuint(routing_update_table(t[1].update)->version, ==, 6);
+	g_assert_cmpuint(
+	    t[0].versions[t[0].count - 1], !=, t[1].versions[t[1].count - 1]);
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++)
+		tear_down(&t[i]);
+}
+
+/*
+ * A gateway has a version that a peer of an earlier build raised, here to 9,
+ * and an object of the store at 5 can't be read at all. That object is later
+ * than the one in force, so what this one lacks may exist.
+ */
+static void
+test_unreadable_after_raise(void)
+{
+	struct test t;
+	json_t *object = json_pack("{s:{s:s, s:i}, s:[]}", "Metadata", "Name",
+	    "main", "Revision", 5, "Spec");
+
+	set_up(&t);
+	add_object_at(&t, 3, 9);
+	finish(&t);
+	routing_update_add_object(t.update, object, 5);
+	finish(&t);
+	g_assert_true(routing_update_is_behind(t.update));
+	json_decref(object);
+	tear_down(&t);
+}
+
 #define FEW_ORGANISATIONS 500
 #define GROWTH		  8
 #define KEYS		  2
@@ -600,6 +650,13 @@
 	g_test_add_func("/routing_update/a peer's raised version does not hide "
 			"an object of the store",
 	    test_raised_version);
+	g_test_add_func("/routing_update/one version has one content after a "
+			"peer has raised it",
+	    test_raised_twice);
+	g_test_add_func(
+	    "/routing_update/an object that can't be read counts as "
+	    "missed after a peer has raised the version",
+	    test_unreadable_after_raise);
 	g_test_add_func("/routing_update/the cost of removed organisations "
 			"grows with their number",
 	    test_replacement_cost);
