Test: a gateway that begins to watch hears from the store in time

The stand-in of the store answers no watch sooner than it is told to, so a mend that asks for a shorter wait needs that there.

--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -288,6 +288,39 @@
 	tear_down(&t);
 }
 
+/*
+ * A gateway that is not told that it has the newest configuration begins to
+ * watch before its own evidence has lapsed, and the store answers as it should.
+ * So it need not refuse with 503 what nobody knows at any time.
+ */
+static void
+test_first_answer(void)
+{
+	static const struct load_case c = {
+	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
+	struct timespec end;
+	struct test t = {0};
+
+	set_up(&t, &c);
+	for (size_t i = 0; i < OTHERS; i++)
+		routing_state_set_max_age(
+		    t.others[i].routing_state, FRESHNESS_NEVER);
+	while (!has_enough_reports(&t.counter) ||
+	    routing_state_is_watching(t.first.routing_state))
+		ev_run(t.loop, EVRUN_ONCE);
+	while (!routing_state_is_watching(t.first.routing_state))
+		ev_run(t.loop, EVRUN_ONCE);
+	g_assert_true(routing_state_is_current(t.first.routing_state));
+	fake_platform_end_watches(t.platform, OBJECT_STORE_WATCH_WAIT_MS);
+	end = time_add_ms(
+	    clock_monotonic(clock_system()), OBJECT_STORE_WATCH_WAIT_MS);
+	while (time_before(clock_monotonic(clock_system()), end)) {
+		ev_run(t.loop, EVRUN_ONCE);
+		g_assert_true(routing_state_is_current(t.first.routing_state));
+	}
+	tear_down(&t);
+}
+
 static const struct alone_case {
 	const char *name;
 	bool hears; /* from a gateway that can watch */
@@ -370,6 +403,9 @@
 	g_test_add_func("/load_sync/a gateway relies on watchers that do not "
 			"report the newest version",
 	    test_watchers_without_word);
+	g_test_add_func("/load_sync/a gateway that begins to watch hears from "
+			"the store before its evidence lapses",
+	    test_first_answer);
 	ADD_CASES(alone_cases, "/load_sync", test_new_gateway);
 	return g_test_run();
 }
