A newer version counts whichever newer one was named before

Callers got 404 and 401 from a gateway that had just been told of a newer version: only the highest one was kept, and that had lapsed. The last version named that is newer than the one in force is kept.

--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -64,7 +64,7 @@
 	    (json_int_t)freshness_age_ms(&freshness, now), "store_ms",
 	    (json_int_t)freshness_since_ms(freshness.store_at, now), "peer_ms",
 	    (json_int_t)freshness_since_ms(freshness.peer_at, now),
-	    "newest_named", (json_int_t)freshness.newest_version);
+	    "newer_named", (json_int_t)freshness.newer_version);
 }
 
 /*
--- a/src/policy/freshness.c
+++ b/src/policy/freshness.c
@@ -27,9 +27,9 @@
 freshness_on_peer(struct freshness *freshness, uint64_t in_force,
     uint64_t version, struct timespec at, struct timespec now)
 {
-	if (version >= freshness->newest_version) {
-		freshness->newest_version = version;
-		freshness->newest_named_at = now;
+	if (version > in_force) {
+		freshness->newer_version = version;
+		freshness->newer_named_at = now;
 	}
 	if (version == in_force)
 		freshness->peer_at = later(freshness->peer_at, at);
@@ -47,8 +47,8 @@
 	int64_t age_ms = freshness_age_ms(freshness, now);
 
 	return age_ms != FRESHNESS_NEVER && age_ms <= max_age_ms &&
-	    (freshness->newest_version <= in_force ||
-		time_diff_ms(now, freshness->newest_named_at) > max_age_ms);
+	    (freshness->newer_version <= in_force ||
+		time_diff_ms(now, freshness->newer_named_at) > max_age_ms);
 }
 
 /* Returns who was the last to show it, as logged: store, peer or none. */
--- a/src/policy/freshness.h
+++ b/src/policy/freshness.h
@@ -18,8 +18,8 @@
 struct freshness {
 	struct timespec store_at; /* the store's answer held then; or unset */
 	struct timespec peer_at; /* the same, of an answer to a peer */
-	uint64_t newest_version; /* that a peer has named */
-	struct timespec newest_named_at;
+	uint64_t newer_version; /* the last that a peer named; or 0 */
+	struct timespec newer_named_at;
 };
 
 void freshness_on_store(struct freshness *, struct timespec at);
