After a raised version, one version has one content again

While a fleet is upgraded, two gateways that had read different objects of the store after a peer had raised the version in force gave both the next one, so each took the other's report for its own configuration's; and an object that can't be used was forgotten, since its version is below the raised one. Callers of the first got 404 until the next change.

Evidence: /routing_update/one version has one content after a peer has raised it and /routing_update/an object that can't be read counts as missed after a peer has raised the version, red before. The version rises by as much as the configuration's own Version does, which is the same wherever it is given. An object that can't be used counts as later than what is in force.

--- a/src/gateway/routing_update.c
+++ b/src/gateway/routing_update.c
@@ -123,15 +123,20 @@
 
 /*
  * Logs and counts a change that can't be used. Unless it is older than what is
- * in force, it shows that the configuration has changed.
+ * in force, it shows that the configuration has changed; an object of the store
+ * does so also if a peer of an earlier build has raised the version in force.
  */
 static void
-ignore_change(
-    struct routing_update *update, uint64_t version, const GError *error)
+ignore_change(struct routing_update *update, bool is_object, uint64_t version,
+    const GError *error)
 {
+	uint64_t missed = version;
+
+	if (is_object)
+		missed = MAX(missed, config_items_version(update->items) + 1);
 	metric_add(&failed_count, 1);
 	if (!g_error_matches(error, DECODE_ERROR, DECODE_ERROR_OLDER))
-		update->missed_version = MAX(update->missed_version, version);
+		update->missed_version = MAX(update->missed_version, missed);
 	LOG_WARN("configuration change ignored", "{s:s, s:I, s:I}", "why",
 	    error->message, "revision", (json_int_t)version, "in_force",
 	    (json_int_t)version_in_force(update));
@@ -178,7 +183,8 @@
 	bool had_all = config_change_is_object(update->running) ||
 	    config_change_base(update->running) == 0;
 
-	ignore_change(update, version, error);
+	ignore_change(
+	    update, config_change_is_object(update->running), version, error);
 	config_change_free(update->running);
 	update->running = NULL;
 	update->is_damaged = true;
@@ -221,15 +227,13 @@
 	if (change == NULL)
 		return;
 	known = config_items_version(update->items);
-	if (config_change_version(change) <= known) {
-		if (!config_change_is_later(change, update->table)) {
-			count_dropped(config_change_is_object(change),
-			    config_change_version(change), known);
-			config_change_free(change);
-			return;
-		}
-		/* A peer of an earlier build has raised the version. */
-		config_change_set_version(change, known + 1);
+	/* A peer of an earlier build may have raised the known version. */
+	if (config_change_version(change) <= known &&
+	    config_change_rebase(change, known, update->table) <= known) {
+		count_dropped(config_change_is_object(change),
+		    config_change_version(change), known);
+		config_change_free(change);
+		return;
 	}
 	update->started = clock_monotonic(update->clock);
 	update->longest_slice_us = 0;
@@ -239,7 +243,8 @@
 		return;
 	}
 	update->refused_version = config_change_version(change);
-	ignore_change(update, update->refused_version, error);
+	ignore_change(update, config_change_is_object(change),
+	    update->refused_version, error);
 	config_change_free(change);
 }
 
@@ -388,7 +393,7 @@
 	    object, version, &error);
 
 	if (change == NULL)
-		ignore_change(update, version, error);
+		ignore_change(update, true, version, error);
 	else
 		add(update, change);
 }
@@ -411,7 +416,7 @@
 	}
 	change = config_change_new_items(base, version, text, length, &error);
 	if (change == NULL) {
-		ignore_change(update, version, error);
+		ignore_change(update, false, version, error);
 		return false;
 	}
 	add(update, change);
