A relay that does not know an age passes on which version is named

It dropped the version, and with it that there is a later one, for one round trip after a link opens. By reading; the age is above any limit then.

--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -102,9 +102,9 @@
 	if (copy.kind == MESSAGE_LOAD) {
 		int64_t age_ms = routes_age_ms(link, message);
 
-		copy.load.routes_age_ms = (uint32_t)MAX(age_ms, 0);
-		if (age_ms == FRESHNESS_NEVER)
-			copy.load.routes_version = 0;
+		copy.load.routes_age_ms = age_ms == FRESHNESS_NEVER
+		    ? UINT32_MAX
+		    : (uint32_t)age_ms;
 	}
 	mark_relayed(&copy, false, origin);
 	for (size_t i = 0; i < count; i++) {
