What a watch shows stays within the time that a change may take

Callers got 503 not_current for what nobody knows, for up to 0.1 s, after a change late in a watch's wait: the answer counts from the start of its call, and the next watch waited as long. Gateways that rely on others began to watch and stopped again in calm operation (four times each in 30 s), since a report may be as old; and one that began had no evidence until its first watch had waited.

A gateway begins to watch 0.25 s before its limit, and its first call does not wait. The stand-in answers such a call at once.

--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -5,7 +5,7 @@
 #define BODY_MIN_BYTES		1024
 #define BODIES_MAX_BYTES	(1024LL * 1024 * 1024)
 #define DRAIN_NOTICE_MAX_MS	600000
-#define CONFIG_MAX_AGE_MIN_MS	1500 /* a watch is answered within it */
+#define CONFIG_MAX_AGE_MIN_MS	2000 /* two waits of a watch fit into it */
 #define CONFIG_MAX_AGE_MAX_MS	60000
 #define GRACE_MAX_S		3600
 #define RETRY_WINDOW_MAX_S	60
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,6 +14,7 @@
 #include "gateway/exchange_explain.h"
 #include "gateway/routing_update.h"
 #include "node/node.h"
+#include "policy/watching.h"
 
 #define LOG_MODULE "gateway"
 #include "base/log.h"
@@ -336,8 +337,8 @@
 	gateway->random = g_rand_new_with_seed(randombytes_random());
 	gateway->store = object_store_new(node_http_client(gateway->node),
 	    gateway->clock, settings->objects, gateway->random);
-	object_store_set_change_time(
-	    gateway->store, settings->config_max_age_ms);
+	object_store_set_watch_wait(
+	    gateway->store, watching_wait_ms(settings->config_max_age_ms));
 	self = describe_self(gateway);
 	gateway->routing_state = routing_state_new(gateway->loop,
 	    gateway->clock, gateway->store, node_documents(gateway->node),
--- a/src/policy/watching.c
+++ b/src/policy/watching.c
@@ -1,5 +1,7 @@
 #include "policy/watching.h"
 
+#include <glib.h>
+
 /*
  * Returns whether the process would watch the store if it were elected; others
  * must not count on one that has just started.
@@ -19,8 +21,7 @@
 watching_is_needed(const struct watching_input *input)
 {
 	if (watching_is_possible(input) && input->max_age_ms > 0 &&
-	    (double)input->unheard_ms >
-		WATCHING_UNHEARD_SHARE * (double)input->max_age_ms)
+	    input->unheard_ms > input->max_age_ms - WATCHING_UNHEARD_MARGIN_MS)
 		return true;
 	if (input->is_seed || !input->has_seeds)
 		return !input->complete || input->elected;
@@ -30,3 +31,14 @@
 	    input->silence_ms >=
 	    WATCHING_SILENCE_MS + WATCHING_SILENCE_ROUNDS * input->round_ms;
 }
+
+/*
+ * Returns how long a watch waits for a change, for a limit on the age of what
+ * it shows.
+ */
+int64_t
+watching_wait_ms(int64_t max_age_ms)
+{
+	return CLAMP(max_age_ms / 2 - WATCHING_WAIT_MARGIN_MS,
+	    WATCHING_WAIT_MIN_MS, WATCHING_WAIT_MAX_MS);
+}
--- a/src/policy/watching.h
+++ b/src/policy/watching.h
@@ -36,17 +36,26 @@
 /* Intervals of reports by which that is longer; they grow with the peers. */
 #define WATCHING_SILENCE_ROUNDS 2
 /*
- * Share of the limit on a word's age after which a process does not wait for
- * the next one. What is heard in order is younger: a watch's wait and a round.
+ * How long before the limit on the age of a report a process does not wait for
+ * the next one: it decides once a round, and the store must answer in time.
  */
-#define WATCHING_UNHEARD_SHARE 0.75
+#define WATCHING_UNHEARD_MARGIN_MS 250
+
+/*
+ * Long-poll time of a watch. A change that comes at its end is an answer as of
+ * its start, and the next watch starts 100 ms later and waits as long: both
+ * waits must fit into the limit on the age of what a watch shows, with a round
+ * of reports to the others. Each call has a cost.
+ */
+#define WATCHING_WAIT_MIN_MS	750
+#define WATCHING_WAIT_MAX_MS	1200
+#define WATCHING_WAIT_MARGIN_MS 250
 
 struct watching_input {
 	int64_t age_ms; /* since the start of this process */
 	int64_t silence_ms; /* since a report of a peer that can watch */
-	int64_t
-	    unheard_ms; /* since a peer's word was true; from the start on */
-	int64_t max_age_ms; /* of such a word; 0 for no limit */
+	int64_t unheard_ms; /* age of the last report of the newest version */
+	int64_t max_age_ms; /* limit on it; 0 for none */
 	int64_t round_ms; /* interval of reports */
 	bool is_seed; /* all others know its address from the start */
 	bool has_seeds; /* it knows the address of another one */
@@ -57,5 +66,6 @@
 
 bool watching_is_possible(const struct watching_input *);
 bool watching_is_needed(const struct watching_input *);
+int64_t watching_wait_ms(int64_t max_age_ms);
 
 #endif
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -87,6 +87,13 @@
 		return;
 	}
 	if (httpd_request_query(request, "Watch") != NULL) {
+		if (g_strcmp0(httpd_request_query(request, "WaitMs"), "0") ==
+		    0) {
+			respond_store(fake_platform, request,
+			    json_pack("{s:[], s:i}", "events", "StoreRevision",
+				fake_platform->revision));
+			return;
+		}
 		g_ptr_array_add(fake_platform->watches, request);
 		if (strcmp(path, "/objects/config") == 0)
 			fake_platform->config_watch = request;
