--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -142,7 +142,7 @@
 	if (is_load)
 		take_address(sync, origin, message->load.address);
 	if (is_load && message->load.routes_version > 0)
-		routing_state_on_peer_word(sync->routing_state,
+		routing_state_on_peer_report(sync->routing_state,
 		    message->load.routes_version, routes_age_ms(link, message));
 	if (is_load) {
 		peer_loads_on_load(sync->peers, origin, &message->load,
@@ -365,7 +365,7 @@
 	if (time_before(heard_at, sync->started_at))
 		heard_at = sync->started_at;
 	return (struct watching_input){
-	    .unheard_ms = routing_state_word_age_ms(sync->routing_state),
+	    .unconfirmed_ms = routing_state_report_age_ms(sync->routing_state),
 	    .max_age_ms = routing_state_max_age_ms(sync->routing_state),
 	    .age_ms = time_diff_ms(now, sync->started_at),
 	    .silence_ms = time_diff_ms(now, heard_at),
@@ -496,7 +496,7 @@
 	    .is_new = is_new(sync),
 	    .queued = {(uint64_t *)(void *)ranks->data, ranks->len},
 	};
-	if (routing_state_store_word(
+	if (routing_state_store_report(
 		sync->routing_state, &message.load.routes_version, &age_ms))
 		message.load.routes_age_ms = (uint32_t)age_ms;
 	else
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -397,11 +397,11 @@
 }
 
 /*
- * Returns how long ago a peer's word was true that the routes are the newest;
- * the time since the start if none was.
+ * Returns the age of the latest report of a peer that the routes are the
+ * newest; the time since the start if there is none.
  */
 int64_t
-routing_state_word_age_ms(const struct routing_state *routing_state)
+routing_state_report_age_ms(const struct routing_state *routing_state)
 {
 	struct timespec at = routing_state->by_peers.peer_at;
 
@@ -435,7 +435,7 @@
  * and sets which version that is and how long ago it was, for the peers.
  */
 bool
-routing_state_store_word(const struct routing_state *routing_state,
+routing_state_store_report(const struct routing_state *routing_state,
     uint64_t *version, int64_t *age_ms)
 {
 	const struct freshness *freshness = object_watch_freshness(
@@ -449,11 +449,11 @@
 }
 
 /*
- * Takes what routing_state_store_word() has set at a peer. With FRESHNESS_NEVER
+ * Takes a peer's routing_state_store_report(). With FRESHNESS_NEVER
  * as the age, only a later version than the one in force says something.
  */
 void
-routing_state_on_peer_word(
+routing_state_on_peer_report(
     struct routing_state *routing_state, uint64_t version, int64_t age_ms)
 {
 	struct timespec at = {0};
--- a/src/gateway/routing_state.h
+++ b/src/gateway/routing_state.h
@@ -38,11 +38,11 @@
 struct routing_table *routing_state_table(const struct routing_state *);
 void routing_state_set_max_age(struct routing_state *, int64_t max_age_ms);
 int64_t routing_state_max_age_ms(const struct routing_state *);
-int64_t routing_state_word_age_ms(const struct routing_state *);
+int64_t routing_state_report_age_ms(const struct routing_state *);
 bool routing_state_is_current(const struct routing_state *);
-bool routing_state_store_word(
+bool routing_state_store_report(
     const struct routing_state *, uint64_t *version, int64_t *age_ms);
-void routing_state_on_peer_word(
+void routing_state_on_peer_report(
     struct routing_state *, uint64_t version, int64_t age_ms);
 bool routing_state_has_missed(const struct routing_state *);
 struct fleet *routing_state_fleet(const struct routing_state *);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -296,7 +296,8 @@
 	bool holds_retry_share; /* of the retry slack */
 	bool is_new; /* cannot_watch only because it has just started */
 	struct u64_array queued; /* by rank; rows as of gateway/rank_sync.h */
-	/* Of the configuration, by the store's word; 0: the sender has none. */
+	/* Newest configuration by the store's answer; 0: the sender has none.
+	 */
 	uint64_t routes_version;
 	uint32_t routes_age_ms; /* since that was the newest */
 };
--- a/src/policy/freshness.h
+++ b/src/policy/freshness.h
@@ -1,6 +1,6 @@
 /*
  * As of when a process knows that its copy of what the store holds is the
- * newest: by the store's own answers, or by the word of a peer that has them.
+ * newest: by the store's own answers, or by the report of a peer that has them.
  * That something does not exist may be said only while this is not long ago: a
  * process that is cut off, was frozen or has a dead connection would otherwise
  * turn away what has been added since.
@@ -19,7 +19,7 @@
 	struct timespec store_at; /* the store's answer held then; or unset */
 	struct timespec peer_at; /* the same, of an answer to a peer */
 	uint64_t newer_version; /* the last that a peer named; or 0 */
-	struct timespec newer_named_at;
+	struct timespec newer_named_at; /* when that report was read */
 };
 
 void freshness_on_store(struct freshness *, struct timespec at);
--- a/src/policy/watching.h
+++ b/src/policy/watching.h
@@ -39,7 +39,7 @@
  * How long before the limit on the age of a report a process does not wait for
  * the next one: it decides once a round, and the store must answer in time.
  */
-#define WATCHING_UNHEARD_MARGIN_MS 250
+#define WATCHING_UNCONFIRMED_MARGIN_MS 250
 
 /*
  * Long-poll time of a watch. A change that comes at its end is an answer as of
@@ -54,7 +54,8 @@
 struct watching_input {
 	int64_t age_ms; /* since the start of this process */
 	int64_t silence_ms; /* since a report of a peer that can watch */
-	int64_t unheard_ms; /* age of the last report of the newest version */
+	int64_t
+	    unconfirmed_ms; /* age of the last report of the newest version */
 	int64_t max_age_ms; /* limit on it; 0 for none */
 	int64_t round_ms; /* interval of reports */
 	bool is_seed; /* all others know its address from the start */
--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -42,7 +42,7 @@
 	 * API key -> GPtrArray of the organisations that list it, for keys that
 	 * several do. They are borrowed.
 	 */
-	GHashTable *contested;
+	GHashTable *shared_keys;
 	uint64_t generation; /* rises with each switch */
 	struct caller_limits limits; /* from the next switch on */
 	size_t organisation_count; /* the same */
@@ -123,7 +123,7 @@
 	content->hosts = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
 	content->staged = g_ptr_array_new();
-	content->contested = g_hash_table_new_full(
+	content->shared_keys = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	content->generation = 1;
 	table->content = content;
@@ -138,7 +138,7 @@
 	if (table == NULL)
 		return;
 	g_ptr_array_unref(table->content->staged);
-	g_hash_table_unref(table->content->contested);
+	g_hash_table_unref(table->content->shared_keys);
 	g_hash_table_unref(table->content->routes.slots);
 	g_hash_table_unref(table->content->services.slots);
 	g_hash_table_unref(table->content->keys.slots);
@@ -310,20 +310,21 @@
 }
 
 /*
- * Records that two organisations list an API key: the one that has it, and the
- * one that gets it. While a change is staged, or after one that failed, a key
+ * Records that two organisations list an API key: its owner and the next one.
+ * While a change is staged, or after one that failed, a key
  * may be in the organisation that it leaves and in the one that it goes to.
  */
 static void
-contest_key(struct routing_table_content *content, const char *key,
+add_key_owner(struct routing_table_content *content, const char *key,
     struct organisation *owner, struct organisation *next)
 {
-	GPtrArray *owners = g_hash_table_lookup(content->contested, key);
+	GPtrArray *owners = g_hash_table_lookup(content->shared_keys, key);
 
 	if (owners == NULL) {
 		owners = g_ptr_array_new();
 		g_ptr_array_add(owners, owner);
-		g_hash_table_insert(content->contested, g_strdup(key), owners);
+		g_hash_table_insert(
+		    content->shared_keys, g_strdup(key), owners);
 	}
 	g_ptr_array_add(owners, next);
 }
@@ -333,10 +334,10 @@
  * that still does; NULL if there is none.
  */
 static struct organisation *
-concede_key(struct routing_table_content *content, const char *key,
+remove_key_owner(struct routing_table_content *content, const char *key,
     struct organisation *organisation)
 {
-	GPtrArray *owners = g_hash_table_lookup(content->contested, key);
+	GPtrArray *owners = g_hash_table_lookup(content->shared_keys, key);
 	struct organisation *next;
 
 	if (owners == NULL)
@@ -344,7 +345,7 @@
 	g_ptr_array_remove(owners, organisation);
 	next = owners->pdata[owners->len - 1];
 	if (owners->len == 1)
-		g_hash_table_remove(content->contested, key);
+		g_hash_table_remove(content->shared_keys, key);
 	return next;
 }
 
@@ -367,7 +368,7 @@
 		if (owner == organisation)
 			continue;
 		if (owner != NULL)
-			contest_key(content, key, owner, organisation);
+			add_key_owner(content, key, owner, organisation);
 		stage(table, &content->keys, key, organisation);
 	}
 }
@@ -386,7 +387,7 @@
 	service_ranks_remove_organisation(table->ranks, organisation);
 	for (guint i = 0; i < organisation->keys->len; i++) {
 		const char *key = organisation->keys->pdata[i];
-		struct organisation *next = concede_key(
+		struct organisation *next = remove_key_owner(
 		    content, key, organisation);
 
 		if (staged_owner(content, key) == organisation)
--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -266,7 +266,7 @@
  * knows.
  */
 static void
-test_watchers_without_word(void)
+test_watchers_without_report(void)
 {
 	static const struct load_case c = {
 	    .age_ms = WATCHING_SETTLE_MS, .others_watch = true};
@@ -402,7 +402,7 @@
 	    test_unlisted);
 	g_test_add_func("/load_sync/a gateway relies on watchers that do not "
 			"report the newest version",
-	    test_watchers_without_word);
+	    test_watchers_without_report);
 	g_test_add_func("/load_sync/a gateway that begins to watch hears from "
 			"the store before its evidence lapses",
 	    test_first_answer);
--- a/tests/test_routing_state.c
+++ b/tests/test_routing_state.c
@@ -344,33 +344,33 @@
 }
 
 #define PAUSE_MS 2500
-/* The other gateway's word is never younger, see test_late_word(). */
-#define WORD_AGE_MS 1000
+/* Reports of the other gateway are never younger, see test_late_report(). */
+#define REPORT_AGE_MS 1000
 
 /*
- * A peer's word that the configuration is the newest is read late: the process
- * stood still for longer than a change may take. The word is as old as its
- * message. The second gateway stands still too, so that it has an old word.
+ * A peer's report that the configuration is the newest is read late: the
+ * process stood still for longer than a change may take. It is as old as its
+ * message. The second gateway stands still too, so that it has an old report.
  */
 static void
-test_late_word(void)
+test_late_report(void)
 {
 	struct test t = {.peer = {.document = DOCUMENT_ROUTES, .version = 1}};
-	struct message word = {.kind = MESSAGE_LOAD};
+	struct message report = {.kind = MESSAGE_LOAD};
 	struct timespec end;
 
 	set_up(&t);
-	end = time_add_ms(clock_monotonic(clock_system()), WORD_AGE_MS);
+	end = time_add_ms(clock_monotonic(clock_system()), REPORT_AGE_MS);
 	while (!mesh_is_connected(t.peer.mesh, t.first.address) ||
 	    time_before(clock_monotonic(clock_system()), end)) {
-		mesh_send(t.peer.mesh, t.first.address, &word);
+		mesh_send(t.peer.mesh, t.first.address, &report);
 		ev_run(t.loop, EVRUN_ONCE);
 	}
-	word.load.routes_version = routing_state_revision(
+	report.load.routes_version = routing_state_revision(
 	    t.first.routing_state);
-	mesh_send(t.peer.mesh, t.first.address, &word);
+	mesh_send(t.peer.mesh, t.first.address, &report);
 	g_usleep((gulong)PAUSE_MS * (G_USEC_PER_SEC / MS_PER_S));
-	end = time_add_ms(clock_monotonic(clock_system()), WORD_AGE_MS / 4);
+	end = time_add_ms(clock_monotonic(clock_system()), REPORT_AGE_MS / 4);
 	while (time_before(clock_monotonic(clock_system()), end)) {
 		struct freshness freshness;
 
@@ -378,7 +378,7 @@
 		freshness = routing_state_freshness(t.first.routing_state);
 		g_assert_true(!time_is_set(freshness.peer_at) ||
 		    freshness_since_ms(freshness.peer_at,
-			clock_monotonic(clock_system())) >= WORD_AGE_MS);
+			clock_monotonic(clock_system())) >= REPORT_AGE_MS);
 	}
 	tear_down(&t);
 }
@@ -467,9 +467,10 @@
 	g_test_add_func("/routing_state/a gateway that learns of a restored "
 			"store from a peer takes later changes",
 	    test_restored_at_peer);
-	g_test_add_func("/routing_state/a peer's word that is read late is as "
-			"old as its message",
-	    test_late_word);
+	g_test_add_func(
+	    "/routing_state/a peer's report that is read late is as "
+	    "old as its message",
+	    test_late_report);
 	g_test_add_func("/routing_state/a version that no peer sends does not "
 			"outlast the store's answers",
 	    test_unobtainable_version);
--- a/tests/test_watching.c
+++ b/tests/test_watching.c
@@ -43,21 +43,21 @@
 	{.age_ms = WATCHING_SETTLE_MS,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unheard_ms = 1751,
+	    .unconfirmed_ms = 1751,
 	    .max_age_ms = 2000},
 	true},
     {"it does not watch while they say so",
 	{.age_ms = WATCHING_SETTLE_MS,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unheard_ms = 1750,
+	    .unconfirmed_ms = 1750,
 	    .max_age_ms = 2000},
 	false},
     {"of many that have just started, none watches for that reason",
 	{.age_ms = WATCHING_SETTLE_MS - 1,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unheard_ms = 4000,
+	    .unconfirmed_ms = 4000,
 	    .max_age_ms = 2000},
 	false},
     {"a new process that hears from none that can watch does so",
@@ -138,8 +138,9 @@
 };
 
 /*
- * In calm operation a word is up to a watch's wait and a round old. While that
- * is within the time that a change may take, others rely on those that watch.
+ * In calm operation a report is up to a watch's wait and a round old. While
+ * that is within the time that a change may take, others rely on those that
+ * watch.
  */
 static void
 test_calm(gconstpointer data)
@@ -153,11 +154,11 @@
 	    .round_ms = round_ms,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unheard_ms = wait_ms + round_ms,
+	    .unconfirmed_ms = wait_ms + round_ms,
 	    .max_age_ms = c->max_age_ms,
 	};
 
-	g_assert_cmpint(input.unheard_ms, <, input.max_age_ms);
+	g_assert_cmpint(input.unconfirmed_ms, <, input.max_age_ms);
 	g_assert_false(watching_is_needed(&input));
 }
 
