Gateways watch themselves only if nobody reports, and wait longer where they may

Cause: takes a report with a high age for none, so all gateways began to watch a store that did not answer the three that did, and let each watch wait for 1 to 1.5 s, where 3 or 4 s are allowed.

Watchers now report the version and its age whatever the age, and a gateway begins to watch only if no such report comes: behind a build that makes none. A watch waits for up to 1.75 s.

--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -85,9 +85,19 @@
 static int64_t
 routes_age_ms(const struct link *link, const struct message *message)
 {
-	return link_knows_ages(link)
-	    ? message->load.routes_age_ms + link_message_age_ms(link, message)
-	    : FRESHNESS_NEVER;
+	if (message->load.routes_age_ms == LOAD_AGE_UNKNOWN ||
+	    !link_knows_ages(link))
+		return FRESHNESS_NEVER;
+	return message->load.routes_age_ms + link_message_age_ms(link, message);
+}
+
+/* Returns an age as reports have it. */
+static uint32_t
+encode_age(int64_t age_ms)
+{
+	return age_ms == FRESHNESS_NEVER
+	    ? LOAD_AGE_UNKNOWN
+	    : (uint32_t)MIN(age_ms, LOAD_AGE_UNKNOWN - 1);
 }
 
 /* Passes a message on to the other gateways in this failure domain. */
@@ -99,13 +109,9 @@
 	size_t count;
 	const char *const *peers = mesh_peers(sync->mesh, &count);
 
-	if (copy.kind == MESSAGE_LOAD) {
-		int64_t age_ms = routes_age_ms(link, message);
-
-		copy.load.routes_age_ms = age_ms == FRESHNESS_NEVER
-		    ? UINT32_MAX
-		    : (uint32_t)age_ms;
-	}
+	if (copy.kind == MESSAGE_LOAD)
+		copy.load.routes_age_ms = encode_age(
+		    routes_age_ms(link, message));
 	mark_relayed(&copy, false, origin);
 	for (size_t i = 0; i < count; i++) {
 		if (is_in_own_domain(sync, peers[i]))
@@ -365,7 +371,7 @@
 	if (time_before(heard_at, sync->started_at))
 		heard_at = sync->started_at;
 	return (struct watching_input){
-	    .unconfirmed_ms = routing_state_report_age_ms(sync->routing_state),
+	    .unreported_ms = routing_state_unreported_ms(sync->routing_state),
 	    .max_age_ms = routing_state_max_age_ms(sync->routing_state),
 	    .age_ms = time_diff_ms(now, sync->started_at),
 	    .silence_ms = time_diff_ms(now, heard_at),
@@ -498,7 +504,7 @@
 	};
 	if (routing_state_store_report(
 		sync->routing_state, &message.load.routes_version, &age_ms))
-		message.load.routes_age_ms = (uint32_t)age_ms;
+		message.load.routes_age_ms = encode_age(age_ms);
 	else
 		message.load.routes_version = 0;
 	if (!may_skip(sync, &report, ranks) || !changes)
--- a/src/gateway/routing_state.c
+++ b/src/gateway/routing_state.c
@@ -29,7 +29,7 @@
 	struct shared_kind upstreams;
 	struct shared_kind takeouts;
 	struct routing_update *update; /* of the routing table */
-	struct timespec started_at;
+	struct timespec reported_at; /* by a peer; or the start */
 	struct freshness by_peers; /* of the routes, without the store's part */
 	int64_t max_age_ms; /* within which the routes count as the newest */
 	struct timespec table_applied_at; /* when this process applied it */
@@ -296,7 +296,7 @@
 	routing_state->fleet = fleet_new();
 	routing_state->watching = watching;
 	routing_state->max_age_ms = ROUTING_STATE_MAX_AGE_MS;
-	routing_state->started_at = clock_monotonic(clock);
+	routing_state->reported_at = clock_monotonic(clock);
 	routing_state->update = routing_update_new(
 	    loop, clock, &update_ops, routing_state);
 	start_watch(routing_state, &routing_state->routes, loop, store,
@@ -381,7 +381,10 @@
 	return routing_update_table(routing_state->update);
 }
 
-/* Sets how long the routes count as the newest after they were known to be. */
+/*
+ * Sets how long the routes count as the newest after they were known to be.
+ * With FRESHNESS_NEVER they don't, and nothing is reported of them.
+ */
 void
 routing_state_set_max_age(
     struct routing_state *routing_state, int64_t max_age_ms)
@@ -397,17 +400,14 @@
 }
 
 /*
- * Returns the age of the latest report of a peer that the routes are the
- * newest; the time since the start if there is none.
+ * Returns the time since a peer reported which version is the newest, or since
+ * the start.
  */
 int64_t
-routing_state_report_age_ms(const struct routing_state *routing_state)
+routing_state_unreported_ms(const struct routing_state *routing_state)
 {
-	struct timespec at = routing_state->by_peers.peer_at;
-
-	if (time_before(at, routing_state->started_at))
-		at = routing_state->started_at;
-	return time_diff_ms(clock_monotonic(routing_state->clock), at);
+	return time_diff_ms(
+	    clock_monotonic(routing_state->clock), routing_state->reported_at);
 }
 
 /*
@@ -431,8 +431,9 @@
 }
 
 /*
- * Returns whether the store itself has shown that the routes are the newest,
- * and sets which version that is and how long ago it was, for the peers.
+ * Returns whether this process watches the store, and sets the version of the
+ * routes and how long ago the store showed that it is the newest, for the
+ * peers; FRESHNESS_NEVER if it did not.
  */
 bool
 routing_state_store_report(const struct routing_state *routing_state,
@@ -442,10 +443,12 @@
 	    routing_state->routes.watch);
 
 	*version = routing_state_revision(routing_state);
-	*age_ms = freshness_since_ms(
-	    freshness->store_at, clock_monotonic(routing_state->clock));
-	return *age_ms >= 0 && *age_ms <= routing_state->max_age_ms &&
-	    !routing_update_is_behind(routing_state->update);
+	*age_ms = routing_update_is_behind(routing_state->update)
+	    ? FRESHNESS_NEVER
+	    : freshness_since_ms(
+		  freshness->store_at, clock_monotonic(routing_state->clock));
+	return routing_state->watching && *version > 0 &&
+	    routing_state->max_age_ms != FRESHNESS_NEVER;
 }
 
 /*
@@ -456,14 +459,14 @@
 routing_state_on_peer_report(
     struct routing_state *routing_state, uint64_t version, int64_t age_ms)
 {
+	struct timespec now = clock_monotonic(routing_state->clock);
 	struct timespec at = {0};
 
+	routing_state->reported_at = now;
 	if (age_ms != FRESHNESS_NEVER)
-		at = time_add_ms(
-		    clock_monotonic(routing_state->clock), -age_ms);
+		at = time_add_ms(now, -age_ms);
 	freshness_on_peer(&routing_state->by_peers,
-	    routing_state_revision(routing_state), version, at,
-	    clock_monotonic(routing_state->clock));
+	    routing_state_revision(routing_state), version, at, now);
 }
 
 /*
--- a/src/gateway/routing_state.h
+++ b/src/gateway/routing_state.h
@@ -38,7 +38,7 @@
 struct routing_table *routing_state_table(const struct routing_state *);
 void routing_state_set_max_age(struct routing_state *, int64_t max_age_ms);
 int64_t routing_state_max_age_ms(const struct routing_state *);
-int64_t routing_state_report_age_ms(const struct routing_state *);
+int64_t routing_state_unreported_ms(const struct routing_state *);
 bool routing_state_is_current(const struct routing_state *);
 bool routing_state_store_report(
     const struct routing_state *, uint64_t *version, int64_t *age_ms);
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -267,6 +267,9 @@
 	uint32_t age_ms; /* since the last death */
 };
 
+/* An age of the configuration in a load report that is not known. */
+#define LOAD_AGE_UNKNOWN UINT32_MAX
+
 struct message_load {
 	bool cannot_watch; /* the store: disconnected or just started */
 	struct string_array upstreams; /* as many as in each array below */
@@ -299,7 +302,7 @@
 	/* Newest configuration by the store's answer; 0: the sender has none.
 	 */
 	uint64_t routes_version;
-	uint32_t routes_age_ms; /* since that was the newest */
+	uint32_t routes_age_ms; /* since that was the newest; or unknown */
 };
 
 struct message_prefill {
--- a/src/policy/watching.c
+++ b/src/policy/watching.c
@@ -21,8 +21,8 @@
 watching_is_needed(const struct watching_input *input)
 {
 	if (watching_is_possible(input) && input->max_age_ms > 0 &&
-	    input->unconfirmed_ms >
-		input->max_age_ms - WATCHING_UNCONFIRMED_MARGIN_MS)
+	    input->unreported_ms >
+		input->max_age_ms - WATCHING_UNREPORTED_MARGIN_MS)
 		return true;
 	if (input->is_seed || !input->has_seeds)
 		return !input->complete || input->elected;
--- a/src/policy/watching.h
+++ b/src/policy/watching.h
@@ -14,10 +14,10 @@
  * itself, unless enough of those that are as new rank before it: what it listed
  * at its start is soon outdated.
  *
- * One that relies on others must hear from them that it has the newest
- * configuration, or it can't tell its callers what does not exist. If it does
- * not, because those that watch are stuck or of a build that does not report
- * it, it watches itself.
+ * One that relies on others must be told by them which configuration is the
+ * newest, or it can't tell its callers what does not exist. If they are of a
+ * build that does not report it, it watches itself. If they report it with a
+ * high age, the store does not answer: then more calls are of no use.
  */
 #ifndef POLICY_WATCHING_H
 #define POLICY_WATCHING_H
@@ -39,7 +39,7 @@
  * How long before the limit on the age of a report a process does not wait for
  * the next one: it decides once a round, and the store must answer in time.
  */
-#define WATCHING_UNCONFIRMED_MARGIN_MS 250
+#define WATCHING_UNREPORTED_MARGIN_MS 250
 
 /*
  * Long-poll time of a watch. A change that comes at its end is an answer as of
@@ -48,15 +48,14 @@
  * of reports to the others. Each call has a cost.
  */
 #define WATCHING_WAIT_MIN_MS	750
-#define WATCHING_WAIT_MAX_MS	1200
+#define WATCHING_WAIT_MAX_MS	1750
 #define WATCHING_WAIT_MARGIN_MS 250
 
 struct watching_input {
 	int64_t age_ms; /* since the start of this process */
 	int64_t silence_ms; /* since a report of a peer that can watch */
-	int64_t
-	    unconfirmed_ms; /* age of the last report of the newest version */
-	int64_t max_age_ms; /* limit on it; 0 for none */
+	int64_t unreported_ms; /* since a report of the newest version came */
+	int64_t max_age_ms; /* limit on its age; 0 for none */
 	int64_t round_ms; /* interval of reports */
 	bool is_seed; /* all others know its address from the start */
 	bool has_seeds; /* it knows the address of another one */
--- a/tests/test_watching.c
+++ b/tests/test_watching.c
@@ -43,21 +43,21 @@
 	{.age_ms = WATCHING_SETTLE_MS,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unconfirmed_ms = 1751,
+	    .unreported_ms = 1751,
 	    .max_age_ms = 2000},
 	true},
     {"it does not watch while they say so",
 	{.age_ms = WATCHING_SETTLE_MS,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unconfirmed_ms = 1750,
+	    .unreported_ms = 1750,
 	    .max_age_ms = 2000},
 	false},
     {"of many that have just started, none watches for that reason",
 	{.age_ms = WATCHING_SETTLE_MS - 1,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unconfirmed_ms = 4000,
+	    .unreported_ms = 4000,
 	    .max_age_ms = 2000},
 	false},
     {"a new process that hears from none that can watch does so",
@@ -154,11 +154,11 @@
 	    .round_ms = round_ms,
 	    .has_seeds = true,
 	    .complete = true,
-	    .unconfirmed_ms = wait_ms + round_ms,
+	    .unreported_ms = wait_ms + round_ms,
 	    .max_age_ms = c->max_age_ms,
 	};
 
-	g_assert_cmpint(input.unconfirmed_ms, <, input.max_age_ms);
+	g_assert_cmpint(input.unreported_ms, <, input.max_age_ms);
 	g_assert_false(watching_is_needed(&input));
 }
 
