--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -311,8 +311,8 @@
 
 /*
  * Records that two organisations list an API key: its owner and the next one.
- * While a change is staged, or after one that failed, a key
- * may be in the organisation that it leaves and in the one that it goes to.
+ * While a change is staged, or after one that failed, a key may be in the
+ * organisation that it leaves and in the one that it goes to.
  */
 static void
 add_key_owner(struct routing_table_content *content, const char *key,
