Review: after many machines were replaced, versions arrive too late (CONFIG)

The objects of gateways that are gone stay peers for good, and the gossip picks them as often as live ones.

--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -482,7 +482,7 @@
 def free_ports_once(count):
     """Returns free ports that were not returned before."""
     if not PORTS:
-        PORTS.extend(free_ports(40))
+        PORTS.extend(free_ports(120))
     return [PORTS.pop(0) for _ in range(count)]
 
 
