--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -71,23 +71,6 @@
         self.file.close()
 
 
-def free_ports(count):
-    """Returns ports on which nothing listens, outside the ephemeral range."""
-    ports = []
-    first = 20000 + os.getpid() * 37 % 9000
-    for port in range(first, 32000):
-        with socket.socket() as one:
-            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                one.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise Blocked("not enough free ports")
-
-
 async def read_head(reader):
     """Returns the first line and the headers, with names in lower case."""
     try:
@@ -476,14 +459,24 @@
             self.process.send_signal(signal.SIGKILL)
 
 
-PORTS = []
+PORTS = (20000, 32000)  # below those that the system gives out
+next_port = [PORTS[0] + os.getpid() * 131 % 11000]
 
 
 def free_ports_once(count):
-    """Returns free ports that were not returned before."""
-    if not PORTS:
-        PORTS.extend(free_ports(120))
-    return [PORTS.pop(0) for _ in range(count)]
+    """Returns ports on which nothing listens now, none of them twice."""
+    ports = []
+    while len(ports) < count:
+        port, next_port[0] = next_port[0], next_port[0] + 1
+        if port >= PORTS[1]:
+            raise Blocked("not enough free ports")
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
 
 
 class Answer:
