--- a/src/gateway/crash_sync.c
+++ b/src/gateway/crash_sync.c
@@ -4,8 +4,6 @@
 #include <stdio.h>
 
 #include "base/metrics.h"
-#include "policy/part_quarantine.h"
-
 #define LOG_MODULE "crashes"
 #include "base/log.h"
 
@@ -27,6 +25,14 @@
 	SYNC_ANSWER, /* sends its charges */
 };
 
+enum part_log {
+	PART_LOG_CHARGED,
+	PART_LOG_CLEARED,
+	PART_LOG_REFUSED,
+	PART_LOG_ACCEPTED,
+	PART_LOG_PROBED,
+};
+
 struct crash_sync {
 	struct ev_loop *loop;
 	struct clock *clock;
@@ -42,7 +48,8 @@
 };
 
 METRIC_DEFINE(charges_count, METRIC_COUNTER, "heatherturn_prompt_part_charges",
-    NULL, "Upstream deaths charged to prompt parts, by any gateway.");
+    NULL,
+    "Upstream deaths charged to prompt parts and requests, by any gateway.");
 
 /*
  * Makes a message of some events and the digest, and passes it to the callback;
@@ -128,25 +135,42 @@
 	ev_timer_start(sync->loop, &sync->flush_timer);
 }
 
-/* Logs an event that has changed what is known of a part. */
+/* What is logged of a prompt part, and of a whole request. */
+static const char *const texts[][2] = {
+    [PART_LOG_CHARGED] = {"prompt part charged", "request charged"},
+    [PART_LOG_CLEARED] = {"prompt part cleared", "request cleared"},
+    [PART_LOG_REFUSED] = {"prompt part refused", "request refused everywhere"},
+    [PART_LOG_ACCEPTED] = {"prompt part accepted again",
+	"request accepted again"},
+    [PART_LOG_PROBED] = {"prompt part probed", "request probed"},
+};
+
+/* Logs an event that has changed what is known of a part or request. */
 static void
 log_event(const struct crash_sync *sync, const struct part_event *event,
     const char *source)
 {
+	static const char *const kinds[PART_EVENT_KINDS] = {
+	    [PART_SURVIVED] = "survived",
+	    [PART_CHARGED_WEAKLY] = "weakly",
+	    [PART_CHARGED] = "charged",
+	    [PART_CHARGED_ALONE] = "alone",
+	};
+	enum part_log log = event->kind == PART_SURVIVED ? PART_LOG_CLEARED
+							 : PART_LOG_CHARGED;
+	bool is_request = event->depth == PART_DEPTH_REQUEST;
 	char part[17];
 	char death[17];
 
 	snprintf(part, sizeof(part), "%" PRIx64, event->part);
 	snprintf(death, sizeof(death), "%" PRIx64, event->death);
-	LOG_INFO(event->kind == PART_SURVIVED ? "prompt part cleared"
-					      : "prompt part charged",
-	    "{s:s, s:i, s:s, s:b, s:s, s:I}", "part", part, "depth",
-	    (int)event->depth, "death", death, "begun",
-	    event->kind == PART_CHARGED_BEGUN, "source", source, "age_ms",
+	LOG_INFO(texts[log][is_request], "{s:s, s:i, s:s, s:s, s:s, s:I}",
+	    "part", part, "depth", is_request ? -1 : (int)event->depth, "death",
+	    death, "as", kinds[event->kind], "source", source, "age_ms",
 	    (json_int_t)time_diff_ms(clock_monotonic(sync->clock), event->at));
 }
 
-/* Logs that requests with a part are refused from now on, or no longer. */
+/* Logs that a part or request is refused from now on, or no longer. */
 static void
 on_refused(void *data, uint64_t part, bool refused)
 {
@@ -154,7 +178,8 @@
 	char text[17];
 
 	snprintf(text, sizeof(text), "%" PRIx64, part);
-	LOG_WARN(refused ? "prompt part refused" : "prompt part accepted again",
+	LOG_WARN(texts[refused ? PART_LOG_REFUSED : PART_LOG_ACCEPTED]
+		      [part_quarantine_is_request(sync->quarantine, part)],
 	    "{s:s}", "part", text);
 	if (refused && sync->refused_callback != NULL)
 		sync->refused_callback(sync->refused_callback_data, part);
@@ -249,7 +274,7 @@
 	for (size_t i = 0; i < count; i++) {
 		const struct part_event event = {
 		    .kind = (enum part_event_kind)MIN(
-			crashes->kinds.items[i], PART_CHARGED_BEGUN),
+			crashes->kinds.items[i], PART_EVENT_KINDS - 1),
 		    .part = crashes->parts.items[i],
 		    .depth = (uint32_t)MIN(
 			crashes->depths.items[i], UINT32_MAX),
@@ -348,91 +373,115 @@
 	sync->refused_callback_data = data;
 }
 
-/*
- * Reports the death of an upstream during a request with these parts whose
- * response had begun or not, and had not survived.
- */
+/* Returns the number of a request's subjects. */
+static size_t
+count_subjects(const struct crash_subjects *subjects)
+{
+	return subjects->part_count + (subjects->request != 0 ? 1 : 0);
+}
+
+/* Returns one of a request's subjects: its parts, then the whole request. */
+static uint64_t
+subject_at(const struct crash_subjects *subjects, size_t i)
+{
+	return i < subjects->part_count ? subjects->parts[i]
+					: subjects->request;
+}
+
+/* Returns the depth of one of a request's subjects. */
+static uint32_t
+subject_depth(const struct crash_subjects *subjects, size_t i)
+{
+	return i < subjects->part_count ? (uint32_t)i : PART_DEPTH_REQUEST;
+}
+
+/* Reports the death of an upstream during a request that was so far. */
 void
 crash_sync_report_death(struct crash_sync *sync, uint64_t death,
-    const uint64_t *parts, size_t count, bool begun)
+    const struct crash_subjects *subjects, const struct part_death_stage *stage)
 {
-	for (size_t i = 0; i < count; i++)
-		add_event(sync,
-		    &(struct part_event){
-			.kind = begun ? PART_CHARGED_BEGUN
-				      : PART_CHARGED_WAITING,
-			.part = parts[i],
-			.depth = (uint32_t)i,
-			.death = death,
-			.at = clock_monotonic(sync->clock),
-		    },
-		    "own");
+	for (size_t i = 0; i < count_subjects(subjects); i++) {
+		struct part_event event = {
+		    .part = subject_at(subjects, i),
+		    .depth = subject_depth(subjects, i),
+		    .death = death,
+		    .at = clock_monotonic(sync->clock),
+		};
+
+		if (part_quarantine_charge(stage, event.depth, &event.kind))
+			add_event(sync, &event, "own");
+	}
 	update(sync);
 }
 
-/* Reports that a request with these parts has survived its first events. */
+/* Reports that an upstream has survived a request's subjects. */
 void
-crash_sync_report_survival(struct crash_sync *sync, const uint64_t *parts,
-    size_t count, struct timespec began_at)
+crash_sync_report_survival(struct crash_sync *sync,
+    const struct crash_subjects *subjects, struct timespec began_at)
 {
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count_subjects(subjects); i++)
 		add_event(sync,
 		    &(struct part_event){.kind = PART_SURVIVED,
-			.part = parts[i],
-			.depth = (uint32_t)i,
+			.part = subject_at(subjects, i),
+			.depth = subject_depth(subjects, i),
 			.at = began_at},
 		    "own");
 	update(sync);
 }
 
 /*
- * Returns for how many milliseconds requests with these parts are refused; 0 if
- * they are not.
+ * Returns for how many milliseconds a request with these subjects is refused; 0
+ * if it is not.
  */
 int64_t
 crash_sync_refused_ms(
-    struct crash_sync *sync, const uint64_t *parts, size_t count)
+    struct crash_sync *sync, const struct crash_subjects *subjects)
 {
 	struct timespec now = clock_monotonic(sync->clock);
 	int64_t left_ms = 0;
 
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count_subjects(subjects); i++)
 		left_ms = MAX(left_ms,
-		    part_quarantine_left_ms(sync->quarantine, parts[i], now));
+		    part_quarantine_left_ms(
+			sync->quarantine, subject_at(subjects, i), now));
 	return left_ms;
 }
 
 /*
- * Finds the one refused part of a request whose probe is due; false if there is
- * none, or another refused part beside it, so that the probe would tell
+ * Finds the one refused subject of a request whose probe is due; false if there
+ * is none, or another refused one beside it, so that the probe would tell
  * nothing.
  */
 bool
-crash_sync_find_probe(
-    struct crash_sync *sync, const uint64_t *parts, size_t count, uint64_t *out)
+crash_sync_find_probe(struct crash_sync *sync,
+    const struct crash_subjects *subjects, uint64_t *out)
 {
 	struct timespec now = clock_monotonic(sync->clock);
 	size_t refused = 0;
 
-	for (size_t i = 0; i < count; i++) {
-		if (part_quarantine_left_ms(sync->quarantine, parts[i], now) ==
+	for (size_t i = 0; i < count_subjects(subjects); i++) {
+		uint64_t subject = subject_at(subjects, i);
+
+		if (part_quarantine_left_ms(sync->quarantine, subject, now) ==
 		    0)
 			continue;
 		refused++;
-		*out = parts[i];
+		*out = subject;
 	}
 	return refused == 1 &&
 	    part_quarantine_is_probe_due(sync->quarantine, *out, now);
 }
 
-/* A request with a refused part is sent as its probe. */
+/* A request with a refused subject is sent as its probe. */
 void
-crash_sync_begin_probe(struct crash_sync *sync, uint64_t part)
+crash_sync_begin_probe(struct crash_sync *sync, uint64_t subject)
 {
 	char text[17];
 
-	snprintf(text, sizeof(text), "%" PRIx64, part);
-	LOG_INFO("prompt part probed", "{s:s}", "part", text);
+	snprintf(text, sizeof(text), "%" PRIx64, subject);
+	LOG_INFO(texts[PART_LOG_PROBED]
+		      [part_quarantine_is_request(sync->quarantine, subject)],
+	    "{s:s}", "part", text);
 	part_quarantine_on_probe(
-	    sync->quarantine, part, clock_monotonic(sync->clock));
+	    sync->quarantine, subject, clock_monotonic(sync->clock));
 }
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -12,15 +12,11 @@
 #include "gateway/coordination.h"
 #include "gateway/exchange_internal.h"
 #include "policy/duration.h"
-#include "policy/quarantine.h"
 #include "policy/start_wait.h"
 
 #define LOG_MODULE "exchange"
 #include "base/log.h"
 
-/* Gives operators time to look at a request that crashes upstreams. */
-#define QUARANTINED_RETRY_AFTER_MS 5000
-
 #define STATUS_ERROR_MIN 400
 
 /* Status and error code of each refusal. */
@@ -67,7 +63,7 @@
 {
 	TAILQ_INIT(&context->exchanges);
 	crash_sync_set_refused_callback(
-	    context->crash_sync, exchange_on_part_refused, context);
+	    context->crash_sync, exchange_on_crashing_refused, context);
 	context->durations = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
 	context->return_slots = g_hash_table_new_full(
@@ -280,63 +276,50 @@
 }
 
 /*
- * Returns whether the request is sent as the probe of a refused part of its
- * prompt, which one gateway sends for all, once.
+ * Returns whether the request is sent as the probe of itself or of a refused
+ * part of its prompt, which one gateway sends for all, once.
  */
 static bool
 becomes_probe(struct exchange *exchange)
 {
 	struct exchange_context *context = exchange->context;
+	const struct crash_subjects subjects = exchange_crash_subjects(
+	    exchange);
 	char key[17];
-	uint64_t part;
+	uint64_t subject;
 
 	if (exchange->is_probe)
 		return exchange->sends == 0;
 	if (exchange->sends > 0 ||
-	    !crash_sync_find_probe(context->crash_sync,
-		exchange->caller_headers.parts,
-		exchange->caller_headers.part_count, &part))
+	    !crash_sync_find_probe(context->crash_sync, &subjects, &subject))
 		return false;
-	snprintf(key, sizeof(key), "%" PRIx64, part);
+	snprintf(key, sizeof(key), "%" PRIx64, subject);
 	if (!coordination_is_own(context->load_sync, key))
 		return false;
-	crash_sync_begin_probe(context->crash_sync, part);
+	crash_sync_begin_probe(context->crash_sync, subject);
 	exchange->is_probe = true;
 	return true;
 }
 
-/* Refuses a request with a prompt part that crashes upstreams. */
+/* Refuses a request that crashes upstreams, or a part of whose prompt does. */
 bool
-exchange_refuse_crashing_part(struct exchange *exchange)
+exchange_refuse_crashing(struct exchange *exchange)
 {
-	int64_t left_ms = crash_sync_refused_ms(exchange->context->crash_sync,
-	    exchange->caller_headers.parts,
-	    exchange->caller_headers.part_count);
+	const struct crash_subjects subjects = exchange_crash_subjects(
+	    exchange);
+	const struct crash_subjects request = {.request = subjects.request};
+	struct crash_sync *crash_sync = exchange->context->crash_sync;
+	int64_t left_ms = crash_sync_refused_ms(crash_sync, &subjects);
+	bool is_request;
 
 	if (left_ms == 0 || becomes_probe(exchange))
 		return false;
+	is_request = crash_sync_refused_ms(crash_sync, &request) > 0;
 	exchange_fail(exchange, REFUSAL_QUARANTINED, left_ms,
-	    "upstreams crashed when they began to answer requests with a part "
-	    "of this prompt");
-	return true;
-}
-
-/*
- * Refuses a request that has crashed upstreams several times, or a part of
- * whose prompt has.
- */
-static bool
-is_quarantined(struct exchange *exchange)
-{
-	if (exchange_refuse_crashing_part(exchange))
-		return true;
-	exchange->fingerprint = fingerprint(exchange);
-	if (mesh_suspect_deaths(exchange->context->mesh,
-		exchange->fingerprint) < QUARANTINE_DEATHS)
-		return false;
-	exchange_refuse(exchange, REFUSAL_QUARANTINED,
-	    QUARANTINED_RETRY_AFTER_MS,
-	    "upstreams crashed while they ran this request");
+	    is_request
+		? "upstreams crashed while they ran this request"
+		: "upstreams crashed when they began to answer requests with a "
+		  "part of this prompt");
 	return true;
 }
 
@@ -400,7 +383,10 @@
 		return;
 	}
 	exchange->routes_version = table->version;
-	if (!exchange_find_route(exchange, table) || is_quarantined(exchange) ||
+	if (!exchange_find_route(exchange, table))
+		return;
+	exchange->fingerprint = fingerprint(exchange);
+	if (exchange_refuse_crashing(exchange) ||
 	    exchange_reject_if_host_short(exchange))
 		return;
 	set_deadline(exchange);
--- a/src/gateway/exchange_events.c
+++ b/src/gateway/exchange_events.c
@@ -78,7 +78,7 @@
 count_event(struct exchange *exchange)
 {
 	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
-		exchange_report_survival(exchange);
+		exchange_report_begin_survival(exchange);
 	if (exchange->send_events == 1)
 		exchange_check_prompt(exchange);
 }
--- a/src/gateway/exchange_explain.c
+++ b/src/gateway/exchange_explain.c
@@ -259,11 +259,10 @@
 refuse_early(struct exchange *exchange, json_t *answer)
 {
 	const char *why = NULL;
-	int64_t left_ms = crash_sync_refused_ms(exchange->context->crash_sync,
-	    exchange->caller_headers.parts,
-	    exchange->caller_headers.part_count);
+	const struct crash_subjects subjects = exchange_crash_subjects(
+	    exchange);
 
-	if (left_ms > 0)
+	if (crash_sync_refused_ms(exchange->context->crash_sync, &subjects) > 0)
 		why = "upstreams crashed when they began to answer requests "
 		      "with a part of this prompt";
 	else if (!exchange_may_begin(exchange))
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -16,7 +16,9 @@
 /* An upstream that rejected a request has no free slot at the moment. */
 #define AVOID_FULL_MS 30
 /* Timeout for connecting; an upstream that is alive accepts within it. */
-#define DEATH_CHECK_MS 300
+#define DEATH_CHECK_MS	    300
+#define STATUS_SUCCESS_MIN  200
+#define STATUS_REDIRECT_MIN 300
 /* Weight of one response in the moving average of failures. */
 #define ERROR_WEIGHT 0.1
 
@@ -131,21 +133,31 @@
 	    clock_monotonic(exchange->context->clock), FLEET_FAULTY_MS);
 }
 
-/* Checks whether an upstream died when its connection broke. */
+/* Returns what of the request may crash upstreams; borrows from it. */
+struct crash_subjects
+exchange_crash_subjects(const struct exchange *exchange)
+{
+	return (struct crash_subjects){
+	    .request = exchange->fingerprint,
+	    .parts = exchange->caller_headers.parts,
+	    .part_count = exchange->caller_headers.part_count,
+	};
+}
+
+/* Checks whether an upstream died when its connection ended. */
 struct death_check {
-	struct mesh *mesh;
 	struct crash_sync *crash_sync;
-	uint64_t fingerprint; /* of the request */
 	char *upstream; /* id */
 	uint64_t death; /* id of its death, if it died */
-	uint64_t parts[PROMPT_PARTS_MAX]; /* of the request, if suspect */
-	size_t part_count;
-	bool begun; /* the response had begun */
+	uint64_t parts[PROMPT_PARTS_MAX];
+	struct crash_subjects subjects;
+	struct part_death_stage stage;
+	struct timespec ended_at; /* of a success; or unset */
 };
 
 /*
  * If the upstream refuses connections, reports to all gateways that it died
- * while it ran the request.
+ * while it ran the request. One that accepts them has survived a success.
  */
 static void
 on_death_check_done(
@@ -154,30 +166,51 @@
 	struct death_check *check = data;
 
 	if (result->refused) {
-		LOG_INFO("upstream crashed during a request", "{s:s, s:I}",
-		    "upstream", check->upstream, "fingerprint",
-		    (json_int_t)check->fingerprint);
-		mesh_report_upstream_death(check->mesh, check->fingerprint);
+		LOG_INFO("upstream crashed during a request",
+		    "{s:s, s:I, s:b, s:i, s:b}", "upstream", check->upstream,
+		    "fingerprint", (json_int_t)check->subjects.request, "begun",
+		    check->stage.begun, "events", (int)check->stage.events,
+		    "alone", check->stage.alone);
 		crash_sync_report_death(check->crash_sync, check->death,
-		    check->parts, check->part_count, check->begun);
+		    &check->subjects, &check->stage);
+	} else if (result->error == NULL && time_is_set(check->ended_at)) {
+		check->subjects.part_count = 0;
+		crash_sync_report_survival(
+		    check->crash_sync, &check->subjects, check->ended_at);
 	}
 	g_free(check->upstream);
 	g_free(check);
 }
 
 /*
- * Connects to the upstream, whose connection ended during the request, to find
- * out whether it died. Deaths are reported by the request's fingerprint to all
+ * Returns whether no other request is known to run at the request's upstream.
+ * When connections of several end, each of them is reported by itself.
+ */
+static bool
+is_alone(struct exchange *exchange, struct timespec now)
+{
+	struct fleet_upstream *upstream = exchange->upstream;
+	bool is_first = !time_is_set(upstream->broken_at) ||
+	    time_diff_ms(now, upstream->broken_at) >= DEATH_CHECK_MS;
+
+	upstream->broken_at = now;
+	return is_first && upstream->own.running <= 1 &&
+	    upstream->peers.running == 0;
+}
+
+/*
+ * Connects to the upstream, whose connection ended during the request or with
+ * its response, to find out whether it died. Deaths are reported to all
  * gateways, so that a request which crashes every upstream that runs it is not
- * sent to all of them, and by its prompt's parts if it had not survived its
- * first events.
+ * sent to all of them.
  */
 void
-exchange_check_death(struct exchange *exchange)
+exchange_check_death(struct exchange *exchange, bool is_success)
 {
 	const struct fleet_upstream *upstream = exchange->upstream;
 	static const struct http_call_ops ops = {.done = on_death_check_done};
 	struct death_check *check = g_new0(struct death_check, 1);
+	struct timespec now = clock_monotonic(exchange->context->clock);
 	g_autofree char *url = g_strconcat(
 	    "http://", upstream->address, "/", NULL);
 	const struct http_call_request request = {
@@ -189,61 +222,96 @@
 	    .dedicated_connection = true,
 	};
 
-	check->mesh = exchange->context->mesh;
-	check->fingerprint = exchange->fingerprint;
 	check->upstream = g_strdup(upstream->id);
 	check->crash_sync = exchange->context->crash_sync;
 	check->death = quarantine_death_id(
 	    upstream->id, (uint64_t)upstream->start_wall_ms);
-	check->begun = time_is_set(exchange->begun_at);
-	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS) {
-		check->part_count = exchange->caller_headers.part_count;
-		memcpy(check->parts, exchange->caller_headers.parts,
-		    sizeof(check->parts));
-	}
+	check->stage = (struct part_death_stage){
+	    .begun = time_is_set(exchange->begun_at),
+	    .alone = is_alone(exchange, now),
+	    .events = exchange->send_events,
+	};
+	memcpy(
+	    check->parts, exchange->caller_headers.parts, sizeof(check->parts));
+	check->subjects = exchange_crash_subjects(exchange);
+	check->subjects.parts = check->parts;
+	if (is_success)
+		check->ended_at = now;
 	http_client_start(exchange->context->http, &request, &ops, check);
 }
 
 /* Reports that the upstream has survived the begin of its answer. */
 void
-exchange_report_survival(struct exchange *exchange)
+exchange_report_begin_survival(struct exchange *exchange)
 {
-	crash_sync_report_survival(exchange->context->crash_sync,
-	    exchange->caller_headers.parts, exchange->caller_headers.part_count,
-	    exchange->begun_at);
+	struct crash_subjects parts = exchange_crash_subjects(exchange);
+
+	parts.request = 0;
+	crash_sync_report_survival(
+	    exchange->context->crash_sync, &parts, exchange->begun_at);
+}
+
+/*
+ * Checks whether the upstream has survived the request, whose response is
+ * complete, and the prompt, if the response has fewer events than show that. An
+ * upstream that fails or refuses a request has not begun to answer it, and one
+ * may have died in a short unframed response.
+ */
+void
+exchange_check_survival(struct exchange *exchange)
+{
+	bool is_short = exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS;
+	bool is_success = exchange->status >= STATUS_SUCCESS_MIN &&
+	    exchange->status < STATUS_REDIRECT_MIN;
+	const struct crash_subjects request = {
+	    .request = exchange->fingerprint};
+
+	if (is_short && !exchange->response.framed) {
+		exchange_check_death(exchange, is_success);
+		return;
+	}
+	if (!is_success)
+		return;
+	if (is_short)
+		exchange_report_begin_survival(exchange);
+	crash_sync_report_survival(exchange->context->crash_sync, &request,
+	    clock_monotonic(exchange->context->clock));
 }
 
-/* Returns whether the request's prompt has a part. */
+/* Returns whether the request is one, or its prompt has a part. */
 static bool
-has_part(const struct exchange *exchange, uint64_t part)
+has_subject(const struct exchange *exchange, uint64_t subject)
 {
+	if (exchange->fingerprint == subject)
+		return true;
 	for (size_t i = 0; i < exchange->caller_headers.part_count; i++) {
-		if (exchange->caller_headers.parts[i] == part)
+		if (exchange->caller_headers.parts[i] == subject)
 			return true;
 	}
 	return false;
 }
 
 /*
- * Cancels the sends with a part that is refused from now on, before their
- * upstreams crash too. Those whose responses have begun go on: they survive, or
- * it is too late.
+ * Cancels the sends of a request, or with a part, that is refused from now on,
+ * before their upstreams crash too. Those whose responses have begun go on:
+ * they survive, or it is too late.
  */
 void
-exchange_on_part_refused(void *data, uint64_t part)
+exchange_on_crashing_refused(void *data, uint64_t subject)
 {
 	struct exchange_context *context = data;
 	struct exchange *exchange;
 
 	TAILQ_FOREACH (exchange, &context->exchanges, entry) {
-		if (exchange->upstream == NULL || !has_part(exchange, part) ||
+		if (exchange->upstream == NULL ||
+		    !has_subject(exchange, subject) ||
 		    time_is_set(exchange->begun_at))
 			continue;
 		/* Without a call, memory is being reserved and nothing sent. */
 		exchange->may_have_run |= exchange->call != NULL;
 		exchange_stop_send(exchange);
 		exchange_discard_partial(exchange);
-		exchange_refuse_crashing_part(exchange);
+		exchange_refuse_crashing(exchange);
 	}
 }
 
@@ -299,7 +367,7 @@
 	exchange_clear_helpers(exchange);
 	if (outcome == SEND_LOST && exchange->disconnected) {
 		log_broken_send(exchange, upstream);
-		exchange_check_death(exchange);
+		exchange_check_death(exchange, false);
 	}
 	exchange->upstream = NULL;
 	exchange->call = NULL;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -118,7 +118,7 @@
 	size_t rejections; /* of sends: the upstream did not execute it */
 	bool may_have_run;
 	bool is_dry_run; /* is only planned, and must change nothing */
-	bool is_probe; /* tests whether a refused part of its prompt crashes */
+	bool is_probe; /* tests whether it, or a refused part, crashes */
 	struct http_call *call; /* NULL while nothing is being sent */
 	struct fleet_upstream *upstream; /* of the current send */
 	uint64_t context_tokens; /* added to the load of that upstream */
@@ -182,11 +182,13 @@
 void exchange_end_waiting(struct exchange *);
 void exchange_schedule_plan(struct exchange *);
 bool exchange_may_begin(struct exchange *);
-bool exchange_refuse_crashing_part(struct exchange *);
+bool exchange_refuse_crashing(struct exchange *);
 bool exchange_reject_if_host_short(struct exchange *);
-void exchange_report_survival(struct exchange *);
-void exchange_check_death(struct exchange *);
-crash_sync_refused_fn exchange_on_part_refused;
+struct crash_subjects exchange_crash_subjects(const struct exchange *);
+void exchange_report_begin_survival(struct exchange *);
+void exchange_check_survival(struct exchange *);
+void exchange_check_death(struct exchange *, bool is_success);
+crash_sync_refused_fn exchange_on_crashing_refused;
 void exchange_clear_helpers(struct exchange *);
 size_t exchange_sends_max(const struct exchange *);
 size_t exchange_used_attempts(
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -313,29 +313,13 @@
 	return true;
 }
 
-/*
- * Checks whether the upstream has survived the prompt, of which a complete
- * response has fewer events than show that. An upstream that fails or refuses
- * a request has not begun to answer it.
- */
-static void
-check_survival(struct exchange *exchange)
-{
-	/* The upstream may have died in an unframed response. */
-	if (!exchange->response.framed)
-		exchange_check_death(exchange);
-	else if (is_success(exchange->status))
-		exchange_report_survival(exchange);
-}
-
 /* Completes a response that has been received completely. */
 static void
 finish_response(struct exchange *exchange)
 {
 	const struct http_header *headers;
 
-	if (exchange->send_events < PART_QUARANTINE_SURVIVED_EVENTS)
-		check_survival(exchange);
+	exchange_check_survival(exchange);
 	exchange_end_send(exchange,
 	    exchange->status >= STATUS_SERVER_MIN ? SEND_FAILED
 						  : SEND_ANSWERED);
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -396,7 +396,7 @@
 	enum selection_filter filter;
 	enum balance_verdict verdict;
 
-	if (exchange_refuse_crashing_part(exchange))
+	if (exchange_refuse_crashing(exchange))
 		return;
 	if (!exchange_may_begin(exchange)) {
 		exchange_fail(exchange, REFUSAL_DRAINING,
--- a/src/policy/part_quarantine.c
+++ b/src/policy/part_quarantine.c
@@ -6,8 +6,6 @@
 #include "base/clock.h"
 #include "base/list.h"
 
-#define WEIGHT_WAITING 1
-#define WEIGHT_BEGUN   2
 #define WEIGHT_REFUSED 6
 /* Of a part with which a request has survived before. */
 #define WEIGHT_REFUSED_SURVIVED (2 * WEIGHT_REFUSED)
@@ -19,14 +17,22 @@
  */
 #define SURVIVAL_COVERS_MS 1000
 
+static const unsigned int weights[PART_EVENT_KINDS] = {
+    [PART_CHARGED_WEAKLY] = 1,
+    [PART_CHARGED] = 2,
+    [PART_CHARGED_ALONE] = 4,
+};
+
 struct charge {
 	uint64_t death;
 	struct timespec at;
-	bool begun;
+	enum part_event_kind kind;
 };
 
+/* A part of prompts, or a whole request. */
 struct part {
 	uint64_t id;
+	bool is_request;
 	uint32_t depth; /* the least deep position in a prompt */
 	bool refused;
 	GArray *charges; /* of struct charge; NULL for none */
@@ -37,10 +43,17 @@
 
 TAILQ_HEAD(parts, part);
 
+/* The least recently used one first. */
+struct part_list {
+	struct parts parts;
+	size_t count;
+};
+
 struct part_quarantine {
 	GHashTable *by_id;
 	bool changed; /* charges have changed since the last update */
-	struct parts parts; /* the least recently used one first */
+	struct part_list parts;
+	struct part_list requests;
 };
 
 /* Creates an empty table. */
@@ -50,16 +63,27 @@
 	struct part_quarantine *quarantine = g_new0(struct part_quarantine, 1);
 
 	quarantine->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
-	TAILQ_INIT(&quarantine->parts);
+	TAILQ_INIT(&quarantine->parts.parts);
+	TAILQ_INIT(&quarantine->requests.parts);
 	return quarantine;
 }
 
+/* Returns the list of a part or a whole request. */
+static struct part_list *
+list_of(struct part_quarantine *quarantine, bool is_request)
+{
+	return is_request ? &quarantine->requests : &quarantine->parts;
+}
+
 /* Removes a part and frees it. */
 static void
 remove_part(struct part_quarantine *quarantine, struct part *part)
 {
+	struct part_list *list = list_of(quarantine, part->is_request);
+
 	g_hash_table_remove(quarantine->by_id, &part->id);
-	TAILQ_REMOVE(&quarantine->parts, part, entry);
+	TAILQ_REMOVE(&list->parts, part, entry);
+	list->count--;
 	if (part->charges != NULL)
 		g_array_unref(part->charges);
 	g_free(part);
@@ -73,12 +97,34 @@
 
 	if (quarantine == NULL)
 		return;
-	while ((part = TAILQ_FIRST(&quarantine->parts)) != NULL)
+	while ((part = TAILQ_FIRST(&quarantine->parts.parts)) != NULL ||
+	    (part = TAILQ_FIRST(&quarantine->requests.parts)) != NULL)
 		remove_part(quarantine, part);
 	g_hash_table_unref(quarantine->by_id);
 	g_free(quarantine);
 }
 
+/*
+ * Returns as what a part, or a whole request, at some depth is charged with an
+ * upstream's death; false if it is not, since it has survived.
+ */
+bool
+part_quarantine_charge(const struct part_death_stage *stage, uint32_t depth,
+    enum part_event_kind *out)
+{
+	bool survived = stage->events >= PART_QUARANTINE_SURVIVED_EVENTS;
+
+	if (depth != PART_DEPTH_REQUEST) {
+		*out = stage->begun ? PART_CHARGED : PART_CHARGED_WEAKLY;
+		return !survived;
+	}
+	if (stage->alone)
+		*out = PART_CHARGED_ALONE;
+	else
+		*out = survived ? PART_CHARGED_WEAKLY : PART_CHARGED;
+	return true;
+}
+
 /* Returns whether a charge is too old to count. */
 static bool
 is_expired(const struct charge *charge, struct timespec now)
@@ -113,6 +159,17 @@
 	return last;
 }
 
+/* Returns whether the id is that of a known request, and not of a part. */
+bool
+part_quarantine_is_request(
+    const struct part_quarantine *quarantine, uint64_t part_id)
+{
+	const struct part *part = g_hash_table_lookup(
+	    quarantine->by_id, &part_id);
+
+	return part != NULL && part->is_request;
+}
+
 /*
  * Returns for how many milliseconds requests with a part are refused from now
  * on; 0 if they are not.
@@ -173,42 +230,51 @@
 		part->probed_at = now;
 }
 
-/* Removes parts above the limit; refused ones stay while there are others. */
+/*
+ * Makes room in a full list: removes the least recently used part without
+ * charges, else the first one that is not refused, else the first one.
+ */
 static void
-evict(struct part_quarantine *quarantine, struct timespec now)
+evict(struct part_quarantine *quarantine, struct part_list *list)
 {
-	size_t left = g_hash_table_size(quarantine->by_id);
-	struct part *part, *next;
+	struct part *part, *accepted = NULL;
 
-	if (left <= PART_QUARANTINE_PARTS_MAX)
-		return;
-	TAILQ_FOREACH_SAFE (part, &quarantine->parts, entry, next) {
-		if (part_quarantine_left_ms(quarantine, part->id, now) > 0)
-			continue;
-		remove_part(quarantine, part);
+	if (list->count < PART_QUARANTINE_PARTS_MAX)
 		return;
+	TAILQ_FOREACH (part, &list->parts, entry) {
+		if (count_charges(part) == 0)
+			break;
+		if (accepted == NULL && !part->refused)
+			accepted = part;
 	}
-	remove_part(quarantine, TAILQ_FIRST(&quarantine->parts));
+	if (part == NULL)
+		part = accepted != NULL ? accepted : TAILQ_FIRST(&list->parts);
+	remove_part(quarantine, part);
 }
 
-/* Returns a part, as the one used last; adds it if it is new. */
+/* Returns an event's part, as the one used last; adds it if it is new. */
 static struct part *
-find_or_add(
-    struct part_quarantine *quarantine, uint64_t id, struct timespec now)
+find_or_add(struct part_quarantine *quarantine, const struct part_event *event)
 {
-	struct part *part = g_hash_table_lookup(quarantine->by_id, &id);
+	bool is_request = event->depth == PART_DEPTH_REQUEST;
+	struct part_list *list = list_of(quarantine, is_request);
+	struct part *part = g_hash_table_lookup(
+	    quarantine->by_id, &event->part);
 
 	if (part != NULL) {
-		TAILQ_REMOVE(&quarantine->parts, part, entry);
-		TAILQ_INSERT_TAIL(&quarantine->parts, part, entry);
+		list = list_of(quarantine, part->is_request);
+		TAILQ_REMOVE(&list->parts, part, entry);
+		TAILQ_INSERT_TAIL(&list->parts, part, entry);
 		return part;
 	}
+	evict(quarantine, list);
 	part = g_new0(struct part, 1);
-	part->id = id;
-	part->depth = UINT32_MAX;
+	part->id = event->part;
+	part->is_request = is_request;
+	part->depth = PART_DEPTH_REQUEST;
 	g_hash_table_insert(quarantine->by_id, &part->id, part);
-	TAILQ_INSERT_TAIL(&quarantine->parts, part, entry);
-	evict(quarantine, now);
+	TAILQ_INSERT_TAIL(&list->parts, part, entry);
+	list->count++;
 	return part;
 }
 
@@ -269,16 +335,16 @@
 	const struct charge charge = {
 	    .death = event->death,
 	    .at = event->at,
-	    .begun = event->kind == PART_CHARGED_BEGUN,
+	    .kind = event->kind,
 	};
 
 	if (is_refuted(part, event->at))
 		return PART_REFUTED;
 	part->depth = MIN(part->depth, event->depth);
 	if (known != NULL) {
-		if (known->begun || !charge.begun)
+		if (known->kind >= charge.kind)
 			return PART_KNOWN;
-		known->begun = true;
+		known->kind = charge.kind;
 		return PART_NEW;
 	}
 	drop_charges(part, now);
@@ -301,7 +367,7 @@
 
 	if (time_diff_ms(now, event->at) >= PART_QUARANTINE_MS)
 		return PART_KNOWN;
-	part = find_or_add(quarantine, event->part, now);
+	part = find_or_add(quarantine, event);
 	if (event->kind == PART_SURVIVED)
 		effect = add_survival(part, event->at, now);
 	else
@@ -320,7 +386,7 @@
 		const struct charge *charge = charge_at(part, i);
 
 		if (!g_hash_table_contains(explained, &charge->death))
-			weight += charge->begun ? WEIGHT_BEGUN : WEIGHT_WAITING;
+			weight += weights[charge->kind];
 	}
 	return weight;
 }
@@ -344,6 +410,8 @@
 		return !survived;
 	if (part->depth != other->depth)
 		return part->depth > other->depth;
+	if (count_charges(part) != count_charges(other))
+		return count_charges(part) > count_charges(other);
 	return part->id < other->id;
 }
 
@@ -357,12 +425,11 @@
 
 /* Returns the likeliest of the parts that are to be refused; NULL for none. */
 static struct part *
-find_crashing_part(
-    const struct part_quarantine *quarantine, GHashTable *explained)
+find_crashing_part(const struct part_list *list, GHashTable *explained)
 {
 	struct part *part, *found = NULL;
 
-	TAILQ_FOREACH (part, &quarantine->parts, entry) {
+	TAILQ_FOREACH (part, &list->parts, entry) {
 		if (!part->refused && is_enough(part, weigh(part, explained)) &&
 		    (found == NULL || is_likelier(part, found)))
 			found = part;
@@ -371,38 +438,63 @@
 }
 
 /*
- * Decides again which parts are refused, after all events of a request or a
- * message were added, and calls back for each part for which that has changed.
+ * Decides again which parts of a list are refused, and calls back for each for
+ * which that has changed. Returns the deaths that these explain, and those
+ * already explained, whose set it frees.
  */
-void
-part_quarantine_update(struct part_quarantine *quarantine, struct timespec now,
-    part_refused_fn *callback, void *data)
+static GHashTable *
+update_list(struct part_list *list, GHashTable *explained_before,
+    struct timespec now, part_refused_fn *callback, void *data)
 {
-	g_autoptr(GHashTable) explained = NULL;
-	g_autoptr(GHashTable) none = NULL;
+	GHashTable *explained = g_hash_table_new(g_int64_hash, g_int64_equal);
+	GHashTableIter iter;
+	void *death;
 	struct part *part;
 
-	if (!quarantine->changed)
-		return;
-	quarantine->changed = false;
-	explained = g_hash_table_new(g_int64_hash, g_int64_equal);
-	none = g_hash_table_new(g_int64_hash, g_int64_equal);
-	TAILQ_FOREACH (part, &quarantine->parts, entry) {
+	g_hash_table_iter_init(&iter, explained_before);
+	while (g_hash_table_iter_next(&iter, &death, NULL))
+		g_hash_table_add(explained, death);
+	TAILQ_FOREACH (part, &list->parts, entry) {
 		drop_charges(part, now);
 		if (!part->refused)
 			continue;
-		if (is_enough(part, weigh(part, none))) {
+		if (is_enough(part, weigh(part, explained_before))) {
 			explain_deaths(part, explained);
 			continue;
 		}
 		part->refused = false;
 		callback(data, part->id, false);
 	}
-	while ((part = find_crashing_part(quarantine, explained)) != NULL) {
+	while ((part = find_crashing_part(list, explained)) != NULL) {
 		part->refused = true;
 		explain_deaths(part, explained);
 		callback(data, part->id, true);
 	}
+	g_hash_table_unref(explained_before);
+	return explained;
+}
+
+/*
+ * Decides again which parts and requests are refused, after all events of a
+ * request or a message were added, and calls back for each for which that has
+ * changed. A request of whose deaths a refused part explains enough is accepted
+ * again.
+ */
+void
+part_quarantine_update(struct part_quarantine *quarantine, struct timespec now,
+    part_refused_fn *callback, void *data)
+{
+	GHashTable *explained;
+
+	if (!quarantine->changed)
+		return;
+	quarantine->changed = false;
+	explained = g_hash_table_new(g_int64_hash, g_int64_equal);
+	explained = update_list(
+	    &quarantine->parts, explained, now, callback, data);
+	explained = update_list(
+	    &quarantine->requests, explained, now, callback, data);
+	g_hash_table_unref(explained);
 }
 
 /* Returns the latest survival of a part in out; false if there is none. */
@@ -416,23 +508,26 @@
 	if (part == NULL || !time_is_set(part->survived_at))
 		return false;
 	*out = (struct part_event){
-	    .kind = PART_SURVIVED, .part = part_id, .at = part->survived_at};
+	    .kind = PART_SURVIVED,
+	    .part = part_id,
+	    .depth = part->is_request ? PART_DEPTH_REQUEST : 0,
+	    .at = part->survived_at,
+	};
 	return true;
 }
 
-/* Calls back for each charge that counts. */
-void
-part_quarantine_for_each_charge(const struct part_quarantine *quarantine,
-    struct timespec now, part_event_fn *callback, void *data)
+/* Calls back for each charge of a list that counts. */
+static void
+for_each_charge_of(const struct part_list *list, struct timespec now,
+    part_event_fn *callback, void *data)
 {
 	const struct part *part;
 
-	TAILQ_FOREACH (part, &quarantine->parts, entry) {
+	TAILQ_FOREACH (part, &list->parts, entry) {
 		for (size_t i = 0; i < count_charges(part); i++) {
 			const struct charge *charge = charge_at(part, i);
 			const struct part_event event = {
-			    .kind = charge->begun ? PART_CHARGED_BEGUN
-						  : PART_CHARGED_WAITING,
+			    .kind = charge->kind,
 			    .part = part->id,
 			    .depth = part->depth,
 			    .death = charge->death,
@@ -445,6 +540,15 @@
 	}
 }
 
+/* Calls back for each charge that counts. */
+void
+part_quarantine_for_each_charge(const struct part_quarantine *quarantine,
+    struct timespec now, part_event_fn *callback, void *data)
+{
+	for_each_charge_of(&quarantine->parts, now, callback, data);
+	for_each_charge_of(&quarantine->requests, now, callback, data);
+}
+
 /* Adds a charge to a digest, in any order. */
 static void
 add_to_digest(void *data, const struct part_event *event)
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -69,6 +69,7 @@
 	/* Outcome of this process's requests. */
 	uint32_t failures; /* consecutive */
 	struct timespec avoid_until; /* back-off after failures */
+	struct timespec broken_at; /* a connection last; or unset */
 	double error_share; /* moving average of failed responses, 0 to 1 */
 	struct timespec faulty_until; /* reported by another upstream */
 	struct quiet quiet; /* it asked for no requests */
--- a/tests/test_crash_parts.c
+++ b/tests/test_crash_parts.c
@@ -21,6 +21,12 @@
 /* The rest of a complete response with a length, in place of TEXT. */
 #define REST TEXT "Content-Length: 5\r\n\r\nwhole"
 
+/* The hash of "bad". */
+static const uint64_t bad_part = UINT64_C(0xf7c170336e83ce9a);
+static const struct crash_subjects crashing = {
+    .parts = &bad_part, .part_count = 1};
+static const struct part_death_stage begun = {.begun = true};
+
 static const struct probe_case {
 	const char *name;
 	enum fake_platform_step step; /* of the probe and what follows */
@@ -123,6 +129,33 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * A request that is the same each time is sent again after two upstreams have
+ * crashed under it, if another one has answered it before.
+ */
+static void
+test_repeated_sound(void)
+{
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_OK, FAKE_STEP_STOP, FAKE_STEP_STOP, FAKE_STEP_OK};
+	static const int statuses[] = {200, 502, 200};
+	struct fixture f = {0};
+
+	fixture_set_up(&f);
+	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
+	fixture_wait_for_routing_state(&f);
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		f.done = false;
+		fixture_call(&f, "/again/x", FIXTURE_KEY);
+		RUN_UNTIL(&f, f.done);
+		g_assert_cmpint(f.status, ==, statuses[i]);
+		for (int j = 0; j < SETTLE_ROUNDS; j++)
+			ev_run(f.loop, EVRUN_ONCE);
+		fake_platform_restart_upstreams(f.fake_platform);
+	}
+	fixture_tear_down(&f);
+}
+
 /*
  * A request that an upstream has not answered yet is cancelled there once a
  * part of its prompt is refused, and its caller is told. A sound one goes on,
@@ -134,8 +167,6 @@
 	static const enum fake_platform_step steps[] = {
 	    FAKE_STEP_HANG, FAKE_STEP_BEGIN, FAKE_STEP_HANG};
 	struct fixture f = {0};
-	/* The hash of "bad". */
-	const uint64_t part = UINT64_C(0xf7c170336e83ce9a);
 
 	fixture_set_up(&f);
 	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
@@ -151,7 +182,7 @@
 	RUN_UNTIL(&f, fake_platform_request_count(f.fake_platform) == 3);
 	for (uint64_t death = 1; death <= CRASHES; death++)
 		crash_sync_report_death(
-		    f.exchange_context.crash_sync, death, &part, 1, true);
+		    f.exchange_context.crash_sync, death, &crashing, &begun);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, 502);
 	RUN_UNTIL(&f, fake_platform_request(f.fake_platform, 2)->closed_early);
@@ -168,7 +199,6 @@
 test_probe(gconstpointer data)
 {
 	const struct probe_case *c = &probe_cases[GPOINTER_TO_SIZE(data)];
-	const uint64_t part = UINT64_C(0xf7c170336e83ce9a);
 	struct clock_manual clock;
 	struct fixture f = {.clock = &clock.clock};
 
@@ -181,7 +211,7 @@
 	clock_manual_advance(&clock, LOAD_SYNC_SETTLE_MS);
 	for (uint64_t death = 1; death <= CRASHES; death++)
 		crash_sync_report_death(
-		    f.exchange_context.crash_sync, death, &part, 1, true);
+		    f.exchange_context.crash_sync, death, &crashing, &begun);
 	clock_manual_advance(&clock, PART_QUARANTINE_PROBE_MS - 1);
 	call(&f, "f1:40,bad:100", 0);
 	g_assert_cmpint(f.status, ==, 503);
@@ -208,7 +238,6 @@
 test_answer(gconstpointer data)
 {
 	const struct answer_case *c = &answer_cases[GPOINTER_TO_SIZE(data)];
-	const uint64_t part = UINT64_C(0xf7c170336e83ce9a);
 	struct fixture f = {.parts = "f1:40,bad:100,e0:5"};
 	struct raw_server *server;
 	struct crash_sync *sync;
@@ -221,14 +250,14 @@
 		    f.fake_platform, i, raw_server_port(server, i));
 	fixture_wait_for_routing_state(&f);
 	for (uint64_t death = 1; death < CRASHES; death++)
-		crash_sync_report_death(sync, death, &part, 1, true);
+		crash_sync_report_death(sync, death, &crashing, &begun);
 	fixture_call(&f, c->path, FIXTURE_KEY);
 	RUN_UNTIL(&f, f.done);
 	g_assert_cmpint(f.status, ==, c->status);
 	g_assert_cmpuint(raw_server_requests(server), ==, c->requests);
-	crash_sync_report_death(sync, CRASHES, &part, 1, true);
+	crash_sync_report_death(sync, CRASHES, &crashing, &begun);
 	g_assert_cmpint(
-	    crash_sync_refused_ms(sync, &part, 1) == 0, ==, c->clears);
+	    crash_sync_refused_ms(sync, &crashing) == 0, ==, c->clears);
 	raw_server_free(server);
 	fixture_tear_down(&f);
 }
@@ -241,6 +270,9 @@
 	g_test_add_func("/crash parts/unlike requests with a part that crashes "
 			"upstreams are refused",
 	    test_unlike_requests);
+	g_test_add_func("/crash parts/a request that was answered before "
+			"crashes is sent again",
+	    test_repeated_sound);
 	g_test_add_func("/crash parts/a request at an upstream is cancelled "
 			"once a part of it is refused",
 	    test_cancelled);
--- a/tests/test_crash_sync.c
+++ b/tests/test_crash_sync.c
@@ -109,7 +109,10 @@
 static bool
 refuses(const struct gateway *gateway, uint64_t part)
 {
-	return crash_sync_refused_ms(gateway->sync, &part, 1) > 0;
+	const struct crash_subjects subjects = {
+	    .parts = &part, .part_count = 1};
+
+	return crash_sync_refused_ms(gateway->sync, &subjects) > 0;
 }
 
 /* Runs the loop until the first gateways all refuse the part, or none does. */
@@ -131,9 +134,13 @@
 static void
 report_deaths(struct fleet_test *t, uint64_t part)
 {
+	static const struct part_death_stage begun = {.begun = true};
+	const struct crash_subjects subjects = {
+	    .parts = &part, .part_count = 1};
+
 	for (size_t i = 0; i < DEATHS; i++)
 		crash_sync_report_death(
-		    t->gateways[i].sync, i + 1, &part, 1, true);
+		    t->gateways[i].sync, i + 1, &subjects, &begun);
 }
 
 static const struct spread_case {
@@ -185,11 +192,13 @@
 test_refuted(void)
 {
 	const uint64_t part = SOUND;
+	const struct crash_subjects subjects = {
+	    .parts = &part, .part_count = 1};
 	struct fleet_test t = {0};
 
 	set_up(&t, 8);
 	crash_sync_report_survival(
-	    t.gateways[7].sync, &part, 1, clock_monotonic(clock_system()));
+	    t.gateways[7].sync, &subjects, clock_monotonic(clock_system()));
 	connect_first(&t, 7);
 	report_deaths(&t, SOUND);
 	run_until_all(&t, 7, SOUND, true);
@@ -198,6 +207,52 @@
 	tear_down(&t);
 }
 
+/*
+ * Gateways at which copies of one request ran when an upstream died count that
+ * death once, and learn that the request is answered from the one that knows.
+ */
+static void
+test_request(void)
+{
+	const struct crash_subjects request = {.request = SOUND};
+	const struct crash_subjects other = {.request = PART};
+	static const struct part_death_stage in_company = {0};
+	struct fleet_test t = {0};
+
+	set_up(&t, 8);
+	connect_first(&t, 8);
+	for (uint64_t death = 1; death <= DEATHS; death++) {
+		for (size_t i = 0; i < 8; i++)
+			crash_sync_report_death(t.gateways[i].sync,
+			    death == 1 ? death : death + i, &other,
+			    &in_company);
+		if (death < DEATHS)
+			crash_sync_report_death(
+			    t.gateways[death].sync, 1, &request, &in_company);
+	}
+	/* Once all know enough of the other request, they know of this too. */
+	for (size_t done = 0; done < 8;) {
+		ev_run(t.loop, EVRUN_ONCE);
+		for (done = 0; done < 8 &&
+		     crash_sync_refused_ms(t.gateways[done].sync, &other) > 0;
+		     done++)
+			;
+	}
+	for (size_t i = 0; i < 8; i++)
+		g_assert_cmpint(
+		    crash_sync_refused_ms(t.gateways[i].sync, &request), ==, 0);
+	crash_sync_report_survival(
+	    t.gateways[7].sync, &other, clock_monotonic(clock_system()));
+	for (size_t done = 0; done < 8;) {
+		ev_run(t.loop, EVRUN_ONCE);
+		for (done = 0; done < 8 &&
+		     crash_sync_refused_ms(t.gateways[done].sync, &other) == 0;
+		     done++)
+			;
+	}
+	tear_down(&t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -207,5 +262,8 @@
 	g_test_add_func("/crash sync/a survival ends the refusal at all "
 			"gateways",
 	    test_refuted);
+	g_test_add_func("/crash sync/a death at which copies of a request ran "
+			"counts once, and its success is known to all",
+	    test_request);
 	return g_test_run();
 }
--- a/tests/test_part_quarantine.c
+++ b/tests/test_part_quarantine.c
@@ -9,13 +9,14 @@
 
 #define START_MS  100000
 #define STEPS_MAX 12
+#define REQUEST	  PART_DEPTH_REQUEST
 #define PARTS	  4
 
 /* One event, or the time at which it ends if part is 0. */
 struct step {
-	uint64_t part;
+	uint64_t part; /* or request */
 	uint64_t death; /* 0 for a survival */
-	bool begun;
+	enum part_event_kind kind; /* of a death */
 	int64_t at_ms;
 	uint32_t depth;
 };
@@ -27,69 +28,126 @@
 	bool refused[PARTS]; /* by part, from 1 */
 } cases[] = {
     {"two deaths do not refuse a part",
-	{{1, 1, true, 0, 0}, {1, 2, true, 9, 0}}, 10, {false}},
+	{{1, 1, PART_CHARGED, 0, 0}, {1, 2, PART_CHARGED, 9, 0}}, 10, {false}},
     {"three deaths at begun responses refuse a part",
-	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 3, true, 9, 0}}, 10,
-	{true}},
+	{{1, 1, PART_CHARGED, 0, 0}, {1, 2, PART_CHARGED, 5, 0},
+	    {1, 3, PART_CHARGED, 9, 0}},
+	10, {true}},
     {"a death that several gateways report counts once",
-	{{1, 1, true, 0, 0}, {1, 1, true, 1, 0}, {1, 1, true, 2, 0}}, 10,
-	{false}},
+	{{1, 1, PART_CHARGED, 0, 0}, {1, 1, PART_CHARGED, 1, 0},
+	    {1, 1, PART_CHARGED, 2, 0}},
+	10, {false}},
     {"five deaths before the response began do not refuse a part",
-	{{1, 1, false, 0, 0}, {1, 2, false, 0, 0}, {1, 3, false, 0, 0},
-	    {1, 4, false, 0, 0}, {1, 5, false, 0, 0}},
+	{{1, 1, PART_CHARGED_WEAKLY, 0, 0}, {1, 2, PART_CHARGED_WEAKLY, 0, 0},
+	    {1, 3, PART_CHARGED_WEAKLY, 0, 0},
+	    {1, 4, PART_CHARGED_WEAKLY, 0, 0},
+	    {1, 5, PART_CHARGED_WEAKLY, 0, 0}},
 	10, {false}},
     {"six deaths before the response began refuse a part",
-	{{1, 1, false, 0, 0}, {1, 2, false, 0, 0}, {1, 3, false, 0, 0},
-	    {1, 4, false, 0, 0}, {1, 5, false, 0, 0}, {1, 6, false, 0, 0}},
+	{{1, 1, PART_CHARGED_WEAKLY, 0, 0}, {1, 2, PART_CHARGED_WEAKLY, 0, 0},
+	    {1, 3, PART_CHARGED_WEAKLY, 0, 0},
+	    {1, 4, PART_CHARGED_WEAKLY, 0, 0},
+	    {1, 5, PART_CHARGED_WEAKLY, 0, 0},
+	    {1, 6, PART_CHARGED_WEAKLY, 0, 0}},
 	10, {true}},
     {"a report that the response had begun replaces one that it had not",
-	{{1, 1, false, 0, 0}, {1, 1, true, 0, 0}, {1, 2, true, 0, 0},
-	    {1, 3, true, 0, 0}},
+	{{1, 1, PART_CHARGED_WEAKLY, 0, 0}, {1, 1, PART_CHARGED, 0, 0},
+	    {1, 2, PART_CHARGED, 0, 0}, {1, 3, PART_CHARGED, 0, 0}},
 	10, {true}},
     {"a survival refutes charges before it",
-	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 0, false, 6, 0},
-	    {1, 3, true, 9, 0}},
+	{{1, 1, PART_CHARGED, 0, 0}, {1, 2, PART_CHARGED, 5, 0},
+	    {1, 0, PART_SURVIVED, 6, 0}, {1, 3, PART_CHARGED, 9, 0}},
 	10, {false}},
     {"a survival refutes charges shortly after its response began",
-	{{1, 0, false, 0, 0}, {1, 1, true, 900, 0}, {1, 2, true, 950, 0},
-	    {1, 3, true, 1000, 0}},
+	{{1, 0, PART_SURVIVED, 0, 0}, {1, 1, PART_CHARGED, 900, 0},
+	    {1, 2, PART_CHARGED, 950, 0}, {1, 3, PART_CHARGED, 1000, 0}},
 	1000, {false}},
     {"a part that has survived before is accepted after five deaths",
-	{{1, 0, false, 0, 0}, {1, 1, true, 2000, 0}, {1, 2, true, 2050, 0},
-	    {1, 3, true, 2100, 0}, {1, 4, true, 2100, 0},
-	    {1, 5, true, 2100, 0}},
+	{{1, 0, PART_SURVIVED, 0, 0}, {1, 1, PART_CHARGED, 2000, 0},
+	    {1, 2, PART_CHARGED, 2050, 0}, {1, 3, PART_CHARGED, 2100, 0},
+	    {1, 4, PART_CHARGED, 2100, 0}, {1, 5, PART_CHARGED, 2100, 0}},
 	2100, {false}},
     {"a survival does not refute six charges long after it",
-	{{1, 0, false, 0, 0}, {1, 1, true, 2000, 0}, {1, 2, true, 2050, 0},
-	    {1, 3, true, 2100, 0}, {1, 4, true, 2100, 0}, {1, 5, true, 2100, 0},
-	    {1, 6, true, 2100, 0}},
+	{{1, 0, PART_SURVIVED, 0, 0}, {1, 1, PART_CHARGED, 2000, 0},
+	    {1, 2, PART_CHARGED, 2050, 0}, {1, 3, PART_CHARGED, 2100, 0},
+	    {1, 4, PART_CHARGED, 2100, 0}, {1, 5, PART_CHARGED, 2100, 0},
+	    {1, 6, PART_CHARGED, 2100, 0}},
 	2100, {true}},
     {"a sound part beside two that crash is accepted",
-	{{1, 0, false, 0, 0}, {1, 1, true, 2000, 0}, {2, 1, true, 2000, 1},
-	    {1, 2, true, 2000, 0}, {3, 2, true, 2000, 1}, {1, 3, true, 2000, 0},
-	    {2, 3, true, 2000, 1}, {1, 4, true, 2000, 0},
-	    {3, 4, true, 2000, 1}},
+	{{1, 0, PART_SURVIVED, 0, 0}, {1, 1, PART_CHARGED, 2000, 0},
+	    {2, 1, PART_CHARGED, 2000, 1}, {1, 2, PART_CHARGED, 2000, 0},
+	    {3, 2, PART_CHARGED, 2000, 1}, {1, 3, PART_CHARGED, 2000, 0},
+	    {2, 3, PART_CHARGED, 2000, 1}, {1, 4, PART_CHARGED, 2000, 0},
+	    {3, 4, PART_CHARGED, 2000, 1}},
 	2000, {false, false, false}},
     {"a refused part that survives is accepted again",
-	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 3, true, 9, 0},
-	    {1, 0, false, 8, 0}},
+	{{1, 1, PART_CHARGED, 0, 0}, {1, 2, PART_CHARGED, 5, 0},
+	    {1, 3, PART_CHARGED, 9, 0}, {1, 0, PART_SURVIVED, 8, 0}},
 	10, {false}},
     {"of parts that stand together the deepest is refused",
-	{{1, 1, true, 0, 0}, {2, 1, true, 0, 1}, {1, 2, true, 5, 0},
-	    {2, 2, true, 5, 1}, {1, 3, true, 9, 0}, {2, 3, true, 9, 1}},
+	{{1, 1, PART_CHARGED, 0, 0}, {2, 1, PART_CHARGED, 0, 1},
+	    {1, 2, PART_CHARGED, 5, 0}, {2, 2, PART_CHARGED, 5, 1},
+	    {1, 3, PART_CHARGED, 9, 0}, {2, 3, PART_CHARGED, 9, 1}},
 	10, {false, true}},
     {"of parts that stand together one that has survived before is accepted",
-	{{2, 0, false, 0, 0}, {1, 1, true, 2000, 0}, {2, 1, true, 2000, 1},
-	    {1, 2, true, 2000, 0}, {2, 2, true, 2000, 1}, {1, 3, true, 2000, 0},
-	    {2, 3, true, 2000, 1}},
+	{{2, 0, PART_SURVIVED, 0, 0}, {1, 1, PART_CHARGED, 2000, 0},
+	    {2, 1, PART_CHARGED, 2000, 1}, {1, 2, PART_CHARGED, 2000, 0},
+	    {2, 2, PART_CHARGED, 2000, 1}, {1, 3, PART_CHARGED, 2000, 0},
+	    {2, 3, PART_CHARGED, 2000, 1}},
 	2000, {true, false}},
     {"a first part that crashes beside others is refused",
-	{{1, 1, true, 0, 0}, {2, 1, true, 0, 1}, {1, 2, true, 5, 0},
-	    {3, 2, true, 5, 1}, {1, 3, true, 9, 0}, {4, 3, true, 9, 1}},
+	{{1, 1, PART_CHARGED, 0, 0}, {2, 1, PART_CHARGED, 0, 1},
+	    {1, 2, PART_CHARGED, 5, 0}, {3, 2, PART_CHARGED, 5, 1},
+	    {1, 3, PART_CHARGED, 9, 0}, {4, 3, PART_CHARGED, 9, 1}},
 	10, {true, false, false, false}},
     {"charges end with time",
-	{{1, 1, true, 0, 0}, {1, 2, true, 5, 0}, {1, 3, true, 9, 0}},
+	{{1, 1, PART_CHARGED, 0, 0}, {1, 2, PART_CHARGED, 5, 0},
+	    {1, 3, PART_CHARGED, 9, 0}},
 	PART_QUARANTINE_MS + 9, {false}},
+
+    /* Whole requests. */
+    {"two deaths of a request that ran alone refuse it",
+	{{1, 1, PART_CHARGED_ALONE, 0, REQUEST},
+	    {1, 2, PART_CHARGED_ALONE, 9, REQUEST}},
+	10, {true}},
+    {"one death of a request that ran alone does not refuse it",
+	{{1, 1, PART_CHARGED_ALONE, 0, REQUEST},
+	    {1, 1, PART_CHARGED, 0, REQUEST}},
+	10, {false}},
+    {"two deaths of a request beside others do not refuse it",
+	{{1, 1, PART_CHARGED, 0, REQUEST}, {1, 2, PART_CHARGED, 9, REQUEST}},
+	10, {false}},
+    {"three deaths of a request beside others refuse it",
+	{{1, 1, PART_CHARGED, 0, REQUEST}, {1, 2, PART_CHARGED, 5, REQUEST},
+	    {1, 3, PART_CHARGED, 9, REQUEST}},
+	10, {true}},
+    {"deaths between which a request is answered do not refuse it",
+	{{1, 1, PART_CHARGED_ALONE, 0, REQUEST},
+	    {1, 0, PART_SURVIVED, 1000, REQUEST},
+	    {1, 2, PART_CHARGED_ALONE, 3000, REQUEST},
+	    {1, 0, PART_SURVIVED, 4000, REQUEST},
+	    {1, 3, PART_CHARGED_ALONE, 6000, REQUEST},
+	    {1, 0, PART_SURVIVED, 7000, REQUEST},
+	    {1, 4, PART_CHARGED_ALONE, 9000, REQUEST}},
+	9000, {false}},
+    {"deaths that a refused part explains do not refuse a request",
+	{{1, 1, PART_CHARGED, 0, 0}, {2, 1, PART_CHARGED, 0, REQUEST},
+	    {1, 2, PART_CHARGED, 5, 0}, {2, 2, PART_CHARGED, 5, REQUEST},
+	    {1, 3, PART_CHARGED, 9, 0}, {2, 3, PART_CHARGED, 9, REQUEST}},
+	10, {true, false}},
+    {"deaths of a request that is sent again are those of its part too",
+	{{1, 1, PART_CHARGED, 0, 0}, {2, 1, PART_CHARGED, 0, REQUEST},
+	    {1, 2, PART_CHARGED, 5, 0}, {2, 2, PART_CHARGED, 5, REQUEST},
+	    {1, 3, PART_CHARGED_WEAKLY, 9, 0}, {2, 3, PART_CHARGED, 9, REQUEST},
+	    {1, 4, PART_CHARGED_WEAKLY, 9, 0},
+	    {3, 4, PART_CHARGED, 9, REQUEST}},
+	10, {true, false, false}},
+    {"of requests that ran together the one at more deaths is refused",
+	{{1, 1, PART_CHARGED, 0, REQUEST}, {2, 1, PART_CHARGED, 0, REQUEST},
+	    {1, 2, PART_CHARGED, 5, REQUEST}, {2, 2, PART_CHARGED, 5, REQUEST},
+	    {1, 3, PART_CHARGED, 7, REQUEST}, {2, 3, PART_CHARGED, 7, REQUEST},
+	    {2, 4, PART_CHARGED, 9, REQUEST}},
+	10, {false, true}},
 };
 
 /* Sets what has changed, by part. */
@@ -110,9 +168,7 @@
 
 	for (const struct step *step = c->steps; step->part != 0; step++) {
 		const struct part_event event = {
-		    .kind = step->death == 0 ? PART_SURVIVED
-			: step->begun	     ? PART_CHARGED_BEGUN
-					     : PART_CHARGED_WAITING,
+		    .kind = step->kind,
 		    .part = step->part,
 		    .depth = step->depth,
 		    .death = step->death,
@@ -131,6 +187,37 @@
 	part_quarantine_free(quarantine);
 }
 
+/* What a request and its parts are charged with when their upstream dies. */
+static const struct stage_case {
+	const char *name;
+	struct part_death_stage stage;
+	uint32_t depth;
+	bool charged;
+	enum part_event_kind kind;
+} stage_cases[] = {
+    {"a part before the response began", {0}, 0, true, PART_CHARGED_WEAKLY},
+    {"a part at a response that has begun", {.begun = true}, 1, true,
+	PART_CHARGED},
+    {"a part that has survived", {.begun = true, .events = 2}, 0, false, 0},
+    {"a request beside others", {0}, REQUEST, true, PART_CHARGED},
+    {"a request alone", {.alone = true}, REQUEST, true, PART_CHARGED_ALONE},
+    {"a request whose response goes on", {.begun = true, .events = 2}, REQUEST,
+	true, PART_CHARGED_WEAKLY},
+};
+
+/* Runs one case. */
+static void
+test_stage(gconstpointer data)
+{
+	const struct stage_case *c = &stage_cases[GPOINTER_TO_SIZE(data)];
+	enum part_event_kind kind;
+
+	g_assert_cmpint(
+	    part_quarantine_charge(&c->stage, c->depth, &kind), ==, c->charged);
+	if (c->charged)
+		g_assert_cmpint(kind, ==, c->kind);
+}
+
 /* When a refused part is probed, after three deaths at 0, 5 and 9 ms. */
 static const struct probe_case {
 	const char *name;
@@ -164,7 +251,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(deaths_ms); i++) {
 		const struct part_event event = {
-		    .kind = PART_CHARGED_BEGUN,
+		    .kind = PART_CHARGED,
 		    .part = 1,
 		    .death = i + 1,
 		    .at = time_from_ms(START_MS + deaths_ms[i]),
@@ -191,27 +278,32 @@
 }
 
 /*
- * The table is bounded, and parts that only survive do not push out one that is
- * refused.
+ * The table is bounded, and parts or requests that only survive do not push out
+ * one that is refused or charged, even if there is no other.
  */
 static void
-test_bound(void)
+test_bound(gconstpointer data)
 {
 	struct part_quarantine *quarantine = part_quarantine_new();
 	struct timespec now = time_from_ms(START_MS);
-	struct part_event event = {
-	    .kind = PART_CHARGED_BEGUN, .part = UINT64_MAX, .at = now};
+	struct part_event event = {.kind = PART_CHARGED,
+	    .part = UINT64_MAX,
+	    .depth = (uint32_t)GPOINTER_TO_UINT(data),
+	    .at = now};
 
 	for (event.death = 1; event.death <= 3; event.death++)
 		part_quarantine_add(quarantine, &event, now);
 	part_quarantine_update(quarantine, now, ignore_refused, NULL);
-	event.kind = PART_SURVIVED;
-	for (event.part = 1; event.part <= 2 * PART_QUARANTINE_PARTS_MAX;
+	for (event.part = 1; event.part < PART_QUARANTINE_PARTS_MAX;
 	     event.part++)
 		part_quarantine_add(quarantine, &event, now);
+	event.kind = PART_SURVIVED;
+	for (; event.part <= 2 * PART_QUARANTINE_PARTS_MAX; event.part++)
+		part_quarantine_add(quarantine, &event, now);
 	g_assert_cmpint(
 	    part_quarantine_left_ms(quarantine, UINT64_MAX, now), >, 0);
-	g_assert_false(part_quarantine_survival(quarantine, 1, &event));
+	g_assert_false(part_quarantine_survival(
+	    quarantine, PART_QUARANTINE_PARTS_MAX, &event));
 	g_assert_true(part_quarantine_survival(
 	    quarantine, 2 * PART_QUARANTINE_PARTS_MAX, &event));
 	part_quarantine_free(quarantine);
@@ -223,9 +315,12 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/part quarantine", test_case);
 	ADD_CASES(probe_cases, "/part quarantine/probe", test_probe);
-	g_test_add_func(
-	    "/part quarantine/a refused part is kept when the table "
-	    "is full",
-	    test_bound);
+	ADD_CASES(stage_cases, "/part quarantine/charge", test_stage);
+	g_test_add_data_func(
+	    "/part quarantine/a refused part is kept when the table is full",
+	    GUINT_TO_POINTER(0), test_bound);
+	g_test_add_data_func(
+	    "/part quarantine/a refused request is kept when the table is full",
+	    GUINT_TO_POINTER(REQUEST), test_bound);
 	return g_test_run();
 }
