--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -7,7 +7,7 @@
 
 #include "base/metrics.h"
 #include "peer/status_query.h"
-#include "peer/suspects.h"
+#include "policy/quarantine.h"
 
 #define LOG_MODULE "mesh"
 #include "base/log.h"
@@ -16,6 +16,10 @@
 #define SUSPECT_FANOUT 4
 /* Suspect reports sent to a peer when a link opens. */
 #define SUSPECT_INITIAL_REPORTS 32
+/* Maximum number of suspects; the oldest is removed for a new one. */
+#define SUSPECTS_MAX 1024
+/* A suspect is removed this long after the last upstream death during it. */
+#define SUSPECT_TTL_MS (10 * 60 * 1000)
 
 /* One link of the mesh. */
 struct mesh_connection {
@@ -39,9 +43,8 @@
 	GPtrArray *sources[MESH_SOURCES];
 	GPtrArray *peers; /* union of the sources, without this process */
 	struct status_query_list status_queries;
-	struct suspects *suspects;
-	mesh_suspect_fn *suspect_callback;
-	void *suspect_callback_data;
+	struct quarantine *quarantine;
+	uint64_t deaths; /* reported by this process */
 	mesh_status_report_fn *status_report; /* NULL for none */
 	void *status_report_data;
 };
@@ -91,41 +94,32 @@
 
 /* Sends one suspect report to a peer. */
 static void
-send_report(
-    struct mesh *mesh, struct link *link, const struct suspect_report *report)
+send_report(struct link *link, const struct quarantine_report *report)
 {
-	int64_t age_ms = time_diff_ms(
-	    clock_monotonic(mesh->clock), report->died_at);
 	struct message message = {
 	    .kind = MESSAGE_SUSPECT,
 	    .suspect =
 		{
 		    .fingerprint = report->fingerprint,
-		    .reporter = report->reporter,
-		    .deaths = report->deaths,
-		    .age_ms = (uint32_t)CLAMP(age_ms, 0, SUSPECT_TTL_MS),
+		    .death = report->death,
+		    .deaths = report->cleared ? 0 : 1,
+		    .age_ms = report->age_ms,
 		},
 	};
 
 	link_send(link, &message);
 }
 
-struct initial_reports {
-	struct mesh_connection *connection;
-	unsigned int remaining;
-};
-
-/* Sends a suspect report on a link that has just opened, up to the limit. */
+/* Sends the latest suspect reports on a link that has just opened. */
 static void
-send_initial_report(void *data, const struct suspect_report *report)
+send_initial_reports(struct mesh *mesh, struct link *link)
 {
-	struct initial_reports *initial_reports = data;
+	struct quarantine_report reports[SUSPECT_INITIAL_REPORTS];
+	size_t count = quarantine_list_reports(mesh->quarantine, reports,
+	    G_N_ELEMENTS(reports), clock_monotonic(mesh->clock));
 
-	if (initial_reports->remaining == 0)
-		return;
-	initial_reports->remaining--;
-	send_report(initial_reports->connection->mesh,
-	    initial_reports->connection->link, report);
+	for (size_t i = 0; i < count; i++)
+		send_report(link, &reports[i]);
 }
 
 /*
@@ -152,16 +146,13 @@
 	struct mesh_connection *connection = data;
 	struct mesh *mesh = connection->mesh;
 	struct mesh_handler *handler, *next;
-	struct initial_reports initial_reports = {
-	    .connection = connection, .remaining = SUSPECT_INITIAL_REPORTS};
 
 	if (connection->address[0] == '\0') {
 		g_free(connection->address);
 		connection->address = g_strdup(link_peer(link)->address);
 		register_connection(connection);
 	}
-	suspects_for_each_report(mesh->suspects, clock_monotonic(mesh->clock),
-	    send_initial_report, &initial_reports);
+	send_initial_reports(mesh, link);
 	TAILQ_FOREACH_SAFE (handler, &mesh->handlers, entry, next) {
 		if (handler->ops->opened != NULL)
 			handler->ops->opened(handler->data, link);
@@ -170,49 +161,49 @@
 
 /* Sends a report to random peers. */
 static void
-gossip_report(struct mesh *mesh, const struct suspect_report *report)
+gossip_report(struct mesh *mesh, const struct quarantine_report *report)
 {
 	for (int i = 0; i < SUSPECT_FANOUT && mesh->peers->len > 0; i++) {
 		uint32_t pick = randombytes_uniform(mesh->peers->len);
 
-		send_report(mesh,
+		send_report(
 		    mesh_get_link(mesh, g_ptr_array_index(mesh->peers, pick)),
 		    report);
 	}
 }
 
-/* Handles a report of this process or of a peer; a new one is sent on. */
+/* Sends the reports that no peer has been sent yet. */
 static void
-handle_report(struct mesh *mesh, const struct suspect_report *report)
+gossip_new_reports(struct mesh *mesh)
 {
 	struct timespec now = clock_monotonic(mesh->clock);
-	uint32_t deaths;
-
-	if (!suspects_add_report(mesh->suspects, report, now))
-		return;
-	deaths = suspects_count_deaths(
-	    mesh->suspects, report->fingerprint, now);
-	LOG_INFO("suspect reported", "{s:I, s:i}", "fingerprint",
-	    (json_int_t)report->fingerprint, "deaths", (int)deaths);
-	gossip_report(mesh, report);
-	if (mesh->suspect_callback != NULL)
-		mesh->suspect_callback(
-		    mesh->suspect_callback_data, report->fingerprint, deaths);
+	struct quarantine_report report;
+
+	while (quarantine_next_report(mesh->quarantine, &report, now)) {
+		LOG_INFO(
+		    report.cleared ? "suspect cleared" : "suspect reported",
+		    "{s:I, s:I, s:i, s:i}", "fingerprint",
+		    (json_int_t)report.fingerprint, "death",
+		    (json_int_t)report.death, "deaths", (int)report.deaths,
+		    "age_ms", (int)report.age_ms);
+		gossip_report(mesh, &report);
+	}
 }
 
-/* Handles a peer's suspect report. */
+/* Handles a peer's suspect report; a new one is sent on. */
 static void
 handle_suspect(struct mesh *mesh, const struct message_suspect *suspect)
 {
-	struct suspect_report report = {
+	const struct quarantine_report report = {
 	    .fingerprint = suspect->fingerprint,
-	    .reporter = suspect->reporter,
-	    .deaths = suspect->deaths,
-	    .died_at = time_add_ms(
-		clock_monotonic(mesh->clock), -(int64_t)suspect->age_ms),
+	    .death = suspect->death,
+	    .cleared = suspect->deaths == 0,
+	    .age_ms = suspect->age_ms,
 	};
 
-	handle_report(mesh, &report);
+	quarantine_merge_report(
+	    mesh->quarantine, &report, clock_monotonic(mesh->clock));
+	gossip_new_reports(mesh);
 }
 
 /* Answers a status query. */
@@ -322,7 +313,8 @@
 	mesh->near = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, NULL);
 	mesh->peers = g_ptr_array_new();
-	mesh->suspects = suspects_new();
+	mesh->quarantine = quarantine_new(&(struct quarantine_limits){
+	    .entries_max = SUSPECTS_MAX, .expiry_ms = SUSPECT_TTL_MS});
 	TAILQ_INIT(&mesh->connections);
 	TAILQ_INIT(&mesh->handlers);
 	TAILQ_INIT(&mesh->status_queries);
@@ -358,7 +350,7 @@
 	g_ptr_array_unref(mesh->peers);
 	g_hash_table_unref(mesh->by_address);
 	g_hash_table_unref(mesh->near);
-	suspects_free(mesh->suspects);
+	quarantine_free(mesh->quarantine);
 	g_free(mesh);
 }
 
@@ -536,35 +528,34 @@
 	mesh->status_report_data = data;
 }
 
-/* Sets the callback for new deaths of suspects. */
+/* Reports that an upstream died while it ran the request. */
 void
-mesh_set_suspect_callback(
-    struct mesh *mesh, mesh_suspect_fn *callback, void *data)
+mesh_report_upstream_death(struct mesh *mesh, uint64_t request_fingerprint)
 {
-	mesh->suspect_callback = callback;
-	mesh->suspect_callback_data = data;
+	const uint64_t death[] = {mesh->reporter, ++mesh->deaths};
+
+	quarantine_record_death(mesh->quarantine,
+	    XXH3_64bits(death, sizeof(death)), &request_fingerprint, 1,
+	    clock_monotonic(mesh->clock));
+	gossip_new_reports(mesh);
 }
 
-/* Reports that an upstream died while it ran the request. */
+/* Reports that an upstream has survived the request, if it is suspect. */
 void
-mesh_report_upstream_death(struct mesh *mesh, uint64_t request_fingerprint)
+mesh_report_survival(struct mesh *mesh, uint64_t request_fingerprint)
 {
-	struct suspect_report report = {
-	    .fingerprint = request_fingerprint,
-	    .reporter = mesh->reporter,
-	    .deaths = 1 +
-		suspects_count_reporter_deaths(
-		    mesh->suspects, request_fingerprint, mesh->reporter),
-	    .died_at = clock_monotonic(mesh->clock),
-	};
-
-	handle_report(mesh, &report);
+	quarantine_clear_suspect(mesh->quarantine, request_fingerprint,
+	    clock_monotonic(mesh->clock));
+	gossip_new_reports(mesh);
 }
 
-/* Returns the known number of upstream deaths while a request was running. */
+/*
+ * Returns the known number of upstream deaths while a request was running,
+ * since one last survived it; at most QUARANTINE_DEATHS.
+ */
 uint32_t
 mesh_suspect_deaths(struct mesh *mesh, uint64_t fingerprint)
 {
-	return suspects_count_deaths(
-	    mesh->suspects, fingerprint, clock_monotonic(mesh->clock));
+	return quarantine_count_deaths(
+	    mesh->quarantine, fingerprint, clock_monotonic(mesh->clock));
 }
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -88,11 +88,6 @@
 /* Entries are borrowed for the call. */
 typedef void mesh_status_fn(
     void *data, const struct mesh_peer_status *, size_t count);
-/*
- * A request was running when an upstream died; deaths is the total known here.
- */
-typedef void mesh_suspect_fn(void *data, uint64_t fingerprint, uint32_t deaths);
-
 struct mesh *mesh_new(
     struct ev_loop *, struct clock *, const struct mesh_settings *, GError **);
 void mesh_free(struct mesh *);
@@ -118,8 +113,8 @@
 void mesh_set_status_callback(
     struct mesh *, mesh_status_report_fn *, void *data);
 
-void mesh_set_suspect_callback(struct mesh *, mesh_suspect_fn *, void *data);
 void mesh_report_upstream_death(struct mesh *, uint64_t request_fingerprint);
+void mesh_report_survival(struct mesh *, uint64_t request_fingerprint);
 uint32_t mesh_suspect_deaths(struct mesh *, uint64_t fingerprint);
 
 #endif
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -262,9 +262,9 @@
 
 struct message_suspect {
 	uint64_t fingerprint;
-	uint64_t reporter; /* process and incarnation that saw the deaths */
-	uint32_t deaths; /* seen by this reporter */
-	uint32_t age_ms; /* since the last death */
+	uint64_t death; /* id; 0 for a survival */
+	uint32_t deaths; /* 1, or 0 if an upstream has survived the request */
+	uint32_t age_ms; /* since then */
 };
 
 /* An age of the configuration in a load report that is not known. */
--- a/src/peer/message_kinds.c
+++ b/src/peer/message_kinds.c
@@ -88,7 +88,7 @@
 		M(BOOL, status_answer.warm),
 		M(U64, status_answer.fencing) } },
 	[MESSAGE_SUSPECT] = { "suspect", {
-		M(U64, suspect.fingerprint), M(U64, suspect.reporter),
+		M(U64, suspect.fingerprint), M(U64, suspect.death),
 		M(U32, suspect.deaths), M(U32, suspect.age_ms) } },
 	[MESSAGE_LOAD] = { "load", {
 		M(BOOL, load.cannot_watch), M(STRING_ARRAY, load.upstreams),
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -22,7 +22,9 @@
 	uint64_t fingerprint;
 	struct death deaths[QUARANTINE_DEATHS]; /* in the order of their time */
 	uint32_t count;
-	uint32_t cleared_count; /* cleared by a successful run alone */
+	uint32_t cleared_count; /* up to cleared_at */
+	struct timespec cleared_at; /* last end of a survived run; or unset */
+	bool clear_reported; /* to the other processes */
 	TAILQ_ENTRY(suspect) entry;
 };
 
@@ -204,6 +206,10 @@
 		suspect->cleared_count--;
 	}
 	insert_death(suspect, &(struct death){.id = id, .at = at});
+	if (time_before(at, suspect->cleared_at)) {
+		suspect->cleared_count++;
+		suspect->clear_reported = false;
+	}
 	reorder(quarantine, suspect);
 	return true;
 }
@@ -223,10 +229,26 @@
 }
 
 /*
- * Clears a suspect that ran alone and completed successfully: it did not cause
- * the deaths so far, and they stay cleared when other processes report them
- * again.
+ * Clears a suspect of the deaths up to the end of a run that its upstream has
+ * survived. They stay cleared when other processes report them again.
  */
+static bool
+clear_deaths(struct suspect *suspect, struct timespec at)
+{
+	uint32_t count = 0;
+
+	while (count < suspect->count &&
+	    !time_before(at, suspect->deaths[count].at))
+		count++;
+	if (count <= suspect->cleared_count)
+		return false;
+	suspect->cleared_count = count;
+	suspect->cleared_at = at;
+	suspect->clear_reported = false;
+	return true;
+}
+
+/* An upstream has survived a request; clears it if it is suspect. */
 void
 quarantine_clear_suspect(
     struct quarantine *quarantine, uint64_t fingerprint, struct timespec now)
@@ -234,9 +256,24 @@
 	struct suspect *suspect = g_hash_table_lookup(
 	    quarantine->by_fingerprint, &fingerprint);
 
-	(void)now;
 	if (suspect != NULL)
-		suspect->cleared_count = suspect->count;
+		clear_deaths(suspect, now);
+}
+
+/*
+ * Returns the number of deaths that count against a fingerprint, up to
+ * QUARANTINE_DEATHS.
+ */
+uint32_t
+quarantine_count_deaths(const struct quarantine *quarantine,
+    uint64_t fingerprint, struct timespec now)
+{
+	const struct suspect *suspect = g_hash_table_lookup(
+	    quarantine->by_fingerprint, &fingerprint);
+
+	if (suspect == NULL || is_expired(quarantine, suspect, now))
+		return 0;
+	return suspect->count - suspect->cleared_count;
 }
 
 /* Returns whether a request with this fingerprint may run, and how. */
@@ -244,31 +281,34 @@
 quarantine_check(const struct quarantine *quarantine, uint64_t fingerprint,
     struct timespec now)
 {
-	const struct suspect *suspect = g_hash_table_lookup(
-	    quarantine->by_fingerprint, &fingerprint);
+	uint32_t deaths = quarantine_count_deaths(quarantine, fingerprint, now);
 
-	if (suspect == NULL || suspect->count == suspect->cleared_count ||
-	    is_expired(quarantine, suspect, now))
+	if (deaths == 0)
 		return QUARANTINE_CLEAN;
-	if (suspect->count - suspect->cleared_count < QUARANTINE_DEATHS)
-		return QUARANTINE_SUSPECT;
-	return QUARANTINE_REFUSED;
+	return deaths < QUARANTINE_DEATHS ? QUARANTINE_SUSPECT
+					  : QUARANTINE_REFUSED;
 }
 
 /*
- * Merges a death reported by another process. Returns true if it was new;
+ * Merges another process's report. Returns true if it was new;
  * quarantine_next_report() then returns it too, to be forwarded.
  */
 bool
 quarantine_merge_report(struct quarantine *quarantine,
     const struct quarantine_report *report, struct timespec now)
 {
+	struct timespec at = time_add_ms(now, -(int64_t)report->age_ms);
+	struct suspect *suspect;
 	bool added;
 
 	if (report->age_ms >= quarantine->limits.expiry_ms)
 		return false;
-	added = add_death(quarantine, report->fingerprint, report->death,
-	    time_add_ms(now, -(int64_t)report->age_ms));
+	if (report->cleared) {
+		suspect = g_hash_table_lookup(
+		    quarantine->by_fingerprint, &report->fingerprint);
+		return suspect != NULL && clear_deaths(suspect, at);
+	}
+	added = add_death(quarantine, report->fingerprint, report->death, at);
 	evict(quarantine, now);
 	return added;
 }
@@ -288,6 +328,40 @@
 	};
 }
 
+/* Fills in a report that a suspect is cleared. */
+static void
+fill_clear_report(const struct suspect *suspect,
+    struct quarantine_report *report, struct timespec now)
+{
+	int64_t age_ms = time_diff_ms(now, suspect->cleared_at);
+
+	*report = (struct quarantine_report){
+	    .fingerprint = suspect->fingerprint,
+	    .cleared = true,
+	    .deaths = suspect->count - suspect->cleared_count,
+	    .age_ms = (uint32_t)CLAMP(age_ms, 0, UINT32_MAX),
+	};
+}
+
+/* Fetches the next report of a suspect; false if there is none. */
+static bool
+next_report_of(struct suspect *suspect, struct quarantine_report *report,
+    struct timespec now)
+{
+	for (uint32_t i = 0; i < suspect->count; i++) {
+		if (suspect->deaths[i].reported)
+			continue;
+		suspect->deaths[i].reported = true;
+		fill_report(suspect, i, report, now);
+		return true;
+	}
+	if (suspect->cleared_count == 0 || suspect->clear_reported)
+		return false;
+	suspect->clear_reported = true;
+	fill_clear_report(suspect, report, now);
+	return true;
+}
+
 /*
  * Fetches the next report for the other processes. Returns false if there is
  * none.
@@ -300,20 +374,16 @@
 
 	TAILQ_FOREACH_REVERSE (
 	    suspect, &quarantine->suspects, suspects, entry) {
-		for (uint32_t i = 0; i < suspect->count; i++) {
-			if (suspect->deaths[i].reported)
-				continue;
-			suspect->deaths[i].reported = true;
-			fill_report(suspect, i, report, now);
+		if (next_report_of(suspect, report, now))
 			return true;
-		}
 	}
 	return false;
 }
 
 /*
- * Fills in up to max reports of all known deaths, the latest first, for a
- * process that has just started. Returns their number.
+ * Fills in up to max reports of all deaths that count, and of suspects that are
+ * cleared of others, the latest deaths first, for a process that has just
+ * started. Returns their number.
  */
 size_t
 quarantine_list_reports(const struct quarantine *quarantine,
@@ -324,8 +394,11 @@
 
 	TAILQ_FOREACH_REVERSE (
 	    suspect, &quarantine->suspects, suspects, entry) {
-		for (uint32_t i = 0; i < suspect->count && count < max; i++)
+		for (uint32_t i = suspect->cleared_count;
+		     i < suspect->count && count < max; i++)
 			fill_report(suspect, i, &reports[count++], now);
+		if (suspect->cleared_count > 0 && count < max)
+			fill_clear_report(suspect, &reports[count++], now);
 	}
 	return count;
 }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -3,14 +3,14 @@
  * that was running when an upstream crashed becomes suspect. A suspect runs
  * alone, one at a time, at the one configured upstream that its fingerprint
  * selects, and is rejected while that upstream is unavailable. After its second
- * crash it is rejected everywhere. A suspect that completed successfully on its
- * own is cleared. Every process keeps a table and reports changes to the others
- * before it answers the caller whose request was lost.
+ * crash it is rejected everywhere. A suspect that an upstream has run to its
+ * end is cleared of the deaths before that, in all processes. Every process
+ * keeps a table and reports changes to the others before it answers the caller
+ * whose request was lost.
  *
  * A death has an id made of the upstream and its incarnation, so that one death
  * that is reported twice counts once, and two deaths reported by different
- * processes count as two. On the wire a report is a MESSAGE_SUSPECT whose
- * header carries the id as 16 hex digits in the request field.
+ * processes count as two. On the wire a report is a MESSAGE_SUSPECT.
  *
  * Guarantee for a request that crashes every upstream that runs it: at most two
  * deaths over any number of resends, sequential or concurrent, provided that
@@ -46,12 +46,16 @@
 	QUARANTINE_REFUSED,
 };
 
-/* A death to report to the other processes, as a MESSAGE_SUSPECT. */
+/*
+ * A death, or that an upstream has survived a request with the fingerprint, to
+ * be reported to the other processes as a MESSAGE_SUSPECT.
+ */
 struct quarantine_report {
 	uint64_t fingerprint;
-	uint64_t death; /* id from quarantine_death_id() */
+	bool cleared;
+	uint64_t death; /* id; 0 if cleared */
 	uint32_t deaths; /* number of deaths known to the sender */
-	uint32_t age_ms; /* time since that death */
+	uint32_t age_ms; /* time since then */
 };
 
 void quarantine_limits_init(struct quarantine_limits *);
@@ -63,6 +67,8 @@
     const uint64_t *fingerprints, size_t count, struct timespec now);
 void quarantine_clear_suspect(
     struct quarantine *, uint64_t fingerprint, struct timespec now);
+uint32_t quarantine_count_deaths(
+    const struct quarantine *, uint64_t fingerprint, struct timespec now);
 enum quarantine_verdict quarantine_check(
     const struct quarantine *, uint64_t fingerprint, struct timespec now);
 
--- a/src/sidecar/run_upstream.c
+++ b/src/sidecar/run_upstream.c
@@ -19,6 +19,7 @@
 
 #define STATUS_TOO_MANY_REQUESTS 429
 #define STATUS_UNAVAILABLE	 503
+#define STATUS_SERVER_MIN	 500
 
 INVARIANT_DEFINE(sent_once, "sidecar_sends_once");
 
@@ -167,6 +168,21 @@
 	    end->error->code == UPSTREAM_ERROR_OUT_OF_MEMORY;
 }
 
+/*
+ * Reports that the upstream has survived a request whose response is complete;
+ * a failure may have come before it was run.
+ */
+static void
+report_survival(const struct run *run, const struct upstream_end *end)
+{
+	const struct runs *runs = run->runs;
+	uint64_t fingerprint = run->submit->submit.fingerprint;
+
+	if (end->status < STATUS_SERVER_MIN &&
+	    runs->ops->deaths(runs->data, fingerprint) > 0)
+		runs->ops->report_survival(runs->data, fingerprint);
+}
+
 /* Updates the cache view from a complete response. */
 static void
 update_cache_view(const struct run *run, const struct upstream_end *end)
@@ -203,6 +219,7 @@
 		record_loss(run, end->error->code == UPSTREAM_ERROR_DIED);
 	if (end->error == NULL) {
 		update_cache_view(run, end);
+		report_survival(run, end);
 		run_finish(run, FINISH_OK, false, end, end->finish_reason);
 	} else {
 		run_finish(run,
--- a/src/sidecar/runs.h
+++ b/src/sidecar/runs.h
@@ -67,6 +67,11 @@
 	 * sent.
 	 */
 	void (*report_death)(void *data, uint64_t fingerprint, uint32_t deaths);
+	/*
+	 * Reports to all processes that the upstream has survived a request
+	 * with this fingerprint.
+	 */
+	void (*report_survival)(void *data, uint64_t fingerprint);
 };
 
 struct runs_settings {
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -104,6 +104,15 @@
 	mesh_report_upstream_death(node_mesh(sidecar->node), fingerprint);
 }
 
+/* Reports a survival to all processes. */
+static void
+report_survival(void *data, uint64_t fingerprint)
+{
+	struct sidecar *sidecar = data;
+
+	mesh_report_survival(node_mesh(sidecar->node), fingerprint);
+}
+
 /* Checks before a start that the configuration allows it. */
 static void
 check_start_allowed(void *data)
@@ -121,6 +130,7 @@
     .before_start = check_start_allowed,
     .deaths = count_deaths,
     .report_death = report_death,
+    .report_survival = report_survival,
 };
 
 /* Handles a message from an entry. */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -11,7 +11,7 @@
 #include "base/invariant.h"
 #include "peer/link_auth.h"
 #include "peer/mesh.h"
-#include "peer/suspects.h"
+#include "policy/quarantine.h"
 
 #define LOOP_ITERATIONS_MAX 20000
 
@@ -246,67 +246,107 @@
 	pair_stop(&pair);
 }
 
+/*
+ * A request that one process has seen to end well is cleared in all of them,
+ * also where the deaths are reported again.
+ */
+static void
+test_survival(void)
+{
+	struct pair pair;
+	const char *a;
+
+	pair_start(&pair);
+	a = pair.a.address;
+	mesh_report_upstream_death(pair.a.mesh, 7);
+	mesh_report_upstream_death(pair.a.mesh, 7);
+	mesh_set_peers(pair.b.mesh, MESH_SOURCE_SEEDS, &a, 1);
+	mesh_get_link(pair.b.mesh, pair.a.address);
+	RUN_UNTIL(&pair, mesh_suspect_deaths(pair.b.mesh, 7) == 2);
+	mesh_report_survival(pair.b.mesh, 7);
+	g_assert_cmpuint(mesh_suspect_deaths(pair.b.mesh, 7), ==, 0);
+	RUN_UNTIL(&pair, mesh_suspect_deaths(pair.a.mesh, 7) == 0);
+	mesh_report_upstream_death(pair.a.mesh, 7);
+	g_assert_cmpuint(mesh_suspect_deaths(pair.a.mesh, 7), ==, 1);
+	pair_stop(&pair);
+}
+
+#define SUSPECT_TTL_MS (10 * 60 * 1000)
+#define SUSPECTS_MAX   1024
+
+static const struct quarantine_limits limits = {
+    .entries_max = SUSPECTS_MAX, .expiry_ms = SUSPECT_TTL_MS};
+
 static const struct suspect_case {
 	const char *name;
 	struct {
-		uint64_t reporter;
-		uint32_t deaths;
-		int64_t age_ms;
+		uint64_t death; /* 0 for a survival */
+		uint32_t age_ms;
 		bool is_new;
 	} reports[4];
 	size_t count;
 	uint32_t deaths;
 } suspect_cases[] = {
-    {"one death", {{1, 1, 0, true}}, 1, 1},
+    {"one death", {{1, 0, true}}, 1, 1},
     {"a death that is reported twice counts once",
-	{{1, 1, 0, true}, {1, 1, 0, false}}, 2, 1},
+	{{1, 0, true}, {1, 0, false}}, 2, 1},
     {"deaths reported by different processes add up",
-	{{1, 1, 0, true}, {2, 1, 0, true}}, 2, 2},
-    {"a late report of a lower count changes nothing",
-	{{1, 2, 0, true}, {1, 1, 0, false}}, 2, 2},
-    {"an expired death is ignored", {{1, 1, SUSPECT_TTL_MS, false}}, 1, 0},
+	{{1, 0, true}, {2, 0, true}}, 2, 2},
+    {"further deaths change nothing",
+	{{1, 0, true}, {2, 0, true}, {3, 0, false}}, 3, 2},
+    {"an expired death is ignored", {{1, SUSPECT_TTL_MS, false}}, 1, 0},
+    {"a survival clears the deaths before it",
+	{{1, 20, true}, {2, 10, true}, {0, 5, true}}, 3, 0},
+    {"a survival is reported once",
+	{{1, 20, true}, {0, 5, true}, {0, 5, false}}, 3, 0},
+    {"a survival does not clear the deaths after it",
+	{{1, 20, true}, {2, 10, true}, {0, 15, true}}, 3, 1},
+    {"a death that is reported after a survival was before it",
+	{{1, 20, true}, {0, 5, true}, {2, 10, true}}, 3, 0},
+    {"a death after a survival counts",
+	{{1, 20, true}, {0, 5, true}, {2, 0, true}, {3, 0, true}}, 4, 2},
+    {"a survival of a request without deaths is not remembered",
+	{{0, 5, false}, {1, 0, true}}, 2, 1},
 };
 
 static void
 test_suspect_reports(gconstpointer data)
 {
 	const struct suspect_case *c = data;
-	struct suspects *suspects = suspects_new();
+	struct quarantine *quarantine = quarantine_new(&limits);
 	struct timespec now = time_from_ms(10000000);
 
 	for (size_t i = 0; i < c->count; i++) {
-		struct suspect_report report = {.fingerprint = 5,
-		    .reporter = c->reports[i].reporter,
-		    .deaths = c->reports[i].deaths,
-		    .died_at = time_add_ms(now, -c->reports[i].age_ms)};
+		struct quarantine_report report = {.fingerprint = 5,
+		    .cleared = c->reports[i].death == 0,
+		    .death = c->reports[i].death,
+		    .age_ms = c->reports[i].age_ms};
 
-		g_assert_cmpint(suspects_add_report(suspects, &report, now), ==,
+		g_assert_cmpint(
+		    quarantine_merge_report(quarantine, &report, now), ==,
 		    c->reports[i].is_new);
 	}
 	g_assert_cmpuint(
-	    suspects_count_deaths(suspects, 5, now), ==, c->deaths);
+	    quarantine_count_deaths(quarantine, 5, now), ==, c->deaths);
 	now = time_add_ms(now, SUSPECT_TTL_MS);
-	g_assert_cmpuint(suspects_count_deaths(suspects, 5, now), ==, 0);
-	suspects_free(suspects);
+	g_assert_cmpuint(quarantine_count_deaths(quarantine, 5, now), ==, 0);
+	quarantine_free(quarantine);
 }
 
 /* The table is bounded: the oldest suspect is evicted. */
 static void
 test_suspects_bounded(void)
 {
-	struct suspects *suspects = suspects_new();
+	struct quarantine *quarantine = quarantine_new(&limits);
 	struct timespec now = time_from_ms(1000);
 
 	for (uint64_t i = 0; i <= SUSPECTS_MAX; i++)
-		suspects_add_report(suspects,
-		    &(struct suspect_report){.fingerprint = i,
-			.reporter = 1,
-			.deaths = 1,
-			.died_at = now},
+		quarantine_merge_report(quarantine,
+		    &(struct quarantine_report){.fingerprint = i, .death = 1},
 		    now);
-	g_assert_cmpuint(suspects_count_deaths(suspects, 0, now), ==, 0);
-	g_assert_cmpuint(suspects_count_deaths(suspects, 1, now), ==, 1);
-	suspects_free(suspects);
+	g_assert_cmpuint(quarantine_count_deaths(quarantine, 0, now), ==, 0);
+	g_assert_cmpuint(quarantine_count_deaths(quarantine, 1, now), ==, 1);
+	quarantine_free(quarantine);
 }
 
 /* A proof is valid for one direction, one pair of nonces and one key. */
@@ -352,6 +392,8 @@
 	g_test_add_func(
 	    "/mesh/a new process receives the reports of earlier deaths",
 	    test_initial_reports);
+	g_test_add_func("/mesh/a survival clears a suspect in all processes",
+	    test_survival);
 	g_test_add_func(
 	    "/mesh/the table of suspects is bounded", test_suspects_bounded);
 	g_test_add_func(
--- a/tests/test_runs.c
+++ b/tests/test_runs.c
@@ -171,6 +171,12 @@
 	"run r1-1;A START r1/1;A FINISH r1/1 lost;delete r1-1"},
     {"a fingerprint with two deaths is refused", false, "deaths 2;submit r1 1",
 	"A REJECT r1/1 quarantined"},
+    {"a suspect that ends well is reported to have survived", false,
+	"deaths 1;submit r1 1;end r1-1 ok",
+	"run r1-1;A START r1/1;survived;A FINISH r1/1 ok"},
+    {"a suspect that fails is not reported to have survived", false,
+	"deaths 1;submit r1 1;end r1-1 overloaded",
+	"run r1-1;A START r1/1;A FINISH r1/1 failed not run"},
     {"a draining sidecar rejects new and queued requests and lets runs finish",
 	false, "cold;submit r1 1;submit r2 1;drain;submit r3 1;end r1-1 ok",
 	"run r1-1;A START r1/1;A REJECT r2/1 draining;"
@@ -527,6 +533,13 @@
 	log_action(data, "died %u", deaths);
 }
 
+/* Logs a survival. */
+static void
+on_survival(void *data, uint64_t fingerprint)
+{
+	log_action(data, "survived");
+}
+
 /* Passes a message of the current peer to the sidecar. */
 static void
 send_to_sidecar(
@@ -770,7 +783,8 @@
 	static const struct runs_ops ops = {.send = on_send,
 	    .set_link_in_use = on_keep_alive,
 	    .deaths = count_deaths,
-	    .report_death = on_death};
+	    .report_death = on_death,
+	    .report_survival = on_survival};
 	struct runs_settings settings = {.upstream = &f->upstream,
 	    .clock = &f->clock.clock,
 	    .upstream_address = "E"};
