--- a/src/policy/part_quarantine.c
+++ b/src/policy/part_quarantine.c
@@ -11,6 +11,11 @@
 #define WEIGHT_REFUSED_SURVIVED (2 * WEIGHT_REFUSED)
 /* Maximum number of charges of a part; the oldest is dropped. */
 #define CHARGES_MAX 32
+/*
+ * Deaths within this time are of one moment: a failure domain or a service
+ * that went as a whole ends all its upstreams at once.
+ */
+#define MOMENT_MS 1000
 /*
  * A survival refutes charges up to this long after its response began: a part
  * is as sound then as it was.
@@ -35,7 +40,7 @@
 	bool is_request;
 	uint32_t depth; /* the least deep position in a prompt */
 	bool refused;
-	GArray *charges; /* of struct charge; NULL for none */
+	GArray *charges; /* of struct charge, by time; NULL for none */
 	struct timespec survived_at; /* latest begin of a survivor; or unset */
 	struct timespec probed_at; /* by this process; or unset */
 	TAILQ_ENTRY(part) entry;
@@ -337,6 +342,7 @@
 	    .at = event->at,
 	    .kind = event->kind,
 	};
+	guint at;
 
 	if (is_refuted(part, event->at))
 		return PART_REFUTED;
@@ -353,7 +359,10 @@
 		    FALSE, FALSE, sizeof(struct charge));
 	if (part->charges->len == CHARGES_MAX)
 		g_array_remove_index(part->charges, 0);
-	g_array_append_val(part->charges, charge);
+	at = part->charges->len;
+	while (at > 0 && time_before(charge.at, charge_at(part, at - 1)->at))
+		at--;
+	g_array_insert_val(part->charges, at, charge);
 	return PART_NEW;
 }
 
@@ -376,19 +385,33 @@
 	return effect;
 }
 
-/* Returns the weight of the charges whose deaths no refused part explains. */
+/*
+ * Returns the weight of the charges whose deaths no refused part explains. For
+ * a part that has survived before, deaths of one moment weigh as the heaviest
+ * of them: what many ask for runs at many upstreams, and if these die at once
+ * the cause is another one.
+ */
 static unsigned int
 weigh(const struct part *part, GHashTable *explained)
 {
-	unsigned int weight = 0;
+	bool has_survived = time_is_set(part->survived_at);
+	unsigned int weight = 0, heaviest = 0;
+	struct timespec moment = {0};
 
 	for (size_t i = 0; i < count_charges(part); i++) {
 		const struct charge *charge = charge_at(part, i);
 
-		if (!g_hash_table_contains(explained, &charge->death))
-			weight += weights[charge->kind];
+		if (g_hash_table_contains(explained, &charge->death))
+			continue;
+		if (!has_survived || !time_is_set(moment) ||
+		    time_diff_ms(charge->at, moment) >= MOMENT_MS) {
+			weight += heaviest;
+			heaviest = 0;
+			moment = charge->at;
+		}
+		heaviest = MAX(heaviest, weights[charge->kind]);
 	}
-	return weight;
+	return weight + heaviest;
 }
 
 /* Returns whether charges of this weight are enough to refuse the part. */
--- a/src/policy/part_quarantine.h
+++ b/src/policy/part_quarantine.h
@@ -15,10 +15,12 @@
  * there: doubly where the response had begun, since a crash at the first output
  * leaves just that. A part is refused once its charges weigh as much as three
  * begun responses, or as six if a request with it has survived before: several
- * crashing parts may stand beside the same sound one. A whole request is
- * charged in the same way, and counts as the deepest part of its prompt: doubly
- * until it has survived its first events, fourfold if it was the only one at
- * the upstream, so that two deaths are enough for one that ran alone.
+ * crashing parts may stand beside the same sound one. Deaths of one moment then
+ * count once, since a failure domain or a service may go as a whole. A whole
+ * request is charged in the same way, and counts as the deepest part of its
+ * prompt: doubly until it has survived its first events, fourfold if it was the
+ * only one at the upstream, so that two deaths are enough for one that ran
+ * alone.
  *
  * Sound parts are charged too, by chance or because they stand beside the one
  * that crashes. Requests with them that survive clear them: a charge does not
