--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -167,10 +167,12 @@
 
 	if (result->refused) {
 		LOG_INFO("upstream crashed during a request",
-		    "{s:s, s:I, s:b, s:i, s:b}", "upstream", check->upstream,
-		    "fingerprint", (json_int_t)check->subjects.request, "begun",
+		    "{s:s, s:I, s:b, s:i, s:b, s:b}", "upstream",
+		    check->upstream, "fingerprint",
+		    (json_int_t)check->subjects.request, "begun",
 		    check->stage.begun, "events", (int)check->stage.events,
-		    "alone", check->stage.alone);
+		    "alone", check->stage.alone, "leaving",
+		    check->stage.leaving);
 		crash_sync_report_death(check->crash_sync, check->death,
 		    &check->subjects, &check->stage);
 	} else if (result->error == NULL && time_is_set(check->ended_at)) {
@@ -229,6 +231,9 @@
 	check->stage = (struct part_death_stage){
 	    .begun = time_is_set(exchange->begun_at),
 	    .alone = is_alone(exchange, now),
+	    .leaving = fleet_upstream_is_leaving(
+		routing_state_fleet(exchange->context->routing_state), upstream,
+		now),
 	    .events = exchange->send_events,
 	};
 	memcpy(
--- a/src/policy/part_quarantine.c
+++ b/src/policy/part_quarantine.c
@@ -111,7 +111,8 @@
 
 /*
  * Returns as what a part, or a whole request, at some depth is charged with an
- * upstream's death; false if it is not, since it has survived.
+ * upstream's death; false if it is not, since it has survived or the upstream
+ * was about to end.
  */
 bool
 part_quarantine_charge(const struct part_death_stage *stage, uint32_t depth,
@@ -119,6 +120,8 @@
 {
 	bool survived = stage->events >= PART_QUARANTINE_SURVIVED_EVENTS;
 
+	if (stage->leaving)
+		return false;
 	if (depth != PART_DEPTH_REQUEST) {
 		*out = stage->begun ? PART_CHARGED : PART_CHARGED_WEAKLY;
 		return !survived;
--- a/src/policy/part_quarantine.h
+++ b/src/policy/part_quarantine.h
@@ -39,7 +39,8 @@
  * probed.
  *
  * A death has an id made of the upstream and its start, so that what several
- * gateways report of it, or of several copies of a request, counts once.
+ * gateways report of it, or of several copies of a request, counts once. The
+ * end of an upstream that leaves is no death.
  */
 #ifndef POLICY_PART_QUARANTINE_H
 #define POLICY_PART_QUARANTINE_H
@@ -78,6 +79,7 @@
 struct part_death_stage {
 	bool begun; /* the response */
 	bool alone; /* nothing else ran at the upstream */
+	bool leaving; /* the upstream's end was planned */
 	uint32_t events; /* of the response */
 };
 
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -355,6 +355,18 @@
 	return g_hash_table_size(fleet->by_id);
 }
 
+/*
+ * Returns whether an upstream has said that it leaves, is listed so, or is in a
+ * failure domain that is taken out, so that its end is planned.
+ */
+bool
+fleet_upstream_is_leaving(const struct fleet *fleet,
+    const struct fleet_upstream *upstream, struct timespec now)
+{
+	return departure_has_left(&upstream->departure, now) ||
+	    takeouts_contains(fleet->takeouts, upstream->failure_domain);
+}
+
 /*
  * Returns whether an upstream may get new requests: it is listed or in its
  * grace period, has not left, and its failure domain is not taken out. One that
@@ -365,8 +377,7 @@
     const struct fleet_upstream *upstream, struct timespec now)
 {
 	return (upstream->listed || is_in_grace_period(upstream, now)) &&
-	    !departure_has_left(&upstream->departure, now) &&
-	    !takeouts_contains(fleet->takeouts, upstream->failure_domain);
+	    !fleet_upstream_is_leaving(fleet, upstream, now);
 }
 
 /*
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -69,7 +69,7 @@
 	/* Outcome of this process's requests. */
 	uint32_t failures; /* consecutive */
 	struct timespec avoid_until; /* back-off after failures */
-	struct timespec broken_at; /* a connection last; or unset */
+	struct timespec broken_at; /* end of a connection; or unset */
 	double error_share; /* moving average of failed responses, 0 to 1 */
 	struct timespec faulty_until; /* reported by another upstream */
 	struct quiet quiet; /* it asked for no requests */
@@ -153,6 +153,8 @@
 size_t fleet_count(const struct fleet *);
 bool fleet_upstream_is_eligible(
     const struct fleet *, const struct fleet_upstream *, struct timespec now);
+bool fleet_upstream_is_leaving(
+    const struct fleet *, const struct fleet_upstream *, struct timespec now);
 bool fleet_upstream_is_avoided(
     const struct fleet_upstream *, struct timespec now);
 void fleet_add_request(
--- a/tests/test_crash_parts.c
+++ b/tests/test_crash_parts.c
@@ -9,6 +9,7 @@
 #include "cases.h"
 #include "gateway_fixture.h"
 #include "policy/part_quarantine.h"
+#include "raw_gateway.h"
 #include "raw_responses.h"
 #include "raw_server.h"
 
@@ -82,6 +83,9 @@
 	{{.bytes = OK STREAM "\r\n" E1 E2 "id: 3\nda"}}, 1, 200, true},
 };
 
+/* Sent by an upstream that leaves. */
+#define LEAVING "Server-Leaving: 1\r\n"
+
 /* Sends a request whose path and last part no other has. */
 static void
 call(struct fixture *f, const char *shared_parts, int number)
@@ -262,6 +266,34 @@
 	fixture_tear_down(&f);
 }
 
+/*
+ * Upstreams that have said that they leave, and end during the responses to
+ * requests with a part, have not crashed.
+ */
+static void
+test_leaving(void)
+{
+	static const struct raw_response responses[CRASHES] = {
+	    {.bytes = OK LEAVING STREAM "\r\n" E1, .end = RAW_END_STOP},
+	    {.bytes = OK LEAVING STREAM "\r\n" E1, .end = RAW_END_STOP},
+	    {.bytes = OK LEAVING STREAM "\r\n" E1, .end = RAW_END_STOP}};
+	struct fixture f = {0};
+	struct raw_server *server = raw_gateway_set_up(&f, responses, CRASHES);
+
+	for (int i = 0; i < CRASHES; i++) {
+		call(&f, "f1:40,bad:100", i);
+		g_assert_cmpint(f.status, ==, 200);
+		for (int j = 0; j < SETTLE_ROUNDS; j++)
+			ev_run(f.loop, EVRUN_ONCE);
+	}
+	g_assert_cmpuint(raw_server_requests(server), ==, CRASHES);
+	g_assert_cmpint(
+	    crash_sync_refused_ms(f.exchange_context.crash_sync, &crashing), ==,
+	    0);
+	raw_server_free(server);
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -276,6 +308,9 @@
 	g_test_add_func("/crash parts/a request at an upstream is cancelled "
 			"once a part of it is refused",
 	    test_cancelled);
+	g_test_add_func("/crash parts/upstreams that leave do not crash under "
+			"their requests",
+	    test_leaving);
 	ADD_CASES(answer_cases, "/crash parts", test_answer);
 	ADD_CASES(probe_cases, "/crash parts", test_probe);
 	return g_test_run();
--- a/tests/test_part_quarantine.c
+++ b/tests/test_part_quarantine.c
@@ -224,6 +224,10 @@
     {"a part that has survived", {.begun = true, .events = 2}, 0, false, 0},
     {"a request beside others", {0}, REQUEST, true, PART_CHARGED},
     {"a request alone", {.alone = true}, REQUEST, true, PART_CHARGED_ALONE},
+    {"a part at an upstream that leaves", {.begun = true, .leaving = true}, 0,
+	false, 0},
+    {"a request at an upstream that leaves", {.alone = true, .leaving = true},
+	REQUEST, false, 0},
     {"a request whose response goes on", {.begun = true, .events = 2}, REQUEST,
 	true, PART_CHARGED_WEAKLY},
 };
