--- a/src/gateway/crash_sync.c
+++ b/src/gateway/crash_sync.c
@@ -430,21 +430,29 @@
 }
 
 /*
- * Returns for how many milliseconds a request with these subjects is refused; 0
- * if it is not.
+ * Returns after how many milliseconds a request with these subjects may be
+ * accepted again; 0 if it is not refused.
  */
 int64_t
-crash_sync_refused_ms(
+crash_sync_retry_after_ms(
     struct crash_sync *sync, const struct crash_subjects *subjects)
 {
 	struct timespec now = clock_monotonic(sync->clock);
-	int64_t left_ms = 0;
+	int64_t wait_ms = 0;
 
 	for (size_t i = 0; i < count_subjects(subjects); i++)
-		left_ms = MAX(left_ms,
-		    part_quarantine_left_ms(
+		wait_ms = MAX(wait_ms,
+		    part_quarantine_retry_after_ms(
 			sync->quarantine, subject_at(subjects, i), now));
-	return left_ms;
+	return wait_ms;
+}
+
+/* Returns whether a request with these subjects is refused. */
+bool
+crash_sync_is_refused(
+    struct crash_sync *sync, const struct crash_subjects *subjects)
+{
+	return crash_sync_retry_after_ms(sync, subjects) > 0;
 }
 
 /*
--- a/src/gateway/crash_sync.h
+++ b/src/gateway/crash_sync.h
@@ -43,7 +43,8 @@
 bool crash_sync_find_probe(
     struct crash_sync *, const struct crash_subjects *, uint64_t *out);
 void crash_sync_begin_probe(struct crash_sync *, uint64_t subject);
-int64_t crash_sync_refused_ms(
+bool crash_sync_is_refused(struct crash_sync *, const struct crash_subjects *);
+int64_t crash_sync_retry_after_ms(
     struct crash_sync *, const struct crash_subjects *);
 
 #endif
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -309,14 +309,13 @@
 	    exchange);
 	const struct crash_subjects request = {.request = subjects.request};
 	struct crash_sync *crash_sync = exchange->context->crash_sync;
-	int64_t left_ms = crash_sync_refused_ms(crash_sync, &subjects);
-	bool is_request;
 
-	if (left_ms == 0 || becomes_probe(exchange))
+	if (!crash_sync_is_refused(crash_sync, &subjects) ||
+	    becomes_probe(exchange))
 		return false;
-	is_request = crash_sync_refused_ms(crash_sync, &request) > 0;
-	exchange_fail(exchange, REFUSAL_QUARANTINED, left_ms,
-	    is_request
+	exchange_fail(exchange, REFUSAL_QUARANTINED,
+	    crash_sync_retry_after_ms(crash_sync, &subjects),
+	    crash_sync_is_refused(crash_sync, &request)
 		? "upstreams crashed while they ran this request"
 		: "upstreams crashed when they began to answer requests with a "
 		  "part of this prompt");
--- a/src/gateway/exchange_explain.c
+++ b/src/gateway/exchange_explain.c
@@ -262,7 +262,7 @@
 	const struct crash_subjects subjects = exchange_crash_subjects(
 	    exchange);
 
-	if (crash_sync_refused_ms(exchange->context->crash_sync, &subjects) > 0)
+	if (crash_sync_is_refused(exchange->context->crash_sync, &subjects))
 		why = "upstreams crashed when they began to answer requests "
 		      "with a part of this prompt";
 	else if (!exchange_may_begin(exchange))
--- a/src/policy/part_quarantine.c
+++ b/src/policy/part_quarantine.c
@@ -211,6 +211,31 @@
 	return late == 1 && count_charges(part) > 1;
 }
 
+/*
+ * Returns after how many milliseconds a refused part may be accepted again; 0
+ * if it is accepted now. That is when its probe is due, or as much later again
+ * as the probe has been due for: it may be under way, or wait for a request at
+ * the gateway that sends it. After a probe that has failed it is the end of the
+ * refusal.
+ */
+int64_t
+part_quarantine_retry_after_ms(const struct part_quarantine *quarantine,
+    uint64_t part_id, struct timespec now)
+{
+	const struct part *part = g_hash_table_lookup(
+	    quarantine->by_id, &part_id);
+	int64_t left_ms = part_quarantine_left_ms(quarantine, part_id, now);
+	int64_t until_probe_ms;
+
+	if (left_ms == 0 || was_probed(part))
+		return left_ms;
+	until_probe_ms = PART_QUARANTINE_PROBE_MS -
+	    time_diff_ms(now, last_charge(part));
+	if (until_probe_ms > 0)
+		return until_probe_ms;
+	return MIN(left_ms, MAX(-until_probe_ms, PART_QUARANTINE_RETRY_MIN_MS));
+}
+
 /* Returns whether a request with a refused part should be sent as a probe. */
 bool
 part_quarantine_is_probe_due(const struct part_quarantine *quarantine,
--- a/src/policy/part_quarantine.h
+++ b/src/policy/part_quarantine.h
@@ -56,6 +56,8 @@
 #define PART_QUARANTINE_MS (10 * 60 * 1000)
 /* Time after the last charge from which a refused part is probed. */
 #define PART_QUARANTINE_PROBE_MS (60 * 1000)
+/* Shortest time after which it is worth asking again for a refused part. */
+#define PART_QUARANTINE_RETRY_MIN_MS 5000
 /*
  * Maximum number of parts, and as many whole requests; the one that was used
  * least recently is dropped, charged and refused ones last.
@@ -116,6 +118,8 @@
     const struct part_quarantine *, uint64_t part_id);
 int64_t part_quarantine_left_ms(
     const struct part_quarantine *, uint64_t part, struct timespec now);
+int64_t part_quarantine_retry_after_ms(
+    const struct part_quarantine *, uint64_t part, struct timespec now);
 bool part_quarantine_is_probe_due(
     const struct part_quarantine *, uint64_t part, struct timespec now);
 void part_quarantine_on_probe(
--- a/tests/test_crash_parts.c
+++ b/tests/test_crash_parts.c
@@ -219,6 +219,7 @@
 	clock_manual_advance(&clock, PART_QUARANTINE_PROBE_MS - 1);
 	call(&f, "f1:40,bad:100", 0);
 	g_assert_cmpint(f.status, ==, 503);
+	g_assert_cmpstr(f.retry_after, ==, "0.001");
 	g_assert_cmpuint(fake_platform_request_count(f.fake_platform), ==, 0);
 	clock_manual_advance(&clock, 1);
 	call(&f, "f1:40,bad:100", 1);
@@ -260,8 +261,7 @@
 	g_assert_cmpint(f.status, ==, c->status);
 	g_assert_cmpuint(raw_server_requests(server), ==, c->requests);
 	crash_sync_report_death(sync, CRASHES, &crashing, &begun);
-	g_assert_cmpint(
-	    crash_sync_refused_ms(sync, &crashing) == 0, ==, c->clears);
+	g_assert_cmpint(crash_sync_is_refused(sync, &crashing), ==, !c->clears);
 	raw_server_free(server);
 	fixture_tear_down(&f);
 }
@@ -287,9 +287,8 @@
 			ev_run(f.loop, EVRUN_ONCE);
 	}
 	g_assert_cmpuint(raw_server_requests(server), ==, CRASHES);
-	g_assert_cmpint(
-	    crash_sync_refused_ms(f.exchange_context.crash_sync, &crashing), ==,
-	    0);
+	g_assert_false(
+	    crash_sync_is_refused(f.exchange_context.crash_sync, &crashing));
 	raw_server_free(server);
 	fixture_tear_down(&f);
 }
--- a/tests/test_crash_sync.c
+++ b/tests/test_crash_sync.c
@@ -112,7 +112,7 @@
 	const struct crash_subjects subjects = {
 	    .parts = &part, .part_count = 1};
 
-	return crash_sync_refused_ms(gateway->sync, &subjects) > 0;
+	return crash_sync_is_refused(gateway->sync, &subjects);
 }
 
 /* Runs the loop until the first gateways all refuse the part, or none does. */
@@ -234,19 +234,19 @@
 	for (size_t done = 0; done < 8;) {
 		ev_run(t.loop, EVRUN_ONCE);
 		for (done = 0; done < 8 &&
-		     crash_sync_refused_ms(t.gateways[done].sync, &other) > 0;
+		     crash_sync_is_refused(t.gateways[done].sync, &other);
 		     done++)
 			;
 	}
 	for (size_t i = 0; i < 8; i++)
-		g_assert_cmpint(
-		    crash_sync_refused_ms(t.gateways[i].sync, &request), ==, 0);
+		g_assert_false(
+		    crash_sync_is_refused(t.gateways[i].sync, &request));
 	crash_sync_report_survival(
 	    t.gateways[7].sync, &other, clock_monotonic(clock_system()));
 	for (size_t done = 0; done < 8;) {
 		ev_run(t.loop, EVRUN_ONCE);
 		for (done = 0; done < 8 &&
-		     crash_sync_refused_ms(t.gateways[done].sync, &other) == 0;
+		     !crash_sync_is_refused(t.gateways[done].sync, &other);
 		     done++)
 			;
 	}
--- a/tests/test_part_quarantine.c
+++ b/tests/test_part_quarantine.c
@@ -245,25 +245,36 @@
 		g_assert_cmpint(kind, ==, c->kind);
 }
 
-/* When a refused part is probed, after three deaths at 0, 5 and 9 ms. */
+/*
+ * When a refused part is probed, after three deaths at 0, 5 and 9 ms, and what
+ * callers are told.
+ */
 static const struct probe_case {
 	const char *name;
 	int64_t now_ms;
 	int64_t probed_ms; /* by this process; 0 for never */
 	int64_t death_ms; /* of one more upstream; 0 for none */
 	bool due;
+	int64_t retry_after_ms;
 } probe_cases[] = {
-    {"no part is probed at once", 1000, 0, 0, false},
+    {"no part is probed at once", 1000, 0, 0, false,
+	PART_QUARANTINE_PROBE_MS - 991},
     {"a part is probed a minute after the last death",
-	PART_QUARANTINE_PROBE_MS + 9, 0, 0, true},
+	PART_QUARANTINE_PROBE_MS + 9, 0, 0, true, PART_QUARANTINE_RETRY_MIN_MS},
     {"a part is probed once", 2 * PART_QUARANTINE_PROBE_MS,
-	PART_QUARANTINE_PROBE_MS + 9, 0, false},
+	PART_QUARANTINE_PROBE_MS + 9, 0, false, PART_QUARANTINE_PROBE_MS - 9},
+    {"callers of a probe that nobody sends come back ever later",
+	PART_QUARANTINE_PROBE_MS + 20009, 0, 0, true, 20000},
+    {"no caller is told to come back after the refusal",
+	PART_QUARANTINE_MS - 991, 0, 0, true, 1000},
     {"a part is not probed after another gateway's probe has failed",
-	4 * PART_QUARANTINE_PROBE_MS, 0, PART_QUARANTINE_PROBE_MS + 50, false},
+	4 * PART_QUARANTINE_PROBE_MS, 0, PART_QUARANTINE_PROBE_MS + 50, false,
+	PART_QUARANTINE_MS - 3 * PART_QUARANTINE_PROBE_MS + 50},
     {"one more death of the first moment does not count as a probe's",
-	PART_QUARANTINE_PROBE_MS + 50, 0, 50, true},
+	PART_QUARANTINE_PROBE_MS + 50, 0, 50, true,
+	PART_QUARANTINE_RETRY_MIN_MS},
     {"a part that is accepted again is not probed", PART_QUARANTINE_MS + 9, 0,
-	0, false},
+	0, false, 0},
 };
 
 /* Runs one case. */
@@ -295,6 +306,10 @@
 	g_assert_cmpint(
 	    part_quarantine_is_probe_due(quarantine, 1, now), ==, c->due);
 	g_assert_false(part_quarantine_is_probe_due(quarantine, 2, now));
+	g_assert_cmpint(part_quarantine_retry_after_ms(quarantine, 1, now), ==,
+	    c->retry_after_ms);
+	g_assert_cmpint(
+	    part_quarantine_retry_after_ms(quarantine, 2, now), ==, 0);
 	part_quarantine_free(quarantine);
 }
 
