--- a/tests/soak/crashing_part.py
+++ b/tests/soak/crashing_part.py
@@ -34,7 +34,6 @@
     def __init__(self, seed):
         self.random = random.Random(f"prompts {seed}")
         self.crashing, self.sound = set(), set()  # request ids
-        self.begun = set()  # ids of requests with a first event
         self.crashes = []  # wall s
         self.first_crashing = None  # wall s at which the first was sent
 
@@ -102,18 +101,27 @@
 
 
 async def crash(soak, number):
-    """Ends an upstream's process, and starts it under another id."""
+    """Ends an upstream's process under a crashing prompt."""
+    if not soak.upstreams[number].crashed:
+        soak.prompts.crashes.append(time.time())
+    await end(soak, number, False)
+
+
+async def end(soak, number, keeps_id):
+    """Ends an upstream's process, and starts it again, under another id or not.
+    """
     upstream, proxy = soak.upstreams[number], soak.proxies[number]
     if upstream.crashed:
         return
     upstream.crashed = True
-    soak.prompts.crashes.append(time.time())
+    soak.crash_times.append(time.time())
     with soak.path_fault():
         proxy.server.close()
         proxy.reset()
-        expiry = asyncio.ensure_future(expire(soak, upstream.name))
-        await asyncio.sleep(soak.prompts.random.uniform(*DOWN_S))
-        upstream.name = f"i-{number}-{len(soak.prompts.crashes)}"
+        expiry = asyncio.ensure_future(expire(soak, upstream))
+        await asyncio.sleep(soak.random.uniform(*DOWN_S))
+        if not keeps_id:
+            upstream.name = f"i-{number}-{len(soak.crash_times)}"
         upstream.born = int(time.time() * 1000)
         upstream.crashed = False
         await proxy.start()
@@ -121,10 +129,12 @@
     await expiry
 
 
-async def expire(soak, name):
-    """Removes the entry of an upstream that is gone, once it has lapsed."""
+async def expire(soak, upstream):
+    """Removes the entry of a process that is gone, once it has lapsed."""
+    name, born = upstream.name, upstream.born
     await asyncio.sleep(EXPIRY_S)
-    await soak.write("servers", name, None)
+    if (upstream.name, upstream.born) == (name, born) or upstream.name != name:
+        await soak.write("servers", name, None)
 
 
 def check(soak):
@@ -135,7 +145,8 @@
     known = crashes[:CRASHES_KNOWN][-1]
     if len(crashes) >= CRASHES_KNOWN:
         check_arrivals(soak, known + WINDOW_S)
-    check_sound(soak, known + 2 * WINDOW_S)
+    compare_sound(soak, "sound prompts begin seldom", soak.prompts.sound,
+                  soak.prompts.first_crashing, known + 2 * WINDOW_S)
 
 
 def check_arrivals(soak, since):
@@ -151,22 +162,22 @@
                            requests=late[:3])
 
 
-def check_sound(soak, since):
-    """Checks that sound prompts begin half as often as before, or more."""
+def compare_sound(soak, what, requests, until, since):
+    """Checks that prompts begin half as often since then as until then."""
     before, after = [], []
-    for request_id in soak.prompts.sound:
+    for request_id in requests:
         sent, gateway, _ = soak.sent[request_id]
         if (soak.attempts[request_id][1] == 401  # a revoked key
                 or not gateway.was_undisturbed(sent, sent, WINDOW_S)):
             continue
-        if sent < soak.prompts.first_crashing:
-            before.append(request_id in soak.prompts.begun)
+        if sent < until:
+            before.append(request_id in soak.begun)
         elif sent > since:
-            after.append(request_id in soak.prompts.begun)
+            after.append(request_id in soak.begun)
     if len(before) < SAMPLES_MIN or len(after) < SAMPLES_MIN:
         return
     shares = [sum(one) / len(one) for one in (before, after)]
+    soak.begin_shares[what] = [round(one, 2) for one in shares]
     if shares[1] < shares[0] / 2:
-        soak.add_violation("sound prompts begin seldom",
-                           before=round(shares[0], 2),
+        soak.add_violation(what, before=round(shares[0], 2),
                            after=round(shares[1], 2), requests=len(after))
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -31,6 +31,7 @@
 import named_rates
 import planned_stops
 import platform_standin as standin
+import repeated
 import retry_budget
 from planned_stops import DRAIN_MS, GRACE_S
 
@@ -91,7 +92,8 @@
           "name_rate")
 # Drawn only if asked for.
 RARE_FAULTS = ("cut_peer", "crashing_part", "fail_upstreams", "spoil_bytes",
-               "foreign_events", "give_errors", "grant")
+               "foreign_events", "give_errors", "grant", "crashing_request",
+               "end_upstream", "end_domain")
 
 
 class Gateway:
@@ -213,9 +215,15 @@
 
     def __init__(self, binary, folder, seed, seconds, gateway_count, faults):
         self.random = random.Random(seed)
-        self.fault_kinds = [one for one in faults if one != "crashing_part"]
+        self.crash_kinds = [one for one in faults if one in repeated.FAULTS]
+        self.fault_kinds = [one for one in faults
+                            if not one.startswith("crashing_")]
         self.prompts = (crashing_part.Prompts(seed)
                         if "crashing_part" in faults else None)
+        self.repeated = repeated.Repeated(seed) if self.crash_kinds else None
+        self.begun = set()  # ids of streams with a first event
+        self.crash_times = []  # wall s, of all upstreams that ended
+        self.begin_shares = {}  # kind of sound prompts -> before, after
         self.paths = SHORT_PATHS
         if "foreign_events" in faults:
             self.paths += (foreign_events.PATH,)
@@ -354,11 +362,11 @@
             return None
 
     async def request(self, path, rng, gateway, reader, writer,
-                      make_headers=lambda request_id: ""):
+                      make_headers=lambda request_id: "", key=None):
         """Makes a request; returns whether the connection can be reused."""
         self.requests += 1
         request_id = f"{self.seed}-{self.requests}"
-        key = rng.choice(self.keys + list(self.revoked))
+        key = key or rng.choice(self.keys + list(self.revoked))
         if path == "/long/":
             path += str(rng.randint(*LONG_EVENTS))
         elif path in ("/stream/", foreign_events.PATH):
@@ -379,7 +387,7 @@
             self.attempts)
         self.completed[request_id] = time.time()
         self.check_response(request_id, key, sent, headers, body)
-        if self.prompts and self.attempts[request_id][1] == 503:
+        if self.crash_kinds and self.attempts[request_id][1] == 503:
             await asyncio.sleep(REFUSED_PAUSE_S)
         return headers.get("connection") != "close"
 
@@ -400,8 +408,7 @@
         async for chunk in standin.read_chunks(reader):
             body += chunk
             self.received[request_id] = body
-            if self.prompts:
-                self.prompts.begun.add(request_id)
+            self.begun.add(request_id)
             if rng.random() < 0.01:
                 raise planned_stops.CallerLeft
         return body
@@ -649,6 +656,14 @@
         """Adds a key or a route, or gives a key back."""
         await denied.grant(self)
 
+    async def end_upstream(self):
+        """Ends an upstream's process, which starts again."""
+        await repeated.end_upstream(self)
+
+    async def end_domain(self):
+        """Ends all upstreams of a failure domain at once."""
+        await repeated.end_domain(self, len(DOMAINS))
+
     async def fail_upstreams(self):
         """Makes all upstreams fail most requests for some time."""
         await retry_budget.fail_upstreams(self)
@@ -706,7 +721,7 @@
     async def write_config(self):
         """Writes the configuration to the store."""
         service = {"Name": "s"}
-        if self.prompts:
+        if self.crash_kinds:
             service["Engine"] = crashing_part.ENGINE
         await self.write("config", "main",
                          make_config(
@@ -801,6 +816,7 @@
         await asyncio.gather(
             self.inject_faults(),
             *([crashing_part.run(self)] if self.prompts else []),
+            *([repeated.run(self)] if self.repeated else []),
             *(self.run_caller(i)
               for i in range(CALLER_COUNT + LONG_CALLER_COUNT)))
         await asyncio.sleep(0.5)
@@ -817,6 +833,8 @@
             self.retry_budget_used = retry_budget.check(self)
         if self.prompts:
             crashing_part.check(self)
+        if self.repeated:
+            repeated.check(self)
         for gateway in self.gateways:
             for code in gateway.bad_exits:
                 self.add_violation("unexpected exit of a process",
@@ -831,6 +849,11 @@
                 "retry_budget_used": self.retry_budget_used,
                 "violations": self.violations,
                 **({"foreign_events": added} if added else {}),
+                **({"crashes_in_all": len(self.crash_times),
+                    "begin_shares": self.begin_shares}
+                   if self.crash_kinds else {}),
+                **({"request_crashes": len(self.repeated.crashes)}
+                   if "crashing_request" in self.crash_kinds else {}),
                 **(self.prompts.counts() if self.prompts else {})}
 
 
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -352,6 +352,9 @@
         self.crashing_part = None  # of prompts that end its process
         self.crash = None  # ends its process and starts it again
         self.crashed = False
+        self.crashing_request = None  # last part of the prompt that does so
+        self.crashes_early = False  # under it, before the response begins
+        self.crash_under_request = None  # as crash
         self.read_on = 0  # endless responses that were read to the end
         self.spoilt = {}  # request id -> (number of an event, its bytes)
         self.additions = []  # (request id, bytes that its run did not make)
@@ -408,6 +411,10 @@
         response_headers = {"Heatherturn-Attempt-Id": request_id,
                             "Heatherturn-Server-Seal": self.name,
                             **self.own_headers(request_id)}
+        if self.crashes_early and self.is_crashing_request(headers):
+            await asyncio.sleep(EVENT_GAP_S)
+            self.crash_under_request()
+            raise BrokenConnection
         if "error" in self.faults and self.draws_fault("error"):
             status, reason, error_headers = denied.draw_error(
                 self, request_id, response_headers)
@@ -488,6 +495,12 @@
         return self.crashing_part is not None and self.crashing_part in \
             headers.get("heatherturn-prompt-prefix", "").split(",")
 
+    def is_crashing_request(self, headers):
+        """Whether this is the request that ends the process each time."""
+        return self.crashing_request is not None and \
+            headers.get("heatherturn-prompt-prefix", "").endswith(
+                self.crashing_request)
+
     async def stream(self, count, headers, response_headers, writer):
         """Streams the events after Last-Event-ID, of count in all."""
         first = int(headers.get("last-event-id", 0)) + 1
@@ -519,6 +532,9 @@
             if self.crashes_under(headers):
                 self.crash()
                 raise BrokenConnection
+            if self.is_crashing_request(headers):
+                self.crash_under_request()
+                raise BrokenConnection
             event = f"id: {number}\ndata: {number}\n\n".encode()
             if number == wrong:
                 line, end, rest = event.partition(b"\n")
