--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -7,10 +7,12 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 
 #include "base/clock.h"
+#include "base/half_close.h"
 #include "base/list.h"
 #include "base/loop_monitor.h"
 
@@ -21,6 +23,8 @@
 #define RESPONSE_MAX_DEFAULT_BYTES ((size_t)16 * 1024 * 1024)
 #define IDLE_CONNECTIONS_MAX	   64L
 #define STATUS_OK		   200
+#define STATUS_NO_CONTENT	   204
+#define STATUS_NOT_MODIFIED	   304
 /* Lower codes are informational: a final status line follows. */
 #define STATUS_FINAL_MIN 200
 /* Curl closes idle connections long before. */
@@ -56,6 +60,13 @@
 	struct curl_slist *headers_out;
 	struct response_head head;
 	GByteArray *body;
+	uint8_t *body_out; /* of the request; or NULL */
+	size_t body_out_length;
+	bool no_content; /* the response has no body, whatever its headers */
+	int fd; /* of its connection, while curl waits for it; or -1 */
+	int kept_fd; /* its connection, if the request may not be read; or -1 */
+	struct half_close
+	    *half_close; /* whether its end is complete; or NULL */
 	const struct http_call_ops *ops;
 	void *data;
 	enum call_state state;
@@ -99,6 +110,10 @@
 	curl_slist_free_all(call->headers_out);
 	response_head_clear(&call->head);
 	g_byte_array_unref(call->body);
+	half_close_cancel(call->half_close);
+	if (call->kept_fd >= 0)
+		close(call->kept_fd);
+	g_free(call->body_out);
 	g_free(call);
 }
 
@@ -213,6 +228,79 @@
 	call_free(call);
 }
 
+/* Returns how much of the request's body has been passed to the system. */
+static size_t
+uploaded_bytes(const struct http_call *call)
+{
+	curl_off_t uploaded = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+	return MIN((size_t)MAX(uploaded, 0), call->body_out_length);
+}
+
+/*
+ * Returns whether nothing but the end of the connection ends the response, and
+ * the peer has not received the whole request.
+ */
+static bool
+is_end_uncertain(const struct http_call *call, int fd)
+{
+	if (call->head.has_length || call->head.chunked || call->no_content)
+		return false;
+	return uploaded_bytes(call) < call->body_out_length ||
+	    !half_close_is_acknowledged(fd);
+}
+
+/*
+ * Keeps the connection of a response whose end may not tell whether it is
+ * complete. Curl closes it when the peer has ended its side.
+ */
+static void
+keep_connection(struct http_call *call)
+{
+	if (call->body_out_length == 0 || call->fd < 0 || call->kept_fd >= 0)
+		return;
+	if (is_end_uncertain(call, call->fd))
+		call->kept_fd = dup(call->fd);
+}
+
+/* The peer reads on after its response, or has reset the connection. */
+static void
+on_half_close_known(void *data, bool reads)
+{
+	struct http_call *call = data;
+
+	call->half_close = NULL;
+	if (!reads)
+		LOG_INFO("response reset by the rest of its request",
+		    "{s:I, s:I}", "request_bytes",
+		    (json_int_t)call->body_out_length, "written",
+		    (json_int_t)uploaded_bytes(call));
+	call_end(call, reads ? CURLE_OK : CURLE_SEND_ERROR);
+}
+
+/*
+ * Ends a call that curl has completed. If the connection of an unframed
+ * response has ended before the request was read, the response is complete
+ * only if the peer reads on: a connection that is reset by the rest of the
+ * request has not ended properly.
+ */
+static void
+end_completed(struct http_call *call, CURLcode code)
+{
+	size_t written = uploaded_bytes(call);
+	int fd = call->kept_fd;
+
+	if (code != CURLE_OK || fd < 0 || !is_end_uncertain(call, fd)) {
+		call_end(call, code);
+		return;
+	}
+	call->kept_fd = -1;
+	call->half_close = half_close_check(call->client->loop, fd,
+	    call->body_out + written, call->body_out_length - written,
+	    on_half_close_known, call);
+}
+
 /* Ends the calls that curl has completed. */
 static void
 client_reap_calls(struct http_client *client)
@@ -229,7 +317,7 @@
 		curl_easy_getinfo(
 		    message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
 		if (call->state == CALL_RUNNING)
-			call_end(call, code);
+			end_completed(call, code);
 	}
 }
 
@@ -333,6 +421,9 @@
 	struct client_socket *socket = assigned;
 	struct http_call *call = NULL;
 
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
+	if (call != NULL && (what != CURL_POLL_REMOVE || call->fd == (int)fd))
+		call->fd = what == CURL_POLL_REMOVE ? -1 : (int)fd;
 	if (socket != NULL)
 		ev_io_stop(client->loop, &socket->io);
 	if (what == CURL_POLL_REMOVE) {
@@ -345,7 +436,6 @@
 		socket->client = client;
 		curl_multi_assign(client->multi, fd, socket);
 	}
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
 	socket->background = call != NULL && call->background;
 	ev_io_init(&socket->io, on_socket_ready, fd,
 	    ((what & CURL_POLL_IN) ? EV_READ : 0) |
@@ -437,6 +527,10 @@
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	call->head.complete = status >= STATUS_FINAL_MIN;
+	call->no_content |= status == STATUS_NO_CONTENT ||
+	    status == STATUS_NOT_MODIFIED;
+	if (call->head.complete)
+		keep_connection(call);
 	if (call->ops->headers == NULL || status < STATUS_FINAL_MIN ||
 	    call->state != CALL_RUNNING)
 		return true;
@@ -639,10 +733,13 @@
 	    strcmp(request->method, "PUT") == 0) {
 		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
 		    (curl_off_t)request->body_length);
-		curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS,
-		    request->body_length > 0 ? request->body : "");
+		call->body_out = g_memdup2(request->body, request->body_length);
+		call->body_out_length = request->body_length;
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS,
+		    call->body_out != NULL ? (const char *)call->body_out : "");
 	}
-	if (strcmp(request->method, "HEAD") == 0)
+	call->no_content = strcmp(request->method, "HEAD") == 0;
+	if (call->no_content)
 		curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
 	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, request->method);
 	if (request->dedicated_connection || (!get && !request->repeatable))
@@ -731,6 +828,8 @@
 	call->ops = ops;
 	call->data = data;
 	call->easy = curl_easy_init();
+	call->fd = -1;
+	call->kept_fd = -1;
 	response_head_init(&call->head);
 	call->body = g_byte_array_new();
 	call->response_max_bytes = request->response_max_bytes > 0
