--- a/tests/test_wrong_framing.c
+++ b/tests/test_wrong_framing.c
@@ -126,6 +126,40 @@
 	check_again(c, &response);
 }
 
+/* Status lines; the header member is the line. */
+static const struct framing_case status_cases[] = {
+    {"a status", "HTTP/1.1 200 OK", true},
+    {"a status without a reason phrase", "HTTP/1.1 200 ", true},
+    {"a status of zeros", "HTTP/1.1 000 OK", false},
+    {"a status below 100", "HTTP/1.1 099 OK", false},
+    {"a status of one", "HTTP/1.1 001 OK", false},
+    {"a status of two digits", "HTTP/1.1 20 OK", false},
+    {"a status of four digits", "HTTP/1.1 2000 OK", false},
+    {"a letter in a status", "HTTP/1.1 2O0 OK", false},
+    {"a negative status", "HTTP/1.1 -20 OK", false},
+    {"a status with a sign", "HTTP/1.1 +20 OK", false},
+    {"a status with a leading zero", "HTTP/1.1 0200 OK", false},
+    {"a hexadecimal status", "HTTP/1.1 0x0 OK", false},
+    {"no blank before the status", "HTTP/1.1200 OK", false},
+    {"two blanks before the status", "HTTP/1.1  200 OK", false},
+    {"another version", "HTTP/2.7 200 OK", false},
+    {"no status", "HTTP/1.1 ", false},
+};
+
+/* A response whose status line is none is no response. */
+static void
+test_status(gconstpointer data)
+{
+	const struct framing_case *c = &status_cases[GPOINTER_TO_SIZE(data)];
+	g_autofree char *head = g_strconcat(
+	    c->header, "\r\n" TEXT "Content-Length: 80\r\n\r\n", NULL);
+	const struct raw_response response = {
+	    .bytes = head, .filler = BODY_BYTES};
+
+	check_once(c, &response);
+	check_again(c, &response);
+}
+
 /* A response that is too long to be buffered is not begun either. */
 static void
 test_long(void)
@@ -232,6 +266,7 @@
 	    "/wrong_framing/a long response of wrong length", test_long);
 	g_test_add_func(
 	    "/wrong_framing/a stream whose length is cut", test_stream);
+	ADD_CASES(status_cases, "/wrong_framing/status", test_status);
 	ADD_CASES(plain_cases, "/wrong_framing/plain", test_plain);
 	return g_test_run();
 }
