--- a/src/gateway/coordination.c
+++ b/src/gateway/coordination.c
@@ -21,7 +21,7 @@
 	    .is_self = coordinator == NULL || strcmp(coordinator, self) == 0,
 	    .part =
 		{
-		    .per_s = upstream->named_rate.per_s,
+		    .per_s = upstream->process.named_rate.per_s,
 		    .share = shared_rate_share(
 			members, count, self, load_sync_count(load_sync)),
 		    .view = shared_rate_view(members, count),
--- a/src/gateway/exchange_explain.c
+++ b/src/gateway/exchange_explain.c
@@ -148,7 +148,7 @@
 	    "context_tokens", (json_int_t)candidate->context_tokens,
 	    "error_share", candidate->error_share, "saved_ms",
 	    candidate->saved_ms, "names_rate",
-	    selection->upstreams[at]->named_rate.named);
+	    selection->upstreams[at]->process.named_rate.named);
 }
 
 /* Describes a plan: the upstreams that take part, and the times expected. */
--- a/src/gateway/exchange_health.c
+++ b/src/gateway/exchange_health.c
@@ -28,15 +28,16 @@
 {
 	struct timespec now = clock_monotonic(exchange->context->clock);
 	int64_t wait_ms = MIN(
-	    (int64_t)AVOID_MIN_MS << MIN(upstream->failures, 8U), AVOID_MAX_MS);
+	    (int64_t)AVOID_MIN_MS << MIN(upstream->process.failures, 8U),
+	    AVOID_MAX_MS);
 
-	upstream->failures++;
-	upstream->avoid_until = time_add_ms(now, wait_ms);
+	upstream->process.failures++;
+	upstream->process.avoid_until = time_add_ms(now, wait_ms);
 	/* It may have restarted by then. */
 	upstream->cold_until = time_add_ms(
-	    upstream->avoid_until, exchange->profile->cold_ms);
+	    upstream->process.avoid_until, exchange->profile->cold_ms);
 	LOG_INFO("upstream avoided", "{s:s, s:i, s:I}", "upstream",
-	    upstream->id, "failures", (int)upstream->failures, "for_ms",
+	    upstream->id, "failures", (int)upstream->process.failures, "for_ms",
 	    (json_int_t)wait_ms);
 }
 
@@ -129,7 +130,7 @@
 		return;
 	exchange->faulty_upstream = g_strdup(upstream->id);
 	avoid(exchange, upstream);
-	upstream->faulty_until = time_add_ms(
+	upstream->process.faulty_until = time_add_ms(
 	    clock_monotonic(exchange->context->clock), FLEET_FAULTY_MS);
 }
 
@@ -192,10 +193,10 @@
 is_alone(struct exchange *exchange, struct timespec now)
 {
 	struct fleet_upstream *upstream = exchange->upstream;
-	bool is_first = !time_is_set(upstream->broken_at) ||
-	    time_diff_ms(now, upstream->broken_at) >= DEATH_CHECK_MS;
+	bool is_first = !time_is_set(upstream->process.broken_at) ||
+	    time_diff_ms(now, upstream->process.broken_at) >= DEATH_CHECK_MS;
 
-	upstream->broken_at = now;
+	upstream->process.broken_at = now;
 	return is_first && upstream->own.running <= 1 &&
 	    upstream->peers.running == 0;
 }
@@ -227,7 +228,7 @@
 	check->upstream = g_strdup(upstream->id);
 	check->crash_sync = exchange->context->crash_sync;
 	check->death = quarantine_death_id(
-	    upstream->id, (uint64_t)upstream->start_wall_ms);
+	    upstream->id, (uint64_t)upstream->process.start_wall_ms);
 	check->stage = (struct part_death_stage){
 	    .begun = time_is_set(exchange->begun_at),
 	    .alone = is_alone(exchange, now),
@@ -344,13 +345,13 @@
 	else if (outcome == SEND_NOT_RUN && exchange->faulty_upstream != NULL)
 		return;
 	else if (outcome == SEND_NOT_RUN)
-		upstream->avoid_until = time_add_ms(
+		upstream->process.avoid_until = time_add_ms(
 		    clock_monotonic(exchange->context->clock), AVOID_FULL_MS);
 	else
-		upstream->failures = 0;
+		upstream->process.failures = 0;
 	if (outcome == SEND_ANSWERED || failed > 0.0)
-		upstream->error_share += ERROR_WEIGHT *
-		    (failed - upstream->error_share);
+		upstream->process.error_share += ERROR_WEIGHT *
+		    (failed - upstream->process.error_share);
 }
 
 /*
--- a/src/gateway/exchange_prompt.c
+++ b/src/gateway/exchange_prompt.c
@@ -38,7 +38,7 @@
 {
 	return (struct prompt_cache_upstream){
 	    .id = upstream->id,
-	    .start_wall_ms = upstream->start_wall_ms,
+	    .start_wall_ms = upstream->process.start_wall_ms,
 	    .memory = exchange->profile->engine.memory_tokens,
 	    .own_running = upstream->own.context_tokens,
 	    .peers_running = upstream->peers.context_tokens,
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -114,7 +114,7 @@
 		US_PER_MS,
 	    .context_tokens = upstream->own.context_tokens +
 		upstream->peers.context_tokens,
-	    .error_share = upstream->error_share,
+	    .error_share = upstream->process.error_share,
 	    .tie = g_rand_int(exchange->context->random),
 	    .order = (uint32_t)XXH3_64bits(upstream->id, strlen(upstream->id)),
 	};
@@ -136,7 +136,7 @@
     struct timespec now)
 {
 	const struct shared_rate rate = upstream->shared_rate;
-	int64_t left_ms = MAX(quiet_left_ms(&upstream->quiet, now),
+	int64_t left_ms = MAX(quiet_left_ms(&upstream->process.quiet, now),
 	    rate_sync_wait_ms(exchange->context->rate_sync, upstream));
 
 	if (exchange->is_dry_run)
@@ -237,7 +237,8 @@
 			continue;
 		selection->eligible++;
 		if (rate_sync_needs_permit(upstream))
-			selection->rate_per_s += upstream->named_rate.per_s;
+			selection->rate_per_s += upstream->process.named_rate
+						     .per_s;
 		if (exclusion == EXCLUDED_DEFERRED)
 			count_deferred(selection, left_ms);
 		else if (exclusion == EXCLUDED_NOT)
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -67,11 +67,11 @@
 load_report_add_rate(struct load_report *report,
     const struct fleet_upstream *upstream, struct timespec now)
 {
-	const struct named_rate *rate = &upstream->named_rate;
+	const struct named_rate *rate = &upstream->process.named_rate;
 	size_t row = report->rated_count++;
 
 	report->rated[row] = upstream->id;
-	report->rated_starts[row] = (uint64_t)upstream->start_wall_ms;
+	report->rated_starts[row] = (uint64_t)upstream->process.start_wall_ms;
 	report->rates[row] = rate->named ? message_encode_rate(rate->per_s) : 0;
 	report->rate_ages_ms[row] = (uint64_t)MAX(
 	    time_diff_ms(now, rate->seen_at), 0);
--- a/src/gateway/load_sync.c
+++ b/src/gateway/load_sync.c
@@ -410,14 +410,14 @@
 	struct fleet_upstream *upstream;
 
 	TAILQ_FOREACH (upstream, &sync->fleet->upstreams, entry) {
-		if (time_before(now, upstream->faulty_until))
+		if (time_before(now, upstream->process.faulty_until))
 			report->faulty[report->faulty_count++] = upstream->id;
 		if (fleet_upstream_announces(upstream, now)) {
 			report->leaving_starts[report->leaving_count] =
-			    (uint64_t)upstream->start_wall_ms;
+			    (uint64_t)upstream->process.start_wall_ms;
 			report->leaving[report->leaving_count++] = upstream->id;
 		}
-		if ((!changes && upstream->named_rate.named) ||
+		if ((!changes && upstream->process.named_rate.named) ||
 		    fleet_upstream_announces_rate(upstream, now))
 			load_report_add_rate(report, upstream, now);
 		if (changes ? !load_report_is_known(upstream)
--- a/src/gateway/peer_loads.c
+++ b/src/gateway/peer_loads.c
@@ -135,7 +135,8 @@
 		    peer_loads->fleet, message->leaving.items[i]);
 		int64_t start = (int64_t)message->leaving_starts.items[i];
 
-		if (upstream != NULL && start == upstream->start_wall_ms)
+		if (upstream != NULL &&
+		    start == upstream->process.start_wall_ms)
 			fleet_upstream_on_leaving(upstream, process, now);
 	}
 }
@@ -153,10 +154,10 @@
 		struct fleet_upstream *upstream = fleet_find(
 		    peer_loads->fleet, message->rated.items[i]);
 		if (upstream != NULL &&
-		    upstream->start_wall_ms ==
+		    upstream->process.start_wall_ms ==
 			(int64_t)message->rated_starts.items[i])
 			fleet_upstream_on_rate(upstream,
-			    named_rate_on_report(&upstream->named_rate,
+			    named_rate_on_report(&upstream->process.named_rate,
 				message_decode_rate(message->rates.items[i]),
 				message->rate_ages_ms.items[i], now),
 			    process);
--- a/src/gateway/rate_sync.c
+++ b/src/gateway/rate_sync.c
@@ -53,9 +53,10 @@
 	    .rate =
 		{
 		    .upstream = upstream->id,
-		    .start = (uint64_t)upstream->start_wall_ms,
+		    .start = (uint64_t)upstream->process.start_wall_ms,
 		    .named = named,
-		    .rate = message_encode_rate(upstream->named_rate.per_s),
+		    .rate = message_encode_rate(
+			upstream->process.named_rate.per_s),
 		    .sent_age_ms = (uint64_t)MAX(sent_age_ms, 0),
 		},
 	};
@@ -77,15 +78,15 @@
 	struct coordination coordination;
 	bool changed = false;
 
-	if (!named && !upstream->named_rate.named)
+	if (!named && !upstream->process.named_rate.named)
 		return;
 	coordination = coordination_find(sync->load_sync, upstream);
 	if (named)
 		changed = named_rate_on_named(
-		    &upstream->named_rate, per_s, now);
+		    &upstream->process.named_rate, per_s, now);
 	else if (coordination.is_self)
 		changed = named_rate_on_missing(
-		    &upstream->named_rate, sent_at, now);
+		    &upstream->process.named_rate, sent_at, now);
 	fleet_upstream_on_rate(upstream, changed, "response");
 	if (!coordination.is_self)
 		send_observation(sync, upstream, coordination.coordinator,
@@ -96,7 +97,7 @@
 bool
 rate_sync_needs_permit(const struct fleet_upstream *upstream)
 {
-	return upstream->named_rate.named;
+	return upstream->process.named_rate.named;
 }
 
 /*
@@ -109,15 +110,15 @@
 	struct timespec now = clock_monotonic(sync->clock);
 	struct coordination coordination;
 
-	if (!upstream->named_rate.named)
+	if (!upstream->process.named_rate.named)
 		return 0;
 	coordination = coordination_find(sync->load_sync, upstream);
 	if (coordination.is_self)
 		return shared_rate_wait_ms(
 		    &upstream->shared_rate, &coordination.part, now);
-	if (upstream->no_permit_view != coordination.part.view)
+	if (upstream->process.no_permit_view != coordination.part.view)
 		return 0;
-	return MAX(time_diff_ms(upstream->no_permit_until, now), 0);
+	return MAX(time_diff_ms(upstream->process.no_permit_until, now), 0);
 }
 
 /* Logs a decision on a permit that a peer, or none, has asked for. */
@@ -133,8 +134,8 @@
 	    "{s:s, s:s?, s:s, s:f, s:I, s:f, s:f, s:I}", "request", request,
 	    "peer", peer, "upstream", upstream->id, "per_s", by->part.per_s,
 	    "rate_age_ms",
-	    (json_int_t)time_diff_ms(
-		clock_monotonic(sync->clock), upstream->named_rate.seen_at),
+	    (json_int_t)time_diff_ms(clock_monotonic(sync->clock),
+		upstream->process.named_rate.seen_at),
 	    "share", by->part.share, "tokens", upstream->shared_rate.tokens,
 	    "wait_ms", (json_int_t)wait_ms);
 }
@@ -181,10 +182,11 @@
 static void
 defer(struct rate_sync *sync, struct fleet_upstream *upstream, int64_t wait_ms)
 {
-	upstream->no_permit_until = time_add_ms(clock_monotonic(sync->clock),
+	upstream->process.no_permit_until = time_add_ms(
+	    clock_monotonic(sync->clock),
 	    CLAMP(wait_ms, 1, RATE_SYNC_WAIT_MAX_MS));
-	upstream->no_permit_view = coordination_find(sync->load_sync, upstream)
-				       .part.view;
+	upstream->process.no_permit_view =
+	    coordination_find(sync->load_sync, upstream).part.view;
 }
 
 /* Ends the wait for a permit with its result. */
@@ -222,14 +224,14 @@
     const char *coordinator, const char *request, uint64_t id)
 {
 	const char *address = load_sync_address(sync->load_sync, coordinator);
-	const struct named_rate *rate = &upstream->named_rate;
+	const struct named_rate *rate = &upstream->process.named_rate;
 	struct message message = {
 	    .kind = MESSAGE_PERMIT_ASK,
 	    .sequence = id,
 	    .permit_ask =
 		{
 		    .upstream = upstream->id,
-		    .start = (uint64_t)upstream->start_wall_ms,
+		    .start = (uint64_t)upstream->process.start_wall_ms,
 		    .rate = message_encode_rate(rate->per_s),
 		    .rate_age_ms = (uint64_t)MAX(
 			time_diff_ms(
@@ -310,7 +312,7 @@
 	if (sync == NULL)
 		return NULL;
 	TAILQ_FOREACH (upstream, &sync->fleet->upstreams, entry) {
-		if (upstream->named_rate.named &&
+		if (upstream->process.named_rate.named &&
 		    strcmp(upstream->address, address) == 0)
 			return upstream;
 	}
@@ -362,7 +364,7 @@
 	    sync->load_sync, upstream);
 	int64_t wait_ms = RATE_SYNC_RETRY_MS;
 
-	if (!upstream->named_rate.named)
+	if (!upstream->process.named_rate.named)
 		wait_ms = 0;
 	else if (coordination.is_self)
 		wait_ms = decide(sync, ask->request, link_peer(link)->process,
@@ -382,14 +384,14 @@
 	    sync->fleet, ask->upstream);
 
 	if (upstream == NULL ||
-	    upstream->start_wall_ms != (int64_t)ask->start) {
+	    upstream->process.start_wall_ms != (int64_t)ask->start) {
 		LOG_INFO("asked for a permit for an unknown upstream",
 		    "{s:s, s:s}", "upstream", ask->upstream, "peer",
 		    link_peer(link)->process);
 		return;
 	}
 	fleet_upstream_on_rate(upstream,
-	    named_rate_on_report(&upstream->named_rate,
+	    named_rate_on_report(&upstream->process.named_rate,
 		message_decode_rate(ask->rate), ask->rate_age_ms, now),
 	    link_peer(link)->process);
 	if (message->sequence != 0)
@@ -426,18 +428,18 @@
 	bool changed = false;
 
 	if (upstream == NULL ||
-	    upstream->start_wall_ms != (int64_t)rate->start) {
+	    upstream->process.start_wall_ms != (int64_t)rate->start) {
 		LOG_DEBUG("told of the rate of an unknown upstream",
 		    "{s:s, s:s}", "upstream", rate->upstream, "peer",
 		    link_peer(link)->process);
 		return;
 	}
 	if (rate->named)
-		changed = named_rate_on_named(&upstream->named_rate,
+		changed = named_rate_on_named(&upstream->process.named_rate,
 		    message_decode_rate(rate->rate), now);
 	else if (coordination_find(sync->load_sync, upstream).is_self)
-		changed = named_rate_on_missing(
-		    &upstream->named_rate, time_add_ms(now, -age_ms), now);
+		changed = named_rate_on_missing(&upstream->process.named_rate,
+		    time_add_ms(now, -age_ms), now);
 	fleet_upstream_on_rate(upstream, changed, link_peer(link)->process);
 }
 
--- a/src/policy/departure.c
+++ b/src/policy/departure.c
@@ -2,29 +2,10 @@
 
 #include "base/clock.h"
 
-/* Returns whether a start time is that of another process. */
-static bool
-is_another_process(const struct departure *departure, int64_t start_wall_ms)
-{
-	return start_wall_ms != 0 && departure->start_wall_ms != 0 &&
-	    start_wall_ms != departure->start_wall_ms;
-}
-
-/* Forgets all of an earlier process; keeps a known start time. */
-static void
-set_process(struct departure *departure, int64_t start_wall_ms)
-{
-	if (is_another_process(departure, start_wall_ms))
-		*departure = (struct departure){0};
-	if (start_wall_ms != 0)
-		departure->start_wall_ms = start_wall_ms;
-}
-
 /* The list shows the upstream as draining. */
 void
-departure_on_draining(struct departure *departure, int64_t start_wall_ms)
+departure_on_draining(struct departure *departure)
 {
-	set_process(departure, start_wall_ms);
 	departure->state = DEPARTURE_DRAINING;
 	departure->doubted_until = (struct timespec){0};
 }
@@ -34,7 +15,6 @@
 departure_on_removed(struct departure *departure, struct timespec now)
 {
 	departure->state = DEPARTURE_REMOVED;
-	departure->removed_at = now;
 	departure->doubted_until = (struct timespec){0};
 }
 
@@ -44,10 +24,9 @@
  * start time, an upstream that is listed again counts as another process.
  */
 void
-departure_on_ready(struct departure *departure, int64_t start_wall_ms,
-    bool restored, struct timespec now)
+departure_on_ready(struct departure *departure, bool has_start, bool restored,
+    struct timespec now)
 {
-	set_process(departure, start_wall_ms);
 	if (departure->state == DEPARTURE_NONE)
 		return;
 	if (restored) {
@@ -55,7 +34,7 @@
 		    now, DEPARTURE_RESTORE_SETTLE_MS);
 		return;
 	}
-	if (departure->state == DEPARTURE_REMOVED && start_wall_ms == 0)
+	if (departure->state == DEPARTURE_REMOVED && !has_start)
 		departure->announced = false;
 	departure->state = DEPARTURE_NONE;
 	departure->doubted_until = (struct timespec){0};
@@ -87,11 +66,3 @@
 		return time_before(now, departure->doubted_until);
 	return departure->state == DEPARTURE_DRAINING;
 }
-
-/* Returns whether a removed upstream's departure still matters. */
-bool
-departure_is_remembered(const struct departure *departure, struct timespec now)
-{
-	return departure->state == DEPARTURE_REMOVED &&
-	    time_diff_ms(now, departure->removed_at) < DEPARTURE_MEMORY_MS;
-}
--- a/src/policy/departure.h
+++ b/src/policy/departure.h
@@ -31,33 +31,24 @@
  * been added after the copy was made, and is back within 2 s.
  */
 #define DEPARTURE_RESTORE_RETURN_MS 2000
-/*
- * How long the departure of an upstream that left the list is remembered. It
- * exceeds the age of a copy and the time that the store is unreachable.
- */
-#define DEPARTURE_MEMORY_MS 60000
-
 enum departure_state {
 	DEPARTURE_NONE, /* in service, as far as is known */
 	DEPARTURE_DRAINING, /* listed as draining */
 	DEPARTURE_REMOVED, /* left the list */
 };
 
-/* Zero-initialised: an upstream that has not left. */
+/* Of one process. Zero-initialised: it has not left. */
 struct departure {
 	enum departure_state state;
 	bool announced; /* by the upstream itself */
-	int64_t start_wall_ms; /* start of its process; 0 if unknown */
-	struct timespec removed_at;
 	struct timespec doubted_until; /* restored list, see above; or unset */
 };
 
-void departure_on_draining(struct departure *, int64_t start_wall_ms);
+void departure_on_draining(struct departure *);
 void departure_on_removed(struct departure *, struct timespec now);
-void departure_on_ready(struct departure *, int64_t start_wall_ms,
-    bool restored, struct timespec now);
+void departure_on_ready(
+    struct departure *, bool has_start, bool restored, struct timespec now);
 bool departure_on_announced(struct departure *);
 bool departure_has_left(const struct departure *, struct timespec now);
-bool departure_is_remembered(const struct departure *, struct timespec now);
 
 #endif
--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -5,11 +5,10 @@
 #define LOG_MODULE "fleet"
 #include "base/log.h"
 
-/* What is remembered of an upstream that left the list. */
-struct departed {
-	struct departure departure;
-	struct quiet quiet;
-	struct named_rate named_rate;
+/* What is remembered of an upstream that no list shows. */
+struct unlisted {
+	struct upstream_process process;
+	struct timespec removed_at;
 };
 
 /* Frees an upstream that is not, or no longer, part of a fleet. */
@@ -57,23 +56,25 @@
 
 	TAILQ_INIT(&fleet->upstreams);
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	fleet->departed = g_hash_table_new_full(
+	fleet->unlisted = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, g_free);
 	fleet->takeouts = takeouts_new(on_takeout_change, fleet);
 	return fleet;
 }
 
-/* Removes an upstream from the fleet and frees it; its departure is kept. */
+/*
+ * Removes an upstream from the fleet and frees it; what was learned of its
+ * process is kept.
+ */
 static void
-remove_upstream(struct fleet *fleet, struct fleet_upstream *upstream)
+remove_upstream(
+    struct fleet *fleet, struct fleet_upstream *upstream, struct timespec now)
 {
-	const struct departed departed = {.departure = upstream->departure,
-	    .quiet = upstream->quiet,
-	    .named_rate = upstream->named_rate};
+	const struct unlisted unlisted = {
+	    .process = upstream->process, .removed_at = now};
 
-	if (upstream->departure.state == DEPARTURE_REMOVED)
-		g_hash_table_replace(fleet->departed, g_strdup(upstream->id),
-		    g_memdup2(&departed, sizeof(departed)));
+	g_hash_table_replace(fleet->unlisted, g_strdup(upstream->id),
+	    g_memdup2(&unlisted, sizeof(unlisted)));
 	g_hash_table_remove(fleet->by_id, upstream->id);
 	TAILQ_REMOVE(&fleet->upstreams, upstream, entry);
 	free_upstream(upstream);
@@ -88,9 +89,9 @@
 	if (fleet == NULL)
 		return;
 	TAILQ_FOREACH_SAFE (upstream, &fleet->upstreams, entry, next)
-		remove_upstream(fleet, upstream);
+		remove_upstream(fleet, upstream, (struct timespec){0});
 	g_hash_table_unref(fleet->by_id);
-	g_hash_table_unref(fleet->departed);
+	g_hash_table_unref(fleet->unlisted);
 	takeouts_free(fleet->takeouts);
 	g_free(fleet);
 }
@@ -100,35 +101,19 @@
 add_upstream(struct fleet *fleet, const struct upstream_report *report)
 {
 	struct fleet_upstream *upstream = g_new0(struct fleet_upstream, 1);
-	const struct departed *departed = g_hash_table_lookup(
-	    fleet->departed, report->id);
+	const struct unlisted *unlisted = g_hash_table_lookup(
+	    fleet->unlisted, report->id);
 
 	upstream->id = g_strdup(report->id);
-	if (departed != NULL) {
-		upstream->departure = departed->departure;
-		upstream->quiet = departed->quiet;
-		upstream->named_rate = departed->named_rate;
-		g_hash_table_remove(fleet->departed, report->id);
+	if (unlisted != NULL) {
+		upstream->process = unlisted->process;
+		g_hash_table_remove(fleet->unlisted, report->id);
 	}
 	g_hash_table_insert(fleet->by_id, upstream->id, upstream);
 	TAILQ_INSERT_TAIL(&fleet->upstreams, upstream, entry);
 	return upstream;
 }
 
-/* Resets the failure state of an upstream whose process was restarted. */
-static void
-reset_health(struct fleet_upstream *upstream)
-{
-	upstream->failures = 0;
-	upstream->avoid_until = (struct timespec){0};
-	upstream->faulty_until = (struct timespec){0};
-	upstream->error_share = 0.0;
-	upstream->quiet = (struct quiet){0};
-	upstream->named_rate = (struct named_rate){0};
-	upstream->rate_changed_at = (struct timespec){0};
-	upstream->no_permit_until = (struct timespec){0};
-}
-
 /* Replaces a string if it differs. */
 static void
 set_text(char **text, const char *value)
@@ -139,35 +124,42 @@
 	*text = g_strdup(value);
 }
 
-/* Updates an upstream from its report and logs a change of its state. */
+/*
+ * Updates an upstream from its report and logs a change of its state. Of a
+ * process that had the id before, a report tells no more than that the upstream
+ * is listed, unless nothing else is known.
+ */
 static void
 update_upstream(struct fleet *fleet, struct fleet_upstream *upstream,
     const struct upstream_report *report, bool restored, struct timespec now)
 {
+	const struct upstream_sight sight = {
+	    .start_wall_ms = report->start_wall_ms,
+	    .draining = report->draining,
+	    .restored = restored,
+	};
 	struct timespec cold = time_add_ms(now, report->cold_ms);
-	enum departure_state before = upstream->departure.state;
-
-	if (upstream->start_wall_ms != report->start_wall_ms)
-		reset_health(upstream);
-	set_text(&upstream->service, report->service);
-	set_text(&upstream->address, report->address);
-	set_text(&upstream->failure_domain, report->failure_domain);
-	if (report->draining)
-		departure_on_draining(
-		    &upstream->departure, report->start_wall_ms);
-	else
-		departure_on_ready(
-		    &upstream->departure, report->start_wall_ms, restored, now);
-	if (upstream->departure.state != before || !upstream->listed)
-		LOG_INFO("upstream listed", "{s:s, s:s, s:b, s:b, s:I, s:I}",
-		    "upstream", report->id, "address", report->address,
-		    "draining", report->draining, "left",
-		    departure_has_left(&upstream->departure, now), "cold_ms",
-		    (json_int_t)report->cold_ms, "list_version",
+	enum departure_state before = upstream->process.departure.state;
+	bool is_older = upstream->address != NULL &&
+	    upstream_process_is_older(&upstream->process, &sight);
+
+	upstream_process_on_listed(&upstream->process, &sight, now);
+	if (!is_older) {
+		set_text(&upstream->service, report->service);
+		set_text(&upstream->address, report->address);
+		set_text(&upstream->failure_domain, report->failure_domain);
+		upstream->slots = report->slots;
+	}
+	if (upstream->process.departure.state != before || !upstream->listed ||
+	    is_older)
+		LOG_INFO("upstream listed",
+		    "{s:s, s:s, s:b, s:b, s:b, s:I, s:I}", "upstream",
+		    report->id, "address", report->address, "draining",
+		    report->draining, "older", is_older, "left",
+		    departure_has_left(&upstream->process.departure, now),
+		    "cold_ms", (json_int_t)report->cold_ms, "list_version",
 		    (json_int_t)fleet->version);
-	upstream->slots = report->slots;
 	upstream->listed = true;
-	upstream->start_wall_ms = report->start_wall_ms;
 	if (report->cold_ms > 0 && time_before(upstream->cold_until, cold))
 		upstream->cold_until = cold;
 }
@@ -187,7 +179,7 @@
 is_removable(const struct fleet_upstream *upstream, struct timespec now)
 {
 	return !upstream->listed && upstream->own.running == 0 &&
-	    (departure_has_left(&upstream->departure, now) ||
+	    (departure_has_left(&upstream->process.departure, now) ||
 		!is_in_grace_period(upstream, now));
 }
 
@@ -204,12 +196,12 @@
 
 	if (!upstream->listed)
 		return;
-	upstream->unlisted_until = departure_has_left(&upstream->departure, now)
+	upstream->unlisted_until = departure_has_left(
+				       &upstream->process.departure, now)
 	    ? now
 	    : time_add_ms(now, grace_ms);
 	upstream->listed = false;
-	if (!restored)
-		departure_on_removed(&upstream->departure, now);
+	upstream_process_on_unlisted(&upstream->process, restored, now);
 	LOG_INFO("upstream gone from list", "{s:s, s:i, s:I}", "upstream",
 	    upstream->id, "running", (int)upstream->own.running, "list_version",
 	    (json_int_t)fleet->version);
@@ -241,7 +233,7 @@
 	}
 	TAILQ_FOREACH_SAFE (upstream, &fleet->upstreams, entry, next) {
 		if (is_removable(upstream, now))
-			remove_upstream(fleet, upstream);
+			remove_upstream(fleet, upstream, now);
 	}
 }
 
@@ -263,7 +255,7 @@
 	takeouts_end(fleet->takeouts, domain, now);
 }
 
-/* Drops what is remembered too long: departures, takeouts after a restore. */
+/* Drops what is remembered too long: processes, takeouts after a restore. */
 void
 fleet_expire(struct fleet *fleet, struct timespec now)
 {
@@ -271,11 +263,12 @@
 	void *value;
 
 	takeouts_expire(fleet->takeouts, now);
-	g_hash_table_iter_init(&iter, fleet->departed);
+	g_hash_table_iter_init(&iter, fleet->unlisted);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct departed *departed = value;
+		const struct unlisted *unlisted = value;
 
-		if (!departure_is_remembered(&departed->departure, now))
+		if (time_diff_ms(now, unlisted->removed_at) >=
+		    UPSTREAM_PROCESS_MEMORY_MS)
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -285,9 +278,9 @@
 fleet_upstream_on_leaving(
     struct fleet_upstream *upstream, const char *source, struct timespec now)
 {
-	if (!departure_on_announced(&upstream->departure))
+	if (!departure_on_announced(&upstream->process.departure))
 		return;
-	upstream->announced_at = now;
+	upstream->process.announced_at = now;
 	LOG_INFO("upstream announced that it leaves", "{s:s, s:s, s:s, s:i}",
 	    "upstream", upstream->id, "address", upstream->address, "source",
 	    source, "running", (int)upstream->own.running);
@@ -298,8 +291,9 @@
 fleet_upstream_announces(
     const struct fleet_upstream *upstream, struct timespec now)
 {
-	return upstream->departure.announced &&
-	    time_diff_ms(now, upstream->announced_at) < FLEET_ANNOUNCE_MS;
+	return upstream->process.departure.announced &&
+	    time_diff_ms(now, upstream->process.announced_at) <
+	    FLEET_ANNOUNCE_MS;
 }
 
 /* An upstream has asked this process for no requests for some time. */
@@ -307,10 +301,10 @@
 fleet_upstream_on_quiet(
     struct fleet_upstream *upstream, int64_t quiet_ms, struct timespec now)
 {
-	quiet_on_request(&upstream->quiet, quiet_ms, now);
+	quiet_on_request(&upstream->process.quiet, quiet_ms, now);
 	LOG_INFO("upstream asked for no requests", "{s:s, s:I, s:I}",
 	    "upstream", upstream->id, "asked_ms", (json_int_t)quiet_ms,
-	    "for_ms", (json_int_t)quiet_left_ms(&upstream->quiet, now));
+	    "for_ms", (json_int_t)quiet_left_ms(&upstream->process.quiet, now));
 }
 
 /* Returns whether peers are told of a change of an upstream's rate. */
@@ -318,8 +312,8 @@
 fleet_upstream_announces_rate(
     const struct fleet_upstream *upstream, struct timespec now)
 {
-	return time_is_set(upstream->rate_changed_at) &&
-	    time_diff_ms(now, upstream->rate_changed_at) <
+	return time_is_set(upstream->process.rate_changed_at) &&
+	    time_diff_ms(now, upstream->process.rate_changed_at) <
 	    FLEET_ANNOUNCE_RATE_MS;
 }
 
@@ -328,11 +322,11 @@
 fleet_upstream_on_rate(
     struct fleet_upstream *upstream, bool changed, const char *source)
 {
-	const struct named_rate *rate = &upstream->named_rate;
+	const struct named_rate *rate = &upstream->process.named_rate;
 
 	if (!changed)
 		return;
-	upstream->rate_changed_at = rate->seen_at;
+	upstream->process.rate_changed_at = rate->seen_at;
 	LOG_INFO(rate->named ? "upstream named a rate"
 			     : "upstream no longer names a rate",
 	    "{s:s, s:f, s:s}", "upstream", upstream->id, "per_s", rate->per_s,
@@ -363,7 +357,7 @@
 fleet_upstream_is_leaving(const struct fleet *fleet,
     const struct fleet_upstream *upstream, struct timespec now)
 {
-	return departure_has_left(&upstream->departure, now) ||
+	return departure_has_left(&upstream->process.departure, now) ||
 	    takeouts_contains(fleet->takeouts, upstream->failure_domain);
 }
 
@@ -388,8 +382,8 @@
 fleet_upstream_is_avoided(
     const struct fleet_upstream *upstream, struct timespec now)
 {
-	return time_before(now, upstream->avoid_until) ||
-	    time_before(now, upstream->faulty_until) ||
+	return time_before(now, upstream->process.avoid_until) ||
+	    time_before(now, upstream->process.faulty_until) ||
 	    upstream->peer_fault_reports >= FLEET_FAULT_REPORTS_MIN;
 }
 
@@ -412,7 +406,7 @@
 {
 	upstream->own.running--;
 	if (is_removable(upstream, now))
-		remove_upstream(fleet, upstream);
+		remove_upstream(fleet, upstream, now);
 }
 
 /*
--- a/src/routing/fleet.h
+++ b/src/routing/fleet.h
@@ -16,11 +16,9 @@
 #include "base/list.h"
 #include "policy/balance.h"
 #include "policy/cold_rate.h"
-#include "policy/departure.h"
-#include "policy/named_rate.h"
-#include "policy/quiet.h"
 #include "policy/shared_rate.h"
 #include "policy/takeouts.h"
+#include "policy/upstream_process.h"
 
 /* One upstream as reported by the platform's list. */
 struct upstream_report {
@@ -59,26 +57,12 @@
 	char *address;
 	char *failure_domain;
 	uint32_t slots;
-	struct departure departure;
+	struct upstream_process process; /* what was learned of it */
 	bool listed; /* in the list; else kept until idle */
 	struct timespec unlisted_until; /* if not listed: used until then */
-	int64_t start_wall_ms;
 	struct timespec cold_until;
 	struct cold_rate cold_rate;
-
-	/* Outcome of this process's requests. */
-	uint32_t failures; /* consecutive */
-	struct timespec avoid_until; /* back-off after failures */
-	struct timespec broken_at; /* end of a connection; or unset */
-	double error_share; /* moving average of failed responses, 0 to 1 */
-	struct timespec faulty_until; /* reported by another upstream */
-	struct quiet quiet; /* it asked for no requests */
-	struct named_rate named_rate; /* requests that it takes a second */
-	struct timespec rate_changed_at; /* unset: never */
-	struct shared_rate shared_rate; /* of these, granted by this process */
-	struct timespec no_permit_until; /* by its coordinator */
-	uint64_t no_permit_view; /* of the gateways, when that was said */
-	struct timespec announced_at; /* this process was told that it leaves */
+	struct shared_rate shared_rate; /* granted by this process */
 	uint32_t peer_fault_reports; /* peers that report it as faulty */
 
 	/* Load. */
@@ -96,7 +80,7 @@
 struct fleet {
 	struct fleet_upstreams upstreams;
 	GHashTable *by_id;
-	GHashTable *departed; /* id -> struct departed, of removed upstreams */
+	GHashTable *unlisted; /* id -> struct unlisted, of removed upstreams */
 	struct takeouts *takeouts; /* failure domains taken out */
 	uint64_t version; /* of the list in use */
 	struct timespec applied_at; /* when this process applied that version */
--- a/tests/test_departure.c
+++ b/tests/test_departure.c
@@ -28,6 +28,11 @@
 	STEP_RESTORED, /* a restored list shows it as ready */
 	STEP_RESTARTED, /* listed as ready with another start time */
 	STEP_RESTORED_RESTARTED, /* the same in a restored list */
+	STEP_RESTORED_WITHOUT, /* a restored list lacks it */
+	STEP_DRAINING_RESTARTED, /* draining with another start time */
+	/* A restored list shows the first start, after another one. */
+	STEP_RESTORED_OLDER,
+	STEP_RESTORED_OLDER_DRAINING,
 	STEP_ANNOUNCED, /* by the upstream itself */
 	STEP_SETTLED, /* SETTLED_MS pass */
 };
@@ -57,35 +62,63 @@
 	{STEP_ANNOUNCED, STEP_READY, STEP_RESTORED, STEP_SETTLED}, true},
     {"what an earlier process said does not count",
 	{STEP_READY, STEP_ANNOUNCED, STEP_RESTARTED}, false},
+    {"a restored list does not bring an earlier process back",
+	{STEP_RESTARTED, STEP_DRAINING_RESTARTED, STEP_RESTORED_OLDER}, true},
+    {"a restored list of an earlier process does not undo what it says",
+	{STEP_RESTARTED, STEP_ANNOUNCED, STEP_RESTORED_OLDER, STEP_SETTLED},
+	true},
+    {"an earlier process that was draining says nothing of the next one",
+	{STEP_DRAINING, STEP_RESTARTED, STEP_RESTORED_OLDER_DRAINING}, false},
+    {"a restored list that lacks it does not undo what it says",
+	{STEP_ANNOUNCED, STEP_RESTORED_WITHOUT, STEP_READY, STEP_SETTLED},
+	true},
 };
 
 /* Applies one step. */
 static struct timespec
-apply_step(struct departure *departure, enum step step, struct timespec now)
+apply_step(
+    struct upstream_process *process, enum step step, struct timespec now)
 {
+	struct upstream_sight sight = {.start_wall_ms = 1};
+
 	switch (step) {
 	case STEP_NONE:
 		break;
 	case STEP_DRAINING:
-		departure_on_draining(departure, 1);
+		sight.draining = true;
+		upstream_process_on_listed(process, &sight, now);
 		break;
 	case STEP_REMOVED:
-		departure_on_removed(departure, now);
+		upstream_process_on_unlisted(process, false, now);
 		break;
-	case STEP_READY:
-		departure_on_ready(departure, 1, false, now);
+	case STEP_RESTORED_WITHOUT:
+		upstream_process_on_unlisted(process, true, now);
 		break;
 	case STEP_RESTORED:
-		departure_on_ready(departure, 1, true, now);
+	case STEP_READY:
+		sight.restored = step == STEP_RESTORED;
+		upstream_process_on_listed(process, &sight, now);
 		break;
 	case STEP_RESTARTED:
-		departure_on_ready(departure, 2, false, now);
-		break;
 	case STEP_RESTORED_RESTARTED:
-		departure_on_ready(departure, 2, true, now);
+		sight.start_wall_ms = 2;
+		sight.restored = step == STEP_RESTORED_RESTARTED;
+		upstream_process_on_listed(process, &sight, now);
+		break;
+	case STEP_RESTORED_OLDER:
+	case STEP_RESTORED_OLDER_DRAINING:
+		sight.start_wall_ms = 1;
+		sight.restored = true;
+		sight.draining = step == STEP_RESTORED_OLDER_DRAINING;
+		upstream_process_on_listed(process, &sight, now);
+		break;
+	case STEP_DRAINING_RESTARTED:
+		sight.start_wall_ms = 2;
+		sight.draining = true;
+		upstream_process_on_listed(process, &sight, now);
 		break;
 	case STEP_ANNOUNCED:
-		departure_on_announced(departure);
+		departure_on_announced(&process->departure);
 		break;
 	case STEP_SETTLED:
 		return time_add_ms(now, SETTLED_MS);
@@ -99,12 +132,13 @@
 {
 	const struct departure_case
 	    *c = &departure_cases[GPOINTER_TO_SIZE(data)];
-	struct departure departure = {.start_wall_ms = 1};
+	struct upstream_process process = {.start_wall_ms = 1};
 	struct timespec now = time_from_ms(START_MS);
 
 	for (size_t i = 0; i < STEPS_MAX; i++)
-		now = apply_step(&departure, c->steps[i], now);
-	g_assert_cmpint(departure_has_left(&departure, now), ==, c->left);
+		now = apply_step(&process, c->steps[i], now);
+	g_assert_cmpint(
+	    departure_has_left(&process.departure, now), ==, c->left);
 }
 
 /* Returns the report of an upstream that is ready. */
@@ -172,6 +206,90 @@
 	fleet_free(fleet);
 }
 
+/* How an upstream's entry in the list is lost, and what the list shows next. */
+static const struct path_case {
+	const char *name;
+	bool removed; /* the list lacks it at first */
+	bool restored; /* by a store that went back to a copy */
+	int64_t away_ms; /* until the list shows it */
+	int64_t start_wall_ms; /* that it shows then; 2 is the known one */
+	bool kept; /* what was learned of the process */
+} path_cases[] = {
+    {"an entry that is written again", false, false, 0, 2, true},
+    {"an entry that lapses and comes back at once", true, false,
+	FLEET_UNLISTED_GRACE_MS / 2, 2, true},
+    {"an entry that lapses and comes back later", true, false, 10000, 2, true},
+    {"an entry that comes back without its start", true, false, 10000, 0, true},
+    {"an entry that a restored list lacks", true, true, 500, 2, true},
+    {"an entry that comes back late after a restore", true, true, 10000, 2,
+	true},
+    {"a restored list with an earlier process", false, true, 0, 1, true},
+    {"a restored list with a later process", false, true, 0, 3, false},
+    {"another process with the id", false, false, 0, 3, false},
+    {"another process with the id and an earlier clock", false, false, 0, 1,
+	false},
+    {"another process with the id after a lapse", true, false, 10000, 3, false},
+    {"an entry that comes back after all is forgotten", true, false,
+	UPSTREAM_PROCESS_MEMORY_MS + 10000, 2, false},
+};
+
+/* Applies a list that shows "a" with a start, or lacks it with a start of -1.
+ */
+static void
+apply_list(struct fleet *fleet, bool restored, int64_t start_wall_ms,
+    struct timespec now)
+{
+	const char *a = "a";
+	struct upstream_report shown = report("a");
+	const struct upstream_list list = {
+	    .version = fleet->version + 1,
+	    .restored = restored,
+	    .reports = &shown,
+	    .count = start_wall_ms >= 0 ? 1 : 0,
+	    .removed = &a,
+	    .removed_count = start_wall_ms < 0 ? 1 : 0,
+	};
+
+	shown.start_wall_ms = start_wall_ms;
+	fleet_apply(fleet, &list, now);
+}
+
+/* What an upstream has said, and how it answered, against one path. */
+static void
+test_path(gconstpointer data)
+{
+	const struct path_case *c = &path_cases[GPOINTER_TO_SIZE(data)];
+	struct fleet *fleet = fleet_new();
+	struct timespec now = time_from_ms(START_MS);
+	struct fleet_upstream *upstream;
+	/* Without a start, one that left the list and is back may be another.
+	 */
+	bool leaves = c->kept && c->start_wall_ms != 0;
+
+	apply_list(fleet, false, 2, now);
+	upstream = fleet_find(fleet, "a");
+	fleet_upstream_on_leaving(upstream, "response", now);
+	fleet_upstream_on_quiet(upstream, QUIET_MAX_MS, now);
+	named_rate_on_named(&upstream->process.named_rate, 1.5, now);
+	upstream->process.avoid_until = time_add_ms(now, QUIET_MAX_MS);
+	if (c->removed) {
+		apply_list(fleet, c->restored, -1, now);
+		now = time_add_ms(now, c->away_ms);
+		fleet_apply(fleet,
+		    &(struct upstream_list){.version = fleet->version}, now);
+		fleet_expire(fleet, now);
+	}
+	apply_list(fleet, c->restored && !c->removed, c->start_wall_ms, now);
+	upstream = fleet_find(fleet, "a");
+	g_assert_cmpint(
+	    fleet_upstream_is_eligible(fleet, upstream, now), ==, !leaves);
+	g_assert_cmpint(
+	    quiet_is_wanted(&upstream->process.quiet, now), ==, c->kept);
+	g_assert_cmpint(upstream->process.named_rate.named, ==, c->kept);
+	g_assert_cmpint(fleet_upstream_is_avoided(upstream, now), ==, c->kept);
+	fleet_free(fleet);
+}
+
 static const struct takeout_case {
 	const char *name;
 	bool restored; /* by a store that lacks the takeout */
@@ -267,6 +385,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	ADD_CASES(path_cases, "/process", test_path);
 	ADD_CASES(departure_cases, "/departure", test_departure);
 	ADD_CASES(takeout_cases, "/takeouts", test_takeout);
 	g_test_add_func("/departure/a release while the store is restored",
--- a/tests/test_earlier_refusal.c
+++ b/tests/test_earlier_refusal.c
@@ -50,10 +50,11 @@
 	const struct fleet_upstream *upstream;
 
 	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		g_assert_false(upstream->named_rate.named);
+		g_assert_false(upstream->process.named_rate.named);
 		g_assert_false(fleet_upstream_announces(upstream, now));
-		g_assert_false(time_before(now, upstream->quiet.until));
-		g_assert_false(time_before(now, upstream->faulty_until));
+		g_assert_false(time_before(now, upstream->process.quiet.until));
+		g_assert_false(
+		    time_before(now, upstream->process.faulty_until));
 	}
 }
 
--- a/tests/test_exchange_explain.c
+++ b/tests/test_exchange_explain.c
@@ -97,7 +97,8 @@
 		g_string_append_printf(text, "%s %u %lu %f %f\n", upstream->id,
 		    upstream->own.running,
 		    (unsigned long)upstream->own.prefill_us,
-		    upstream->error_share, upstream->shared_rate.tokens);
+		    upstream->process.error_share,
+		    upstream->shared_rate.tokens);
 	g_string_append_printf(text, "%u %zu %u %u %u\n", g_rand_int(random),
 	    prompt_cache_count(f->exchange_context.prompt_cache),
 	    g_hash_table_size(f->exchange_context.durations),
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -59,7 +59,7 @@
 	const struct fleet_upstream *upstream;
 
 	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		if (!upstream->named_rate.named)
+		if (!upstream->process.named_rate.named)
 			return false;
 	}
 	return true;
@@ -171,7 +171,7 @@
 	const struct fleet_upstream *upstream;
 
 	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		if (upstream->named_rate.named)
+		if (upstream->process.named_rate.named)
 			return false;
 	}
 	return true;
@@ -189,8 +189,8 @@
 
 	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
 		upstream->shared_rate.tokens = 1.0;
-		if (time_before(before, upstream->named_rate.seen_at))
-			upstream->named_rate.seen_at = before;
+		if (time_before(before, upstream->process.named_rate.seen_at))
+			upstream->process.named_rate.seen_at = before;
 	}
 }
 
--- a/tests/test_rate_sync.c
+++ b/tests/test_rate_sync.c
@@ -103,8 +103,8 @@
 	while (!all_agree(t, GATEWAYS))
 		ev_run(t->loop, EVRUN_ONCE);
 	for (size_t i = 0; i < GATEWAYS; i++)
-		named_rate_on_named(&find_upstream(t, i)->named_rate, PER_S,
-		    clock_monotonic(&t->gateways[i].clock.clock));
+		named_rate_on_named(&find_upstream(t, i)->process.named_rate,
+		    PER_S, clock_monotonic(&t->gateways[i].clock.clock));
 }
 
 /* Stops one gateway. */
@@ -259,12 +259,13 @@
 	set_up(&t);
 	fleet_upstream_on_rate(find_upstream(&t, 0), true, "test");
 	for (size_t i = 1; i < GATEWAYS; i++)
-		find_upstream(&t, i)->named_rate = (struct named_rate){0};
+		find_upstream(&t, i)->process.named_rate = (struct named_rate){
+		    0};
 	for (size_t i = 1; i < GATEWAYS; i++) {
-		while (!find_upstream(&t, i)->named_rate.named)
+		while (!find_upstream(&t, i)->process.named_rate.named)
 			ev_run(t.loop, EVRUN_ONCE);
 		g_assert_cmpfloat(
-		    find_upstream(&t, i)->named_rate.per_s, ==, PER_S);
+		    find_upstream(&t, i)->process.named_rate.per_s, ==, PER_S);
 	}
 	tear_down(&t);
 }
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -304,14 +304,14 @@
 
 	apply_list(fleet, 1, &one, NULL, now);
 	upstream = fleet_find(fleet, "a");
-	upstream->failures = 3;
-	upstream->avoid_until = time_add_ms(now, 5000);
+	upstream->process.failures = 3;
+	upstream->process.avoid_until = time_add_ms(now, 5000);
 	apply_list(fleet, 2, &one, NULL, now);
-	g_assert_cmpuint(upstream->failures, ==, 3);
+	g_assert_cmpuint(upstream->process.failures, ==, 3);
 	one.start_wall_ms = 2;
 	apply_list(fleet, 3, &one, NULL, now);
-	g_assert_cmpuint(upstream->failures, ==, 0);
-	g_assert_false(time_before(now, upstream->avoid_until));
+	g_assert_cmpuint(upstream->process.failures, ==, 0);
+	g_assert_false(time_before(now, upstream->process.avoid_until));
 	fleet_free(fleet);
 }
 
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -209,10 +209,11 @@
 		upstream = fleet_find(
 		    routing_state_fleet(f.exchange_context.routing_state),
 		    "i-0");
-		g_assert_cmpint(upstream->named_rate.named, ==, c->per_s > 0.0);
+		g_assert_cmpint(
+		    upstream->process.named_rate.named, ==, c->per_s > 0.0);
 		if (c->per_s > 0.0)
 			g_assert_cmpfloat(
-			    upstream->named_rate.per_s, ==, c->per_s);
+			    upstream->process.named_rate.per_s, ==, c->per_s);
 		fixture_tear_down(&f);
 	}
 }
--- a/tests/test_wrong_headers.c
+++ b/tests/test_wrong_headers.c
@@ -146,9 +146,9 @@
 	int faulty = 0;
 
 	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		faulty += time_before(now, upstream->faulty_until);
-		quiet_ms += quiet_left_ms(&upstream->quiet, now);
-		g_assert_false(upstream->named_rate.named);
+		faulty += time_before(now, upstream->process.faulty_until);
+		quiet_ms += quiet_left_ms(&upstream->process.quiet, now);
+		g_assert_false(upstream->process.named_rate.named);
 		g_assert_false(fleet_upstream_announces(upstream, now));
 	}
 	g_assert_cmpint(faulty, ==, c->faulty);
