--- a/src/gateway/exchange_explain.c
+++ b/src/gateway/exchange_explain.c
@@ -86,7 +86,7 @@
 authenticate(struct exchange *exchange, const struct routing_table *table,
     const struct explain_request *request)
 {
-	if (exchange->route->public || table->organisation_count == 0)
+	if (exchange->route->public || !table->needs_key)
 		return NULL;
 	if (request->organisation == NULL && request->key == NULL)
 		return &no_organisation;
--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -101,7 +101,7 @@
 {
 	struct organisation *organisation = NULL;
 
-	if (exchange->route->public || table->organisation_count == 0)
+	if (exchange->route->public || !table->needs_key)
 		return true;
 	if (exchange->caller_headers.key != NULL)
 		organisation = routing_table_find_organisation(
--- a/src/routing/routing_table.c
+++ b/src/routing/routing_table.c
@@ -403,13 +403,18 @@
 	table->content->limits = *limits;
 }
 
-/* Makes all staged changes visible, as a version of the configuration. */
+/*
+ * Makes all staged changes visible, as a version of the configuration. Requests
+ * need an API key if the version says so, or has organisations.
+ */
 void
-routing_table_switch(struct routing_table *table, uint64_t version)
+routing_table_switch(
+    struct routing_table *table, uint64_t version, bool needs_key)
 {
 	table->version = version;
 	table->limits = table->content->limits;
 	table->organisation_count = table->content->organisation_count;
+	table->needs_key = needs_key || table->organisation_count > 0;
 	table->content->generation++;
 }
 
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -86,6 +86,7 @@
 	uint64_t version; /* set by the operators */
 	struct caller_limits limits;
 	size_t organisation_count;
+	bool needs_key; /* requests on routes that are not public do */
 	/* Of the routes and organisations, those of the next switch included.
 	 */
 	struct service_ranks *ranks;
@@ -107,7 +108,8 @@
     struct routing_table *, struct organisation *);
 void routing_table_set_limits(
     struct routing_table *, const struct caller_limits *);
-void routing_table_switch(struct routing_table *, uint64_t version);
+void routing_table_switch(
+    struct routing_table *, uint64_t version, bool needs_key);
 bool routing_table_settle(struct routing_table *, size_t max);
 
 struct route *routing_table_find_route(
--- a/tests/test_config_items.c
+++ b/tests/test_config_items.c
@@ -165,6 +165,10 @@
 	g_assert_cmpstr(copy_key_owner(&copy, "k"), ==, "o");
 	g_assert_true(copy_apply(&copy, 12, SPEC("6", "", "", "")));
 	g_assert_null(route_name(&copy, "/a/x"));
+	g_assert_true(copy.table->needs_key);
+	/* An empty list may not go missing either. */
+	g_assert_false(copy_apply(&copy, 13,
+	    "{\"Version\":7,\"Routes\":[],\"Services\":[],\"Limits\":{}}"));
 	copy_clear(&copy);
 }
 
--- a/tests/test_config_replay.c
+++ b/tests/test_config_replay.c
@@ -206,6 +206,8 @@
 	}
 	g_assert_cmpuint(table->organisation_count, ==,
 	    json_array_size(json_object_get(spec, "Tenants")));
+	g_assert_cmpint(table->needs_key, ==,
+	    json_is_array(json_object_get(spec, "Tenants")));
 }
 
 /* A gateway's table is that of the version that it says it has. */
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -79,6 +79,7 @@
 	}
 	g_assert_cmpuint(
 	    a->table->organisation_count, ==, b->table->organisation_count);
+	g_assert_cmpint(a->table->needs_key, ==, b->table->needs_key);
 }
 
 /*
--- a/tests/test_denied_requests.c
+++ b/tests/test_denied_requests.c
@@ -328,6 +328,65 @@
 	fixture_tear_down(&f);
 }
 
+/* A configuration with one closed and one public route. */
+#define KEYS_CONFIG(version, organisations)                            \
+	"{\"Version\":" version ",\"Routes\":["                        \
+	"{\"Name\":\"a\",\"Host\":\"h\",\"PathPrefix\":\"/a/\","       \
+	"\"Kind\":\"idempotent\",\"Attempts\":1,\"Service\":\"s\"},"   \
+	"{\"Name\":\"open\",\"Host\":\"h\",\"PathPrefix\":\"/open/\"," \
+	"\"Kind\":\"idempotent\",\"Public\":true,\"Service\":\"s\"}]," \
+	"\"Services\":[{\"Name\":\"s\"}]" organisations "}"
+#define ONE_OWNER ",\"Tenants\":[{\"Name\":\"o\",\"Keys\":[\"k1\"]}]"
+#define NO_OWNER  ",\"Tenants\":[]"
+
+static const struct key_case {
+	const char *name;
+	const char *config;
+	const char *request;
+	int status;
+} key_cases[] = {
+    {"no list of organisations", KEYS_CONFIG("9", ""),
+	GET("/a/x", "h", ID_LINE), 200},
+    {"an empty list of organisations and no key", KEYS_CONFIG("9", NO_OWNER),
+	GET("/a/x", "h", ID_LINE), 401},
+    {"an empty list of organisations and the key that it had",
+	KEYS_CONFIG("9", NO_OWNER), GET("/a/x", "h", KEY_LINE ID_LINE), 401},
+    {"an empty list of organisations and a public route",
+	KEYS_CONFIG("9", NO_OWNER), GET("/open/x", "h", ID_LINE), 200},
+    {"an organisation and its key", KEYS_CONFIG("9", ONE_OWNER),
+	GET("/a/x", "h", KEY_LINE ID_LINE), 200},
+};
+
+/*
+ * Whether a request needs a key, by the configuration that a gateway starts
+ * with, and by one that follows a version with an organisation.
+ */
+static void
+test_keys(gconstpointer data)
+{
+	const struct key_case *c = &key_cases[GPOINTER_TO_SIZE(data)];
+	const struct raw_response responses[SENDS_MAX] = {
+	    {.bytes = WHOLE_RESPONSE}};
+	bool may_follow = strstr(c->config, "Tenants") != NULL;
+
+	for (int changed = 0; changed <= (may_follow ? 1 : 0); changed++) {
+		struct fixture f = {.config = changed == 0
+			? c->config
+			: KEYS_CONFIG("8", ONE_OWNER)};
+		struct raw_server *server = raw_gateway_set_up(
+		    &f, responses, SENDS_MAX);
+
+		if (changed == 1)
+			fake_platform_change_config(f.fake_platform, c->config);
+		RUN_UNTIL(&f,
+		    routing_state_table(f.exchange_context.routing_state)
+			    ->version == 9);
+		g_assert_cmpint(raw_caller_call(&f, c->request), ==, c->status);
+		raw_server_free(server);
+		fixture_tear_down(&f);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -338,6 +397,7 @@
 	ADD_CASES(doubt_cases, "/denied/doubt", test_doubt);
 	g_test_add_func("/denied/agreed", test_agreed);
 	ADD_CASES(blank_cases, "/denied/blank", test_blank);
+	ADD_CASES(key_cases, "/denied/keys", test_keys);
 	ADD_CASES(unsure_cases, "/denied/unsure", test_unsure);
 	return g_test_run();
 }
