--- a/src/policy/part_quarantine.c
+++ b/src/policy/part_quarantine.c
@@ -196,19 +196,65 @@
 }
 
 /*
- * Returns whether the last charge came so late after the one before it that it
- * is a probe's.
+ * Returns the weight of the first charges, as many as count, whose deaths no
+ * refused part explains. For
+ * a part that has survived before, deaths of one moment weigh as the heaviest
+ * of them: what many ask for runs at many upstreams, and if these die at once
+ * the cause is another one.
+ */
+static unsigned int
+weigh_first(const struct part *part, size_t count, GHashTable *explained)
+{
+	bool has_survived = time_is_set(part->survived_at);
+	unsigned int weight = 0, heaviest = 0;
+	struct timespec moment = {0};
+
+	for (size_t i = 0; i < count; i++) {
+		const struct charge *charge = charge_at(part, i);
+
+		if (explained != NULL &&
+		    g_hash_table_contains(explained, &charge->death))
+			continue;
+		if (!has_survived || !time_is_set(moment) ||
+		    time_diff_ms(charge->at, moment) >= MOMENT_MS) {
+			weight += heaviest;
+			heaviest = 0;
+			moment = charge->at;
+		}
+		heaviest = MAX(heaviest, weights[charge->kind]);
+	}
+	return weight + heaviest;
+}
+
+/* Returns the weight of all charges whose deaths no refused part explains. */
+static unsigned int
+weigh(const struct part *part, GHashTable *explained)
+{
+	return weigh_first(part, count_charges(part), explained);
+}
+
+/* Returns whether charges of this weight are enough to refuse the part. */
+static bool
+is_enough(const struct part *part, unsigned int weight)
+{
+	return weight >= (time_is_set(part->survived_at)
+				 ? WEIGHT_REFUSED_SURVIVED
+				 : WEIGHT_REFUSED);
+}
+
+/*
+ * Returns whether the last charge is a probe's: it came late after the one
+ * before it, and those before were enough to refuse the part.
  */
 static bool
 was_probed(const struct part *part)
 {
-	struct timespec last = last_charge(part);
-	size_t late = 0;
+	size_t count = count_charges(part);
 
-	for (size_t i = 0; i < count_charges(part); i++)
-		late += time_diff_ms(last, charge_at(part, i)->at) <
-		    PART_QUARANTINE_PROBE_MS;
-	return late == 1 && count_charges(part) > 1;
+	return count > 1 &&
+	    time_diff_ms(charge_at(part, count - 1)->at,
+		charge_at(part, count - 2)->at) >= PART_QUARANTINE_PROBE_MS &&
+	    is_enough(part, weigh_first(part, count - 1, NULL));
 }
 
 /*
@@ -413,44 +459,6 @@
 	return effect;
 }
 
-/*
- * Returns the weight of the charges whose deaths no refused part explains. For
- * a part that has survived before, deaths of one moment weigh as the heaviest
- * of them: what many ask for runs at many upstreams, and if these die at once
- * the cause is another one.
- */
-static unsigned int
-weigh(const struct part *part, GHashTable *explained)
-{
-	bool has_survived = time_is_set(part->survived_at);
-	unsigned int weight = 0, heaviest = 0;
-	struct timespec moment = {0};
-
-	for (size_t i = 0; i < count_charges(part); i++) {
-		const struct charge *charge = charge_at(part, i);
-
-		if (g_hash_table_contains(explained, &charge->death))
-			continue;
-		if (!has_survived || !time_is_set(moment) ||
-		    time_diff_ms(charge->at, moment) >= MOMENT_MS) {
-			weight += heaviest;
-			heaviest = 0;
-			moment = charge->at;
-		}
-		heaviest = MAX(heaviest, weights[charge->kind]);
-	}
-	return weight + heaviest;
-}
-
-/* Returns whether charges of this weight are enough to refuse the part. */
-static bool
-is_enough(const struct part *part, unsigned int weight)
-{
-	return weight >= (time_is_set(part->survived_at)
-				 ? WEIGHT_REFUSED_SURVIVED
-				 : WEIGHT_REFUSED);
-}
-
 /* Returns whether a part is likelier to crash upstreams than another one. */
 static bool
 is_likelier(const struct part *part, const struct part *other)
--- a/tests/test_part_quarantine.c
+++ b/tests/test_part_quarantine.c
@@ -246,8 +246,8 @@
 }
 
 /*
- * When a refused part is probed, after three deaths at 0, 5 and 9 ms, and what
- * callers are told.
+ * When a refused part is probed, after deaths at 0 and 5 ms, and 9 ms or later,
+ * and what callers are told.
  */
 static const struct probe_case {
 	const char *name;
@@ -256,25 +256,31 @@
 	int64_t death_ms; /* of one more upstream; 0 for none */
 	bool due;
 	int64_t retry_after_ms;
+	int64_t third_ms; /* of the third death; 0 for 9 ms */
 } probe_cases[] = {
     {"no part is probed at once", 1000, 0, 0, false,
-	PART_QUARANTINE_PROBE_MS - 991},
+	PART_QUARANTINE_PROBE_MS - 991, 0},
     {"a part is probed a minute after the last death",
-	PART_QUARANTINE_PROBE_MS + 9, 0, 0, true, PART_QUARANTINE_RETRY_MIN_MS},
+	PART_QUARANTINE_PROBE_MS + 9, 0, 0, true, PART_QUARANTINE_RETRY_MIN_MS,
+	0},
     {"a part is probed once", 2 * PART_QUARANTINE_PROBE_MS,
-	PART_QUARANTINE_PROBE_MS + 9, 0, false, PART_QUARANTINE_PROBE_MS - 9},
+	PART_QUARANTINE_PROBE_MS + 9, 0, false, PART_QUARANTINE_PROBE_MS - 9,
+	0},
     {"callers of a probe that nobody sends come back ever later",
-	PART_QUARANTINE_PROBE_MS + 20009, 0, 0, true, 20000},
+	PART_QUARANTINE_PROBE_MS + 20009, 0, 0, true, 20000, 0},
     {"no caller is told to come back after the refusal",
-	PART_QUARANTINE_MS - 991, 0, 0, true, 1000},
+	PART_QUARANTINE_MS - 991, 0, 0, true, 1000, 0},
     {"a part is not probed after another gateway's probe has failed",
 	4 * PART_QUARANTINE_PROBE_MS, 0, PART_QUARANTINE_PROBE_MS + 50, false,
-	PART_QUARANTINE_MS - 3 * PART_QUARANTINE_PROBE_MS + 50},
+	PART_QUARANTINE_MS - 3 * PART_QUARANTINE_PROBE_MS + 50, 0},
     {"one more death of the first moment does not count as a probe's",
 	PART_QUARANTINE_PROBE_MS + 50, 0, 50, true,
-	PART_QUARANTINE_RETRY_MIN_MS},
+	PART_QUARANTINE_RETRY_MIN_MS, 0},
     {"a part that is accepted again is not probed", PART_QUARANTINE_MS + 9, 0,
-	0, false, 0},
+	0, false, 0, 0},
+    {"a third death long after the first two is no probe's",
+	2 * PART_QUARANTINE_PROBE_MS + 10, 0, 0, true,
+	PART_QUARANTINE_RETRY_MIN_MS, PART_QUARANTINE_PROBE_MS + 10},
 };
 
 /* Runs one case. */
@@ -284,7 +290,8 @@
 	const struct probe_case *c = &probe_cases[GPOINTER_TO_SIZE(data)];
 	struct part_quarantine *quarantine = part_quarantine_new();
 	struct timespec now = time_from_ms(START_MS + c->now_ms);
-	const int64_t deaths_ms[] = {0, 5, 9, c->death_ms};
+	const int64_t deaths_ms[] = {
+	    0, 5, c->third_ms > 0 ? c->third_ms : 9, c->death_ms};
 	bool refused[PARTS + 1] = {false};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(deaths_ms); i++) {
@@ -299,7 +306,8 @@
 			part_quarantine_add(quarantine, &event, event.at);
 	}
 	part_quarantine_update(quarantine,
-	    time_from_ms(START_MS + MAX(c->death_ms, 9)), on_refused, refused);
+	    time_from_ms(START_MS + MAX(c->death_ms, deaths_ms[2])), on_refused,
+	    refused);
 	if (c->probed_ms > 0)
 		part_quarantine_on_probe(
 		    quarantine, 1, time_from_ms(START_MS + c->probed_ms));
