--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -260,8 +260,12 @@
 {
 	if (call->body_out_length == 0 || call->fd < 0 || call->kept_fd >= 0)
 		return;
-	if (is_end_uncertain(call, call->fd))
-		call->kept_fd = dup(call->fd);
+	if (!is_end_uncertain(call, call->fd))
+		return;
+	call->kept_fd = dup(call->fd);
+	if (call->kept_fd < 0)
+		LOG_WARN("can't tell how an early response ends", "{s:s}",
+		    "why", g_strerror(errno));
 }
 
 /* The peer reads on after its response, or has reset the connection. */
--- a/src/gateway/crash_sync.c
+++ b/src/gateway/crash_sync.c
@@ -25,6 +25,7 @@
 	SYNC_ANSWER, /* sends its charges */
 };
 
+/* What is logged of a prompt part or a whole request; see texts. */
 enum part_log {
 	PART_LOG_CHARGED,
 	PART_LOG_CLEARED,
@@ -135,7 +136,7 @@
 	ev_timer_start(sync->loop, &sync->flush_timer);
 }
 
-/* What is logged of a prompt part, and of a whole request. */
+/* Of a prompt part, and of a whole request. */
 static const char *const texts[][2] = {
     [PART_LOG_CHARGED] = {"prompt part charged", "request charged"},
     [PART_LOG_CLEARED] = {"prompt part cleared", "request cleared"},
--- a/src/gateway/crash_sync.h
+++ b/src/gateway/crash_sync.h
@@ -1,9 +1,8 @@
 /*
  * Exchange of what gateways see of prompt parts and whole requests that crash
- * upstreams. Each new
- * event goes to a few random peers at once, which pass it on; gateways whose
- * knowledge differs, by a digest that they compare twice a second, send each
- * other all of it, as they do when a link opens.
+ * upstreams. Each new event goes to a few random peers at once, which pass it
+ * on; gateways whose knowledge differs, by a digest that they compare twice a
+ * second, send each other all of it, as they do when a link opens.
  */
 #ifndef GATEWAY_CRASH_SYNC_H
 #define GATEWAY_CRASH_SYNC_H
