--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -105,13 +105,22 @@
     def __init__(self):
         self.server = None
         self.port = 0
+        self.reserved = None  # socket that keeps the port from others
+
+    def reserve_port(self):
+        """Takes a free port, which nobody else gets while nothing listens."""
+        self.reserved = socket.socket()
+        self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.reserved.bind(("127.0.0.1", 0))
+        self.port = self.reserved.getsockname()[1]
 
     async def start(self):
         """Listens on a free port, or on the previous one after a restart."""
+        if self.reserved is None:
+            self.reserve_port()
         self.server = await asyncio.start_server(
             self.handle_connection, "127.0.0.1", self.port,
-            limit=HEADER_MAX_BYTES)
-        self.port = self.server.sockets[0].getsockname()[1]
+            limit=HEADER_MAX_BYTES, reuse_port=True)
 
     async def stop(self):
         """Stops listening; open connections stay open."""
