--- a/tests/test_load_sync.c
+++ b/tests/test_load_sync.c
@@ -363,6 +363,8 @@
 
 	ev_timer_init(&timeout, on_timeout, TEST_TIMEOUT_S, 0.0);
 	ev_timer_start(loop, &timeout);
+	/* Else the old gateway loses the store while it waits for reports. */
+	fake_platform_end_watches(platform, OBJECT_STORE_WATCH_WAIT_MS);
 	fake_platform_set_config(platform, CONFIG);
 	peer_gateway_start(&gateways[0], loop, platform, &old);
 	peer_gateway_start(&gateways[1], loop, platform, &new);
