Streams: judge ids by the stream alone where no other run can be asked

Streams whose last event is farther away than the others were cut for as long as the route lived.

Cause: an event was judged by what other streams of its route had. Where another run can be asked, a doubt costs that run; elsewhere it cut the stream for good. The log of the case has "not the first id of the route's streams", id 51, for each stream that was lost.

Now an unusual id is held back until the next event and passed on if that one is higher, or at the end unless it is far from evenly spaced ones. What the stream itself refutes is cut as before. Whether another run can be asked is determined at each decision, so the same holds on routes that can be resumed without an attempt, budget or time left. "event in doubt decided" logs it.

--- a/src/gateway/exchange_events.c
+++ b/src/gateway/exchange_events.c
@@ -59,6 +59,34 @@
 	    "bytes", (json_int_t)length);
 }
 
+/*
+ * Determines whether another upstream can be asked before it is decided what
+ * becomes of the event held back.
+ */
+static void
+update_alternative(struct exchange *exchange)
+{
+	exchange->position.may_ask_another = exchange_may_retry(
+	    exchange, exchange->sends + 1, true);
+}
+
+/*
+ * Logs what became of the event held back; next is the one after it, NULL for
+ * the end.
+ */
+static void
+log_decision(const struct exchange *exchange, const struct event_mark *held,
+    const struct event_mark *next, bool accepted)
+{
+	LOG_INFO("event in doubt decided",
+	    "{s:s?, s:s, s:b, s:b, s:b, s:I, s:I}", "request",
+	    exchange->caller_headers.request_id, "upstream",
+	    exchange->upstream->id, "accepted", accepted, "may_ask_another",
+	    exchange->position.may_ask_another, "at_end", next == NULL, "id",
+	    held->has_id ? (json_int_t)held->id : -1, "next_id",
+	    next != NULL && next->has_id ? (json_int_t)next->id : -1);
+}
+
 /* Passes an event on that the caller does not have. */
 static void
 pass_event(struct exchange *exchange, const uint8_t *bytes, size_t length)
@@ -108,16 +136,21 @@
 add_event(struct exchange *exchange, const struct stream_event *event)
 {
 	const struct event_numbering *numbering = &exchange->route->numbering;
+	const struct event_mark held = exchange->position.held;
 	const struct event_mark mark = {
 	    .has_id = event->has_id,
 	    .id = event->id,
 	    .is_malformed = event->is_malformed,
 	    .hash = XXH3_64bits(event->bytes, event->length),
 	};
+	bool accepted;
 
 	if (exchange->position.held_doubt != EVENT_SURE) {
-		if (!event_position_accept_held(
-			&exchange->position, numbering, &mark)) {
+		update_alternative(exchange);
+		accepted = event_position_accept_held(
+		    &exchange->position, numbering, &mark);
+		log_decision(exchange, &held, &mark, accepted);
+		if (!accepted) {
 			reject_held(exchange);
 			return;
 		}
@@ -180,13 +213,18 @@
 bool
 exchange_end_held(struct exchange *exchange)
 {
+	const struct event_mark held = exchange->position.held;
 	bool in_event = event_splitter_is_in_event(&exchange->splitter);
+	bool accepted;
 
 	if (exchange->position.held_doubt == EVENT_SURE)
 		return true;
-	if (!in_event &&
+	update_alternative(exchange);
+	accepted = !in_event &&
 	    event_position_accept_held_at_end(
-		&exchange->position, &exchange->route->numbering)) {
+		&exchange->position, &exchange->route->numbering);
+	log_decision(exchange, &held, NULL, accepted);
+	if (accepted) {
 		pass_held(exchange);
 		return true;
 	}
--- a/src/policy/event_position.c
+++ b/src/policy/event_position.c
@@ -2,6 +2,9 @@
 
 #include <glib.h>
 
+/* With so many equal distances the events of a stream are evenly numbered. */
+#define EVEN_STEPS_MIN 2
+
 /* The caller asks for the events after one that it already has. */
 void
 event_position_start_after(struct event_position *position, uint64_t id)
@@ -78,6 +81,7 @@
 	    ? step
 	    : MIN(step, position->step_min);
 	position->step = MAX(step, position->step);
+	position->steps++;
 }
 
 /* The event is passed on to the caller. */
@@ -111,8 +115,8 @@
 
 /*
  * Returns whether the next event may confirm an id that is unusual for the
- * route: if ids are known to jump or to begin anywhere, or if neither the route
- * is known nor another run can be asked.
+ * route although another run can be asked: if ids are known to jump or to begin
+ * anywhere.
  */
 static bool
 may_jump(const struct event_position *position,
@@ -122,8 +126,36 @@
 		return true;
 	if (position->held_doubt == EVENT_OTHER_FIRST)
 		return !event_numbering_has_one_first(numbering);
-	return position->jumps ||
-	    (!position->resumable && !event_numbering_has_ids(numbering));
+	return position->jumps;
+}
+
+/*
+ * Returns whether the next event confirms the held one, whose id is higher than
+ * the last one but unusual.
+ */
+static bool
+is_confirmed_by(const struct event_position *position,
+    const struct event_numbering *numbering, const struct event_mark *next)
+{
+	if (!next->has_id || next->id <= position->held.id)
+		return false;
+	return !position->may_ask_another ||
+	    (may_jump(position, numbering) &&
+		judge(position, numbering, next) != EVENT_SURE);
+}
+
+/*
+ * Returns whether the id held back is far from the others of a stream that is
+ * evenly numbered.
+ */
+static bool
+is_outlier(const struct event_position *position)
+{
+	return position->steps >= EVEN_STEPS_MIN &&
+	    position->step_min == position->step &&
+	    (position->held.id - position->last) /
+		EVENT_NUMBERING_VARIED_FACTOR >
+	    position->step;
 }
 
 /*
@@ -143,9 +175,7 @@
 		confirmed = !position->begun && !next->has_id;
 	else if (position->held_doubt == EVENT_TOO_FAR ||
 	    position->held_doubt == EVENT_OTHER_FIRST)
-		confirmed = may_jump(position, numbering) && next->has_id &&
-		    next->id > held->id &&
-		    judge(position, numbering, next) != EVENT_SURE;
+		confirmed = is_confirmed_by(position, numbering, next);
 	if (!confirmed) {
 		position->is_refuted = next->has_id &&
 		    ((held->has_id && next->id <= held->id) ||
@@ -159,9 +189,9 @@
 
 /*
  * Accepts the event held back, if any, though the stream ends after it: a
- * stream of one event without an id, or a second id where nothing tells how far
- * apart ids are. It is then to be passed on. Returns false if it is not
- * accepted.
+ * stream of one event without an id, a second id where nothing tells how far
+ * apart ids are, or a higher id that neither another run nor the stream itself
+ * can refute. It is then to be passed on. Returns false if it is not accepted.
  */
 bool
 event_position_accept_held_at_end(
@@ -175,10 +205,12 @@
 		confirmed = !position->begun &&
 		    !event_numbering_has_ids(numbering);
 	else if (position->held_doubt == EVENT_TOO_FAR)
-		confirmed = may_jump(position, numbering) &&
-		    position->step == 0;
+		confirmed = position->may_ask_another
+		    ? may_jump(position, numbering) && position->step == 0
+		    : !is_outlier(position);
 	else if (position->held_doubt == EVENT_OTHER_FIRST)
-		confirmed = may_jump(position, numbering);
+		confirmed = !position->may_ask_another ||
+		    may_jump(position, numbering);
 	if (!confirmed)
 		return false;
 	position->held_doubt = EVENT_SURE;
--- a/src/policy/event_position.h
+++ b/src/policy/event_position.h
@@ -11,6 +11,10 @@
  * What two runs agree on is no fault. A stream whose events have no ids is
  * passed on as it is, and can't be resumed.
  *
+ * Upstreams promise only that ids increase. Where no other upstream can be
+ * asked, a cut is final, so only the stream itself is evidence: how other
+ * streams of the route number their events is not.
+ *
  * Events at the start of a resumed run that the caller has count as repeated,
  * if they lead up to the last one.
  */
@@ -47,9 +51,9 @@
 	EVENT_MISPLACED, /* the run does not join what the caller has */
 };
 
-/* Zero-initialised: a stream that can't be resumed, without events so far. */
+/* Zero-initialised: a stream without events, and no other upstream to ask. */
 struct event_position {
-	bool resumable; /* another upstream may continue the stream */
+	bool may_ask_another; /* upstream, now; set before each decision */
 	bool begun; /* an event was passed on to the caller */
 	bool has_last; /* the caller has an event with an id */
 	uint64_t last; /* its id */
@@ -58,6 +62,7 @@
 	uint64_t previous;
 	uint64_t step; /* largest distance of two ids so far; 0 if unknown */
 	uint64_t step_min; /* smallest one */
+	uint32_t steps; /* distances so far */
 	bool has_first; /* the stream did not begin after a caller's event */
 	uint64_t first;
 	bool unnumbered; /* its events have no ids */
