Give up memory that no request uses

Causes, from the log of the case: the silent engine was given up after 65% of the gap after which callers abandon a stream, 15.6 s, without regard to the deadline of 15 s, and only on routes that may be repeated; reservations were renewed as long as the send lasted, whether or not a request used them.

The prompt goes to another upstream, or fails at once, since the first one can't run it without the memory any more. A slow prefill uses its memory, so it is not repeated. Silence is measured against the deadline as well. "use of reserved memory" and "reserved memory is not used" log it.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -65,6 +65,7 @@
 	double cold_ratio;
 	double cold_slack; /* requests per second */
 	int64_t hold_ms; /* duration of one memory reservation */
+	int64_t unused_memory_ms; /* for which reserved memory may go unused */
 	double cpu_share; /* cores that this host has; 0 if unknown */
 	int64_t memory_mb; /* of the host; 0 for unknown */
 	double link_mbps; /* of the host; 0 for unknown */
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -13,6 +13,8 @@
 #define COLD_RATIO_MAX		100
 #define HOLD_MIN_MS		1500
 #define HOLD_MAX_MS		600000
+#define UNUSED_MEMORY_MIN_MS	3000
+#define UNUSED_MEMORY_MAX_MS	600000
 #define COLD_SLACK_MAX		100000
 #define CPU_SHARE_MAX		1024
 #define MEMORY_MAX_MB		(16 * 1024 * 1024)
@@ -112,6 +114,12 @@
 	.argument = "MS",
 	.help = "longest time that engines keep memory reserved for an ended "
 		"request"},
+    {"unused-memory-ms", SETTING_NUMBER, FOR_GATEWAY, AT(unused_memory_ms),
+	.default_value = "9000", .min = UNUSED_MEMORY_MIN_MS,
+	.max = UNUSED_MEMORY_MAX_MS, .argument = "MS",
+	.help =
+	    "longest time that engines keep memory reserved that no request "
+	    "uses"},
     {"cpu-share", SETTING_FRACTION, FOR_GATEWAY, AT(cpu_share),
 	.default_value = "0", .max = CPU_SHARE_MAX, .argument = "CORES",
 	.help = "CPU time that this host has, 0.09 for 9% of a core; 0 if "
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -49,6 +49,7 @@
 	double cold_ratio;
 	double cold_slack;
 	int64_t hold_ms; /* reservation lifetime between renewals */
+	int64_t unused_max_ms; /* for which reserved memory may go unused */
 	GHashTable *durations; /* route -> struct duration */
 	GHashTable *return_slots; /* service -> struct return_slots */
 	struct host_monitor *host; /* NULL if no limits are known */
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -135,6 +135,7 @@
 	uint32_t *stream_count; /* of its stream class; or NULL */
 	enum send_outcome send_outcome;
 	struct timespec sent_at; /* start of this send */
+	int64_t expected_ms; /* from then to the first event */
 	struct timespec begun_at; /* response of this send; or unset */
 	uint32_t send_events; /* of the run, in this send */
 	bool continues; /* this send continues a stream that has begun */
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -256,6 +256,7 @@
 	}
 	exchange->send_outcome = SEND_ANSWERED;
 	exchange->begun_at = clock_monotonic(exchange->context->clock);
+	reservations_set_used(exchange->reservations);
 	if (exchange->streaming)
 		return true;
 	if (exchange->response.event_stream && status == STATUS_OK)
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -6,11 +6,6 @@
 #define LOG_MODULE "retry"
 #include "base/log.h"
 
-/*
- * Percentage of the time after which callers abandon a stream for which an
- * upstream may be silent.
- */
-#define STALL_TIMEOUT_PERCENT 65
 /* With less time left, another send could not complete in time. */
 #define SEND_REMAINING_MIN_MS 20
 
@@ -100,13 +95,14 @@
 
 /*
  * Returns how long an upstream may be silent, in milliseconds, before the
- * request is sent to another one. It is shorter than the callers' timeout, so
- * that the other one can still answer in time.
+ * request is sent to another one.
  */
 static int64_t
 stall_timeout_ms(const struct exchange *exchange)
 {
-	return caller_timeout_ms(exchange) * STALL_TIMEOUT_PERCENT / 100;
+	return (int64_t)caller_time_stall_ms((double)exchange->route->target_ms,
+	    (double)exchange->route->gap_target_ms,
+	    (double)exchange_remaining_ms(exchange));
 }
 
 /*
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -35,6 +35,7 @@
 	exchange->send_outcome = SEND_OPEN;
 	exchange->send_error = NULL;
 	exchange->sent_at = now;
+	exchange->expected_ms = (int64_t)plan->first_token_ms;
 	exchange->begun_at = (struct timespec){0};
 	exchange->send_events = 0;
 	exchange->continues = exchange->streaming;
@@ -186,6 +187,25 @@
 		    "the engines did not reserve memory for the prompt");
 }
 
+/*
+ * No request uses the memory reserved for the prompt: its upstream has not
+ * begun with it. Continues at another upstream if that is allowed; otherwise
+ * fails, since the upstream can't begin any more without the memory.
+ */
+static void
+on_memory_unused(void *data)
+{
+	struct exchange *exchange = data;
+
+	if (exchange->call != NULL)
+		http_call_cancel(exchange->call);
+	exchange_discard_partial(exchange);
+	exchange_end_send(exchange, SEND_LOST);
+	exchange_retry_or_fail(exchange, SEND_LOST,
+	    "the upstream did not begin with the prompt while memory was "
+	    "reserved for it");
+}
+
 /* Applies what a helper says of itself in its response to an order. */
 static void
 on_helper_notice(void *data, size_t index, const struct upstream_notice *notice)
@@ -209,6 +229,21 @@
 static bool
 reserve_memory(struct exchange *exchange)
 {
+	static const struct reservations_ops ops = {
+	    .answered = on_reserved,
+	    .notice = on_helper_notice,
+	    .unused = on_memory_unused,
+	};
+	const struct exchange_context *context = exchange->context;
+	const struct reservations_settings settings = {
+	    .loop = context->loop,
+	    .http = context->http,
+	    .clock = context->clock,
+	    .rate_sync = context->rate_sync,
+	    .hold_ms = context->hold_ms,
+	    .unused_max_ms = context->unused_max_ms,
+	    .expected_ms = exchange->expected_ms,
+	};
 	struct reservation_request requests[BALANCE_HELPERS_MAX];
 	size_t count = 0;
 
@@ -222,10 +257,9 @@
 	}
 	if (count == 0)
 		return false;
-	exchange->reservations = reservations_new(exchange->context->loop,
-	    exchange->context->http, exchange->caller_headers.request_id,
-	    exchange->context->rate_sync, exchange->context->hold_ms, requests,
-	    count, on_reserved, on_helper_notice, exchange);
+	exchange->reservations = reservations_new(&settings,
+	    exchange->caller_headers.request_id, requests, count, &ops,
+	    exchange);
 	return true;
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -234,7 +234,10 @@
 		},
 	    .cold_ratio = settings->cold_ratio,
 	    .cold_slack = settings->cold_slack,
-	    .hold_ms = settings->hold_ms - HOLD_RESERVE_MS,
+	    /* Leaves half of the time for a prompt to begin. */
+	    .hold_ms = MIN(settings->hold_ms - HOLD_RESERVE_MS,
+		settings->unused_memory_ms / 2),
+	    .unused_max_ms = settings->unused_memory_ms,
 	};
 	gateway->exchange_context.retry_sync = retry_sync_new(gateway->clock,
 	    node_mesh(gateway->node), gateway->load_sync,
--- a/src/gateway/reservations.c
+++ b/src/gateway/reservations.c
@@ -4,7 +4,9 @@
 #include <string.h>
 
 #include "base/metrics.h"
+#include "platform/engine_report.h"
 #include "platform/orders.h"
+#include "policy/reservation_use.h"
 
 #define LOG_MODULE "tickets"
 #include "base/log.h"
@@ -13,12 +15,17 @@
 #define STATUS_MISDIRECTED 421
 /* An engine answers an order with a few members. */
 #define ORDER_RESPONSE_MAX_BYTES ((size_t)64 * 1024)
+/* A report lists the engine's models and up to 64 reservations. */
+#define REPORT_MAX_BYTES ((size_t)256 * 1024)
 
 METRIC_DEFINE(granted_count, METRIC_COUNTER, "heatherturn_gateway_tickets",
     NULL, "Memory reservations that engines granted.");
 METRIC_DEFINE(refused_count, METRIC_COUNTER,
     "heatherturn_gateway_tickets_refused", NULL,
     "Memory reservations that engines did not grant.");
+METRIC_DEFINE(unused_count, METRIC_COUNTER,
+    "heatherturn_gateway_tickets_unused", NULL,
+    "Prompts whose reserved memory was given up since nothing used it.");
 
 /* Memory reserved at one engine. */
 struct reservation {
@@ -33,14 +40,14 @@
 };
 
 struct reservations {
-	struct ev_loop *loop;
-	struct http_client *http;
-	struct rate_sync *rate_sync;
-	int64_t hold_ms;
-	reservations_fn *done; /* NULL once called */
-	reservations_notice_fn *notice;
+	struct reservations_ops ops;
+	struct reservations_settings settings;
 	void *data;
+	struct timespec since;
+	struct reservation_use use;
+	struct http_call *question; /* whether the memory is used */
 	ev_timer renew;
+	bool answered; /* all engines have answered */
 	size_t pending; /* engines that have not answered yet */
 	bool failed;
 	size_t count;
@@ -123,8 +130,8 @@
 {
 	struct release *release = g_new0(struct release, 1);
 
-	release->http = reservation->reservations->http;
-	release->rate_sync = reservation->reservations->rate_sync;
+	release->http = reservation->reservations->settings.http;
+	release->rate_sync = reservation->reservations->settings.rate_sync;
 	release->id = g_strdup(reservation->id);
 	release->address = g_strdup(reservation->address);
 	send_release(release);
@@ -134,13 +141,11 @@
 static void
 on_first_answer(struct reservations *reservations)
 {
-	reservations_fn *done = reservations->done;
-
 	reservations->pending--;
-	if (reservations->pending > 0 || done == NULL)
+	if (reservations->pending > 0 || reservations->answered)
 		return;
-	reservations->done = NULL;
-	done(reservations->data, !reservations->failed);
+	reservations->answered = true;
+	reservations->ops.answered(reservations->data, !reservations->failed);
 }
 
 /* Passes on what the engine says of itself, unless it is another process. */
@@ -156,7 +161,7 @@
 	headers_parse_notice(call, result->status, &notice);
 	if (notice.leaving || notice.quiet_ms > 0 || notice.names_rate ||
 	    notice.invalid_rate != NULL)
-		reservations->notice(reservations->data,
+		reservations->ops.notice(reservations->data,
 		    (size_t)(reservation - reservations->items), &notice);
 }
 
@@ -196,13 +201,14 @@
 {
 	static const struct http_call_ops ops = {.done = on_reserve_done};
 	struct reservations *reservations = reservation->reservations;
+	const struct reservations_settings *settings = &reservations->settings;
 	char *body = order_encode_reserve(
-	    reservation->id, reservation->tokens, reservations->hold_ms);
+	    reservation->id, reservation->tokens, settings->hold_ms);
 
 	reservation->renewals = 0;
-	rate_sync_charge(reservations->rate_sync, reservation->address);
+	rate_sync_charge(settings->rate_sync, reservation->address);
 	reservation->call = send_order(
-	    reservations->http, reservation->address, body, &ops, reservation);
+	    settings->http, reservation->address, body, &ops, reservation);
 	free(body);
 }
 
@@ -213,22 +219,82 @@
 static bool
 is_renewal_due(struct reservation *reservation)
 {
-	const struct reservations *reservations = reservation->reservations;
+	const struct reservations_settings
+	    *settings = &reservation->reservations->settings;
 	int64_t age_ms = (int64_t)++reservation->renewals *
 	    RESERVATIONS_RENEW_MS;
 
-	return !rate_sync_is_named(
-		   reservations->rate_sync, reservation->address) ||
+	return !rate_sync_is_named(settings->rate_sync, reservation->address) ||
 	    age_ms + RESERVATIONS_RENEW_MS + RESERVATIONS_ORDER_TIMEOUT_MS >
-	    reservations->hold_ms;
+	    settings->hold_ms;
 }
 
-/* Renews the granted reservations. */
+/* Returns how old the reservations are, in milliseconds. */
+static int64_t
+reservations_age_ms(const struct reservations *reservations)
+{
+	return time_diff_ms(
+	    clock_monotonic(reservations->settings.clock), reservations->since);
+}
+
+/* Handles an engine's report on the first reservation. */
 static void
-on_renew_timer(struct ev_loop *loop, ev_timer *timer, int events)
+on_report(void *data, struct http_call *call, const struct http_result *result)
 {
-	struct reservations *reservations = timer->data;
+	static const char *const texts[] = {
+	    [RESERVED_MEMORY_UNKNOWN] = "unknown",
+	    [RESERVED_MEMORY_UNUSED] = "unused",
+	    [RESERVED_MEMORY_USED] = "used",
+	};
+	struct reservations *reservations = data;
+	const struct reservation *first = &reservations->items[0];
+	enum reserved_memory memory = RESERVED_MEMORY_UNKNOWN;
+
+	reservations->question = NULL;
+	if (result->error == NULL && result->status == STATUS_OK)
+		memory = engine_report_find_memory(
+		    result->body->data, result->body->len, first->id);
+	reservations->use.used |= memory == RESERVED_MEMORY_USED;
+	LOG_INFO("use of reserved memory", "{s:s, s:s, s:s, s:I, s:i, s:s}",
+	    "ticket", first->id, "address", first->address, "memory",
+	    texts[memory], "age_ms",
+	    (json_int_t)reservations_age_ms(reservations), "status",
+	    result->status, "why",
+	    result->error != NULL ? result->error->message : "");
+}
+
+/*
+ * Asks the engine of the first reservation, whose memory is used first, whether
+ * a request uses it.
+ */
+static void
+ask_use(struct reservations *reservations)
+{
+	static const struct http_call_ops ops = {.done = on_report};
+	const struct reservations_settings *settings = &reservations->settings;
+	const char *address = reservations->items[0].address;
+	g_autofree char *url = g_strconcat(
+	    "http://", address, ENGINE_REPORT_PATH, NULL);
+	const struct http_call_request request = {
+	    .method = "GET",
+	    .url = url,
+	    .connect_timeout_ms = RESERVATIONS_ORDER_TIMEOUT_MS,
+	    .timeout_ms = RESERVATIONS_ORDER_TIMEOUT_MS,
+	    .response_max_bytes = REPORT_MAX_BYTES,
+	    .dedicated_connection = true,
+	};
+
+	if (reservations->question != NULL)
+		return;
+	rate_sync_charge(settings->rate_sync, address);
+	reservations->question = http_client_start(
+	    settings->http, &request, &ops, reservations);
+}
 
+/* Renews the granted reservations. */
+static void
+renew(struct reservations *reservations)
+{
 	for (size_t i = 0; i < reservations->count; i++) {
 		struct reservation *reservation = &reservations->items[i];
 
@@ -238,32 +304,68 @@
 	}
 }
 
+/* Reports memory that has been unused for too long. */
+static void
+give_up(struct reservations *reservations)
+{
+	metric_add(&unused_count, 1);
+	LOG_INFO("reserved memory is not used", "{s:s, s:i, s:I, s:I}",
+	    "ticket", reservations->items[0].id, "reservations",
+	    (int)reservations->count, "age_ms",
+	    (json_int_t)reservations_age_ms(reservations), "expected_ms",
+	    (json_int_t)reservations->settings.expected_ms);
+	reservations->ops.unused(reservations->data);
+}
+
+/* The reservations are due to be renewed. */
+static void
+on_renew_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct reservations *reservations = timer->data;
+
+	switch (reservation_use_next(
+	    &reservations->use, reservations_age_ms(reservations))) {
+	case RESERVATION_RENEW_AND_ASK:
+		ask_use(reservations);
+		/* FALLTHROUGH */
+	case RESERVATION_RENEW:
+		renew(reservations);
+		break;
+	case RESERVATION_GIVE_UP:
+		give_up(reservations);
+		break;
+	}
+}
+
 /*
- * Asks engines to reserve memory for a request, each for hold_ms until it is
- * renewed. Calls done once, unless the reservations are freed before.
+ * Asks engines to reserve memory for a send of a request and renews it until it
+ * is freed. The ids begin with the prefix, which no other send has. Calls back
+ * as the operations say; the settings and operations are copied.
  */
 struct reservations *
-reservations_new(struct ev_loop *loop, struct http_client *http,
-    const char *request, struct rate_sync *rate_sync, int64_t hold_ms,
-    const struct reservation_request *wishes, size_t count,
-    reservations_fn *done, reservations_notice_fn *notice, void *data)
+reservations_new(const struct reservations_settings *settings,
+    const char *prefix, const struct reservation_request *wishes, size_t count,
+    const struct reservations_ops *ops, void *data)
 {
 	struct reservations *reservations = g_new0(struct reservations, 1);
 
-	reservations->loop = loop;
-	reservations->http = http;
-	reservations->rate_sync = rate_sync;
-	reservations->hold_ms = hold_ms;
-	reservations->done = done;
-	reservations->notice = notice;
+	reservations->ops = *ops;
+	reservations->settings = *settings;
 	reservations->data = data;
+	reservations->since = clock_monotonic(settings->clock);
+	reservations->use = (struct reservation_use){
+	    .hold_ms = settings->hold_ms,
+	    .renew_ms = RESERVATIONS_RENEW_MS,
+	    .unused_max_ms = settings->unused_max_ms,
+	    .expected_ms = settings->expected_ms,
+	};
 	reservations->count = count;
 	reservations->pending = count;
 	reservations->items = g_new0(struct reservation, count);
 	for (size_t i = 0; i < count; i++) {
 		reservations->items[i] = (struct reservation){
 		    .reservations = reservations,
-		    .id = g_strdup_printf("%s-%zu", request, i),
+		    .id = g_strdup_printf("%s-%zu", prefix, i),
 		    .address = g_strdup(wishes[i].address),
 		    .tokens = wishes[i].tokens,
 		};
@@ -273,10 +375,21 @@
 	    (double)RESERVATIONS_RENEW_MS / MS_PER_S,
 	    (double)RESERVATIONS_RENEW_MS / MS_PER_S);
 	reservations->renew.data = reservations;
-	ev_timer_start(loop, &reservations->renew);
+	ev_timer_start(settings->loop, &reservations->renew);
 	return reservations;
 }
 
+/*
+ * A response shows that the request uses the memory, which is then kept until
+ * the reservations are freed. NULL is allowed.
+ */
+void
+reservations_set_used(struct reservations *reservations)
+{
+	if (reservations != NULL)
+		reservations->use.used = true;
+}
+
 /*
  * Releases all reservations that are or may be granted: an engine may have
  * reserved memory though its response was lost or not awaited. NULL is allowed.
@@ -286,7 +399,9 @@
 {
 	if (reservations == NULL)
 		return;
-	ev_timer_stop(reservations->loop, &reservations->renew);
+	ev_timer_stop(reservations->settings.loop, &reservations->renew);
+	if (reservations->question != NULL)
+		http_call_cancel(reservations->question);
 	for (size_t i = 0; i < reservations->count; i++) {
 		if (reservations->items[i].call != NULL)
 			http_call_cancel(reservations->items[i].call);
--- a/src/policy/caller_time.c
+++ b/src/policy/caller_time.c
@@ -9,6 +9,11 @@
 #define STREAM_MIN_MS  2000.0
 #define STREAM_TARGETS 4.0
 #define STREAM_GAPS    8.0
+/*
+ * Share of the time until a caller gives up for which an upstream may be
+ * silent. The rest is for another one.
+ */
+#define STALL_SHARE 0.65
 
 /*
  * Returns after how many milliseconds without an event, the first one included,
@@ -21,6 +26,20 @@
 	    MAX(target_ms * STREAM_TARGETS, gap_ms * STREAM_GAPS));
 }
 
+/*
+ * Returns for how many milliseconds an upstream may be silent before another
+ * one is asked: a share of the time until the caller abandons the stream or its
+ * deadline, remaining_ms from now, passes.
+ */
+double
+caller_time_stall_ms(double target_ms, double gap_ms, double remaining_ms)
+{
+	double patience_ms = MIN(
+	    caller_time_stream_ms(target_ms, gap_ms), remaining_ms);
+
+	return MAX(patience_ms, STREAM_MIN_MS) * STALL_SHARE;
+}
+
 /*
  * Returns what is left of the time of a caller that waits for the first event.
  * Where the route has no target, the target is the share of the caller's whole
--- a/src/policy/caller_time.h
+++ b/src/policy/caller_time.h
@@ -27,6 +27,8 @@
 };
 
 double caller_time_stream_ms(double target_ms, double gap_ms);
+double caller_time_stall_ms(
+    double target_ms, double gap_ms, double remaining_ms);
 struct caller_time caller_time_left(const struct caller_time_ask *);
 
 #endif
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -36,6 +36,7 @@
 	bool repeats_step; /* the last one */
 	const char *rate; /* that complete responses name; NULL for none */
 	GPtrArray *requests; /* of struct fake_platform_request */
+	GPtrArray *orders; /* bodies of granted orders; NULL: no engines */
 };
 
 static const char *const kinds[] = {"config", "servers", "evacuations"};
@@ -290,6 +291,27 @@
 	}
 }
 
+/*
+ * Grants an order, or reports nothing; false for another request. They take no
+ * step.
+ */
+static bool
+grant_order(struct fake_platform *fake_platform, struct httpd_request *request)
+{
+	size_t length;
+	const uint8_t *body = httpd_request_body(request, &length);
+
+	if (fake_platform->orders == NULL)
+		return false;
+	if (strcmp(httpd_request_path(request), "/order") == 0)
+		g_ptr_array_add(fake_platform->orders,
+		    g_strndup((const char *)body, length));
+	else if (strcmp(httpd_request_path(request), "/report") != 0)
+		return false;
+	httpd_respond(request, 200, NULL, 0, "{}", 2);
+	return true;
+}
+
 /* Records a request and runs its step. */
 static void
 on_request(void *data, struct httpd_request *request)
@@ -298,6 +320,8 @@
 	struct fake_platform *fake_platform = upstream->fake_platform;
 	size_t at = fake_platform->requests->len;
 
+	if (grant_order(fake_platform, request))
+		return;
 	record_request(upstream, request);
 	if (fake_platform->repeats_step)
 		at = MIN(at, fake_platform->step_count - 1);
@@ -461,6 +485,8 @@
 	for (guint i = 0; i < fake_platform->requests->len; i++)
 		free_request(fake_platform->requests->pdata[i]);
 	g_ptr_array_unref(fake_platform->requests);
+	if (fake_platform->orders != NULL)
+		g_ptr_array_unref(fake_platform->orders);
 	g_free(fake_platform);
 }
 
@@ -572,6 +598,20 @@
 	fake_platform->rate = value;
 }
 
+/* Lets the upstreams grant orders, as engines do. */
+void
+fake_platform_grant_orders(struct fake_platform *fake_platform)
+{
+	fake_platform->orders = g_ptr_array_new_with_free_func(g_free);
+}
+
+/* Returns the bodies of the orders that all upstreams granted. */
+const GPtrArray *
+fake_platform_orders(const struct fake_platform *fake_platform)
+{
+	return fake_platform->orders;
+}
+
 /* Returns the number of requests that all upstreams received. */
 size_t
 fake_platform_request_count(const struct fake_platform *fake_platform)
--- a/tests/fake_platform.h
+++ b/tests/fake_platform.h
@@ -72,6 +72,8 @@
 void fake_platform_set_steps(
     struct fake_platform *, const enum fake_platform_step *, size_t);
 void fake_platform_repeat_step(struct fake_platform *, enum fake_platform_step);
+void fake_platform_grant_orders(struct fake_platform *);
+const GPtrArray *fake_platform_orders(const struct fake_platform *);
 void fake_platform_name_rate(struct fake_platform *, const char *value);
 size_t fake_platform_request_count(const struct fake_platform *);
 const struct fake_platform_request *fake_platform_request(
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -156,6 +156,7 @@
 	    .retry = {.ratio = 0.2, .slack = 100, .window_ms = 10000},
 	    .cold_ratio = 1.0,
 	    .hold_ms = 3000,
+	    .unused_max_ms = 9000,
 	};
 	f->exchange_context.routing_state = routing_state_new(
 	    f->loop, clock_system(), f->store, f->documents, true);
--- a/tests/test_caller_time.c
+++ b/tests/test_caller_time.c
@@ -25,6 +25,33 @@
 	{0, 0, 1000, 8000, false}, {3000, 2000, 8000}},
 };
 
+static const struct stall_case {
+	const char *name;
+	double target_ms;
+	double gap_ms;
+	double remaining_ms;
+	double stall_ms;
+} stall_cases[] = {
+    {"a silent upstream leaves a third of the caller's patience", 300, 250,
+	10000, 1300},
+    {"or of four targets", 3000, 1000, 15000, 7800},
+    {"but not of more than the time until the deadline", 6000, 1000, 15000,
+	9750},
+    {"a short pause shortly before the deadline is no silence", 300, 250, 400,
+	1300},
+};
+
+/* Guards against a silent upstream that is waited for until the deadline. */
+static void
+test_stall(gconstpointer data)
+{
+	const struct stall_case *c = &stall_cases[GPOINTER_TO_SIZE(data)];
+
+	g_assert_cmpfloat(
+	    caller_time_stall_ms(c->target_ms, c->gap_ms, c->remaining_ms), ==,
+	    c->stall_ms);
+}
+
 /* Runs one case. */
 static void
 test_left(gconstpointer data)
@@ -42,5 +69,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD_CASES(cases, "/caller_time/left", test_left);
+	ADD_CASES(stall_cases, "/caller_time/stall", test_stall);
 	return g_test_run();
 }
