Name reservations by send

A release of the first that is carried out late (the protocol allows "seconds later, after newer orders") ends the memory of the second, whose request is then turned away or cut off.

The name has the number of the send now.

--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -244,6 +244,9 @@
 	    .unused_max_ms = context->unused_max_ms,
 	    .expected_ms = exchange->expected_ms,
 	};
+	/* A late release of an earlier send must not end this one's memory. */
+	g_autofree char *prefix = g_strdup_printf(
+	    "%s-%zu", exchange->caller_headers.request_id, exchange->tries);
 	struct reservation_request requests[BALANCE_HELPERS_MAX];
 	size_t count = 0;
 
@@ -257,9 +260,8 @@
 	}
 	if (count == 0)
 		return false;
-	exchange->reservations = reservations_new(&settings,
-	    exchange->caller_headers.request_id, requests, count, &ops,
-	    exchange);
+	exchange->reservations = reservations_new(
+	    &settings, prefix, requests, count, &ops, exchange);
 	return true;
 }
 
--- a/tests/test_reserved_prompt.c
+++ b/tests/test_reserved_prompt.c
@@ -1,7 +1,8 @@
 /*
  * Prompts for which engines reserve memory, through a whole gateway whose
  * upstreams take them and begin none. Guards against memory that is kept, and a
- * caller that waits, until the caller leaves.
+ * caller that waits, until the caller leaves, and against a late release that
+ * ends the memory of a later send.
  */
 #include <string.h>
 
@@ -78,11 +79,46 @@
 	fixture_tear_down(&f);
 }
 
+/* Returns the id of the memory that a request names. */
+static const char *
+find_reservation(const struct fixture *f, size_t request)
+{
+	const char *helpers = fake_platform_request_header(
+	    fake_platform_request(f->fake_platform, request),
+	    "Heatherturn-Helpers");
+
+	g_assert_nonnull(helpers);
+	g_assert_nonnull(strchr(helpers, '/'));
+	return strchr(helpers, '/');
+}
+
+/* Each send has memory of its own. */
+static void
+test_ids(void)
+{
+	static const enum fake_platform_step steps[] = {
+	    FAKE_STEP_NOT_RUN, FAKE_STEP_STREAM};
+	struct fixture f = {.config = CONFIG, .tokens = TOKENS};
+
+	fixture_set_up(&f);
+	fake_platform_grant_orders(f.fake_platform);
+	fake_platform_set_steps(f.fake_platform, steps, G_N_ELEMENTS(steps));
+	fixture_wait_for_routing_state(&f);
+	fixture_call(&f, "/again/x", FIXTURE_KEY);
+	RUN_UNTIL(&f, f.done);
+	g_assert_cmpint(f.status, ==, 200);
+	g_assert_cmpstr(find_reservation(&f, 0), !=, find_reservation(&f, 1));
+	fixture_tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
 	ADD_CASES(cases, "/reserved_prompt", test_prompt);
+	g_test_add_func("/reserved_prompt/a late release ends no other send's "
+			"memory",
+	    test_ids);
 	return g_test_run();
 }
