Plan the memory of prompts that are sent again

Cause: the balancer decided that the prompt delays others, or is too late, before it divided the memory; exchange_decide() then sent it all the same, without a reservation, and an engine rejects what does not fit its own memory.

The balancer is told that a prompt was sent before and plans it in any case, with its memory. If there is none now, the prompt waits as others do while it has time.

Test: test_balance "a prompt that is sent again has memory" failed before (the verdict was that it delays others, or is too late).

--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -338,6 +338,7 @@
 	    .target_ms = time.target_ms,
 	    .slack_ms = time.slack_ms,
 	    .left_ms = time.left_ms,
+	    .was_sent = exchange->sends > 0,
 	    .engines_max = exchange->faulty_upstream != NULL
 		? RETRY_PREFILL_UPSTREAMS_MAX
 		: 0,
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -410,12 +410,8 @@
 		selection_collect(exchange, ++*filter, selection);
 	}
 	*verdict = selection_plan(exchange, selection, plan);
-	/* A request that was sent before continues at any cost. */
-	if ((*verdict == BALANCE_DELAYS_OTHERS ||
-		*verdict == BALANCE_TOO_LATE) &&
-	    exchange->sends > 0)
-		*verdict = BALANCE_SERVE;
-	if (exchange->tries == 0 && exchange_may_wait(exchange, *verdict, plan))
+	if ((exchange->tries == 0 || *verdict == BALANCE_NO_MEMORY) &&
+	    exchange_may_wait(exchange, *verdict, plan))
 		return DECISION_WAIT;
 	if (*verdict == BALANCE_SERVE)
 		return DECISION_SEND;
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -155,10 +155,15 @@
 	    BALANCE_UNDIVIDED_MS;
 }
 
-/* Returns the verdict on a plan as far as the callers' time goes. */
+/*
+ * Returns the verdict on a plan as far as the callers' time goes. A prompt that
+ * was sent before continues in any case.
+ */
 static enum balance_verdict
 judge(const struct balance_prompt *prompt, const struct balance_plan *plan)
 {
+	if (prompt->was_sent)
+		return BALANCE_SERVE;
 	if (balance_is_too_late(prompt, plan))
 		return BALANCE_TOO_LATE;
 	return balance_delays_others(prompt, plan) ? BALANCE_DELAYS_OTHERS
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -121,6 +121,7 @@
 	double left_ms; /* time left until its caller gives up */
 	size_t engines_max; /* unless memory needs more; 0: no limit */
 	bool undivided; /* one engine prefills it, or none */
+	bool was_sent; /* before: is served at any cost to others */
 	size_t engines_aside; /* of its service, not among the candidates */
 	uint32_t rank; /* 0 is the most urgent */
 	uint32_t route_rank; /* the same without its organisation's own */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -196,6 +196,35 @@
 	g_assert_cmpuint(plan.helper_count, ==, 1);
 }
 
+/*
+ * Guards against a prompt that is sent again without memory, and rejected by
+ * each engine, because it delays others or is late.
+ */
+static void
+test_sent_again(void)
+{
+	static const struct engine engines[4] = {{.backlog_ms = 4000},
+	    {.backlog_ms = 4000}, {.backlog_ms = 4000}, {.backlog_ms = 4000}};
+	struct balance_candidate candidates[4];
+	struct balance_prompt prompt = make_prompt(
+	    users_engine.memory_tokens + 50000, STREAM_LONG, 3000);
+	struct balance_plan plan;
+	uint64_t reserved = 0;
+
+	make_candidates(candidates, engines, 4);
+	g_assert_cmpint(
+	    balance_plan_prompt(&users_engine, candidates, 4, &prompt, &plan),
+	    !=, BALANCE_SERVE);
+	prompt.was_sent = true;
+	g_assert_cmpint(
+	    balance_plan_prompt(&users_engine, candidates, 4, &prompt, &plan),
+	    ==, BALANCE_SERVE);
+	for (size_t i = 0; i < plan.helper_count; i++)
+		reserved += plan.reserved_tokens[i];
+	g_assert_cmpuint(reserved + available_tokens(&candidates[plan.first]),
+	    ==, prompt.tokens);
+}
+
 /*
  * The parts of a prompt that would stall long streams are all put on engines
  * without streams, at once and at the last moment, and make nobody late.
@@ -749,6 +778,8 @@
 	    test_call);
 	g_test_add_func("/balance/a prompt uses at most engines_max engines",
 	    test_engines_max);
+	g_test_add_func(
+	    "/balance/a prompt that is sent again has memory", test_sent_again);
 	g_test_add_func("/balance/parts that would stall long streams are put "
 			"elsewhere",
 	    test_stalled_streams);
