Continue a response at another run only where the route allows it

Cause: the type of the response and route_is_repeatable() decided whether it may go on elsewhere.

Events are judged and continued on stream routes only. Those of idempotent routes are buffered like any body, so that another run replaces the first as a whole. A response that has begun is not sent again unless it is a stream with a place to continue at, and bytes of any body restart the timeout for a silent upstream. An end inside an event is no end on any route, as before.

Tests: test_resume "events of an idempotent route are those of one run" and "those after a pause are too" failed before (the second run had Last-Event-Id). test_upstream_notices "a chunk extension without end, until the deadline": the caller has 504 in place of a connection that ends early, since nothing was passed on; the other checks of the table hold for the same cases as before.

--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -177,6 +177,23 @@
 	return bytes <= httpd_request_response_head_max(exchange->http);
 }
 
+/* Returns whether the body of the response is events, on any route. */
+static bool
+has_events(const struct exchange *exchange)
+{
+	return exchange->response.event_stream && exchange->status == STATUS_OK;
+}
+
+/*
+ * Returns whether events are passed on as they arrive. Those of an idempotent
+ * route are buffered like any body, so that another run can replace them.
+ */
+static bool
+passes_events_on(const struct exchange *exchange)
+{
+	return has_events(exchange) && exchange->route->kind != CALL_IDEMPOTENT;
+}
+
 /* Starts the streamed response to the caller. */
 static void
 begin_stream(struct exchange *exchange)
@@ -185,8 +202,9 @@
 						exchange->headers->data;
 
 	exchange->streaming = true;
-	exchange->is_event_stream = exchange->response.event_stream &&
-	    exchange->status == STATUS_OK;
+	/* Only routes for streams promise events with increasing ids. */
+	exchange->is_event_stream = has_events(exchange) &&
+	    exchange->route->kind == CALL_STREAM;
 	if (exchange->response.has_length && !exchange->is_event_stream)
 		httpd_stream_begin_sized(exchange->http, exchange->status,
 		    headers, exchange->headers->len, exchange->response.length);
@@ -259,7 +277,7 @@
 	reservations_set_used(exchange->reservations);
 	if (exchange->streaming)
 		return true;
-	if (exchange->response.event_stream && status == STATUS_OK)
+	if (passes_events_on(exchange))
 		begin_stream(exchange);
 	else
 		exchange->body = g_byte_array_new();
@@ -286,6 +304,12 @@
 	exchange->body = NULL;
 }
 
+/* The bytes of an event are passed on as part of the body. */
+static void
+ignore_event(void *data, const struct stream_event *event)
+{
+}
+
 /*
  * Handles a part of the response body; pauses the call if the caller is slow.
  */
@@ -294,14 +318,19 @@
 {
 	struct exchange *exchange = data;
 
-	if (!exchange->is_event_stream) {
-		append_part(exchange, bytes, length);
-	} else if (!event_splitter_feed(&exchange->splitter, bytes, length,
-		       exchange_forward_event, exchange)) {
+	if (has_events(exchange) &&
+	    !event_splitter_feed(&exchange->splitter, bytes, length,
+		exchange->is_event_stream ? exchange_forward_event
+					  : ignore_event,
+		exchange)) {
 		exchange->send_outcome = SEND_LOST;
 		exchange->send_error = "the upstream sent an event without end";
 		return false;
 	}
+	if (!exchange->is_event_stream) {
+		exchange_restart_stall_timer(exchange);
+		append_part(exchange, bytes, length);
+	}
 	if (exchange->send_outcome == SEND_FAILED)
 		return false;
 	if (exchange->streaming &&
@@ -374,11 +403,14 @@
 	bool is_end_agreed = exchange->response.framed &&
 	    event_position_is_end_agreed(&exchange->position);
 
+	if (!has_events(exchange))
+		return false;
+	if (event_splitter_is_in_event(&exchange->splitter))
+		return true;
 	if (!exchange->is_event_stream)
 		return false;
-	return event_splitter_is_in_event(&exchange->splitter) ||
-	    (exchange->continues && !exchange->position.has_new &&
-		!is_end_agreed) ||
+	return (exchange->continues && !exchange->position.has_new &&
+		   !is_end_agreed) ||
 	    (!exchange->response.framed && exchange->send_events == 0 &&
 		!exchange->position.has_last);
 }
--- a/src/gateway/exchange_retry.c
+++ b/src/gateway/exchange_retry.c
@@ -42,8 +42,9 @@
 {
 	if (may_have_run && !route_is_repeatable(exchange->route))
 		return false;
-	if (exchange->is_event_stream &&
-	    !event_position_can_resume(&exchange->position))
+	if (exchange->streaming &&
+	    (!exchange->is_event_stream ||
+		!event_position_can_resume(&exchange->position)))
 		return false;
 	return exchange_used_attempts(exchange, sends, may_have_run) <
 	    exchange_sends_max(exchange) &&
--- a/tests/test_resume.c
+++ b/tests/test_resume.c
@@ -1,6 +1,8 @@
 /*
  * Streams that broke off midway, through a whole gateway. Guards against
- * callers that lose a stream although an upstream can go on with it.
+ * callers that lose a stream although an upstream can go on with it, and
+ * against a response that is joined from two runs on a route without
+ * resumption.
  */
 #include <sodium.h>
 
@@ -16,20 +18,25 @@
 	int64_t others_quiet_ms; /* from the start; 0 for not */
 	size_t arrivals;
 	bool whole; /* the caller gets the whole stream */
+	bool from_start; /* the last run does not continue the first one */
 } cases[] = {
     {"a rejection uses up no attempt of a stream that has begun", "/last/x",
-	{FAKE_STEP_CUT_STREAM, FAKE_STEP_NOT_RUN, FAKE_STEP_STREAM}, 0, 3,
-	true},
+	{FAKE_STEP_CUT_STREAM, FAKE_STEP_NOT_RUN, FAKE_STEP_STREAM}, 0, 3, true,
+	false},
     {"a stream is not run more often than its route allows", "/last/x",
-	{FAKE_STEP_CUT_STREAM, FAKE_STEP_CUT_STREAM}, 0, 2, false},
+	{FAKE_STEP_CUT_STREAM, FAKE_STEP_CUT_STREAM}, 0, 2, false, false},
     {"a stream that has begun waits until an upstream can go on", "/last/x",
-	{FAKE_STEP_CUT_STREAM, FAKE_STEP_STREAM}, 300, 2, true},
+	{FAKE_STEP_CUT_STREAM, FAKE_STEP_STREAM}, 300, 2, true, false},
     {"a stream ends early if no upstream can go on before its caller leaves",
-	"/last/x", {FAKE_STEP_CUT_STREAM}, 60000, 1, false},
+	"/last/x", {FAKE_STEP_CUT_STREAM}, 60000, 1, false, false},
     {"a silent stream is kept while no other upstream can go on", "/last/x",
-	{FAKE_STEP_SLOW_STREAM}, 60000, 1, true},
+	{FAKE_STEP_SLOW_STREAM}, 60000, 1, true, false},
     {"a silent stream goes on at another upstream", "/last/x",
-	{FAKE_STEP_SLOW_STREAM, FAKE_STEP_STREAM}, 0, 2, true},
+	{FAKE_STEP_SLOW_STREAM, FAKE_STEP_STREAM}, 0, 2, true, false},
+    {"events of an idempotent route are those of one run", "/again/x",
+	{FAKE_STEP_CUT_STREAM, FAKE_STEP_STREAM}, 0, 2, true, true},
+    {"those after a pause are too", "/again/x",
+	{FAKE_STEP_SLOW_STREAM, FAKE_STEP_STREAM}, 0, 2, true, true},
 };
 
 /* Makes all upstreams but one ask for no requests. */
@@ -47,6 +54,15 @@
 	}
 }
 
+/* Returns whether a run is asked for all events, not for those after one. */
+static bool
+is_from_start(const struct fixture *f, size_t run)
+{
+	return fake_platform_request_header(
+		   fake_platform_request(f->fake_platform, run),
+		   "Last-Event-Id") == NULL;
+}
+
 /* Runs one case. */
 static void
 test_case(gconstpointer data)
@@ -67,6 +83,9 @@
 	g_assert_cmpuint(
 	    fake_platform_request_count(f.fake_platform), ==, c->arrivals);
 	g_assert_cmpint(f.aborted, ==, !c->whole);
+	if (c->arrivals > 1)
+		g_assert_cmpint(
+		    is_from_start(&f, c->arrivals - 1), ==, c->from_start);
 	if (c->whole) {
 		g_assert_cmpint(f.status, ==, 200);
 		g_assert_cmpstr(body, ==, EVENTS);
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -235,7 +235,7 @@
     {"a trailer without end", "/stream/x", ENDLESS_TRAILER, FAKE_STEP_STREAM,
 	200},
     {"a chunk extension without end, until the deadline", "/quick/x",
-	ENDLESS_CHUNK_EXTENSION, FAKE_STEP_OK, 0},
+	ENDLESS_CHUNK_EXTENSION, FAKE_STEP_OK, 504},
     {"a body without end, until the deadline", "/quick/x", ENDLESS_BODY,
 	FAKE_STEP_OK, 0},
 };
@@ -268,7 +268,7 @@
 	     i++)
 		ev_run(f.loop, EVRUN_ONCE);
 	g_assert_true(endless_server_is_closed(server));
-	if (c->status != 0) {
+	if (c->status == 200) {
 		g_assert_cmpuint(
 		    endless_server_bytes(server), <, ENDLESS_BYTES_MAX);
 		request(&f, c->path);
