Take the first event, not the head, for the use of reserved memory

"A request begins to run with its first token" (PROTOCOL.md, Requests).

The first event, or the first bytes of another body, count now.

Test: test_reserved_prompt "a response without an event is no begin" failed before (the upstream was waited for).

--- a/src/gateway/exchange_events.c
+++ b/src/gateway/exchange_events.c
@@ -64,7 +64,7 @@
  * becomes of the event held back.
  */
 static void
-update_alternative(struct exchange *exchange)
+update_may_ask_another(struct exchange *exchange)
 {
 	exchange->position.may_ask_another = exchange_may_retry(
 	    exchange, exchange->sends + 1, true);
@@ -107,8 +107,10 @@
 {
 	if (++exchange->send_events == PART_QUARANTINE_SURVIVED_EVENTS)
 		exchange_report_begin_survival(exchange);
-	if (exchange->send_events == 1)
+	if (exchange->send_events == 1) {
+		reservations_set_used(exchange->reservations);
 		exchange_check_prompt(exchange);
+	}
 }
 
 /* Passes the event on that was held back, which is no fault. */
@@ -146,7 +148,7 @@
 	bool accepted;
 
 	if (exchange->position.held_doubt != EVENT_SURE) {
-		update_alternative(exchange);
+		update_may_ask_another(exchange);
 		accepted = event_position_accept_held(
 		    &exchange->position, numbering, &mark);
 		log_decision(exchange, &held, &mark, accepted);
@@ -219,7 +221,7 @@
 
 	if (exchange->position.held_doubt == EVENT_SURE)
 		return true;
-	update_alternative(exchange);
+	update_may_ask_another(exchange);
 	accepted = !in_event &&
 	    event_position_accept_held_at_end(
 		&exchange->position, &exchange->route->numbering);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -149,7 +149,7 @@
 	GByteArray *body; /* response that is being buffered */
 	GArray *headers; /* of the response to the caller */
 	bool streaming; /* a streamed response has begun */
-	bool is_event_stream; /* streaming is that of a stream's events */
+	bool is_event_stream; /* the response has events of a stream route */
 	bool had_other_type; /* a run responded with no event stream */
 	int doubted_status; /* of the run before, not believed; 0 for none */
 	bool finished;
--- a/src/gateway/exchange_response.c
+++ b/src/gateway/exchange_response.c
@@ -274,7 +274,6 @@
 	}
 	exchange->send_outcome = SEND_ANSWERED;
 	exchange->begun_at = clock_monotonic(exchange->context->clock);
-	reservations_set_used(exchange->reservations);
 	if (exchange->streaming)
 		return true;
 	if (passes_events_on(exchange))
@@ -329,6 +328,7 @@
 	}
 	if (!exchange->is_event_stream) {
 		exchange_restart_stall_timer(exchange);
+		reservations_set_used(exchange->reservations);
 		append_part(exchange, bytes, length);
 	}
 	if (exchange->send_outcome == SEND_FAILED)
--- a/src/gateway/exchange_send.c
+++ b/src/gateway/exchange_send.c
@@ -410,6 +410,7 @@
 		selection_collect(exchange, ++*filter, selection);
 	}
 	*verdict = selection_plan(exchange, selection, plan);
+	/* A request that was sent before waits for memory only. */
 	if ((exchange->tries == 0 || *verdict == BALANCE_NO_MEMORY) &&
 	    exchange_may_wait(exchange, *verdict, plan))
 		return DECISION_WAIT;
--- a/src/gateway/reservations.c
+++ b/src/gateway/reservations.c
@@ -380,8 +380,8 @@
 }
 
 /*
- * A response shows that the request uses the memory, which is then kept until
- * the reservations are freed. NULL is allowed.
+ * The body of a response shows that the request uses the memory, which is then
+ * kept until the reservations are freed. NULL is allowed.
  */
 void
 reservations_set_used(struct reservations *reservations)
--- a/tests/test_reserved_prompt.c
+++ b/tests/test_reserved_prompt.c
@@ -31,14 +31,19 @@
 static const struct prompt_case {
 	const char *name;
 	const char *path;
+	enum fake_platform_step first; /* of the upstreams */
 	bool just_started; /* the gateway has no share of the retry slack */
 	size_t arrivals;
 	int status;
 } cases[] = {
-    {"a prompt that no engine begins is sent to another", "/again/x", false, 2,
-	200},
-    {"one that may not be repeated fails at once", "/once/x", false, 1, 502},
-    {"one without a retry left fails at once", "/again/x", true, 1, 502},
+    {"a prompt that no engine begins is sent to another", "/again/x",
+	FAKE_STEP_HANG, false, 2, 200},
+    {"a response without an event is no begin", "/again/x", FAKE_STEP_BEGIN,
+	false, 2, 200},
+    {"one that may not be repeated fails at once", "/once/x", FAKE_STEP_HANG,
+	false, 1, 502},
+    {"one without a retry left fails at once", "/again/x", FAKE_STEP_HANG, true,
+	1, 502},
 };
 
 /* Returns how many orders of a kind have been granted. */
@@ -57,9 +62,8 @@
 static void
 test_prompt(gconstpointer data)
 {
-	static const enum fake_platform_step steps[] = {
-	    FAKE_STEP_HANG, FAKE_STEP_STREAM};
 	const struct prompt_case *c = &cases[GPOINTER_TO_SIZE(data)];
+	const enum fake_platform_step steps[] = {c->first, FAKE_STEP_STREAM};
 	struct fixture f = {.config = CONFIG,
 	    .tokens = TOKENS,
 	    .just_started = c->just_started};
