Pass on unusual ids where no other upstream takes the stream

On a route that can be resumed, a sound stream whose ids were unusual for the route was cut if its upstream was the only one that took requests: the doubt asked for another run, and nobody could give it.

Another run can be asked only if another upstream takes the request now.

Test: test_foreign_event "ids may jump at the only upstream" failed before (cut after two of four events).

--- a/src/gateway/exchange_events.c
+++ b/src/gateway/exchange_events.c
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
+#include "gateway/exchange_selection.h"
 #include "policy/part_quarantine.h"
 
 #define LOG_MODULE "events"
@@ -66,8 +67,9 @@
 static void
 update_may_ask_another(struct exchange *exchange)
 {
-	exchange->position.may_ask_another = exchange_may_retry(
-	    exchange, exchange->sends + 1, true);
+	exchange->position.may_ask_another = exchange_may_retry(exchange,
+						 exchange->sends + 1, true) &&
+	    exchange_has_other_upstream(exchange);
 }
 
 /*
