--- a/tests/soak/foreign_events.py
+++ b/tests/soak/foreign_events.py
@@ -41,6 +41,13 @@
                     data.encode())
 
 
+def is_between(event, last, following):
+    """Whether an event's id is above the last one and below the next, if any."""
+    value = event.partition(b"\n")[0].removeprefix(b"id: ")
+    return value.isdigit() and last < int(value) and (
+        following is None or int(value) < following)
+
+
 async def add(soak):
     """Makes an upstream add bytes to some of its streams."""
     upstream = soak.random.choice(soak.upstreams)
