Revert "End prefill work with its prompts"

Likely cause, not traced further: engines prefill beside decoding and need longer than predicted. The sum of parts that ended early covered that; without it their load is dropped while they still prefill, and engines get too much.

--- a/src/routing/fleet.c
+++ b/src/routing/fleet.c
@@ -420,20 +420,13 @@
 }
 
 /*
- * Adds a part of a prompt, of part_us microseconds and already in the
- * upstream's load, to its prefill work and returns when all of that work is
- * expected to be done. Work whose prompts have ended no longer delays it.
+ * Adds a part of a prompt, of part_us microseconds, to an upstream's prefill
+ * work and returns when all of that work is expected to be done.
  */
 struct timespec
 fleet_upstream_add_prefill(
     struct fleet_upstream *upstream, uint64_t part_us, struct timespec now)
 {
-	uint64_t load_us = fleet_upstream_prefill_us(upstream);
-	struct timespec others_done = time_add_us(
-	    now, (int64_t)(load_us - MIN(part_us, load_us)));
-
-	if (time_before(others_done, upstream->prefill_until))
-		upstream->prefill_until = others_done;
 	if (time_before(upstream->prefill_until, now))
 		upstream->prefill_until = now;
 	upstream->prefill_until = time_add_us(
